--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,15 @@
+export default {
+  files: ['packages/*/src/**/*.spec.ts'],
+  typescript: {
+    rewritePaths: {
+      'packages/protocol/src/': 'packages/protocol/dist/',
+      'packages/core/src/': 'packages/core/dist/',
+      'packages/host/src/': 'packages/host/dist/',
+      'packages/cli/src/': 'packages/cli/dist/',
+      'packages/testkit/src/': 'packages/testkit/dist/',
+    },
+    compile: false,
+  },
+  nodeArguments: ['--enable-source-maps'],
+  timeout: '3m',
+};
--- /dev/null
+++ b/packages/host/src/log/logfmt.d.ts
@@ -0,0 +1,4 @@
+declare module 'logfmt' {
+  const logfmt: { stringify: (data: Record<string, unknown>) => string };
+  export default logfmt;
+}
--- /dev/null
+++ b/packages/host/src/metrics/metrics.ts
@@ -0,0 +1,84 @@
+import { build, type Histogram } from 'hdr-histogram-js';
+
+/** Labels of a metric, such as service, kind and rank. */
+export type Labels = Readonly<Record<string, string>>;
+
+/** Counters, gauges and latency histograms of a process. */
+export interface MetricsRegistry {
+  /** Adds to a counter. */
+  readonly count: (name: string, labels?: Labels, by?: number) => void;
+  /** Sets a gauge. */
+  readonly gauge: (name: string, value: number, labels?: Labels) => void;
+  /** Records a duration in milliseconds. */
+  readonly observeMs: (name: string, durationMs: number, labels?: Labels) => void;
+  /** Everything recorded so far. */
+  readonly series: () => readonly MetricSeries[];
+}
+
+/** One series of a metric. */
+export type MetricSeries = { readonly name: string; readonly labels: Labels } & (
+  | { readonly type: 'counter' | 'gauge'; readonly value: number }
+  | { readonly type: 'histogram'; readonly histogram: Histogram }
+);
+
+/** Histograms count microseconds up to this bound. */
+const highestTrackableUs = 120_000_000;
+const significantDigits = 3;
+
+function seriesKey(name: string, labels: Labels): string {
+  let key = name;
+  for (const [label, value] of Object.entries(labels)) key += `|${label}=${value}`;
+  return key;
+}
+
+function createHistogram(): Histogram {
+  return build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: highestTrackableUs,
+    numberOfSignificantValueDigits: significantDigits,
+  });
+}
+
+/** Creates an empty registry. */
+export function createMetrics(): MetricsRegistry {
+  const numbers = new Map<
+    string,
+    { name: string; labels: Labels; type: 'counter' | 'gauge'; value: number }
+  >();
+  const histograms = new Map<string, { name: string; labels: Labels; histogram: Histogram }>();
+
+  const number = (type: 'counter' | 'gauge', name: string, labels: Labels) => {
+    const key = seriesKey(name, labels);
+    const known = numbers.get(key);
+    if (known !== undefined) return known;
+    const created = { name, labels, type, value: 0 };
+    numbers.set(key, created);
+    return created;
+  };
+
+  const histogramOf = (name: string, labels: Labels): Histogram => {
+    const key = seriesKey(name, labels);
+    const known = histograms.get(key);
+    if (known !== undefined) return known.histogram;
+    const histogram = createHistogram();
+    histograms.set(key, { name, labels, histogram });
+    return histogram;
+  };
+
+  return {
+    count: (name, labels = {}, by = 1) => {
+      number('counter', name, labels).value += by;
+    },
+    gauge: (name, value, labels = {}) => {
+      number('gauge', name, labels).value = value;
+    },
+    observeMs: (name, durationMs, labels = {}) => {
+      const durationUs = Math.min(highestTrackableUs, Math.max(1, Math.round(durationMs * 1000)));
+      histogramOf(name, labels).recordValue(durationUs);
+    },
+    series: () => [
+      ...numbers.values(),
+      ...[...histograms.values()].map((entry) => ({ ...entry, type: 'histogram' as const })),
+    ],
+  };
+}
--- /dev/null
+++ b/packages/protocol/src/common/primitives.ts
@@ -0,0 +1,34 @@
+import ipaddr from 'ipaddr.js';
+import { z } from 'zod';
+
+/** Identity of a host, region, availability zone, service, kind, rank or team. */
+export const idSchema = z
+  .string()
+  .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'must be lower-case letters, digits and hyphens, at most 63')
+  .describe('Lower-case letters, digits and hyphens, at most 63 characters.');
+
+/** An IP address in numbers. */
+export const ipAddressSchema = z
+  .string()
+  .refine((text) => ipaddr.isValid(text), 'must be an IP address in numbers')
+  .describe('IPv4 or IPv6 address in numbers.');
+
+/** A TCP port. */
+export const portSchema = z.int().min(1).max(65535).describe('TCP port.');
+
+/** A block of caller addresses. */
+export const cidrSchema = z
+  .string()
+  .refine((text) => ipaddr.isValidCIDR(text), 'must be an address block such as 10.1.0.0/16')
+  .describe('Address block such as 10.1.0.0/16.');
+
+/** A socket address. */
+export const endpointSchema = z
+  .strictObject({ address: ipAddressSchema, port: portSchema })
+  .describe('IP address and TCP port.');
+
+/** A socket address. */
+export type Endpoint = z.infer<typeof endpointSchema>;
+
+/** A share in thousandths. */
+export const permilleSchema = z.int().min(0).max(1000);
--- /dev/null
+++ b/packages/protocol/src/results/failure.spec.ts
@@ -0,0 +1,17 @@
+import test from 'ava';
+
+import { executionTruth } from './failure.js';
+import { resultCodes } from './resultCodes.js';
+
+test('a code without a stated truth proves nothing about the execution', (t) => {
+  t.is(executionTruth('BL1001'), 'unknown');
+  t.is(executionTruth('BL3002'), 'notRun');
+});
+
+test('every code stands in the range of its area and has a meaning and an action', (t) => {
+  for (const [code, row] of Object.entries(resultCodes)) {
+    t.regex(code, /^BL[1-9]\d{3}$/);
+    t.true(row.meaning.length > 0);
+    t.true(row.action.length > 0);
+  }
+});
--- /dev/null
+++ b/packages/protocol/src/results/failure.ts
@@ -0,0 +1,45 @@
+import { resultCodes, type ExecutionTruth, type ResultCode } from './resultCodes.js';
+
+/** A single fault of a checked input: where it stands and what is wrong. */
+export interface Fault {
+  /** Path of the field, such as `services/parts-desk/kinds/0/rank`. */
+  readonly path: string;
+  /** What is wrong, in plain words. */
+  readonly problem: string;
+}
+
+/** An expected failure: a numbered code with the particulars of this case. */
+export interface Failure {
+  readonly code: ResultCode;
+  /** Particulars of this case, in plain words. */
+  readonly detail: string;
+  /** Each fault of a checked input. */
+  readonly faults?: readonly Fault[];
+  /** Time after which a retry makes sense, in milliseconds. */
+  readonly retryAfterMs?: number;
+}
+
+/**
+ * Builds a failure.
+ *
+ * @param code - numbered result code
+ * @param detail - particulars of this case
+ * @param more - faults and retry time
+ */
+export function failure(
+  code: ResultCode,
+  detail: string,
+  more: Pick<Failure, 'faults' | 'retryAfterMs'> = {},
+): Failure {
+  return { code, detail, ...more };
+}
+
+/**
+ * Tells what a failure proves about the execution of its call. A code without a stated truth proves
+ * nothing.
+ *
+ * @param code - numbered result code
+ */
+export function executionTruth(code: ResultCode): ExecutionTruth {
+  return resultCodes[code].truth ?? 'unknown';
+}
--- /dev/null
+++ b/packages/protocol/src/steering/placementTypes.ts
@@ -0,0 +1,62 @@
+import type { Execution } from '../document/documentTypes.js';
+import type { Failure } from '../results/failure.js';
+import type { Endpoint } from '../common/primitives.js';
+
+/** A call that asks for a place to run. Times are monotonic milliseconds of this process. */
+export interface PendingCall {
+  readonly requestId: string;
+  readonly service: string;
+  readonly kind: string;
+  /** Index into the ranks of the document; 0 is the most urgent. */
+  readonly rank: number;
+  readonly execution: Execution;
+  readonly arrivedAtMs: number;
+  /** Time by which the call should be answered. */
+  readonly targetAtMs: number;
+  /** Time after which the call is given up. */
+  readonly deadlineAtMs: number;
+  /** Number of earlier dispatches of this call, over all hosts. */
+  readonly attempt: number;
+  /** Backend servers and hosts that failed this call. */
+  readonly excluded: readonly string[];
+  /** How the call came in: from a caller, from a host of the zone, or from another zone. */
+  readonly origin: 'caller' | 'zonePeer' | 'otherZone';
+  /** Region that the call came from, for the cap on shifted traffic. */
+  readonly originRegion: string;
+  /** Credit spent by a call from another zone. */
+  readonly creditId?: string;
+  /** Aborted when the caller hangs up. */
+  readonly signal: AbortSignal;
+}
+
+/** How a dispatched call ended, as told to the task that gave the place. */
+export interface CallOutcome {
+  readonly result: 'answered' | 'notRun' | 'broken' | 'timedOut' | 'cancelled';
+  /** HTTP status of the answer, if one came. */
+  readonly status?: number;
+  /** Time from dispatch to the end of the answer. */
+  readonly elapsedMs: number;
+}
+
+/** A place for a call: a slot of a backend server, another host, or a refusal. */
+export type Placement =
+  | {
+      readonly place: 'backend';
+      readonly backendId: string;
+      readonly endpoint: Endpoint;
+      /** Gives the slot back; must be called exactly once. */
+      readonly release: (outcome: CallOutcome) => void;
+    }
+  | {
+      readonly place: 'host';
+      readonly hostId: string;
+      readonly creditId?: string;
+      readonly release: (outcome: CallOutcome) => void;
+    }
+  | { readonly place: 'refused'; readonly failure: Failure };
+
+/** Finds a place for a call; resolves when a place is free or the call must be refused. */
+export type PlaceCall = (call: PendingCall) => Promise<Placement>;
+
+/** Tells whether a call whose attempt failed may be dispatched again. */
+export type MayRetry = (call: PendingCall, outcome: CallOutcome) => boolean;
--- /dev/null
+++ b/packages/testkit/src/docs/errorsPage.ts
@@ -0,0 +1,21 @@
+import { resultCodes } from '@buckthornlug/protocol/results/resultCodes.js';
+
+/** Renders docs/ERRORS.md from the table of result codes. */
+export function renderErrorsPage(): string {
+  const lines = [
+    '# Result codes',
+    '',
+    'Generated from `packages/protocol/src/results/resultCodes.ts` by `npm run docs`.',
+    '',
+    'A refusal carries its code in `x-buckthornlug-code`, what it proves about the execution in',
+    '`x-buckthornlug-execution` (`notRun`, `ran` or `unknown`), and a retry time in `retry-after`.',
+    '',
+    '| code | status | execution | meaning | action |',
+    '| --- | --- | --- | --- | --- |',
+  ];
+  for (const [code, row] of Object.entries(resultCodes)) {
+    const truth = 'truth' in row ? row.truth : '';
+    lines.push(`| ${code} | ${row.httpStatus} | ${truth} | ${row.meaning} | ${row.action} |`);
+  }
+  return `${lines.join('\n')}\n`;
+}
