feat(table): compile the document into a steering table

Cause: decisions must not search the document; 100,000 client blocks and 3,700 sites need a compact form. Sections that are the same objects as in the previous table are not read again, and only pages whose blocks differ are built anew.

--- /dev/null
+++ b/packages/core/src/table/blockKeys.ts
@@ -0,0 +1,75 @@
+/**
+ * Client blocks as sortable numbers: address in the highest bits, then the length of the prefix, then
+ * the index of the availability zone. Keys stay below 2^53, so that doubles hold them exactly.
+ */
+
+const zoneFactor = 4096;
+const lengthFactor = 64;
+const addressFactor = zoneFactor * lengthFactor;
+
+/** Bits of an address that choose its page. */
+export const pageBits = 12;
+/** Number of pages that the IPv4 addresses are divided into. */
+export const pageCount = 2 ** pageBits;
+/** Addresses of one page. */
+export const pageSpan = 2 ** (32 - pageBits);
+
+/** Sorted keys of blocks. */
+export type BlockKeys = Float64Array;
+
+const noKeys: BlockKeys = new Float64Array(0);
+
+export function blockKey(start: number, prefixLength: number, zoneIndex: number): number {
+  return start * addressFactor + prefixLength * zoneFactor + zoneIndex;
+}
+
+export function keyStart(key: number): number {
+  return Math.floor(key / addressFactor);
+}
+
+export function keyPrefixLength(key: number): number {
+  return Math.floor(key / zoneFactor) % lengthFactor;
+}
+
+export function keyZoneIndex(key: number): number {
+  return key % zoneFactor;
+}
+
+/** Page that holds an address. */
+export function pageOf(address: number): number {
+  return Math.floor(address / pageSpan);
+}
+
+/** Position of the first key that is not below a bound. */
+function lowerBound(keys: BlockKeys, bound: number): number {
+  let low = 0;
+  let high = keys.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if ((keys[middle] ?? 0) < bound) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
+/**
+ * Takes the keys of one page out of sorted keys, without a copy.
+ *
+ * @param keys - sorted keys
+ * @param page - index of the page
+ */
+export function pageSlice(keys: BlockKeys | undefined, page: number): BlockKeys {
+  if (keys === undefined || keys.length === 0) return noKeys;
+  const from = lowerBound(keys, page * pageSpan * addressFactor);
+  const to = lowerBound(keys, (page + 1) * pageSpan * addressFactor);
+  return from === to ? noKeys : keys.subarray(from, to);
+}
+
+/** Whether two lists of keys are equal. */
+export function equalKeys(left: BlockKeys, right: BlockKeys): boolean {
+  if (left.length !== right.length) return false;
+  for (let index = 0; index < left.length; index += 1) {
+    if (left[index] !== right[index]) return false;
+  }
+  return true;
+}
--- /dev/null
+++ b/packages/core/src/table/blockPage.ts
@@ -0,0 +1,127 @@
+import {
+  keyPrefixLength,
+  keyStart,
+  keyZoneIndex,
+  pageOf,
+  pageSlice,
+  pageSpan,
+} from './blockKeys.js';
+import type { ParsedBlocks } from './parsedBlocks.js';
+
+/** Adjoining ranges of addresses with the availability zone of each. */
+export interface BlockPage {
+  /** First address of each range, in rising order. */
+  readonly starts: Uint32Array;
+  /** Index of the zone of each range; `noZone` where no block holds the range. */
+  readonly zones: Uint16Array;
+}
+
+/** Mark of addresses that no block holds. */
+const noZone = 0xffff;
+
+/** Page without blocks. */
+export const emptyPage: BlockPage = { starts: new Uint32Array(0), zones: new Uint16Array(0) };
+
+/** A block that is open while the ranges are laid out. */
+interface OpenBlock {
+  readonly endsBefore: number;
+  readonly zone: number;
+}
+
+/** Lays out nested blocks as ranges that do not overlap. */
+class RangeBuilder {
+  private readonly starts: number[] = [];
+
+  private readonly zones: number[] = [];
+
+  private readonly open: OpenBlock[] = [];
+
+  /** Adds a block; blocks come in order of their start, enclosing blocks first. */
+  add(start: number, endsBefore: number, zone: number): void {
+    this.closeUntil(start);
+    this.startRange(start, zone);
+    this.open.push({ endsBefore, zone });
+  }
+
+  finish(): BlockPage {
+    this.closeUntil(Infinity);
+    return { starts: Uint32Array.from(this.starts), zones: Uint16Array.from(this.zones) };
+  }
+
+  private closeUntil(address: number): void {
+    let top = this.open.at(-1);
+    while (top !== undefined && top.endsBefore <= address) {
+      this.open.pop();
+      if (top.endsBefore < 2 ** 32) {
+        this.startRange(top.endsBefore, this.open.at(-1)?.zone ?? noZone);
+      }
+      top = this.open.at(-1);
+    }
+  }
+
+  private startRange(start: number, zone: number): void {
+    if (this.starts.at(-1) === start) {
+      this.starts.pop();
+      this.zones.pop();
+    }
+    if (this.zones.at(-1) === zone) return;
+    this.starts.push(start);
+    this.zones.push(zone);
+  }
+}
+
+function sortedKeys(sections: readonly ParsedBlocks[], page: number): Float64Array | undefined {
+  const slices = sections
+    .map((section) => pageSlice(section.keys, page))
+    .filter((slice) => slice.length > 0);
+  const [first, ...others] = slices;
+  if (first === undefined || others.length === 0) return first;
+  const total = slices.reduce((sum, slice) => sum + slice.length, 0);
+  const keys = new Float64Array(total);
+  let offset = 0;
+  for (const slice of slices) {
+    keys.set(slice, offset);
+    offset += slice.length;
+  }
+  return keys.sort();
+}
+
+/**
+ * Builds the ranges of one page.
+ *
+ * @param sections - parsed sections
+ * @param page - index of the page
+ */
+export function buildPage(sections: readonly ParsedBlocks[], page: number): BlockPage {
+  const keys = sortedKeys(sections, page);
+  if (keys === undefined) return emptyPage;
+  const builder = new RangeBuilder();
+  for (const key of keys) {
+    const start = keyStart(key);
+    const pageEnd = (pageOf(start) + 1) * pageSpan;
+    const endsBefore = Math.min(start + 2 ** (32 - keyPrefixLength(key)), pageEnd);
+    builder.add(start, endsBefore, keyZoneIndex(key));
+  }
+  return builder.finish();
+}
+
+/**
+ * Finds the zone of an address.
+ *
+ * @param page - page that holds the address
+ * @param address - IPv4 address as an unsigned number
+ * @returns index of the zone, or -1 where no block holds the address
+ */
+export function findInPage(page: BlockPage, address: number): number {
+  const { starts, zones } = page;
+  let low = 0;
+  let high = starts.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if ((starts[middle] ?? 0) <= address) low = middle + 1;
+    else high = middle;
+  }
+  if (low === 0) return -1;
+  const zone = zones[low - 1] ?? noZone;
+  return zone === noZone ? -1 : zone;
+}
--- /dev/null
+++ b/packages/core/src/table/clientBlockTable.ts
@@ -0,0 +1,164 @@
+import type { ClientBlocks } from '@buckthornlug/protocol/document/documentTypes.js';
+
+import { ipv6Prefix, parseCallerAddress } from './addressBlock.js';
+import { parseClientBlocks, type ParsedBlocks } from './parsedBlocks.js';
+import { buildPage, emptyPage, findInPage, type BlockPage } from './blockPage.js';
+import { equalKeys, pageCount, pageOf, pageSlice } from './blockKeys.js';
+
+/** Sections `clientBlocks/<group>` by group. */
+export type ClientBlockGroups = Readonly<Record<string, ClientBlocks>>;
+
+/** Finds the availability zone of a caller's address among many blocks of addresses. */
+export interface ClientBlockTable {
+  readonly zoneNames: readonly string[];
+  /** Parsed sections by group, each with the section that it came from. */
+  readonly parsed: ReadonlyMap<string, ParsedBlocks>;
+  readonly pages: readonly BlockPage[];
+  readonly ipv6: Ipv6Blocks;
+}
+
+/** IPv6 blocks by prefix, for each length of a prefix that occurs, the longest first. */
+export type Ipv6Blocks = readonly {
+  readonly prefixLength: number;
+  readonly zones: ReadonlyMap<string, number>;
+}[];
+
+/** How much of the last table was used again. */
+export interface ReuseCount {
+  readonly sectionsParsed: number;
+  readonly pagesBuilt: number;
+}
+
+function sameNames(left: readonly string[], right: readonly string[]): boolean {
+  return left.length === right.length && left.every((name, index) => name === right[index]);
+}
+
+function buildIpv6(parsed: Iterable<ParsedBlocks>): Ipv6Blocks {
+  const byLength = new Map<number, Map<string, number>>();
+  for (const section of parsed) {
+    for (const block of section.ipv6) {
+      const zones = byLength.get(block.prefixLength) ?? new Map<string, number>();
+      byLength.set(block.prefixLength, zones);
+      zones.set(block.prefix, block.zoneIndex);
+    }
+  }
+  const lengths = [...byLength.keys()].sort((left, right) => right - left);
+  return lengths.map((prefixLength) => ({
+    prefixLength,
+    zones: byLength.get(prefixLength) ?? new Map<string, number>(),
+  }));
+}
+
+function parseSections(
+  groups: ClientBlockGroups,
+  zoneNames: readonly string[],
+  previous: ClientBlockTable | undefined,
+): Map<string, ParsedBlocks> {
+  const zoneIndexes = new Map(zoneNames.map((name, index) => [name, index]));
+  const parsed = new Map<string, ParsedBlocks>();
+  for (const [group, section] of Object.entries(groups)) {
+    const known = previous?.parsed.get(group);
+    const kept = known?.section === section ? known : parseClientBlocks(section, zoneIndexes);
+    parsed.set(group, kept);
+  }
+  return parsed;
+}
+
+/** Lists the pages whose blocks differ between two forms of a section. */
+function differingPages(
+  before: ParsedBlocks | undefined,
+  after: ParsedBlocks | undefined,
+): number[] {
+  const pages: number[] = [];
+  for (let page = 0; page < pageCount; page += 1) {
+    if (equalKeys(pageSlice(before?.keys, page), pageSlice(after?.keys, page))) continue;
+    pages.push(page);
+  }
+  return pages;
+}
+
+function changedPages(
+  previous: ClientBlockTable,
+  parsed: ReadonlyMap<string, ParsedBlocks>,
+): ReadonlySet<number> {
+  const changed: number[] = [];
+  for (const [group, section] of parsed) {
+    const before = previous.parsed.get(group);
+    if (before !== section) changed.push(...differingPages(before, section));
+  }
+  for (const [group, before] of previous.parsed) {
+    if (!parsed.has(group)) changed.push(...differingPages(before, undefined));
+  }
+  return new Set(changed);
+}
+
+/**
+ * Compiles blocks of caller addresses. Sections that are the same objects as in the previous table
+ * are not read again, and only pages of addresses whose blocks differ are built anew.
+ *
+ * @param groups - sections of client blocks
+ * @param zoneNames - availability zones of the document
+ * @param previous - table that parts are taken from
+ */
+export function compileClientBlocks(
+  groups: ClientBlockGroups,
+  zoneNames: readonly string[],
+  previous?: ClientBlockTable,
+): ClientBlockTable {
+  const usable =
+    previous !== undefined && sameNames(previous.zoneNames, zoneNames) ? previous : undefined;
+  const parsed = parseSections(groups, zoneNames, usable);
+  const changed = usable === undefined ? undefined : changedPages(usable, parsed);
+  const sections = [...parsed.values()];
+  const pages: BlockPage[] = [];
+  for (let page = 0; page < pageCount; page += 1) {
+    const kept = changed?.has(page) === false ? usable?.pages[page] : undefined;
+    pages.push(kept ?? buildPage(sections, page));
+  }
+  return { zoneNames, parsed, pages, ipv6: buildIpv6(sections) };
+}
+
+function matchIpv6(table: ClientBlockTable, bytes: readonly number[]): number | undefined {
+  for (const { prefixLength, zones } of table.ipv6) {
+    const zoneIndex = zones.get(ipv6Prefix(bytes, prefixLength));
+    if (zoneIndex !== undefined) return zoneIndex;
+  }
+  return undefined;
+}
+
+/**
+ * Finds the availability zone of a caller: the longest block that holds its address.
+ *
+ * @param table - compiled blocks
+ * @param address - IP address of the caller in numbers
+ * @returns the availability zone, or undefined where no block holds the address
+ */
+export function zoneOfCaller(table: ClientBlockTable, address: string): string | undefined {
+  const parsed = parseCallerAddress(address);
+  if (parsed === undefined) return undefined;
+  if (parsed.family === 'ipv6') {
+    const zoneIndex = matchIpv6(table, parsed.bytes);
+    return zoneIndex === undefined ? undefined : table.zoneNames[zoneIndex];
+  }
+  const page = table.pages[pageOf(parsed.address)] ?? emptyPage;
+  const zoneIndex = findInPage(page, parsed.address);
+  return zoneIndex < 0 ? undefined : table.zoneNames[zoneIndex];
+}
+
+/**
+ * Counts what a table did not share with the one before.
+ *
+ * @param table - newer table
+ * @param previous - older table
+ */
+export function countReuse(table: ClientBlockTable, previous: ClientBlockTable): ReuseCount {
+  let sectionsParsed = 0;
+  for (const [group, section] of table.parsed) {
+    if (previous.parsed.get(group) !== section) sectionsParsed += 1;
+  }
+  let pagesBuilt = 0;
+  for (const [index, page] of table.pages.entries()) {
+    if (previous.pages[index] !== page) pagesBuilt += 1;
+  }
+  return { sectionsParsed, pagesBuilt };
+}
--- /dev/null
+++ b/packages/core/src/table/serviceEntry.ts
@@ -0,0 +1,60 @@
+import type {
+  Kind,
+  Ranks,
+  Service,
+  Traffic,
+} from '@buckthornlug/protocol/document/documentTypes.js';
+
+import type { CallClass, KindRule, ServiceEntry, TrafficPlan } from './tableTypes.js';
+
+const fullSharePermille = 1000;
+
+function compileKind(service: string, kind: Kind, ranks: Ranks): KindRule {
+  const rank = ranks.findIndex((candidate) => candidate.id === kind.rank);
+  const callClass: CallClass = {
+    service,
+    kind,
+    rank,
+    execution: kind.execution,
+    targetMs: kind.targetMs ?? ranks[rank]?.targetMs ?? kind.timeLimitMs,
+    timeLimitMs: kind.timeLimitMs,
+  };
+  return {
+    methods: new Set(kind.match.methods),
+    pathPrefix: kind.match.pathPrefix,
+    callClass,
+  };
+}
+
+/**
+ * Compiles a section `services/<id>`.
+ *
+ * @param service - name of the service
+ * @param section - section of a checked document
+ * @param ranks - ranks of the document
+ */
+export function compileService(service: string, section: Service, ranks: Ranks): ServiceEntry {
+  const rules = section.kinds.map((kind) => compileKind(service, kind, ranks));
+  return { service, section, rules };
+}
+
+/**
+ * Compiles a section `traffic/<service>`.
+ *
+ * @param section - section of a checked document
+ */
+export function compileTraffic(section: Traffic): TrafficPlan {
+  const drainedRegions = new Set(section.drainedRegions);
+  const drainedZones = new Set(section.drainedZones);
+  return {
+    section,
+    drainedRegions,
+    drainedZones,
+    keepPermille: (region) => {
+      if (drainedRegions.has(region)) return 0;
+      return section.weights[region] ?? fullSharePermille;
+    },
+    takesCalls: (region, availabilityZone) =>
+      !drainedRegions.has(region) && !drainedZones.has(availabilityZone),
+  };
+}
