--- a/packages/host/src/metrics/metrics.ts
+++ b/packages/host/src/metrics/metrics.ts
@@ -25,13 +25,20 @@
 const highestTrackableUs = 120_000_000;
 const significantDigits = 3;
 
-function seriesKey(name: string, labels: Labels): string {
+/**
+ * Identifies a series by its name and labels.
+ *
+ * @param name - name of the metric
+ * @param labels - labels in a fixed order
+ */
+export function seriesKey(name: string, labels: Labels): string {
   let key = name;
   for (const [label, value] of Object.entries(labels)) key += `|${label}=${value}`;
   return key;
 }
 
-function createHistogram(): Histogram {
+/** Creates an empty histogram of microseconds. */
+export function createHistogram(): Histogram {
   return build({
     lowestDiscernibleValue: 1,
     highestTrackableValue: highestTrackableUs,
--- /dev/null
+++ b/packages/host/src/metrics/metricsSchema.ts
@@ -0,0 +1,18 @@
+import { z } from 'zod';
+
+/** A series as it travels between hosts; a histogram as compressed base64 of its buckets. */
+export const encodedSeriesSchema = z.strictObject({
+  name: z.string(),
+  labels: z.record(z.string(), z.string()),
+  type: z.enum(['counter', 'gauge', 'histogram']),
+  value: z.number().optional(),
+  bucketsBase64: z.string().optional(),
+});
+
+export const metricsPartSchema = z.strictObject({
+  hostId: z.string(),
+  series: z.array(encodedSeriesSchema),
+});
+
+export type EncodedSeries = z.infer<typeof encodedSeriesSchema>;
+export type MetricsPart = z.infer<typeof metricsPartSchema>;
--- /dev/null
+++ b/packages/host/src/timeline/timelineRoutes.ts
@@ -0,0 +1,88 @@
+import { mergeTimelines, type TimelineFilter } from '@buckthornlug/core/timeline/timeline.js';
+import { renderTimelinePage } from '@buckthornlug/core/timeline/timelinePage.js';
+import type { TimelineEvent } from '@buckthornlug/protocol/events/eventSchema.js';
+import type { Failure } from '@buckthornlug/protocol/results/failure.js';
+import type { Hono } from 'hono';
+import type { ResultAsync } from 'neverthrow';
+
+import type { TimelinePart } from './timelineSchema.js';
+
+/** Where the routes get the events from. */
+export interface TimelineSources {
+  readonly readLocal: () => TimelinePart;
+  /** Identities of the other hosts that are to be asked. */
+  readonly otherHosts: () => readonly string[];
+  readonly readRemote: (hostId: string) => ResultAsync<TimelinePart, Failure>;
+}
+
+/** The merged time line of all hosts that answered. */
+export interface MergedTimeline {
+  readonly events: readonly TimelineEvent[];
+  readonly missingHosts: readonly string[];
+}
+
+const defaultEventLimit = 2000;
+
+function optionalNumber(text: string | undefined): number | undefined {
+  if (text === undefined) return undefined;
+  const value = Number(text);
+  return Number.isFinite(value) ? value : undefined;
+}
+
+/**
+ * Reads a filter from the query of a request.
+ *
+ * @param query - reads one parameter
+ */
+export function filterOfQuery(query: (name: string) => string | undefined): TimelineFilter {
+  return {
+    requestId: query('request'),
+    version: optionalNumber(query('version')),
+    service: query('service'),
+    hostId: query('host'),
+    kind: query('kind'),
+    sinceMs: optionalNumber(query('sinceMs')),
+  };
+}
+
+/**
+ * Asks every host for its events and merges them.
+ *
+ * @param sources - local events and access to other hosts
+ * @param filter - which events are wanted
+ */
+export async function readMergedTimeline(
+  sources: TimelineSources,
+  filter: TimelineFilter,
+): Promise<MergedTimeline> {
+  const hostIds = sources.otherHosts();
+  const answers = await Promise.all(hostIds.map((hostId) => sources.readRemote(hostId)));
+  const perHost = [sources.readLocal().events];
+  const missingHosts: string[] = [];
+  for (const [index, answer] of answers.entries()) {
+    if (answer.isOk()) perHost.push(answer.value.events);
+    else missingHosts.push(hostIds[index] ?? '');
+  }
+  return { events: mergeTimelines(perHost, filter), missingHosts };
+}
+
+/**
+ * Registers the routes of the time line on the administration API.
+ *
+ * @param app - application of the admin listener
+ * @param sources - local events and access to other hosts
+ */
+export function registerTimelineRoutes(app: Hono, sources: TimelineSources): void {
+  app.get('/v1/timeline', async (context) => {
+    const filter = filterOfQuery((name) => context.req.query(name));
+    const limit = optionalNumber(context.req.query('limit')) ?? defaultEventLimit;
+    const merged = await readMergedTimeline(sources, filter);
+    return context.json({ ...merged, events: merged.events.slice(-limit) });
+  });
+  app.get('/timeline.html', async (context) => {
+    const filter = filterOfQuery((name) => context.req.query(name));
+    const merged = await readMergedTimeline(sources, filter);
+    const events = merged.events.slice(-defaultEventLimit);
+    return context.html(renderTimelinePage(events, merged.missingHosts));
+  });
+}
