--- a/eslint.config.js
+++ b/eslint.config.js
@@ -36,6 +36,7 @@
         },
       ],
       'no-continue': 'off',
+      'no-underscore-dangle': ['error', { allow: ['_unsafeUnwrap', '_unsafeUnwrapErr'] }],
       'no-await-in-loop': 'off',
       'no-bitwise': 'off',
       'import-x/prefer-default-export': 'off',
--- /dev/null
+++ b/packages/cli/src/api/adminClient.ts
@@ -0,0 +1,74 @@
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { resultCodes } from '@buckthornlug/protocol/results/resultCodes.js';
+import { err, ok, type Result } from 'neverthrow';
+import { request } from 'undici';
+import { z } from 'zod';
+
+/** Access to the administration API of one of several hosts. */
+export interface AdminClient {
+  readonly get: (path: string) => Promise<Result<unknown, Failure>>;
+  readonly post: (path: string, body: unknown) => Promise<Result<unknown, Failure>>;
+}
+
+const codes = Object.keys(resultCodes) as [keyof typeof resultCodes];
+
+const failureBodySchema = z.object({
+  failure: z.object({
+    code: z.enum(codes),
+    detail: z.string(),
+    faults: z.array(z.object({ path: z.string(), problem: z.string() })).optional(),
+    retryAfterMs: z.number().optional(),
+  }),
+});
+
+const headersTimeoutMs = 60_000;
+
+interface ApiRequest {
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly body?: string;
+}
+
+async function askHost(address: string, asked: ApiRequest): Promise<Result<unknown, Failure>> {
+  const response = await request(new URL(asked.path, address), {
+    method: asked.method,
+    headersTimeout: headersTimeoutMs,
+    bodyTimeout: headersTimeoutMs,
+    ...(asked.body === undefined
+      ? {}
+      : { body: asked.body, headers: { 'content-type': 'application/json' } }),
+  });
+  const value: unknown = await response.body.json();
+  if (response.statusCode < 400) return ok(value);
+  const parsed = failureBodySchema.safeParse(value);
+  if (parsed.success) return err(parsed.data.failure);
+  return err(failure('BL6003', `${address} answered with status ${response.statusCode}`));
+}
+
+async function askHosts(
+  addresses: readonly string[],
+  asked: ApiRequest,
+): Promise<Result<unknown, Failure>> {
+  const problems: string[] = [];
+  for (const address of addresses) {
+    try {
+      return await askHost(address, asked);
+    } catch (error) {
+      problems.push(`${address}: ${error instanceof Error ? error.message : String(error)}`);
+    }
+  }
+  return err(failure('BL6003', `no host answered: ${problems.join('; ')}`));
+}
+
+/**
+ * Creates a client that asks the hosts in order until one answers. Requests that change something
+ * must be idempotent, since an answer may be lost.
+ *
+ * @param addresses - base addresses, such as `http://127.0.0.1:7003`
+ */
+export function createAdminClient(addresses: readonly string[]): AdminClient {
+  return {
+    get: (path) => askHosts(addresses, { method: 'GET', path }),
+    post: (path, body) => askHosts(addresses, { method: 'POST', path, body: JSON.stringify(body) }),
+  };
+}
--- /dev/null
+++ b/packages/core/src/changes/changes.ts
@@ -0,0 +1,107 @@
+import { isDeepStrictEqual } from 'node:util';
+
+import type {
+  SectionName,
+  SteeringDocument,
+} from '@buckthornlug/protocol/document/documentTypes.js';
+import { splitSections } from '@buckthornlug/protocol/document/sections.js';
+
+/** How one section differs between two documents. */
+export interface SectionChange {
+  readonly section: SectionName;
+  readonly change: 'added' | 'changed' | 'removed';
+}
+
+/** Traffic of one service that a change moves away from or back to a region. */
+export interface TrafficMove {
+  readonly service: string;
+  readonly region: string;
+  /** Share of its own traffic that the region keeps before and after, in permille. */
+  readonly keptBeforePermille: number;
+  readonly keptAfterPermille: number;
+  /** Number of steps and shortest time that the cap allows. */
+  readonly steps: number;
+  readonly shortestMs: number;
+}
+
+/** What a change of the document does. */
+export interface ChangeSummary {
+  readonly sections: readonly SectionChange[];
+  readonly moves: readonly TrafficMove[];
+}
+
+const wholePermille = 1000;
+
+/**
+ * Lists the sections that differ.
+ *
+ * @param before - document in force
+ * @param after - edited document
+ */
+export function changedSections(
+  before: SteeringDocument,
+  after: SteeringDocument,
+): SectionChange[] {
+  const old = splitSections(before);
+  const edited = splitSections(after);
+  const changes: SectionChange[] = [];
+  for (const [section, content] of edited) {
+    if (!old.has(section)) changes.push({ section, change: 'added' });
+    else if (!isDeepStrictEqual(old.get(section), content)) {
+      changes.push({ section, change: 'changed' });
+    }
+  }
+  for (const section of old.keys()) {
+    if (!edited.has(section)) changes.push({ section, change: 'removed' });
+  }
+  return changes;
+}
+
+/**
+ * Tells which share of its own traffic a region is to keep.
+ *
+ * @param document - document
+ * @param service - service
+ * @param region - region
+ * @returns permille
+ */
+export function keptPermille(document: SteeringDocument, service: string, region: string): number {
+  const traffic = document.traffic[service];
+  if (traffic === undefined) return wholePermille;
+  if (traffic.drainedRegions.includes(region)) return 0;
+  return traffic.weights[region] ?? wholePermille;
+}
+
+function moveOf(
+  before: SteeringDocument,
+  after: SteeringDocument,
+  service: string,
+  region: string,
+): TrafficMove | undefined {
+  const cap = after.traffic[service]?.shiftCap;
+  if (cap === undefined) return undefined;
+  const keptBeforePermille = keptPermille(before, service, region);
+  const keptAfterPermille = keptPermille(after, service, region);
+  if (keptBeforePermille === keptAfterPermille) return undefined;
+  const steps = Math.ceil(Math.abs(keptAfterPermille - keptBeforePermille) / cap.stepPermille);
+  const shortestMs = (steps - 1) * cap.stepIntervalMs;
+  return { service, region, keptBeforePermille, keptAfterPermille, steps, shortestMs };
+}
+
+/**
+ * Tells what a change of the document does: sections that differ, and traffic that moves under the
+ * caps of the edited document.
+ *
+ * @param before - document in force
+ * @param after - edited document
+ */
+export function summarizeChange(before: SteeringDocument, after: SteeringDocument): ChangeSummary {
+  const moves: TrafficMove[] = [];
+  for (const service of Object.keys(after.services)) {
+    for (const region of after.network.regions) {
+      const move = moveOf(before, after, service, region.id);
+      if (move !== undefined) moves.push(move);
+    }
+  }
+  return { sections: changedSections(before, after), moves };
+}
