--- /dev/null
+++ b/packages/core/src/membership/memberOutbox.ts
@@ -0,0 +1,128 @@
+import type { Endpoint } from '@buckthornlug/protocol/common/primitives.js';
+
+import { GossipQueue } from './gossipQueue.js';
+import { urgentFanout } from './membershipLimits.js';
+import type {
+  MemberEntry,
+  MemberEvent,
+  MemberMessage,
+  MemberRecord,
+  MembershipEffect,
+} from './membershipTypes.js';
+import { stampOf } from './memberStamp.js';
+import type { MemberTable } from './memberTable.js';
+import { sample } from './sampling.js';
+
+/** A message without the parts that every message has. */
+type MessageBody = MemberMessage extends infer Message
+  ? Message extends MemberMessage
+    ? Omit<Message, 'from' | 'to' | 'records' | 'heldOfYou'>
+    : never
+  : never;
+
+/** Builds messages with the records that ride on them, and collects the effects of the machine. */
+export class MemberOutbox {
+  private readonly zoneNews = new GossipQueue();
+
+  private readonly foreignNews = new GossipQueue();
+
+  private effects: MembershipEffect[] = [];
+
+  constructor(
+    private readonly self: MemberEntry,
+    private readonly table: MemberTable,
+    private readonly random: () => number,
+  ) {}
+
+  /** Takes the effects collected since the last call. */
+  flush(): MembershipEffect[] {
+    const { effects } = this;
+    this.effects = [];
+    return effects;
+  }
+
+  emit(kind: MemberEvent['kind'], entry: MemberEntry): void {
+    const { hostId, availabilityZone } = entry.identity;
+    const event = { kind, hostId, availabilityZone, incarnation: entry.incarnation };
+    this.effects.push({ effect: 'event', event });
+  }
+
+  reportConflict(incarnation: number): void {
+    this.effects.push({ effect: 'identityConflict', incarnation });
+  }
+
+  /** Queues the record of a host for the messages to come. */
+  queue(entry: MemberEntry, withIdentity: boolean): void {
+    this.zoneNews.add(entry.identity.hostId, withIdentity);
+    if (this.table.selfIsRelay()) this.foreignNews.add(entry.identity.hostId, withIdentity);
+  }
+
+  /** Queues a record and tells some hosts at once. */
+  spread(entry: MemberEntry, withIdentity: boolean, nowMs: number): void {
+    this.queue(entry, withIdentity);
+    const { zonePeers, foreignRelays, relaysByZone } = this.table.views();
+    const targets = new Set(sample(zonePeers, urgentFanout, this.random));
+    if (this.table.selfIsRelay()) {
+      for (const relay of sample(foreignRelays, urgentFanout, this.random)) targets.add(relay);
+    } else {
+      const relays = relaysByZone.get(this.self.identity.availabilityZone) ?? [];
+      for (const relay of sample(relays, 1, this.random)) targets.add(relay);
+    }
+    if (entry !== this.self) targets.add(entry);
+    for (const target of targets) this.send(target, { kind: 'gossip' }, nowMs);
+  }
+
+  send(target: MemberEntry, body: MessageBody, nowMs: number): void {
+    const { hostId, internal, availabilityZone } = target.identity;
+    const inZone = availabilityZone === this.self.identity.availabilityZone;
+    const queue = inZone ? this.zoneNews : this.foreignNews;
+    const records = queue
+      .take(this.table.views().participants)
+      .flatMap((news) => this.recordOf(news.hostId, news.withIdentity, nowMs));
+    this.post(internal, hostId, body, records, target);
+  }
+
+  /** Sends a message to a host of which nothing is known but its address. */
+  sendToSeed(hostId: string, endpoint: Endpoint, body: MessageBody): void {
+    this.post(endpoint, hostId, body, [], this.table.find(hostId));
+  }
+
+  /** Sends a message with given records only. */
+  sendRecords(
+    target: MemberEntry,
+    body: MessageBody,
+    entries: readonly MemberEntry[],
+    nowMs: number,
+  ): void {
+    const records = entries.flatMap((entry) => this.recordOf(entry.identity.hostId, true, nowMs));
+    this.post(target.identity.internal, target.identity.hostId, body, records, target);
+  }
+
+  private recordOf(hostId: string, withIdentity: boolean, nowMs: number): MemberRecord[] {
+    const entry = this.table.find(hostId);
+    if (entry === undefined) return [];
+    const record: MemberRecord = {
+      ...stampOf(entry),
+      ageMs: Math.max(0, Math.round(nowMs - entry.changedAtMs)),
+      ...(withIdentity ? { identity: entry.identity } : {}),
+    };
+    return [record];
+  }
+
+  private post(
+    endpoint: Endpoint,
+    to: string,
+    body: MessageBody,
+    records: readonly MemberRecord[],
+    target: MemberEntry | undefined,
+  ): void {
+    const doubted = target !== undefined && target.state !== 'alive' && target.state !== 'leaving';
+    const base = { from: stampOf(this.self), to, records };
+    const message = {
+      ...body,
+      ...base,
+      ...(doubted ? { heldOfYou: stampOf(target) } : {}),
+    } as MemberMessage;
+    this.effects.push({ effect: 'send', endpoint, message });
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/memberStamp.ts
@@ -0,0 +1,44 @@
+import type { MemberEntry, MemberStamp, MemberState } from './membershipTypes.js';
+
+const stateRanks: Readonly<Record<MemberState, number>> = {
+  alive: 0,
+  leaving: 0,
+  suspected: 1,
+  failed: 2,
+  left: 3,
+};
+
+/**
+ * Compares two stamps of one host.
+ *
+ * @returns a positive number where the left one is newer, 0 where none is
+ */
+export function compareStamps(
+  left: Pick<MemberStamp, 'incarnation' | 'refutation' | 'state'>,
+  right: Pick<MemberStamp, 'incarnation' | 'refutation' | 'state'>,
+): number {
+  if (left.incarnation !== right.incarnation) return left.incarnation - right.incarnation;
+  if (left.refutation !== right.refutation) return left.refutation - right.refutation;
+  return stateRanks[left.state] - stateRanks[right.state];
+}
+
+/** Whether a state speaks of a host that takes part. */
+export function takesPart(state: MemberState): boolean {
+  return state !== 'failed' && state !== 'left';
+}
+
+/** Whether a state was found by other hosts and may be contradicted. */
+export function isAccusation(state: MemberState): boolean {
+  return state === 'suspected' || state === 'failed';
+}
+
+/** Stamp of an entry. */
+export function stampOf(entry: MemberEntry): MemberStamp {
+  return {
+    hostId: entry.identity.hostId,
+    incarnation: entry.incarnation,
+    refutation: entry.refutation,
+    state: entry.state,
+    documentVersion: entry.documentVersion,
+  };
+}
--- /dev/null
+++ b/packages/core/src/membership/memberTable.ts
@@ -0,0 +1,108 @@
+import { relaysPerZone } from './membershipLimits.js';
+import type { MemberEntry } from './membershipTypes.js';
+import { takesPart } from './memberStamp.js';
+import { hashText } from './textHash.js';
+
+/** Sorted views of the hosts that take part. */
+interface Views {
+  /** Other hosts of the own zone in order of the ring. */
+  readonly zonePeers: readonly MemberEntry[];
+  /** Relays of other zones in order of the ring. */
+  readonly foreignRelays: readonly MemberEntry[];
+  readonly relaysByZone: ReadonlyMap<string, readonly MemberEntry[]>;
+  readonly failed: readonly MemberEntry[];
+  readonly participants: number;
+}
+
+/** All hosts that are known, with the views that probing needs. */
+export class MemberTable {
+  private readonly entries = new Map<string, MemberEntry>();
+
+  private readonly ringPositions = new Map<string, number>();
+
+  private cached: Views | undefined;
+
+  constructor(private readonly self: MemberEntry) {
+    this.add(self);
+  }
+
+  add(entry: MemberEntry): void {
+    this.entries.set(entry.identity.hostId, entry);
+    this.ringPositions.set(entry.identity.hostId, hashText(entry.identity.hostId));
+    this.changed();
+  }
+
+  remove(hostId: string): void {
+    this.entries.delete(hostId);
+    this.ringPositions.delete(hostId);
+    this.changed();
+  }
+
+  find(hostId: string): MemberEntry | undefined {
+    return this.entries.get(hostId);
+  }
+
+  all(): IterableIterator<MemberEntry> {
+    return this.entries.values();
+  }
+
+  /** Must be called after the state of an entry has changed. */
+  changed(): void {
+    this.cached = undefined;
+  }
+
+  ringPosition(entry: MemberEntry): number {
+    return this.ringPositions.get(entry.identity.hostId) ?? 0;
+  }
+
+  views(): Views {
+    this.cached ??= this.buildViews();
+    return this.cached;
+  }
+
+  selfIsRelay(): boolean {
+    const relays = this.views().relaysByZone.get(this.self.identity.availabilityZone) ?? [];
+    return relays.includes(this.self);
+  }
+
+  /**
+   * Digest of the hosts that take part. Suspicions and document versions do not count.
+   */
+  digest(): number {
+    let digest = 0;
+    for (const entry of this.entries.values()) {
+      if (!takesPart(entry.state)) continue;
+      const state = entry.state === 'leaving' ? 'leaving' : 'alive';
+      const { incarnation, refutation } = entry;
+      digest ^= hashText(`${entry.identity.hostId} ${incarnation} ${refutation} ${state}`);
+    }
+    return digest >>> 0;
+  }
+
+  private buildViews(): Views {
+    const ring = [...this.entries.values()].sort(
+      (left, right) => this.ringPosition(left) - this.ringPosition(right),
+    );
+    const participants = ring.filter((entry) => takesPart(entry.state));
+    const relaysByZone = new Map<string, MemberEntry[]>();
+    for (const entry of participants) {
+      const relays = relaysByZone.get(entry.identity.availabilityZone) ?? [];
+      relaysByZone.set(entry.identity.availabilityZone, relays);
+      if (relays.length < relaysPerZone) relays.push(entry);
+    }
+    const ownZone = this.self.identity.availabilityZone;
+    const inOwnZone = (entry: MemberEntry) => entry.identity.availabilityZone === ownZone;
+    const relays = [...relaysByZone.values()].flat();
+    return {
+      zonePeers: participants.filter((entry) => entry !== this.self && inOwnZone(entry)),
+      foreignRelays: this.inRingOrder(relays.filter((entry) => !inOwnZone(entry))),
+      relaysByZone,
+      failed: ring.filter((entry) => entry.state === 'failed'),
+      participants: participants.length,
+    };
+  }
+
+  private inRingOrder(entries: readonly MemberEntry[]): MemberEntry[] {
+    return [...entries].sort((left, right) => this.ringPosition(left) - this.ringPosition(right));
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/membership.ts
@@ -0,0 +1,255 @@
+import { MemberOutbox } from './memberOutbox.js';
+import { MemberProbes } from './memberProbes.js';
+import { MemberStates } from './memberStates.js';
+import { MemberTable } from './memberTable.js';
+import { gossipVersionsUpTo, maxSyncRecords, stallMs } from './membershipLimits.js';
+import type {
+  MemberEntry,
+  MemberIdentity,
+  MemberMessage,
+  MemberRecord,
+  MembershipConfig,
+  MembershipEffect,
+} from './membershipTypes.js';
+import { compareStamps, isAccusation, takesPart } from './memberStamp.js';
+import { decideMerge, type RecordSource } from './recordMerge.js';
+
+/**
+ * Failure detection and membership of hosts as a step machine. Each host probes a bounded number of
+ * others, whatever the number of hosts; records ride on the probes. Inside a zone every host probes;
+ * between zones a few relays of each zone do.
+ *
+ * Time is monotonic milliseconds. Every step returns the effects that the shell has to carry out.
+ */
+export class MembershipMachine {
+  private readonly self: MemberEntry;
+
+  private readonly table: MemberTable;
+
+  private readonly outbox: MemberOutbox;
+
+  private readonly states: MemberStates;
+
+  private readonly probes: MemberProbes;
+
+  private lastTickMs: number;
+
+  /**
+   * @param identity - this host
+   * @param incarnation - start of this process
+   * @param config - intervals and seeds
+   * @param random - source of random numbers in [0, 1)
+   * @param nowMs - monotonic time
+   */
+  constructor(
+    identity: MemberIdentity,
+    incarnation: number,
+    private readonly config: MembershipConfig,
+    random: () => number,
+    nowMs: number,
+  ) {
+    this.self = {
+      identity,
+      incarnation,
+      refutation: 0,
+      state: 'alive',
+      documentVersion: 0,
+      changedAtMs: nowMs,
+      suspicionEndsAtMs: 0,
+      accusedHere: false,
+      reachable: true,
+      introduced: true,
+    };
+    this.table = new MemberTable(this.self);
+    this.outbox = new MemberOutbox(this.self, this.table, random);
+    this.states = new MemberStates(this.self, this.table, this.outbox, config, nowMs);
+    this.probes = new MemberProbes(
+      this.self,
+      this.table,
+      this.outbox,
+      this.states,
+      config,
+      random,
+      nowMs,
+    );
+    this.lastTickMs = nowMs;
+  }
+
+  /** Every host that is known, this one included. */
+  members(): MemberEntry[] {
+    return [...this.table.all()];
+  }
+
+  find(hostId: string): MemberEntry | undefined {
+    return this.table.find(hostId);
+  }
+
+  own(): MemberEntry {
+    return this.self;
+  }
+
+  /** Hosts that carry records between a zone and the others. */
+  relaysOf(availabilityZone: string): readonly MemberEntry[] {
+    return this.table.views().relaysByZone.get(availabilityZone) ?? [];
+  }
+
+  /** Runs everything that is due. */
+  tick(nowMs: number): MembershipEffect[] {
+    const gapMs = nowMs - this.lastTickMs;
+    this.lastTickMs = nowMs;
+    if (gapMs > stallMs) {
+      this.probes.forgetPending();
+      this.states.postponeSuspicions(gapMs);
+    }
+    if (this.self.state === 'left') return this.outbox.flush();
+    this.probes.tick(nowMs);
+    this.states.endSuspicions(nowMs);
+    this.states.forget(nowMs);
+    return this.outbox.flush();
+  }
+
+  /** Reports the version of the document in force on this host. */
+  setDocumentVersion(version: number, nowMs: number): MembershipEffect[] {
+    if (version <= this.self.documentVersion) return [];
+    this.self.documentVersion = version;
+    if (this.gossipsVersions()) this.outbox.spread(this.self, false, nowMs);
+    return this.outbox.flush();
+  }
+
+  /** Tells the others that this host takes no new work, or that it has gone. */
+  leave(state: 'leaving' | 'left', nowMs: number): MembershipEffect[] {
+    this.self.state = state;
+    this.self.refutation += 1;
+    this.self.changedAtMs = nowMs;
+    this.table.changed();
+    this.outbox.spread(this.self, false, nowMs);
+    return this.outbox.flush();
+  }
+
+  /** Takes a message of another host. */
+  receive(message: MemberMessage, nowMs: number): MembershipEffect[] {
+    if (message.to !== this.self.identity.hostId || this.self.state === 'left') return [];
+    if (message.heldOfYou !== undefined) this.contradict(message.heldOfYou, nowMs);
+    const { hostId } = message.from;
+    this.mergeSender(message, nowMs);
+    const sender = this.table.find(hostId);
+    if (sender === undefined) {
+      this.answerUnknown(message);
+      return this.outbox.flush();
+    }
+    if (takesPart(sender.state)) this.mergeRecords(message, nowMs);
+    this.handle(message, sender, nowMs);
+    return this.outbox.flush();
+  }
+
+  private mergeSender(message: MemberMessage, nowMs: number): void {
+    const listed = message.records.find((record) => record.hostId === message.from.hostId);
+    const own = message.kind === 'sync' || message.kind === 'probe' ? message.identity : undefined;
+    const identity = own ?? listed?.identity;
+    const record = { ...message.from, ageMs: 0, ...(identity === undefined ? {} : { identity }) };
+    this.merge(record, 'gossip', message.from.hostId, nowMs);
+  }
+
+  private mergeRecords(message: MemberMessage, nowMs: number): void {
+    const source = message.kind === 'sync' || message.kind === 'syncReply' ? 'sync' : 'gossip';
+    for (const record of message.records) {
+      if (record.hostId === message.from.hostId) continue;
+      this.merge(record, source, message.from.hostId, nowMs);
+    }
+  }
+
+  private merge(record: MemberRecord, source: RecordSource, from: string, nowMs: number): void {
+    if (record.hostId === this.self.identity.hostId) {
+      this.mergeOwn(record, nowMs);
+      return;
+    }
+    const entry = this.table.find(record.hostId);
+    const merged = decideMerge(entry, record, source, this.config.suspicionMs, nowMs);
+    if (merged.decision === 'adopt') this.states.adopt(record, source, nowMs);
+    if (merged.decision === 'askIdentity') this.askForRecords(from, nowMs);
+    if (entry === undefined) return;
+    if (merged.decision === 'suspect') {
+      entry.refutation = record.refutation;
+      this.states.suspect(entry, merged.endsInMs, nowMs);
+    }
+    if (merged.decision === 'fail') {
+      entry.refutation = record.refutation;
+      this.states.fail(entry, nowMs);
+    }
+    if (merged.decision === 'verify') this.probes.verify(entry);
+    if (merged.decision === 'updateVersion') this.updateVersion(entry, record.documentVersion);
+  }
+
+  private updateVersion(entry: MemberEntry, version: number): void {
+    const updated = entry;
+    updated.documentVersion = version;
+    if (this.gossipsVersions()) this.outbox.queue(entry, false);
+  }
+
+  private gossipsVersions(): boolean {
+    return this.table.views().participants <= gossipVersionsUpTo;
+  }
+
+  /** Compares a record of this host with its own state. */
+  private mergeOwn(record: MemberRecord, nowMs: number): void {
+    const isForeign = record.incarnation > this.self.incarnation;
+    if (isForeign && record.identity !== undefined) {
+      const { address, port } = record.identity.internal;
+      const own = this.self.identity.internal;
+      if (address !== own.address || port !== own.port) {
+        this.outbox.reportConflict(record.incarnation);
+        return;
+      }
+    }
+    this.contradict(record, nowMs);
+  }
+
+  private contradict(held: MemberRecord | NonNullable<MemberMessage['heldOfYou']>, nowMs: number) {
+    const accused = isAccusation(held.state) || held.state === 'left';
+    const isForeign = held.incarnation > this.self.incarnation;
+    if (!accused && !isForeign) return;
+    if (compareStamps(held, this.self) > 0) this.states.refute(held, nowMs);
+  }
+
+  /** Asks for all records of a host that spoke of processes not known here. */
+  private askForRecords(hostId: string, nowMs: number): void {
+    const entry = this.table.find(hostId);
+    if (entry !== undefined) this.probes.sendSync(entry, '', nowMs);
+  }
+
+  /** Answers a host whose identity is not known, so that it introduces itself. */
+  private answerUnknown(message: MemberMessage): void {
+    const seed = this.config.seeds.find((candidate) => candidate.hostId === message.from.hostId);
+    if (seed === undefined) return;
+    this.probes.syncWithSeed(seed);
+  }
+
+  private handle(message: MemberMessage, sender: MemberEntry, nowMs: number): void {
+    if (message.kind === 'probe') {
+      const { sequence } = message;
+      this.outbox.send(sender, { kind: 'ack', sequence }, nowMs);
+    }
+    if (message.kind === 'ack') this.probes.answered(message.sequence, nowMs);
+    if (message.kind === 'probeRequest') {
+      this.probes.probeFor(sender, message.target, message.sequence, nowMs);
+    }
+    if (message.kind === 'digest' && message.digest !== this.table.digest()) {
+      this.probes.sendSync(sender, '', nowMs);
+    }
+    if (message.kind === 'sync') this.replyToSync(sender, message.after, nowMs);
+    if (message.kind === 'syncReply' && message.continueAfter !== undefined) {
+      this.probes.sendSync(sender, message.continueAfter, nowMs);
+    }
+  }
+
+  private replyToSync(sender: MemberEntry, after: string, nowMs: number): void {
+    const rest = this.members()
+      .filter((entry) => entry.identity.hostId > after)
+      .sort((left, right) => (left.identity.hostId < right.identity.hostId ? -1 : 1));
+    const page = rest.slice(0, maxSyncRecords);
+    const last = page.at(-1)?.identity.hostId;
+    const more = rest.length > page.length && last !== undefined;
+    const body = { kind: 'syncReply' as const, ...(more ? { continueAfter: last } : {}) };
+    this.outbox.sendRecords(sender, body, page, nowMs);
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/membershipLimits.ts
@@ -0,0 +1,36 @@
+/** Hosts of the ring that each host probes in every interval. */
+export const ringProbes = 2;
+/** Hosts asked to probe one that did not answer. */
+export const probeHelpers = 3;
+/** Hosts told at once of a suspicion, a failure or a refutation. */
+export const urgentFanout = 4;
+/** Hosts of a zone that exchange records with other zones. */
+export const relaysPerZone = 3;
+/** Records in one message. */
+export const maxRecordsPerMessage = 12;
+/** Records in one page of a full exchange. */
+export const maxSyncRecords = 400;
+/** Factor on the logarithm of the number of hosts for repeats of a record. */
+export const retransmitFactor = 3;
+/** Time left to a host that is reported failed but was not suspected here. */
+export const confirmMs = 500;
+/** Age from which a suspicion or failure heard of is checked by a probe and not adopted. */
+export const staleAccusationMs = 5000;
+/** Interval between probes of a suspected host by the host that suspects it. */
+export const suspectProbeMs = 250;
+/** Interval between attempts to reach a failed host or a seed. */
+export const reconnectMs = 1000;
+/** Interval between comparisons of digests. */
+export const digestIntervalMs = 5000;
+/** Time for which failed and left hosts are remembered. */
+export const forgetMs = 24 * 3600 * 1000;
+/** Pause between two ticks after which timeouts of the machine itself prove nothing. */
+export const stallMs = 400;
+/** Hosts up to which every change of a document version is sent on. */
+export const gossipVersionsUpTo = 64;
+/** Hosts of another zone that must be out of reach before the whole zone counts as cut off. */
+export const zoneCutEvidence = 6;
+/** Time after the start in which records heard of are not sent on. */
+export const joinMs = 5000;
+/** Hosts checked by a probe in one interval because of a stale accusation. */
+export const verifiedPerInterval = 5;
--- /dev/null
+++ b/packages/core/src/membership/probeBook.ts
@@ -0,0 +1,51 @@
+/** A probe that waits for its answer. */
+export interface PendingProbe {
+  readonly target: string;
+  readonly sequence: number;
+  readonly sentAtMs: number;
+  helpersAsked: boolean;
+  /** Host on whose behalf the target is probed, with the sequence it expects. */
+  readonly onBehalfOf?: { readonly hostId: string; readonly sequence: number };
+}
+
+/** Probes under way. */
+export class ProbeBook {
+  private readonly pending = new Map<number, PendingProbe>();
+
+  private lastSequence = 0;
+
+  open(target: string, nowMs: number, onBehalfOf?: PendingProbe['onBehalfOf']): PendingProbe {
+    this.lastSequence += 1;
+    const probe: PendingProbe = {
+      target,
+      sequence: this.lastSequence,
+      sentAtMs: nowMs,
+      helpersAsked: false,
+      ...(onBehalfOf === undefined ? {} : { onBehalfOf }),
+    };
+    this.pending.set(probe.sequence, probe);
+    return probe;
+  }
+
+  close(sequence: number): PendingProbe | undefined {
+    const probe = this.pending.get(sequence);
+    this.pending.delete(sequence);
+    return probe;
+  }
+
+  /** Whether an own probe of a host waits for its answer. */
+  isOpen(target: string): boolean {
+    for (const probe of this.pending.values()) {
+      if (probe.target === target && probe.onBehalfOf === undefined) return true;
+    }
+    return false;
+  }
+
+  all(): PendingProbe[] {
+    return [...this.pending.values()];
+  }
+
+  clear(): void {
+    this.pending.clear();
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/recordMerge.ts
@@ -0,0 +1,88 @@
+import { confirmMs, staleAccusationMs } from './membershipLimits.js';
+import type { MemberEntry, MemberRecord } from './membershipTypes.js';
+import { compareStamps, isAccusation } from './memberStamp.js';
+
+/** What a record heard of means for the entry of its host. */
+export type MergeDecision =
+  | { readonly decision: 'ignore' }
+  /** The process is not known and the record does not describe it. */
+  | { readonly decision: 'askIdentity' }
+  | { readonly decision: 'adopt' }
+  | { readonly decision: 'suspect'; readonly endsInMs: number }
+  | { readonly decision: 'fail' }
+  /** Only the document version is newer. */
+  | { readonly decision: 'updateVersion' }
+  /** The accusation is old: a probe from here decides. */
+  | { readonly decision: 'verify' };
+
+/** How a record came. */
+export type RecordSource = 'gossip' | 'sync';
+
+const ignore: MergeDecision = { decision: 'ignore' };
+
+function decideAccusation(
+  entry: MemberEntry,
+  record: MemberRecord,
+  suspicionMs: number,
+): MergeDecision {
+  if (record.state === 'failed' && entry.state === 'failed') return { decision: 'adopt' };
+  if (record.ageMs > staleAccusationMs) {
+    return entry.state === 'failed' ? ignore : { decision: 'verify' };
+  }
+  if (record.state === 'failed') {
+    if (entry.state === 'suspected') return { decision: 'fail' };
+    return { decision: 'suspect', endsInMs: confirmMs };
+  }
+  return { decision: 'suspect', endsInMs: Math.max(confirmMs, suspicionMs - record.ageMs) };
+}
+
+/** Whether a host that now takes part vouches for one that was found failed long ago. */
+function isVouchedFor(
+  entry: MemberEntry,
+  record: MemberRecord,
+  source: RecordSource,
+  nowMs: number,
+): boolean {
+  return (
+    source === 'sync' &&
+    entry.state === 'failed' &&
+    record.state === 'alive' &&
+    record.incarnation === entry.incarnation &&
+    record.refutation === entry.refutation &&
+    nowMs - entry.changedAtMs > staleAccusationMs
+  );
+}
+
+function decideUnknown(record: MemberRecord): MergeDecision {
+  if (record.identity === undefined) return { decision: 'askIdentity' };
+  return { decision: 'adopt' };
+}
+
+/**
+ * Decides what a record of another host means.
+ *
+ * @param entry - what is known of the host, if anything
+ * @param record - record heard of
+ * @param source - how it came
+ * @param suspicionMs - time from suspicion to failure
+ * @param nowMs - monotonic time
+ */
+export function decideMerge(
+  entry: MemberEntry | undefined,
+  record: MemberRecord,
+  source: RecordSource,
+  suspicionMs: number,
+  nowMs: number,
+): MergeDecision {
+  if (entry === undefined) return decideUnknown(record);
+  const order = compareStamps(record, entry);
+  if (order > 0) {
+    if (record.incarnation > entry.incarnation) return decideUnknown(record);
+    if (isAccusation(record.state)) return decideAccusation(entry, record, suspicionMs);
+    return { decision: 'adopt' };
+  }
+  if (isVouchedFor(entry, record, source, nowMs)) return { decision: 'adopt' };
+  if (record.incarnation !== entry.incarnation) return ignore;
+  if (record.documentVersion > entry.documentVersion) return { decision: 'updateVersion' };
+  return ignore;
+}
--- /dev/null
+++ b/packages/core/src/membership/sampling.ts
@@ -0,0 +1,45 @@
+/**
+ * Draws some elements at random, each at most once.
+ *
+ * @param from - elements to draw from
+ * @param count - number of elements
+ * @param random - source of random numbers in [0, 1)
+ */
+export function sample<Element>(
+  from: readonly Element[],
+  count: number,
+  random: () => number,
+): Element[] {
+  const rest = [...from];
+  const drawn: Element[] = [];
+  while (drawn.length < count && rest.length > 0) {
+    const index = Math.floor(random() * rest.length);
+    const [element] = rest.splice(index, 1);
+    if (element !== undefined) drawn.push(element);
+  }
+  return drawn;
+}
+
+/**
+ * Takes the elements that follow a position on a ring.
+ *
+ * @param ring - elements in order of their positions
+ * @param positionOf - position of an element
+ * @param position - position to start after
+ * @param count - number of elements
+ */
+export function successors<Element>(
+  ring: readonly Element[],
+  positionOf: (element: Element) => number,
+  position: number,
+  count: number,
+): Element[] {
+  const found = ring.findIndex((element) => positionOf(element) > position);
+  const first = found < 0 ? 0 : found;
+  const taken: Element[] = [];
+  for (let offset = 0; offset < Math.min(count, ring.length); offset += 1) {
+    const element = ring[(first + offset) % ring.length];
+    if (element !== undefined) taken.push(element);
+  }
+  return taken;
+}
