--- /dev/null
+++ b/packages/cli/src/commands/documentFile.ts
@@ -0,0 +1,21 @@
+import { readFile } from 'node:fs/promises';
+
+import { checkDocument } from '@buckthornlug/protocol/document/document.js';
+import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, type Result } from 'neverthrow';
+
+/**
+ * Reads and checks a document file.
+ *
+ * @param path - path of the file
+ * @returns the document; BL2001 where it is no JSON, BL2002 or BL2003 where it is not valid
+ */
+export async function readDocumentFile(path: string): Promise<Result<SteeringDocument, Failure>> {
+  try {
+    const value: unknown = JSON.parse(await readFile(path, 'utf8'));
+    return checkDocument(value);
+  } catch (error) {
+    return err(failure('BL2001', `${path}: ${error instanceof Error ? error.message : ''}`));
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/admin/adminSchema.ts
@@ -0,0 +1,64 @@
+import { z } from 'zod';
+
+import { endpointSchema, idSchema } from '../common/primitives.js';
+
+/** Answers of the administration API that are read by the operators' tool. */
+
+/** One host of `GET /v1/hosts`. */
+export const hostStatusSchema = z.object({
+  hostId: idSchema,
+  region: idSchema,
+  availabilityZone: idSchema,
+  state: z.enum(['alive', 'suspected', 'leaving', 'failed', 'left']),
+  roles: z.array(z.string()),
+  incarnation: z.number(),
+  documentVersion: z.int().min(0),
+});
+
+/** `GET /v1/hosts`. */
+export const hostsReplySchema = z.object({ hosts: z.array(hostStatusSchema) });
+
+/** One backend server of `GET /v1/backends`, as its pool owner sees it. */
+export const backendStatusSchema = z.object({
+  backendId: idSchema,
+  service: idSchema,
+  availabilityZone: idSchema,
+  endpoint: endpointSchema,
+  state: z.string(),
+  ownerHostId: idSchema,
+  slots: z.int(),
+  usedSlots: z.int(),
+  ejected: z.boolean(),
+});
+
+/** `GET /v1/backends`: all hosts that answered. */
+export const backendsReplySchema = z.object({
+  backends: z.array(backendStatusSchema),
+  missingHosts: z.array(z.string()),
+});
+
+/** One shift of `GET /v1/shifts`. */
+export const shiftStatusSchema = z.object({
+  service: idSchema,
+  region: idSchema,
+  movedPermille: z.int(),
+  targetPermille: z.int(),
+  step: z.int(),
+  held: z.boolean(),
+});
+
+/** `GET /v1/shifts`. */
+export const shiftsReplySchema = z.object({ shifts: z.array(shiftStatusSchema) });
+
+/** `GET /v1/status`: the host asked, its features and who is behind. */
+export const statusReplySchema = z.object({
+  hostId: idSchema,
+  documentVersion: z.int().min(0),
+  behindHosts: z.array(z.object({ hostId: idSchema, documentVersion: z.int().min(0) })),
+  features: z.record(z.string(), z.record(z.string(), z.unknown())),
+});
+
+export type HostStatus = z.infer<typeof hostStatusSchema>;
+export type BackendStatus = z.infer<typeof backendStatusSchema>;
+export type ShiftStatus = z.infer<typeof shiftStatusSchema>;
+export type StatusReply = z.infer<typeof statusReplySchema>;
