--- /dev/null
+++ b/packages/host/src/commands/runCommand.ts
@@ -0,0 +1,50 @@
+import { Command, Option } from 'clipanion';
+
+import { startHost, type RunningHost } from '../runtime/hostRuntime.js';
+import { badInputStatus, describeFailure, SettingsCommand } from './settingsCommand.js';
+
+const startFailedStatus = 1;
+
+/** Resolves when the process is asked to stop. */
+function stopRequested(): Promise<void> {
+  return new Promise((resolve) => {
+    process.once('SIGTERM', () => resolve());
+    process.once('SIGINT', () => resolve());
+  });
+}
+
+async function runUntilStopped(host: RunningHost): Promise<void> {
+  await stopRequested();
+  await host.stop();
+}
+
+/** `buckthornlug run`: runs a host until SIGTERM or SIGINT. */
+export class RunCommand extends SettingsCommand {
+  static override readonly paths = [['run']];
+
+  static override readonly usage = Command.Usage({
+    description: 'Runs a host until SIGTERM or SIGINT, then stops it as planned.',
+    examples: [
+      ['Run a host', 'buckthornlug run --settings host.json'],
+      ['Only check the settings', 'buckthornlug run --settings host.json --check'],
+    ],
+  });
+
+  readonly check = Option.Boolean('--check', false, { description: 'Only checks the settings.' });
+
+  async execute(): Promise<number> {
+    const loaded = await this.load();
+    if (loaded.isErr()) return badInputStatus;
+    if (this.check) {
+      this.context.stdout.write(`${this.settings}: valid\n`);
+      return 0;
+    }
+    const started = await startHost(loaded.value);
+    if (started.isErr()) {
+      this.context.stderr.write(describeFailure(started.error));
+      return startFailedStatus;
+    }
+    await runUntilStopped(started.value);
+    return 0;
+  }
+}
--- /dev/null
+++ b/packages/host/src/features.ts
@@ -0,0 +1,4 @@
+import type { Feature } from './runtime/hostParts.js';
+
+/** The features of a host, in the order in which they start. */
+export const features: readonly Feature[] = [];
--- /dev/null
+++ b/packages/host/src/rpc/appRouter.ts
@@ -0,0 +1,23 @@
+import { rpcRouter } from '@buckthornlug/protocol/rpc/rpcContext.js';
+
+import { lateHandlers } from './lateHandlers.js';
+import { createPingRouter, type PingHandlers } from './pingRouter.js';
+
+/** Handlers of all procedures between hosts; each feature sets its own when it starts. */
+export interface RpcHandlers {
+  ping: PingHandlers;
+}
+
+/**
+ * Merges the routers of the features.
+ *
+ * @param handlers - handlers as far as their features have started
+ */
+export function createAppRouter(handlers: Partial<RpcHandlers>) {
+  return rpcRouter({
+    ping: createPingRouter(lateHandlers(() => handlers.ping)),
+  });
+}
+
+/** All procedures between hosts. */
+export type AppRouter = ReturnType<typeof createAppRouter>;
--- /dev/null
+++ b/packages/host/src/rpc/internalListener.ts
@@ -0,0 +1,70 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+
+import { resultCodeHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
+import type { Failure } from '@buckthornlug/protocol/results/failure.js';
+import { resultCodes } from '@buckthornlug/protocol/results/resultCodes.js';
+import { nodeHTTPRequestHandler } from '@trpc/server/adapters/node-http';
+
+import type { AppRouter } from './appRouter.js';
+import type { RequestAuth } from './requestAuth.js';
+
+const rpcPrefix = '/rpc/';
+/** Largest body of a request between hosts. */
+const maxRpcBodyBytes = 64 * 1024 * 1024;
+const keepAliveTimeoutMs = 60_000;
+
+/** Takes a call that another host forwarded. */
+export type ForwardedCallHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  fromHostId: string,
+) => void;
+
+/** What the listener for other hosts is given. */
+export interface InternalListenerParts {
+  readonly router: AppRouter;
+  readonly auth: RequestAuth;
+  /** Handler of forwarded calls at the moment of the request. */
+  readonly forwardedCalls: () => ForwardedCallHandler;
+}
+
+function refuse(response: ServerResponse, refusal: Failure): void {
+  const body = JSON.stringify({ code: refusal.code, detail: refusal.detail });
+  response.writeHead(resultCodes[refusal.code].httpStatus, {
+    'content-type': 'application/json',
+    [resultCodeHeader]: refusal.code,
+    connection: 'close',
+  });
+  response.end(body);
+}
+
+/**
+ * Creates the server for requests of other hosts: procedures under `/rpc`, forwarded calls elsewhere.
+ *
+ * @param parts - router, authentication and handler of forwarded calls
+ */
+export function createInternalServer(parts: InternalListenerParts): Server {
+  const server = createServer((request, response) => {
+    const sender = parts.auth.authenticate(request);
+    if (sender.isErr()) {
+      refuse(response, sender.error);
+      return;
+    }
+    const url = request.url ?? '/';
+    if (!url.startsWith(rpcPrefix)) {
+      parts.forwardedCalls()(request, response, sender.value);
+      return;
+    }
+    const queryAt = url.indexOf('?');
+    nodeHTTPRequestHandler({
+      router: parts.router,
+      req: request,
+      res: response,
+      path: url.slice(rpcPrefix.length, queryAt < 0 ? undefined : queryAt),
+      createContext: () => Promise.resolve({ fromHostId: sender.value }),
+      maxBodySize: maxRpcBodyBytes,
+    }).catch((error: unknown) => response.destroy(error as Error));
+  });
+  server.keepAliveTimeout = keepAliveTimeoutMs;
+  return server;
+}
--- /dev/null
+++ b/packages/host/src/rpc/lateHandlers.ts
@@ -0,0 +1,19 @@
+import { TRPCError } from '@trpc/server';
+
+/**
+ * Builds handlers that look up the real ones at each call, so that the router exists before its
+ * features have started. A call before that is refused.
+ *
+ * @param find - gives the real handlers once they are there
+ */
+export function lateHandlers<Handlers extends object>(find: () => Handlers | undefined): Handlers {
+  return new Proxy({} as Handlers, {
+    get: (_target, name) => {
+      const handlers = find();
+      if (handlers === undefined) {
+        throw new TRPCError({ code: 'PRECONDITION_FAILED', message: 'the feature is not started' });
+      }
+      return Reflect.get(handlers, name) as unknown;
+    },
+  });
+}
--- /dev/null
+++ b/packages/host/src/rpc/peerClients.ts
@@ -0,0 +1,116 @@
+import type { Endpoint } from '@buckthornlug/protocol/common/primitives.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
+import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
+import { errAsync, ResultAsync } from 'neverthrow';
+import { Agent } from 'undici';
+
+import type { AppRouter } from './appRouter.js';
+import type { RequestAuth } from './requestAuth.js';
+import { createUndiciFetch } from './undiciFetch.js';
+
+/** Connections to one host for requests between hosts. */
+const connectionsPerHost = 16;
+const keepAliveMs = 30_000;
+
+/** Typed client of the procedures of one host. */
+export type PeerClient = TRPCClient<AppRouter>;
+
+/** Makes a request to a host; the signal ends it at its time limit and must be passed on. */
+export type PeerRequest<Reply> = (client: PeerClient, signal: AbortSignal) => Promise<Reply>;
+
+/** Requests to other hosts. */
+export interface PeerClients {
+  /** Internal address of a host as seen from here. */
+  readonly addressOf: (hostId: string) => Endpoint | undefined;
+  /**
+   * Sends a request to a host.
+   *
+   * @param hostId - receiving host
+   * @param send - calls one procedure of the client with the signal
+   * @param timeoutMs - time limit; `timing.rpcTimeoutMs` where absent
+   * @returns the reply; BL6003 for every rejection
+   */
+  readonly request: <Reply>(
+    hostId: string,
+    send: PeerRequest<Reply>,
+    timeoutMs?: number,
+  ) => ResultAsync<Reply, Failure>;
+  /** Sends a request to an address whose host is not known yet. */
+  readonly requestAt: <Reply>(
+    endpoint: Endpoint,
+    send: PeerRequest<Reply>,
+    timeoutMs?: number,
+  ) => ResultAsync<Reply, Failure>;
+  readonly close: () => Promise<void>;
+}
+
+/**
+ * Writes an endpoint as the origin of URLs.
+ *
+ * @param endpoint - IP address and port
+ */
+export function originOf(endpoint: Endpoint): string {
+  const address = endpoint.address.includes(':') ? `[${endpoint.address}]` : endpoint.address;
+  return `http://${address}:${endpoint.port}`;
+}
+
+/**
+ * Creates the clients of a host.
+ *
+ * @param settings - settings with start addresses and time limits
+ * @param auth - signs the requests
+ * @param memberAddress - internal address of a host by the membership
+ */
+export function createPeerClients(
+  settings: Settings,
+  auth: RequestAuth,
+  memberAddress: (hostId: string) => Endpoint | undefined,
+): PeerClients {
+  const agent = new Agent({ connections: connectionsPerHost, keepAliveTimeout: keepAliveMs });
+  const fetch = createUndiciFetch(agent);
+  const clients = new Map<string, PeerClient>();
+  const startAddresses = new Map(settings.peers.map((peer) => [peer.hostId, peer.internal]));
+
+  const clientAt = (origin: string): PeerClient => {
+    const known = clients.get(origin);
+    if (known !== undefined) return known;
+    const client = createTRPCClient<AppRouter>({
+      links: [
+        httpLink({
+          url: `${origin}/rpc`,
+          fetch,
+          headers: ({ op }) =>
+            auth.sign({ method: op.type === 'query' ? 'GET' : 'POST', path: `/rpc/${op.path}` }),
+        }),
+      ],
+    });
+    clients.set(origin, client);
+    return client;
+  };
+
+  const addressOf: PeerClients['addressOf'] = (hostId) =>
+    settings.peerAddresses[hostId] ?? memberAddress(hostId) ?? startAddresses.get(hostId);
+
+  const requestAt: PeerClients['requestAt'] = (endpoint, send, timeoutMs) => {
+    const signal = AbortSignal.timeout(timeoutMs ?? settings.timing.rpcTimeoutMs);
+    const origin = originOf(endpoint);
+    return ResultAsync.fromPromise(send(clientAt(origin), signal), (error) => {
+      const problem = error instanceof Error ? error.message : String(error);
+      return failure('BL6003', `${origin}: ${problem}`);
+    });
+  };
+
+  return {
+    addressOf,
+    requestAt,
+    request: (hostId, send, timeoutMs) => {
+      const endpoint = addressOf(hostId);
+      if (endpoint === undefined) {
+        return errAsync(failure('BL6003', `no address of host "${hostId}" is known`));
+      }
+      return requestAt(endpoint, send, timeoutMs);
+    },
+    close: () => agent.destroy(),
+  };
+}
--- /dev/null
+++ b/packages/host/src/rpc/pingRouter.ts
@@ -0,0 +1,11 @@
+import { rpcProcedure, rpcRouter } from '@buckthornlug/protocol/rpc/rpcContext.js';
+
+/** Handlers of the `ping` procedures. */
+export interface PingHandlers {
+  readonly ping: () => { readonly hostId: string; readonly incarnation: number };
+}
+
+/** Procedures that tell which process answers at an address. */
+export function createPingRouter(handlers: PingHandlers) {
+  return rpcRouter({ ping: rpcProcedure.query(() => handlers.ping()) });
+}
--- /dev/null
+++ b/packages/host/src/rpc/undiciFetch.ts
@@ -0,0 +1,40 @@
+import { request, type Dispatcher } from 'undici';
+
+/** The part of a fetch response that the trpc client reads. */
+interface FetchedReply {
+  readonly ok: boolean;
+  readonly status: number;
+  readonly json: () => Promise<unknown>;
+  readonly text: () => Promise<string>;
+}
+
+/** The part of the fetch options that the trpc client sets. */
+interface FetchOptions {
+  readonly method?: string | undefined;
+  readonly body?: unknown;
+  readonly headers?: unknown;
+  readonly signal?: AbortSignal | null | undefined;
+}
+
+/**
+ * Builds a fetch function on `undici.request`, which costs less than the full fetch standard.
+ *
+ * @param dispatcher - agent that owns the connections
+ */
+export function createUndiciFetch(dispatcher: Dispatcher) {
+  return async (url: string | URL | Request, options: FetchOptions = {}): Promise<FetchedReply> => {
+    const reply = await request(url instanceof Request ? url.url : url, {
+      dispatcher,
+      method: options.method ?? 'GET',
+      headers: options.headers as Record<string, string>,
+      body: (options.body ?? null) as string | null,
+      signal: options.signal ?? null,
+    });
+    return {
+      ok: reply.statusCode < 400,
+      status: reply.statusCode,
+      json: () => reply.body.json(),
+      text: () => reply.body.text(),
+    };
+  };
+}
--- /dev/null
+++ b/packages/host/src/runtime/hostParts.ts
@@ -0,0 +1,71 @@
+import type {
+  Announcement,
+  AnnouncementReply,
+} from '@buckthornlug/protocol/announce/announceSchema.js';
+import type { Failure } from '@buckthornlug/protocol/results/failure.js';
+import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
+import type {
+  LedgerDecision,
+  LedgerKey,
+  LedgerOutcome,
+} from '@buckthornlug/protocol/steering/ledgerTypes.js';
+import type { MayRetry, PlaceCall } from '@buckthornlug/protocol/steering/placementTypes.js';
+import type { Result, ResultAsync } from 'neverthrow';
+
+import type { RpcHandlers } from '../rpc/appRouter.js';
+import type { ForwardedCallHandler } from '../rpc/internalListener.js';
+import type { PeerClients } from '../rpc/peerClients.js';
+import type { RequestAuth } from '../rpc/requestAuth.js';
+import type { DocumentHolder } from './documentHolder.js';
+import type { HostContext, MembershipView, RunningFeature } from './hostTypes.js';
+
+/** Takes a checked announcement; answers with the lease or the failure to send back. */
+export type ReceiveAnnouncement = (
+  announcement: Announcement,
+) => Result<AnnouncementReply, Failure>;
+
+/** The ledger as the path of a call sees it. */
+export interface LedgerHooks {
+  /** Commits the intent to run the work before it is dispatched. */
+  readonly begin: (
+    key: LedgerKey,
+    groups: readonly string[],
+    deadlineAtMs: number,
+  ) => Promise<LedgerDecision>;
+  /** Commits the outcome; BL9002 where it could not be committed. */
+  readonly finish: (intentId: string, outcome: LedgerOutcome) => ResultAsync<void, Failure>;
+}
+
+/** Finds the availability zone nearest to a caller's address. */
+export type FindCallerZone = (callerAddress: string) => string | undefined;
+
+/**
+ * What the features of a host give to each other. A feature sets the members that it owns while it
+ * starts; others read them at each use. features.ts gives the order of starts.
+ */
+export interface HostParts {
+  readonly document: DocumentHolder;
+  membership: MembershipView;
+  readonly peers: PeerClients;
+  readonly auth: RequestAuth;
+  readonly rpcHandlers: Partial<RpcHandlers>;
+  /** Takes the calls that other hosts forward. */
+  forwardedCalls: ForwardedCallHandler;
+  placeCall: PlaceCall;
+  mayRetry: MayRetry;
+  receiveAnnouncement: ReceiveAnnouncement;
+  ledger: LedgerHooks;
+  findCallerZone: FindCallerZone;
+  /** Hosts that own the pool of a service in a zone, the owner first; empty where not known. */
+  poolOwner: (availabilityZone: string, service: string) => string | undefined;
+  /** Features that have started so far, for `status`. */
+  readonly running: RunningFeature[];
+}
+
+/** A feature of a host. */
+export interface Feature {
+  readonly name: string;
+  /** Tells by the settings whether the host runs the feature. */
+  readonly wanted: (settings: Settings) => boolean;
+  readonly start: (context: HostContext, parts: HostParts) => ResultAsync<RunningFeature, Failure>;
+}
--- /dev/null
+++ b/packages/host/src/runtime/initialParts.ts
@@ -0,0 +1,41 @@
+import { failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, errAsync } from 'neverthrow';
+
+import { createPeerClients } from '../rpc/peerClients.js';
+import { createRequestAuth } from '../rpc/requestAuth.js';
+import { createDocumentHolder } from './documentHolder.js';
+import type { HostParts } from './hostParts.js';
+import type { DocumentInForce, HostContext } from './hostTypes.js';
+import { createStaticMembership } from './staticMembership.js';
+
+/**
+ * Creates the parts of a host before any feature has started: all calls are refused as not run.
+ *
+ * @param context - context of the host
+ * @param document - document in force from the start, if any
+ */
+export function createInitialParts(context: HostContext, document?: DocumentInForce): HostParts {
+  const { settings, incarnation } = context;
+  const auth = createRequestAuth(settings);
+  const notStarted = failure('BL3003', 'the host has not started yet', { retryAfterMs: 500 });
+  const noLedger = failure('BL9001', 'the ledger has not started', { retryAfterMs: 1000 });
+  const parts: HostParts = {
+    document: createDocumentHolder(document),
+    membership: createStaticMembership(settings, incarnation),
+    peers: createPeerClients(settings, auth, (hostId) => parts.membership.find(hostId)?.internal),
+    auth,
+    rpcHandlers: { ping: { ping: () => ({ hostId: settings.hostId, incarnation }) } },
+    forwardedCalls: (_request, response) => response.writeHead(503).end(),
+    placeCall: () => Promise.resolve({ place: 'refused', failure: notStarted }),
+    mayRetry: () => false,
+    receiveAnnouncement: () => err(notStarted),
+    ledger: {
+      begin: () => Promise.resolve({ decision: 'refused', failure: noLedger }),
+      finish: () => errAsync(noLedger),
+    },
+    findCallerZone: () => undefined,
+    poolOwner: () => undefined,
+    running: [],
+  };
+  return parts;
+}
--- /dev/null
+++ b/packages/host/src/runtime/staticMembership.ts
@@ -0,0 +1,47 @@
+import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
+
+import type { HostRecord, MembershipView } from './hostTypes.js';
+
+/**
+ * Creates a membership that holds this host and the peers of its settings, all alive. The ports of
+ * the callers and administration listeners of peers are taken to be those of this host.
+ *
+ * @param settings - settings of this host
+ * @param incarnation - incarnation of this process
+ */
+export function createStaticMembership(settings: Settings, incarnation: number): MembershipView {
+  const { listen } = settings;
+  const self: HostRecord = {
+    hostId: settings.hostId,
+    region: settings.region,
+    availabilityZone: settings.availabilityZone,
+    incarnation,
+    state: 'alive',
+    roles: settings.roles,
+    internal: listen.internal,
+    callers: listen.callers,
+    admin: listen.admin,
+    documentVersion: 0,
+  };
+  const others = settings.peers
+    .filter((peer) => peer.hostId !== settings.hostId)
+    .map((peer): HostRecord => ({
+      hostId: peer.hostId,
+      region: peer.region,
+      availabilityZone: peer.availabilityZone,
+      incarnation: 0,
+      state: 'alive',
+      roles: ['entry'],
+      internal: peer.internal,
+      callers: { address: peer.internal.address, port: listen.callers.port },
+      admin: { address: peer.internal.address, port: listen.admin.port },
+      documentVersion: 0,
+    }));
+  const hosts = [self, ...others];
+  return {
+    self: () => self,
+    hosts: () => hosts,
+    find: (hostId) => hosts.find((host) => host.hostId === hostId),
+    onChange: () => () => undefined,
+  };
+}
--- /dev/null
+++ b/packages/host/src/settings/loadSettings.ts
@@ -0,0 +1,78 @@
+import { readFile } from 'node:fs/promises';
+
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { checkSettings } from '@buckthornlug/protocol/settings/settings.js';
+import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
+import { Result, ResultAsync } from 'neverthrow';
+
+/** Fields of the settings that flags and environment variables may override. */
+export interface SettingsOverrides {
+  readonly hostId?: string | undefined;
+  readonly region?: string | undefined;
+  readonly availabilityZone?: string | undefined;
+  readonly dataFolder?: string | undefined;
+  readonly logLevel?: string | undefined;
+}
+
+/** Environment variable of each field that may be overridden. */
+export const settingsVariables = {
+  hostId: 'BUCKTHORNLUG_HOST_ID',
+  region: 'BUCKTHORNLUG_REGION',
+  availabilityZone: 'BUCKTHORNLUG_AVAILABILITY_ZONE',
+  dataFolder: 'BUCKTHORNLUG_DATA_FOLDER',
+  logLevel: 'BUCKTHORNLUG_LOG_LEVEL',
+} as const satisfies Record<keyof SettingsOverrides, string>;
+
+/**
+ * Reads the overrides out of environment variables.
+ *
+ * @param environment - variables of the process
+ */
+export function overridesOfEnvironment(
+  environment: Readonly<Record<string, string | undefined>>,
+): SettingsOverrides {
+  const overrides: Record<string, string> = {};
+  for (const [field, variable] of Object.entries(settingsVariables)) {
+    const value = environment[variable];
+    if (value !== undefined) overrides[field] = value;
+  }
+  return overrides;
+}
+
+function withOverrides(value: unknown, sources: readonly SettingsOverrides[]): unknown {
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) return value;
+  const merged: Record<string, unknown> = { ...value };
+  for (const source of sources) {
+    for (const [field, override] of Object.entries(source)) {
+      if (override !== undefined) merged[field] = override;
+    }
+  }
+  return merged;
+}
+
+function problemOf(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
+
+const parseJson = Result.fromThrowable(
+  (text: string): unknown => JSON.parse(text),
+  (error) => failure('BL1002', problemOf(error)),
+);
+
+/**
+ * Loads, overrides and checks a settings file.
+ *
+ * @param path - path of the JSON file
+ * @param sources - overrides, the strongest last
+ * @returns the settings; BL1001 unreadable, BL1002 not JSON, BL1003 with every fault and its path
+ */
+export function loadSettings(
+  path: string,
+  ...sources: readonly SettingsOverrides[]
+): ResultAsync<Settings, Failure> {
+  return ResultAsync.fromPromise(readFile(path, 'utf8'), (error) =>
+    failure('BL1001', problemOf(error)),
+  )
+    .andThen(parseJson)
+    .andThen((value) => checkSettings(withOverrides(value, sources)));
+}
