--- a/eslint.config.js
+++ b/eslint.config.js
@@ -36,6 +36,10 @@
         },
       ],
       'no-continue': 'off',
+      'no-param-reassign': [
+        'error',
+        { props: true, ignorePropertyModificationsFor: ['parts', 'state'] },
+      ],
       'no-underscore-dangle': ['error', { allow: ['_unsafeUnwrap', '_unsafeUnwrapErr'] }],
       'no-await-in-loop': 'off',
       'no-bitwise': 'off',
--- a/packages/host/src/rpc/appRouter.ts
+++ b/packages/host/src/rpc/appRouter.ts
@@ -1,11 +1,15 @@
 import { rpcRouter } from '@buckthornlug/protocol/rpc/rpcContext.js';
 
 import { lateHandlers } from './lateHandlers.js';
+import { createMetricsRouter, type MetricsHandlers } from '../metrics/metricsRouter.js';
+import { createTimelineRouter, type TimelineHandlers } from '../timeline/timelineRouter.js';
 import { createPingRouter, type PingHandlers } from './pingRouter.js';
 
 /** Handlers of all procedures between hosts; each feature sets its own when it starts. */
 export interface RpcHandlers {
+  metrics: MetricsHandlers;
   ping: PingHandlers;
+  timeline: TimelineHandlers;
 }
 
 /**
@@ -15,6 +19,8 @@
  */
 export function createAppRouter(handlers: Partial<RpcHandlers>) {
   return rpcRouter({
+    metrics: createMetricsRouter(lateHandlers(() => handlers.metrics)),
+    timeline: createTimelineRouter(lateHandlers(() => handlers.timeline)),
     ping: createPingRouter(lateHandlers(() => handlers.ping)),
   });
 }
--- a/packages/host/src/rpc/internalListener.ts
+++ b/packages/host/src/rpc/internalListener.ts
@@ -1,12 +1,15 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
-import { resultCodeHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
+import { formatHybridTime } from '@buckthornlug/core/timeline/hybridClock.js';
+import { clockHeader, resultCodeHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
 import type { Failure } from '@buckthornlug/protocol/results/failure.js';
 import { resultCodes } from '@buckthornlug/protocol/results/resultCodes.js';
 import { nodeHTTPRequestHandler } from '@trpc/server/adapters/node-http';
 
 import type { AppRouter } from './appRouter.js';
 import type { RequestAuth } from './requestAuth.js';
+import { observeClockHeader } from '../timeline/clockHeader.js';
+import type { TimelineRecorder } from '../timeline/timelineRecorder.js';
 
 const rpcPrefix = '/rpc/';
 /** Largest body of a request between hosts. */
@@ -24,6 +27,7 @@
 export interface InternalListenerParts {
   readonly router: AppRouter;
   readonly auth: RequestAuth;
+  readonly timeline: Pick<TimelineRecorder, 'readClock' | 'observeClock'>;
   /** Handler of forwarded calls at the moment of the request. */
   readonly forwardedCalls: () => ForwardedCallHandler;
 }
@@ -38,6 +42,16 @@
   response.end(body);
 }
 
+/** Takes in the sender's clock and sends back the own one. */
+function exchangeClocks(
+  timeline: InternalListenerParts['timeline'],
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  observeClockHeader(timeline, request.headers[clockHeader]);
+  response.setHeader(clockHeader, formatHybridTime(timeline.readClock()));
+}
+
 /**
  * Creates the server for requests of other hosts: procedures under `/rpc`, forwarded calls elsewhere.
  *
@@ -50,6 +64,7 @@
       refuse(response, sender.error);
       return;
     }
+    exchangeClocks(parts.timeline, request, response);
     const url = request.url ?? '/';
     if (!url.startsWith(rpcPrefix)) {
       parts.forwardedCalls()(request, response, sender.value);
--- a/packages/host/src/rpc/peerClients.ts
+++ b/packages/host/src/rpc/peerClients.ts
@@ -1,3 +1,5 @@
+import { formatHybridTime } from '@buckthornlug/core/timeline/hybridClock.js';
+import { clockHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
 import type { Endpoint } from '@buckthornlug/protocol/common/primitives.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
@@ -5,6 +7,8 @@
 import { errAsync, ResultAsync } from 'neverthrow';
 import { Agent } from 'undici';
 
+import { observeClockHeader } from '../timeline/clockHeader.js';
+import type { TimelineRecorder } from '../timeline/timelineRecorder.js';
 import type { AppRouter } from './appRouter.js';
 import type { RequestAuth } from './requestAuth.js';
 import { createUndiciFetch } from './undiciFetch.js';
@@ -55,20 +59,27 @@
   return `http://${address}:${endpoint.port}`;
 }
 
+/** What the clients of a host are given. */
+export interface PeerClientParts {
+  /** Settings with start addresses and time limits. */
+  readonly settings: Settings;
+  /** Signs the requests. */
+  readonly auth: RequestAuth;
+  /** Clock that travels with each request and reply. */
+  readonly timeline: Pick<TimelineRecorder, 'readClock' | 'observeClock'>;
+  /** Internal address of a host by the membership. */
+  readonly memberAddress: (hostId: string) => Endpoint | undefined;
+}
+
 /**
  * Creates the clients of a host.
  *
- * @param settings - settings with start addresses and time limits
- * @param auth - signs the requests
- * @param memberAddress - internal address of a host by the membership
+ * @param parts - settings, authentication, clock and addresses
  */
-export function createPeerClients(
-  settings: Settings,
-  auth: RequestAuth,
-  memberAddress: (hostId: string) => Endpoint | undefined,
-): PeerClients {
+export function createPeerClients(parts: PeerClientParts): PeerClients {
+  const { settings, auth, timeline, memberAddress } = parts;
   const agent = new Agent({ connections: connectionsPerHost, keepAliveTimeout: keepAliveMs });
-  const fetch = createUndiciFetch(agent);
+  const fetch = createUndiciFetch(agent, (clock) => observeClockHeader(timeline, clock));
   const clients = new Map<string, PeerClient>();
   const startAddresses = new Map(settings.peers.map((peer) => [peer.hostId, peer.internal]));
 
@@ -80,8 +91,10 @@
         httpLink({
           url: `${origin}/rpc`,
           fetch,
-          headers: ({ op }) =>
-            auth.sign({ method: op.type === 'query' ? 'GET' : 'POST', path: `/rpc/${op.path}` }),
+          headers: ({ op }) => ({
+            ...auth.sign({ method: op.type === 'query' ? 'GET' : 'POST', path: `/rpc/${op.path}` }),
+            [clockHeader]: formatHybridTime(timeline.readClock()),
+          }),
         }),
       ],
     });
--- a/packages/host/src/rpc/undiciFetch.ts
+++ b/packages/host/src/rpc/undiciFetch.ts
@@ -1,3 +1,4 @@
+import { clockHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
 import { request, type Dispatcher } from 'undici';
 
 /** The part of a fetch response that the trpc client reads. */
@@ -20,8 +21,12 @@
  * Builds a fetch function on `undici.request`, which costs less than the full fetch standard.
  *
  * @param dispatcher - agent that owns the connections
+ * @param observeClock - takes the clock field of each reply
  */
-export function createUndiciFetch(dispatcher: Dispatcher) {
+export function createUndiciFetch(
+  dispatcher: Dispatcher,
+  observeClock: (clock: string | string[] | undefined) => void,
+) {
   return async (url: string | URL | Request, options: FetchOptions = {}): Promise<FetchedReply> => {
     const reply = await request(url instanceof Request ? url.url : url, {
       dispatcher,
@@ -30,6 +35,7 @@
       body: (options.body ?? null) as string | null,
       signal: options.signal ?? null,
     });
+    observeClock(reply.headers[clockHeader]);
     return {
       ok: reply.statusCode < 400,
       status: reply.statusCode,
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -12,6 +12,7 @@
 import type { MayRetry, PlaceCall } from '@buckthornlug/protocol/steering/placementTypes.js';
 import type { Result, ResultAsync } from 'neverthrow';
 
+import type { RegisterRoutes } from '../admin/adminListener.js';
 import type { RpcHandlers } from '../rpc/appRouter.js';
 import type { ForwardedCallHandler } from '../rpc/internalListener.js';
 import type { PeerClients } from '../rpc/peerClients.js';
@@ -58,6 +59,8 @@
   findCallerZone: FindCallerZone;
   /** Hosts that own the pool of a service in a zone, the owner first; empty where not known. */
   poolOwner: (availabilityZone: string, service: string) => string | undefined;
+  /** Routes of the administration API; features add theirs while they start. */
+  readonly adminRoutes: RegisterRoutes[];
   /** Features that have started so far, for `status`. */
   readonly running: RunningFeature[];
 }
--- a/packages/host/src/runtime/hostRuntime.ts
+++ b/packages/host/src/runtime/hostRuntime.ts
@@ -9,6 +9,7 @@
 import { createMetrics } from '../metrics/metrics.js';
 import { createAppRouter } from '../rpc/appRouter.js';
 import { createInternalServer } from '../rpc/internalListener.js';
+import { createTimelineRecorder } from '../timeline/timelineRecorder.js';
 import type { Feature, HostParts } from './hostParts.js';
 import type {
   Clock,
@@ -53,14 +54,22 @@
 
 function createContext(settings: Settings, overrides: HostOverrides): HostContext {
   const clock = overrides.clock ?? processClock;
+  const incarnation = clock.wallMs();
+  const { hostId, availabilityZone, limits } = settings;
+  const timeline = createTimelineRecorder(
+    { hostId, availabilityZone, incarnation },
+    limits.maxTimelineEvents,
+    clock.wallMs,
+  );
   const write = overrides.writeLogLine ?? ((line) => process.stderr.write(`${line}\n`));
   return {
     settings,
-    incarnation: clock.wallMs(),
+    incarnation,
     clock,
     random: overrides.random ?? Math.random,
     log: overrides.log ?? createLog(settings.hostId, settings.logLevel, write),
-    record: overrides.record ?? (() => undefined),
+    record: overrides.record ?? timeline.record,
+    timeline,
     metrics: createMetrics(),
   };
 }
@@ -125,6 +134,7 @@
     router: createAppRouter(parts.rpcHandlers),
     auth: parts.auth,
     forwardedCalls: () => parts.forwardedCalls,
+    timeline: context.timeline,
   });
   let stopped: Promise<void> | undefined;
   const host: RunningHost = {
--- a/packages/host/src/runtime/hostTypes.ts
+++ b/packages/host/src/runtime/hostTypes.ts
@@ -5,6 +5,7 @@
 
 import type { Log } from '../log/log.js';
 import type { MetricsRegistry } from '../metrics/metrics.js';
+import type { TimelineRecorder } from '../timeline/timelineRecorder.js';
 
 /** Clocks of the process. */
 export interface Clock {
@@ -65,6 +66,8 @@
   readonly random: Random;
   readonly log: Log;
   readonly record: RecordEvent;
+  /** Events of this process and its hybrid clock. */
+  readonly timeline: TimelineRecorder;
   readonly metrics: MetricsRegistry;
 }
 
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -22,7 +22,12 @@
   const parts: HostParts = {
     document: createDocumentHolder(document),
     membership: createStaticMembership(settings, incarnation),
-    peers: createPeerClients(settings, auth, (hostId) => parts.membership.find(hostId)?.internal),
+    peers: createPeerClients({
+      settings,
+      auth,
+      timeline: context.timeline,
+      memberAddress: (hostId) => parts.membership.find(hostId)?.internal,
+    }),
     auth,
     rpcHandlers: { ping: { ping: () => ({ hostId: settings.hostId, incarnation }) } },
     forwardedCalls: (_request, response) => response.writeHead(503).end(),
@@ -35,6 +40,7 @@
     },
     findCallerZone: () => undefined,
     poolOwner: () => undefined,
+    adminRoutes: [],
     running: [],
   };
   return parts;
--- a/packages/protocol/src/calls/callHeaders.ts
+++ b/packages/protocol/src/calls/callHeaders.ts
@@ -14,5 +14,7 @@
 export const requestIdHeader = 'x-buckthornlug-request';
 /** Time left for the call in milliseconds, towards hosts and backend servers. */
 export const timeLeftHeader = 'x-buckthornlug-time-left-ms';
+/** Reading of the sender's hybrid clock, between hosts. */
+export const clockHeader = 'x-buckthornlug-clock';
 /** Key of an announcing backend server, as `<key id>:<secret>`. */
 export const announceKeyHeader = 'x-buckthornlug-key';
