--- a/packages/core/src/membership/memberProbes.ts
+++ b/packages/core/src/membership/memberProbes.ts
@@ -1,10 +1,12 @@
 import {
   digestIntervalMs,
+  joinMs,
   probeHelpers,
   reconnectMs,
   ringProbes,
   suspectProbeMs,
   verifiedPerInterval,
+  youngDigestIntervalMs,
 } from './membershipLimits.js';
 import type { MemberEntry, MembershipConfig, Seed } from './membershipTypes.js';
 import type { MemberOutbox } from './memberOutbox.js';
@@ -31,6 +33,8 @@
 
   private nextDigestMs: number;
 
+  private readonly startedAtMs: number;
+
   constructor(
     private readonly self: MemberEntry,
     private readonly table: MemberTable,
@@ -42,7 +46,8 @@
   ) {
     this.nextRoundMs = nowMs + random() * config.probeIntervalMs;
     this.nextReconnectMs = nowMs;
-    this.nextDigestMs = nowMs + random() * digestIntervalMs;
+    this.nextDigestMs = nowMs + random() * youngDigestIntervalMs;
+    this.startedAtMs = nowMs;
   }
 
   tick(nowMs: number): void {
@@ -85,8 +90,15 @@
     this.sendProbe(target, nowMs, { hostId: asker.identity.hostId, sequence });
   }
 
-  sendSync(target: MemberEntry, after: string, nowMs: number): void {
-    const body = { kind: 'sync' as const, identity: this.self.identity, after };
+  /**
+   * Asks a host for its records.
+   *
+   * @param after - last host of the page before
+   * @param zones - zones whose records are asked for; all where absent
+   */
+  sendSync(target: MemberEntry, after: string, nowMs: number, zones?: readonly string[]): void {
+    const filter = zones === undefined ? {} : { zones };
+    const body = { kind: 'sync' as const, identity: this.self.identity, after, ...filter };
     this.outbox.send(target, body, nowMs);
   }
 
@@ -219,11 +231,12 @@
   }
 
   private compareDigest(nowMs: number): void {
-    this.nextDigestMs = nowMs + digestIntervalMs;
+    const young = nowMs - this.startedAtMs < joinMs;
+    this.nextDigestMs = nowMs + (young ? youngDigestIntervalMs : digestIntervalMs);
     const { zonePeers, foreignRelays } = this.table.views();
     const pool = this.table.selfIsRelay() ? [...zonePeers, ...foreignRelays] : zonePeers;
     for (const target of sample(pool, 1, this.random)) {
-      this.outbox.send(target, { kind: 'digest', digest: this.table.digest() }, nowMs);
+      this.outbox.send(target, { kind: 'digest', zones: this.table.digests() }, nowMs);
     }
   }
 }
--- a/packages/core/src/membership/memberTable.ts
+++ b/packages/core/src/membership/memberTable.ts
@@ -22,6 +22,8 @@
 
   private cached: Views | undefined;
 
+  private cachedDigests: Readonly<Record<string, number>> | undefined;
+
   constructor(private readonly self: MemberEntry) {
     this.add(self);
   }
@@ -49,6 +51,7 @@
   /** Must be called after the state of an entry has changed. */
   changed(): void {
     this.cached = undefined;
+    this.cachedDigests = undefined;
   }
 
   ringPosition(entry: MemberEntry): number {
@@ -65,18 +68,29 @@
     return relays.includes(this.self);
   }
 
-  /**
-   * Digest of the hosts that take part. Suspicions and document versions do not count.
-   */
-  digest(): number {
-    let digest = 0;
+  /** Digests of the hosts that take part, by zone. Suspicions and document versions do not count. */
+  digests(): Readonly<Record<string, number>> {
+    this.cachedDigests ??= this.buildDigests();
+    return this.cachedDigests;
+  }
+
+  /** Zones whose digests differ from those of another host. */
+  differingZones(others: Readonly<Record<string, number>>): string[] {
+    const own = this.digests();
+    const zones = new Set([...Object.keys(own), ...Object.keys(others)]);
+    return [...zones].filter((zone) => own[zone] !== others[zone]);
+  }
+
+  private buildDigests(): Readonly<Record<string, number>> {
+    const digests: Record<string, number> = {};
     for (const entry of this.entries.values()) {
       if (!takesPart(entry.state)) continue;
+      const { hostId, availabilityZone } = entry.identity;
       const state = entry.state === 'leaving' ? 'leaving' : 'alive';
-      const { incarnation, refutation } = entry;
-      digest ^= hashText(`${entry.identity.hostId} ${incarnation} ${refutation} ${state}`);
+      const hash = hashText(`${hostId} ${entry.incarnation} ${state}`);
+      digests[availabilityZone] = ((digests[availabilityZone] ?? 0) ^ hash) >>> 0;
     }
-    return digest >>> 0;
+    return digests;
   }
 
   private buildViews(): Views {
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -2,7 +2,7 @@
 import { MemberProbes } from './memberProbes.js';
 import { MemberStates } from './memberStates.js';
 import { MemberTable } from './memberTable.js';
-import { gossipVersionsUpTo, maxSyncRecords, stallMs } from './membershipLimits.js';
+import { gossipVersionsUpTo, maxSyncRecords, maxSyncZones, stallMs } from './membershipLimits.js';
 import type {
   MemberEntry,
   MemberIdentity,
@@ -170,6 +170,7 @@
     if (entry === undefined) return;
     if (merged.decision === 'suspect') {
       entry.refutation = record.refutation;
+      this.table.changed();
       this.states.suspect(entry, merged.endsInMs, nowMs);
     }
     if (merged.decision === 'fail') {
@@ -233,23 +234,40 @@
     if (message.kind === 'probeRequest') {
       this.probes.probeFor(sender, message.target, message.sequence, nowMs);
     }
-    if (message.kind === 'digest' && message.digest !== this.table.digest()) {
-      this.probes.sendSync(sender, '', nowMs);
-    }
-    if (message.kind === 'sync') this.replyToSync(sender, message.after, nowMs);
+    if (message.kind === 'digest') this.compareDigests(sender, message.zones, nowMs);
+    if (message.kind === 'sync') this.replyToSync(sender, message.after, message.zones, nowMs);
     if (message.kind === 'syncReply' && message.continueAfter !== undefined) {
-      this.probes.sendSync(sender, message.continueAfter, nowMs);
+      this.probes.sendSync(sender, message.continueAfter, nowMs, message.zones);
     }
   }
 
-  private replyToSync(sender: MemberEntry, after: string, nowMs: number): void {
+  private compareDigests(
+    sender: MemberEntry,
+    digests: Readonly<Record<string, number>>,
+    nowMs: number,
+  ): void {
+    const zones = this.table.differingZones(digests).slice(0, maxSyncZones);
+    if (zones.length > 0) this.probes.sendSync(sender, '', nowMs, zones);
+  }
+
+  private replyToSync(
+    sender: MemberEntry,
+    after: string,
+    zones: readonly string[] | undefined,
+    nowMs: number,
+  ): void {
     const rest = this.members()
       .filter((entry) => entry.identity.hostId > after)
+      .filter((entry) => zones?.includes(entry.identity.availabilityZone) ?? true)
       .sort((left, right) => (left.identity.hostId < right.identity.hostId ? -1 : 1));
     const page = rest.slice(0, maxSyncRecords);
     const last = page.at(-1)?.identity.hostId;
     const more = rest.length > page.length && last !== undefined;
-    const body = { kind: 'syncReply' as const, ...(more ? { continueAfter: last } : {}) };
+    const body = {
+      kind: 'syncReply' as const,
+      ...(zones === undefined ? {} : { zones }),
+      ...(more ? { continueAfter: last } : {}),
+    };
     this.outbox.sendRecords(sender, body, page, nowMs);
   }
 }
--- a/packages/core/src/membership/membershipLimits.ts
+++ b/packages/core/src/membership/membershipLimits.ts
@@ -21,7 +21,11 @@
 /** Interval between attempts to reach a failed host or a seed. */
 export const reconnectMs = 1000;
 /** Interval between comparisons of digests. */
-export const digestIntervalMs = 5000;
+export const digestIntervalMs = 3000;
+/** The same for a process that has just started. */
+export const youngDigestIntervalMs = 500;
+/** Zones whose records are asked for after one comparison. */
+export const maxSyncZones = 8;
 /** Time for which failed and left hosts are remembered. */
 export const forgetMs = 24 * 3600 * 1000;
 /** Pause between two ticks after which timeouts of the machine itself prove nothing. */
--- a/packages/core/src/membership/membershipTypes.ts
+++ b/packages/core/src/membership/membershipTypes.ts
@@ -57,15 +57,22 @@
       readonly target: string;
     })
   | (MessageBase & { readonly kind: 'gossip' })
-  | (MessageBase & { readonly kind: 'digest'; readonly digest: number })
+  | (MessageBase & {
+      readonly kind: 'digest';
+      /** Digest of the hosts of each zone. */
+      readonly zones: Readonly<Record<string, number>>;
+    })
   | (MessageBase & {
       readonly kind: 'sync';
       readonly identity: MemberIdentity;
       /** Records after this host are asked for. */
       readonly after: string;
+      /** Zones whose records are asked for; all where absent. */
+      readonly zones?: readonly string[];
     })
   | (MessageBase & {
       readonly kind: 'syncReply';
+      readonly zones?: readonly string[];
       /** Last host of a page that more records follow; absent on the last page. */
       readonly continueAfter?: string;
     });
