fix(test): run spec files in processes of their own

Cause: worker threads share the process id, from which the loopback addresses of a spec file come; two files bound the same address (BL1004 in hostRuntime.spec.ts and adminApi.spec.ts together). Change: ava runs each file in a child process.

--- a/ava.config.js
+++ b/ava.config.js
@@ -11,5 +11,6 @@
     compile: false,
   },
   nodeArguments: ['--enable-source-maps'],
+  workerThreads: false,
   timeout: '3m',
 };
