feat(ledger): replicated ledger of once-only work

Cause: a resend through another host, zone or region must never run once-only work again. Measured (npx ava packages/core/src/ledger/ledgerModel.spec.ts, 10,000 random schedules): double runs 0, accepted outcomes lost 0, starts after a cancellation 0.

--- /dev/null
+++ b/packages/core/src/ledger/ledger.spec.ts
@@ -0,0 +1,142 @@
+import type { BeginCommand, LedgerCommand } from '@buckthornlug/protocol/ledger/ledgerSchema.js';
+import type { StoredAnswer } from '@buckthornlug/protocol/steering/ledgerTypes.js';
+import test from 'ava';
+
+import { defaultLedgerLimits } from './ledgerLimits.js';
+import { createLedgerMachine } from './ledgerMachine.js';
+
+const answer: StoredAnswer = { status: 201, headers: [['x-order', '7']], bodyBase64: 'b2s=' };
+
+function begin(intentId: string, more: Partial<BeginCommand> = {}): BeginCommand {
+  const key = { service: 'shop', kind: 'order', identity: 'a', requestDigest: 'd' };
+  const holder = { hostId: `host-${intentId}`, incarnation: 1 };
+  return { type: 'begin', key, intentId, holder, atMs: 1000, deadlineAtMs: 5000, ...more };
+}
+
+function finish(intentId: string, outcome: 'answered' | 'notRun' | 'unknown'): LedgerCommand {
+  if (outcome === 'answered') {
+    return { type: 'finish', intentId, outcome: { outcome, answer }, atMs: 2000 };
+  }
+  return { type: 'finish', intentId, outcome: { outcome }, atMs: 2000 };
+}
+
+const retire = (nowMs: number): LedgerCommand => ({ type: 'retire', nowMs });
+const otherDigest = { service: 'shop', kind: 'order', identity: 'a', requestDigest: 'other' };
+
+/** Each case: commands in the order of the log, and the expected replies. */
+const cases: { title: string; commands: LedgerCommand[]; replies: string[] }[] = [
+  {
+    title: 'a resend gets the stored answer',
+    commands: [begin('x'), finish('x', 'answered'), begin('y')],
+    replies: ['run', 'recorded', 'replay'],
+  },
+  {
+    title: 'a resend is told that the first attempt is running',
+    commands: [begin('x'), begin('y')],
+    replies: ['run', 'running'],
+  },
+  {
+    title: 'a repeated begin of the same intent may run',
+    commands: [begin('x'), begin('x')],
+    replies: ['run', 'run'],
+  },
+  {
+    title: 'a proof of not run frees the identity',
+    commands: [begin('x'), finish('x', 'notRun'), begin('y'), begin('x')],
+    replies: ['run', 'recorded', 'run', 'refused'],
+  },
+  {
+    title: 'a late proof of not run never touches the next intent',
+    commands: [begin('x'), finish('x', 'notRun'), begin('y'), finish('x', 'notRun'), begin('z')],
+    replies: ['run', 'recorded', 'run', 'recorded', 'running'],
+  },
+  {
+    title: 'another request under the same identity is refused in each state',
+    commands: [
+      begin('x'),
+      begin('y', { key: otherDigest }),
+      finish('x', 'unknown'),
+      begin('y', { key: otherDigest }),
+    ],
+    replies: ['run', 'otherRequest', 'recorded', 'otherRequest'],
+  },
+  {
+    title: 'a deadline without an outcome makes the outcome unknown, and a late answer known',
+    commands: [begin('x'), begin('y', { atMs: 9000 }), finish('x', 'answered'), begin('z')],
+    replies: ['run', 'unknown', 'recorded', 'replay'],
+  },
+  {
+    title: 'a restarted holder makes its old intents unknown',
+    commands: [begin('x'), begin('y', { holder: { hostId: 'host-x', incarnation: 2 } })],
+    replies: ['run', 'unknown'],
+  },
+  {
+    title: 'a lost holder makes its open intents unknown, not those of its next life',
+    commands: [
+      begin('x', { holder: { hostId: 'host-x', incarnation: 2 } }),
+      { type: 'loseHolder', hostId: 'host-x', maxIncarnation: 1 },
+      begin('y'),
+      { type: 'loseHolder', hostId: 'host-x', maxIncarnation: 2 },
+      begin('y'),
+    ],
+    replies: ['run', 'lost', 'running', 'lost', 'unknown'],
+  },
+  {
+    title: 'a cancelled intent never starts when its begin arrives late',
+    commands: [{ type: 'cancel', intentId: 'x', beganAtMs: 1000 }, begin('x'), begin('y')],
+    replies: ['cancelled', 'refused', 'run'],
+  },
+  {
+    title: 'a begin as old as a dropped cancellation is refused',
+    commands: [
+      { type: 'cancel', intentId: 'x', beganAtMs: 1000 },
+      retire(1001 + defaultLedgerLimits.maxBeginAgeMs),
+      begin('x'),
+    ],
+    replies: ['cancelled', 'retired', 'refused'],
+  },
+  {
+    title: 'retiring makes overdue intents unknown',
+    commands: [begin('x'), retire(7000), begin('y')],
+    replies: ['run', 'retired', 'unknown'],
+  },
+];
+
+for (const { title, commands, replies } of cases) {
+  test(title, (t) => {
+    const machine = createLedgerMachine();
+    const seen = commands.map((command, index) => machine.apply(command, index + 1));
+    t.deepEqual(
+      seen.map((reply) => reply.reply),
+      replies,
+    );
+  });
+}
+
+test('the oldest answers are evicted first and their identities still refuse to run', (t) => {
+  const machine = createLedgerMachine({ ...defaultLedgerLimits, maxAnswers: 1 });
+  const second = { service: 'shop', kind: 'order', identity: 'b', requestDigest: 'd' };
+  machine.apply(begin('x'), 1);
+  machine.apply(finish('x', 'answered'), 2);
+  machine.apply(begin('y', { key: second }), 3);
+  machine.apply(finish('y', 'answered'), 4);
+  t.deepEqual(machine.apply(begin('z'), 5), { reply: 'answerNotKept' });
+  t.deepEqual(machine.apply(begin('z', { key: second }), 6), { reply: 'replay', answer });
+});
+
+test('new work is refused when the identities are full', (t) => {
+  const machine = createLedgerMachine({ ...defaultLedgerLimits, maxIdentities: 1 });
+  const second = { service: 'shop', kind: 'order', identity: 'b', requestDigest: 'd' };
+  machine.apply(begin('x'), 1);
+  const reply = machine.apply(begin('y', { key: second }), 2);
+  t.deepEqual(reply, { reply: 'refused', reason: 'full' });
+});
+
+test('one retire command cannot move the clock far', (t) => {
+  const machine = createLedgerMachine();
+  machine.apply(retire(1000), 1);
+  machine.apply(begin('x'), 2);
+  machine.apply(finish('x', 'answered'), 3);
+  machine.apply(retire(1000 + 10 * defaultLedgerLimits.identityRetentionMs), 4);
+  t.is(machine.apply(begin('y'), 5).reply, 'replay');
+});
--- /dev/null
+++ b/packages/core/src/ledger/ledgerMachine.ts
@@ -0,0 +1,138 @@
+import {
+  ledgerSnapshotSchema,
+  type BeginCommand,
+  type CancelCommand,
+  type FinishCommand,
+  type LedgerCommand,
+  type LedgerRecord,
+  type LedgerReply,
+  type LoseHolderCommand,
+  type RetireCommand,
+} from '@buckthornlug/protocol/ledger/ledgerSchema.js';
+
+import type { ReplicatedMachine } from '../consensus/replicatedMachineTypes.js';
+import { defaultLedgerLimits, type LedgerLimits } from './ledgerLimits.js';
+import { LedgerStore } from './ledgerStore.js';
+
+/** A replicated ledger of once-only work. */
+export type LedgerMachine = ReplicatedMachine<LedgerCommand, LedgerReply>;
+
+function isHolderGone(record: LedgerRecord, command: BeginCommand): boolean {
+  if (record.holder.hostId !== command.holder.hostId) return false;
+  return record.holder.incarnation < command.holder.incarnation;
+}
+
+function replyAnswered(record: LedgerRecord): LedgerReply {
+  if (record.answer?.bodyBase64 === undefined) return { reply: 'answerNotKept' };
+  return { reply: 'replay', answer: record.answer };
+}
+
+/**
+ * Creates an empty ledger.
+ *
+ * An identity is bound to one intent at a time. It becomes free again only when the holder of that
+ * intent proves that the work did not run; an unknown outcome keeps it bound.
+ *
+ * @param limits - bounds, the same on all replicas
+ */
+export function createLedgerMachine(limits: LedgerLimits = defaultLedgerLimits): LedgerMachine {
+  const store = new LedgerStore(limits);
+
+  const replyOpen = (record: LedgerRecord, command: BeginCommand): LedgerReply => {
+    if (record.intentId === command.intentId) return { reply: 'run' };
+    const overdue = command.atMs > record.deadlineAtMs + limits.outcomeGraceMs;
+    if (overdue || isHolderGone(record, command)) {
+      store.markUnknown(record);
+      return { reply: 'unknown' };
+    }
+    return { reply: 'running', holder: record.holder, deadlineAtMs: record.deadlineAtMs };
+  };
+
+  const openIntent = (command: BeginCommand): LedgerReply => {
+    if (store.isFull()) return { reply: 'refused', reason: 'full' };
+    store.open({
+      key: command.key,
+      intentId: command.intentId,
+      holder: command.holder,
+      state: 'open',
+      beganAtMs: command.atMs,
+      deadlineAtMs: command.deadlineAtMs,
+      retainFromMs: store.nowMs,
+    });
+    return { reply: 'run' };
+  };
+
+  const begin = (command: BeginCommand): LedgerReply => {
+    if (store.isStale(command.atMs)) return { reply: 'refused', reason: 'stale' };
+    if (store.isCancelled(command.intentId)) return { reply: 'refused', reason: 'cancelled' };
+    const record = store.find(command.key);
+    if (record === undefined) return openIntent(command);
+    if (record.key.requestDigest !== command.key.requestDigest) return { reply: 'otherRequest' };
+    if (record.state === 'answered') return replyAnswered(record);
+    if (record.state === 'unknown') return { reply: 'unknown' };
+    return replyOpen(record, command);
+  };
+
+  const finish = (command: FinishCommand, logIndex: number): LedgerReply => {
+    const record = store.findIntent(command.intentId);
+    if (record === undefined) {
+      const repeated = command.outcome.outcome === 'notRun' && store.isCancelled(command.intentId);
+      return { reply: repeated ? 'recorded' : 'superseded' };
+    }
+    if (record.state === 'answered') {
+      return { reply: command.outcome.outcome === 'answered' ? 'recorded' : 'superseded' };
+    }
+    // An unknown record still binds its identity, so no other intent can exist beside this one.
+    if (command.outcome.outcome === 'answered') {
+      store.markAnswered(record, command.outcome.answer, logIndex);
+    } else if (command.outcome.outcome === 'notRun') {
+      store.free(record);
+    } else {
+      store.markUnknown(record);
+    }
+    return { reply: 'recorded' };
+  };
+
+  const cancel = (command: CancelCommand): LedgerReply => {
+    const record = store.findIntent(command.intentId);
+    if (record === undefined) {
+      store.cancel(command.intentId, command.beganAtMs);
+      return { reply: 'cancelled' };
+    }
+    if (record.state === 'answered') return { reply: 'ended' };
+    store.free(record);
+    return { reply: 'cancelled' };
+  };
+
+  const loseHolder = (command: LoseHolderCommand): LedgerReply => {
+    let intents = 0;
+    for (const record of store.openRecords()) {
+      if (record.holder.hostId !== command.hostId) continue;
+      if (record.holder.incarnation > command.maxIncarnation) continue;
+      store.markUnknown(record);
+      intents += 1;
+    }
+    return { reply: 'lost', intents };
+  };
+
+  const retire = (command: RetireCommand): LedgerReply => {
+    store.advance(command.nowMs);
+    for (const record of store.openRecords()) {
+      if (record.deadlineAtMs + limits.outcomeGraceMs < store.nowMs) store.markUnknown(record);
+    }
+    const answers = store.dropOldAnswers();
+    return { reply: 'retired', identities: store.dropOldIdentities(), answers };
+  };
+
+  return {
+    apply: (command, logIndex) => {
+      if (command.type === 'begin') return begin(command);
+      if (command.type === 'finish') return finish(command, logIndex);
+      if (command.type === 'cancel') return cancel(command);
+      if (command.type === 'loseHolder') return loseHolder(command);
+      return retire(command);
+    },
+    snapshot: () => store.snapshot(),
+    restore: (snapshot) => store.restore(ledgerSnapshotSchema.parse(snapshot)),
+  };
+}
--- /dev/null
+++ b/packages/core/src/ledger/ledgerModel.spec.ts
@@ -0,0 +1,257 @@
+import type { LedgerCommand, LedgerReply } from '@buckthornlug/protocol/ledger/ledgerSchema.js';
+import test from 'ava';
+import fc from 'fast-check';
+
+import { defaultLedgerLimits } from './ledgerLimits.js';
+import { createLedgerMachine } from './ledgerMachine.js';
+
+/** What a host of the model does with an intent of its own. */
+interface Attempt {
+  readonly host: number;
+  readonly incarnation: number;
+  readonly identity: string;
+  readonly intentId: string;
+  readonly beganAtMs: number;
+  phase: 'asked' | 'mayRun' | 'dispatched' | 'ran' | 'finishing' | 'closed';
+}
+
+interface Step {
+  readonly action: number;
+  readonly pick: number;
+}
+
+const actions = [
+  'call',
+  'deliver',
+  'deliver',
+  'duplicate',
+  'lose',
+  'deliver',
+  'deliver',
+  'dispatch',
+  'dispatch',
+  'run',
+  'run',
+  'finish',
+  'finish',
+  'giveUp',
+  'crash',
+  'advance',
+  'retire',
+  'restore',
+] as const;
+const identities = ['a', 'b'];
+const hosts = 3;
+const limits = { ...defaultLedgerLimits, maxBeginAgeMs: 300, outcomeGraceMs: 0 };
+
+/** Hosts that obey the rules of the ledger, over a network that delays, doubles and loses. */
+class Model {
+  readonly executions = new Map<string, number>();
+
+  readonly faults: string[] = [];
+
+  unknown = 0;
+
+  private machine = createLedgerMachine(limits);
+
+  private readonly incarnations = Array.from({ length: hosts }, () => 1);
+
+  private readonly attempts: Attempt[] = [];
+
+  private readonly network: { command: LedgerCommand; attempt?: Attempt }[] = [];
+
+  private readonly accepted = new Map<string, string>();
+
+  private readonly ranIntents = new Set<string>();
+
+  private readonly cancelledIntents = new Set<string>();
+
+  private nowMs = 1000;
+
+  private logIndex = 0;
+
+  take({ action, pick }: Step): void {
+    this.nowMs += 1;
+    const name = actions[action % actions.length];
+    if (name === 'call') this.call(pick);
+    if (name === 'deliver') this.deliver(pick, true);
+    if (name === 'duplicate') this.deliver(pick, false);
+    if (name === 'lose') this.network.splice(pick % (this.network.length + 1), 1);
+    if (name === 'dispatch') this.move(pick, 'mayRun', 'dispatched');
+    if (name === 'run') this.run(pick);
+    if (name === 'finish') this.finish(pick);
+    if (name === 'giveUp') this.giveUp(pick);
+    if (name === 'crash') this.crash(pick);
+    if (name === 'advance') this.nowMs += pick % 200;
+    if (name === 'retire') this.apply({ type: 'retire', nowMs: this.nowMs });
+    if (name === 'restore') this.restore();
+  }
+
+  /** Sends a last resend for each identity and checks it against what was run and accepted. */
+  settle(): void {
+    while (this.network.length > 0) this.deliver(0, true);
+    for (const identity of identities) {
+      const attempt = this.call(hosts - 1, identity);
+      this.deliver(this.network.length - 1, true);
+      const accepted = this.accepted.get(identity);
+      const last = this.lastReply.get(attempt.intentId);
+      if (accepted !== undefined && last?.reply !== 'replay') {
+        this.faults.push(`accepted outcome of ${identity} is lost: ${last?.reply}`);
+      }
+      if (last?.reply === 'unknown') this.unknown += 1;
+    }
+  }
+
+  private readonly lastReply = new Map<string, LedgerReply>();
+
+  private call(pick: number, identity = identities[pick % identities.length] ?? ''): Attempt {
+    const host = pick % hosts;
+    const incarnation = this.incarnations[host] ?? 1;
+    const intentId = `${host}-${incarnation}-${this.attempts.length}`;
+    const attempt: Attempt = {
+      host,
+      incarnation,
+      identity,
+      intentId,
+      beganAtMs: this.nowMs,
+      phase: 'asked',
+    };
+    this.attempts.push(attempt);
+    const key = { service: 's', kind: 'k', identity, requestDigest: identity };
+    const holder = { hostId: `h${host}`, incarnation };
+    const deadlineAtMs = this.nowMs + 100;
+    const command = { type: 'begin', key, intentId, holder, atMs: this.nowMs, deadlineAtMs };
+    this.network.push({ command: command as LedgerCommand, attempt });
+    return attempt;
+  }
+
+  private apply(command: LedgerCommand): LedgerReply {
+    this.logIndex += 1;
+    return this.machine.apply(command, this.logIndex);
+  }
+
+  private deliver(pick: number, once: boolean): void {
+    const index = pick % Math.max(1, this.network.length);
+    const sent = this.network[index];
+    if (sent === undefined) return;
+    if (once) this.network.splice(index, 1);
+    const reply = this.apply(sent.command);
+    const { attempt } = sent;
+    this.checkCancelled(sent.command, reply);
+    const replyArrives = once && pick % 5 !== 4;
+    if (attempt === undefined || !replyArrives || !this.isAlive(attempt)) return;
+    if (sent.command.type === 'begin') this.onBegin(attempt, reply);
+    else this.onClosed(attempt, sent.command, reply);
+  }
+
+  /** An intent whose cancellation was committed must never be granted afterwards. */
+  private checkCancelled(command: LedgerCommand, reply: LedgerReply): void {
+    if (command.type === 'cancel' && reply.reply === 'cancelled') {
+      this.cancelledIntents.add(command.intentId);
+    }
+    if (command.type !== 'begin' || reply.reply !== 'run') return;
+    if (this.cancelledIntents.has(command.intentId)) {
+      this.faults.push(`${command.intentId} starts after its cancellation`);
+    }
+  }
+
+  private onBegin(attempt: Attempt, reply: LedgerReply): void {
+    this.lastReply.set(attempt.intentId, reply);
+    if (attempt.phase !== 'asked') return;
+    const current = attempt;
+    current.phase = reply.reply === 'run' ? 'mayRun' : 'closed';
+  }
+
+  private onClosed(attempt: Attempt, command: LedgerCommand, reply: LedgerReply): void {
+    if (reply.reply === 'cancelled' && this.ranIntents.has(attempt.intentId)) {
+      this.faults.push(`${attempt.intentId} ran and is proved not run`);
+    }
+    if (command.type !== 'finish' || reply.reply !== 'recorded') return;
+    if (command.outcome.outcome !== 'answered') return;
+    this.accepted.set(attempt.identity, attempt.intentId);
+  }
+
+  private isAlive(attempt: Attempt): boolean {
+    return this.incarnations[attempt.host] === attempt.incarnation;
+  }
+
+  /** Moves one attempt from a phase to the next. */
+  private move(pick: number, from: Attempt['phase'], to: Attempt['phase']): Attempt | undefined {
+    const able = this.attempts.filter(
+      (each) => each.phase === from && (from === 'dispatched' || this.isAlive(each)),
+    );
+    const attempt = able[pick % Math.max(1, able.length)];
+    if (attempt !== undefined) attempt.phase = to;
+    return attempt;
+  }
+
+  /** The backend server runs a dispatched call even when its host has died since. */
+  private run(pick: number): void {
+    const attempt = this.move(pick, 'dispatched', 'ran');
+    if (attempt === undefined) return;
+    this.ranIntents.add(attempt.intentId);
+    this.executions.set(attempt.identity, (this.executions.get(attempt.identity) ?? 0) + 1);
+  }
+
+  private finish(pick: number): void {
+    const attempt = this.move(pick, 'ran', 'ran');
+    if (attempt === undefined) return;
+    const { intentId } = attempt;
+    const answer = { status: 200, headers: [], bodyBase64: intentId };
+    const outcome = { outcome: 'answered', answer } as const;
+    const command = { type: 'finish', intentId, outcome, atMs: this.nowMs } as const;
+    this.network.push({ command, attempt });
+  }
+
+  /** A host gives up an intent that it has not dispatched: begin unanswered, or no place found. */
+  private giveUp(pick: number): void {
+    const from = pick % 2 === 0 ? 'asked' : 'mayRun';
+    const attempt = this.move(pick, from, 'finishing');
+    if (attempt === undefined) return;
+    const { intentId, beganAtMs } = attempt;
+    const cancel = { type: 'cancel', intentId, beganAtMs } as const;
+    const outcome = { outcome: 'notRun' } as const;
+    const notRun = { type: 'finish', intentId, outcome, atMs: this.nowMs } as const;
+    this.network.push({ command: from === 'asked' ? cancel : notRun, attempt });
+  }
+
+  private crash(pick: number): void {
+    const host = pick % hosts;
+    const incarnation = (this.incarnations[host] ?? 1) + 1;
+    this.incarnations[host] = incarnation;
+    const hostId = `h${host}`;
+    if (pick % 2 === 0) {
+      this.network.push({
+        command: { type: 'loseHolder', hostId, maxIncarnation: incarnation - 1 },
+      });
+    }
+  }
+
+  private restore(): void {
+    const snapshot = structuredClone(this.machine.snapshot());
+    this.machine = createLedgerMachine(limits);
+    this.machine.restore(snapshot);
+  }
+}
+
+const stepArbitrary = fc.record({ action: fc.nat(), pick: fc.nat({ max: 1000 }) });
+const seed = 20261204;
+
+test('whatever is lost, doubled or late, no identity runs twice and no accepted outcome is lost', (t) => {
+  let runs = 0;
+  let unknown = 0;
+  fc.assert(
+    fc.property(fc.array(stepArbitrary, { minLength: 40, maxLength: 160 }), (steps) => {
+      const model = new Model();
+      for (const step of steps) model.take(step);
+      model.settle();
+      runs += [...model.executions.values()].reduce((sum, each) => sum + each, 0);
+      unknown += model.unknown;
+      const doubled = [...model.executions.values()].filter((count) => count > 1);
+      return doubled.length === 0 && model.faults.length === 0;
+    }),
+    { seed, numRuns: 10_000 },
+  );
+  t.log({ seed, runs, unknown });
+  t.true(runs > 1000);
+});
--- /dev/null
+++ b/packages/core/src/ledger/ledgerMoveFaults.ts
@@ -0,0 +1,116 @@
+import type {
+  Kind,
+  Service,
+  SteeringDocument,
+} from '@buckthornlug/protocol/document/documentTypes.js';
+import type { Fault } from '@buckthornlug/protocol/results/failure.js';
+
+function isSameSet(left: readonly string[], right: readonly string[]): boolean {
+  const leftSet = new Set(left);
+  const rightSet = new Set(right);
+  return leftSet.size === rightSet.size && [...leftSet].every((each) => rightSet.has(each));
+}
+
+function overlaps(left: Kind, right: Kind): boolean {
+  const leftPath = left.match.pathPrefix;
+  const rightPath = right.match.pathPrefix;
+  if (!leftPath.startsWith(rightPath) && !rightPath.startsWith(leftPath)) return false;
+  if (left.match.methods.length === 0 || right.match.methods.length === 0) return true;
+  return left.match.methods.some((method) => right.match.methods.includes(method));
+}
+
+function isSameMatch(left: Kind, right: Kind): boolean {
+  if (left.match.pathPrefix !== right.match.pathPrefix) return false;
+  return isSameSet(left.match.methods, right.match.methods);
+}
+
+/** Faults of one kind that keeps identities before the change. */
+function changedKindFaults(before: Kind, after: Kind, path: string): Fault[] {
+  const faults: Fault[] = [];
+  if (after.execution !== 'once') {
+    faults.push({ path: `${path}/execution`, problem: `must stay "once"` });
+  }
+  if (after.identity?.header !== before.identity?.header) {
+    const problem = `must stay "${before.identity?.header ?? ''}"`;
+    faults.push({ path: `${path}/identity/header`, problem });
+  }
+  if (!isSameSet(before.ledgerGroups, after.ledgerGroups)) {
+    const problem = `must stay ${before.ledgerGroups.join(', ')}`;
+    faults.push({ path: `${path}/ledgerGroups`, problem });
+  }
+  if (!isSameMatch(before, after)) {
+    faults.push({ path: `${path}/match`, problem: 'must stay as it is for once-only work' });
+  }
+  return faults;
+}
+
+/** Kinds that newly stand before a once-only kind and would take some of its calls. */
+function shadowFaults(kind: Kind, before: Service, after: Service, path: string): Fault[] {
+  const oldKinds = before.kinds.slice(
+    0,
+    before.kinds.findIndex((each) => each.id === kind.id),
+  );
+  const faults: Fault[] = [];
+  for (const [index, earlier] of after.kinds.entries()) {
+    if (earlier.id === kind.id) break;
+    const stoodBefore = oldKinds.some(
+      (each) => each.id === earlier.id && isSameMatch(each, earlier),
+    );
+    if (stoodBefore || !overlaps(earlier, kind)) continue;
+    const problem = `would take calls of the once-only kind "${kind.id}"`;
+    faults.push({ path: `${path}/kinds/${index}/match`, problem });
+  }
+  return faults;
+}
+
+/** Faults of one service that has once-only kinds before the change. */
+function serviceFaults(serviceId: string, before: Service, after: Service): Fault[] {
+  const path = `services/${serviceId}`;
+  const faults: Fault[] = [];
+  for (const kind of before.kinds) {
+    if (kind.execution !== 'once') continue;
+    const index = after.kinds.findIndex((each) => each.id === kind.id);
+    const kept = after.kinds[index];
+    if (kept === undefined) {
+      const problem = `the once-only kind "${kind.id}" must stay`;
+      faults.push({ path: `${path}/kinds`, problem });
+      continue;
+    }
+    faults.push(...changedKindFaults(kind, kept, `${path}/kinds/${index}`));
+    faults.push(...shadowFaults(kind, before, after, path));
+  }
+  return faults;
+}
+
+/** Host names of a service with once-only work that move to another service. */
+function hostNameFaults(serviceId: string, before: Service, after: SteeringDocument): Fault[] {
+  if (!before.kinds.some((kind) => kind.execution === 'once')) return [];
+  const faults: Fault[] = [];
+  for (const [otherId, other] of Object.entries(after.services)) {
+    if (otherId === serviceId) continue;
+    for (const [index, name] of other.hostNames.entries()) {
+      if (!before.hostNames.includes(name)) continue;
+      const path = `services/${otherId}/hostNames/${index}`;
+      faults.push({ path, problem: `"${name}" must stay with "${serviceId}"` });
+    }
+  }
+  return faults;
+}
+
+/**
+ * Finds the changes of a document that would keep identities of once-only work in another place, so
+ * that a resend could run again.
+ *
+ * @param before - document in force
+ * @param after - document submitted
+ * @returns each such change with its path, for BL2011
+ */
+export function ledgerMoveFaults(before: SteeringDocument, after: SteeringDocument): Fault[] {
+  const faults: Fault[] = [];
+  for (const [serviceId, service] of Object.entries(before.services)) {
+    const kept = after.services[serviceId];
+    if (kept !== undefined) faults.push(...serviceFaults(serviceId, service, kept));
+    faults.push(...hostNameFaults(serviceId, service, after));
+  }
+  return faults;
+}
--- /dev/null
+++ b/packages/protocol/src/ledger/ledgerSchema.ts
@@ -0,0 +1,137 @@
+import { z } from 'zod';
+
+import { idSchema } from '../common/primitives.js';
+
+/** Schemas of the commands that a ledger group replicates and of their replies. */
+
+/** Identity of once-only work with the digest of its request. */
+export const ledgerKeySchema = z.strictObject({
+  service: idSchema,
+  kind: idSchema,
+  identity: z.string().min(1),
+  requestDigest: z.string(),
+});
+
+/** A whole answer as it is kept for resends. */
+export const storedAnswerSchema = z.strictObject({
+  status: z.int(),
+  headers: z.array(z.tuple([z.string(), z.string()]).readonly()).readonly(),
+  bodyBase64: z.string().optional(),
+});
+
+/** How once-only work ended. */
+export const ledgerOutcomeSchema = z.discriminatedUnion('outcome', [
+  z.strictObject({ outcome: z.literal('answered'), answer: storedAnswerSchema }),
+  z.strictObject({ outcome: z.literal('notRun') }),
+  z.strictObject({ outcome: z.literal('unknown') }),
+]);
+
+/** The process that holds an intent. */
+export const intentHolderSchema = z.strictObject({
+  hostId: idSchema,
+  incarnation: z.number(),
+});
+
+/** Asks for the right to run the work of an identity. */
+export const beginCommandSchema = z.strictObject({
+  type: z.literal('begin'),
+  key: ledgerKeySchema,
+  intentId: z.string().min(1),
+  holder: intentHolderSchema,
+  atMs: z.number().describe('Wall time of the submitting host.'),
+  deadlineAtMs: z.number().describe('Wall time after which the outcome counts as unknown.'),
+});
+
+/** Records how an intent ended; only its holder submits it. */
+export const finishCommandSchema = z.strictObject({
+  type: z.literal('finish'),
+  intentId: z.string().min(1),
+  outcome: ledgerOutcomeSchema,
+  atMs: z.number(),
+});
+
+/** Makes sure that an intent never starts; only its holder submits it, before any dispatch. */
+export const cancelCommandSchema = z.strictObject({
+  type: z.literal('cancel'),
+  intentId: z.string().min(1),
+  beganAtMs: z.number().describe('The `atMs` of the begin command that is cancelled.'),
+});
+
+/** Declares the open intents of a lost or restarted process unknown. */
+export const loseHolderCommandSchema = z.strictObject({
+  type: z.literal('loseHolder'),
+  hostId: idSchema,
+  maxIncarnation: z.number().describe('Highest incarnation that is lost.'),
+});
+
+/** Moves the clock of the ledger and drops what is older than its retention. */
+export const retireCommandSchema = z.strictObject({
+  type: z.literal('retire'),
+  nowMs: z.number(),
+});
+
+/** Every command of a ledger group. */
+export const ledgerCommandSchema = z.discriminatedUnion('type', [
+  beginCommandSchema,
+  finishCommandSchema,
+  cancelCommandSchema,
+  loseHolderCommandSchema,
+  retireCommandSchema,
+]);
+
+/** Every reply of a ledger group. */
+export const ledgerReplySchema = z.discriminatedUnion('reply', [
+  z.strictObject({ reply: z.literal('run') }),
+  z.strictObject({ reply: z.literal('replay'), answer: storedAnswerSchema }),
+  z.strictObject({
+    reply: z.literal('running'),
+    holder: intentHolderSchema,
+    deadlineAtMs: z.number(),
+  }),
+  z.strictObject({ reply: z.literal('unknown') }),
+  z.strictObject({ reply: z.literal('answerNotKept') }),
+  z.strictObject({ reply: z.literal('otherRequest') }),
+  z.strictObject({
+    reply: z.literal('refused'),
+    reason: z.enum(['cancelled', 'stale', 'full']),
+  }),
+  z.strictObject({ reply: z.literal('recorded') }),
+  z.strictObject({ reply: z.literal('superseded') }),
+  z.strictObject({ reply: z.literal('cancelled') }),
+  z.strictObject({ reply: z.literal('ended') }),
+  z.strictObject({ reply: z.literal('lost'), intents: z.int() }),
+  z.strictObject({ reply: z.literal('retired'), identities: z.int(), answers: z.int() }),
+]);
+
+const ledgerRecordSchema = z.strictObject({
+  key: ledgerKeySchema,
+  intentId: z.string(),
+  holder: intentHolderSchema,
+  state: z.enum(['open', 'answered', 'unknown']),
+  beganAtMs: z.number(),
+  deadlineAtMs: z.number(),
+  retainFromMs: z.number().describe('Clock of the ledger when the intent was committed.'),
+  answer: storedAnswerSchema.optional(),
+  answeredIndex: z.int().optional().describe('Log index of the answer; orders eviction.'),
+});
+
+const cancelledIntentSchema = z.strictObject({ intentId: z.string(), beganAtMs: z.number() });
+
+/** Whole state of a ledger. */
+export const ledgerSnapshotSchema = z.strictObject({
+  format: z.literal(1),
+  clockMs: z.number(),
+  records: z.array(ledgerRecordSchema),
+  cancelled: z.array(cancelledIntentSchema),
+});
+
+export type LedgerCommand = z.infer<typeof ledgerCommandSchema>;
+export type BeginCommand = z.infer<typeof beginCommandSchema>;
+export type FinishCommand = z.infer<typeof finishCommandSchema>;
+export type CancelCommand = z.infer<typeof cancelCommandSchema>;
+export type LoseHolderCommand = z.infer<typeof loseHolderCommandSchema>;
+export type RetireCommand = z.infer<typeof retireCommandSchema>;
+export type LedgerReply = z.infer<typeof ledgerReplySchema>;
+export type LedgerRecord = z.infer<typeof ledgerRecordSchema>;
+export type IntentHolder = z.infer<typeof intentHolderSchema>;
+export type LedgerSnapshot = z.infer<typeof ledgerSnapshotSchema>;
