--- /dev/null
+++ b/packages/core/src/shifts/shiftLimiter.ts
@@ -0,0 +1,85 @@
+import type { ShiftPart } from './shiftParts.js';
+
+/** A gap between two observations that counts as a pause of the process. */
+const maxGapMs = 250;
+/** Time for which a larger part waits, so that other zones have taken up their smaller ones. */
+const growthDelayMs = 10_000;
+/** Old times that are kept before the list is shortened. */
+const compactionLength = 1024;
+
+/**
+ * Admits shifted calls so that no window of the part's length holds more than its calls. It starts
+ * closed for one window, and closes for one window after a pause of the process, so that calls
+ * admitted by a former pool owner or before the pause are counted out.
+ */
+export class ShiftLimiter {
+  /** Times of admitted calls, the oldest first, from `firstInside` on those inside the window. */
+  private admitted: number[] = [];
+
+  private firstInside = 0;
+
+  private closedUntilMs: number;
+
+  private observedAtMs: number;
+
+  private pending: { part: ShiftPart; atMs: number } | undefined;
+
+  /**
+   * @param part - calls and window
+   * @param nowMs - monotonic time
+   */
+  constructor(
+    private part: ShiftPart,
+    nowMs: number,
+  ) {
+    this.closedUntilMs = nowMs + part.windowMs;
+    this.observedAtMs = nowMs;
+  }
+
+  /** Tells the limiter that the process runs; to be called more often than each 250 ms. */
+  observe(nowMs: number): void {
+    if (nowMs - this.observedAtMs > maxGapMs) this.closedUntilMs = nowMs + this.part.windowMs;
+    this.observedAtMs = nowMs;
+    if (this.pending === undefined || nowMs < this.pending.atMs) return;
+    this.part = this.pending.part;
+    this.pending = undefined;
+  }
+
+  /** Changes the part: at once where it shrinks, after a delay where it grows. */
+  change(part: ShiftPart, nowMs: number): void {
+    const isSame = part.maxCalls === this.part.maxCalls && part.windowMs === this.part.windowMs;
+    const isSmaller = part.maxCalls <= this.part.maxCalls && part.windowMs >= this.part.windowMs;
+    if (isSmaller || isSame) {
+      this.part = part;
+      this.pending = undefined;
+      return;
+    }
+    const wanted = this.pending?.part;
+    if (wanted?.maxCalls === part.maxCalls && wanted.windowMs === part.windowMs) return;
+    this.pending = { part, atMs: nowMs + growthDelayMs };
+  }
+
+  /** Admits a call or refuses it. */
+  admit(nowMs: number): boolean {
+    this.observe(nowMs);
+    if (nowMs <= this.closedUntilMs) return false;
+    this.dropOutside(nowMs - this.part.windowMs);
+    if (this.admitted.length - this.firstInside >= this.part.maxCalls) return false;
+    this.admitted.push(nowMs);
+    return true;
+  }
+
+  /** Time after which a call may be admitted again, in milliseconds. */
+  retryAfterMs(nowMs: number): number {
+    const oldest = this.admitted[this.firstInside];
+    const freeAtMs = oldest === undefined ? nowMs : oldest + this.part.windowMs;
+    return Math.max(1, Math.ceil(Math.max(freeAtMs, this.closedUntilMs) - nowMs));
+  }
+
+  private dropOutside(oldestMs: number): void {
+    while ((this.admitted[this.firstInside] ?? oldestMs) < oldestMs) this.firstInside += 1;
+    if (this.firstInside < compactionLength) return;
+    this.admitted = this.admitted.slice(this.firstInside);
+    this.firstInside = 0;
+  }
+}
--- /dev/null
+++ b/packages/core/src/shifts/shiftParts.ts
@@ -0,0 +1,29 @@
+/** Calls that may be admitted in any window of the given length. */
+export interface ShiftPart {
+  readonly maxCalls: number;
+  readonly windowMs: number;
+}
+
+const windowMs = 1000;
+
+/**
+ * Divides the cap of a region into fixed parts of its zones; their sum never exceeds the cap.
+ *
+ * @param maxShiftedCallsPerS - cap of the region
+ * @param zones - availability zones of the region
+ * @param zone - zone whose part is wanted
+ */
+export function shiftPartOf(
+  maxShiftedCallsPerS: number,
+  zones: readonly string[],
+  zone: string,
+): ShiftPart {
+  const index = [...zones].sort().indexOf(zone);
+  if (index < 0) return { maxCalls: 0, windowMs };
+  if (maxShiftedCallsPerS < 1) {
+    return { maxCalls: index === 0 ? 1 : 0, windowMs: windowMs / maxShiftedCallsPerS };
+  }
+  const cap = Math.floor(maxShiftedCallsPerS);
+  const extra = index < cap % zones.length ? 1 : 0;
+  return { maxCalls: Math.floor(cap / zones.length) + extra, windowMs };
+}
--- /dev/null
+++ b/packages/core/src/shifts/shiftPlanner.ts
@@ -0,0 +1,81 @@
+import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
+import type { CommittedStep, ShiftStep } from '@buckthornlug/protocol/shifts/shiftSchema.js';
+
+import type { ShiftTable } from './shiftTable.js';
+import { shiftTargets, type ShiftTarget } from './shiftTargets.js';
+
+/** What a leader knows when it plans. */
+export interface ShiftPlanInput {
+  readonly document: SteeringDocument;
+  readonly documentVersion: number;
+  readonly table: ShiftTable;
+  /** Regions without a living host. */
+  readonly failedRegions: ReadonlySet<string>;
+  /**
+   * Time at which this leader knew that every living host held the step; undefined while one lacks
+   * it. Monotonic milliseconds of the leader.
+   */
+  readonly acknowledgedAtMs: (step: CommittedStep) => number | undefined;
+  readonly nowMs: number;
+}
+
+/** A unit that has not reached its target and may not move yet. */
+export interface HeldShift {
+  readonly target: ShiftTarget;
+  readonly reason: 'notAcknowledged' | 'interval';
+}
+
+/** The steps that may be committed now, and the units that must wait. */
+export interface ShiftPlan {
+  readonly steps: readonly ShiftStep[];
+  readonly held: readonly HeldShift[];
+}
+
+function clamp(value: number, bound: number): number {
+  return Math.max(-bound, Math.min(bound, value));
+}
+
+function heldReason(
+  input: ShiftPlanInput,
+  last: CommittedStep | undefined,
+  stepIntervalMs: number,
+): HeldShift['reason'] | undefined {
+  if (last === undefined) return undefined;
+  const acknowledgedAtMs = input.acknowledgedAtMs(last);
+  if (acknowledgedAtMs === undefined) return 'notAcknowledged';
+  return input.nowMs < acknowledgedAtMs + stepIntervalMs ? 'interval' : undefined;
+}
+
+function nextStep(
+  input: ShiftPlanInput,
+  target: ShiftTarget,
+  last: CommittedStep | undefined,
+  stepPermille: number,
+): ShiftStep {
+  const { documentVersion } = input;
+  const movedPermille = last?.movedPermille ?? 0;
+  const change = clamp(target.movedPermille - movedPermille, stepPermille);
+  const number = last?.documentVersion === documentVersion ? last.number + 1 : 1;
+  return { ...target, documentVersion, number, movedPermille: movedPermille + change };
+}
+
+/**
+ * Plans the next step of each unit. No step is larger than `stepPermille`, and none comes sooner
+ * than `stepIntervalMs` after the last one of the unit is acknowledged, whatever the cause.
+ *
+ * @param input - document, committed steps, health and time
+ */
+export function planShifts(input: ShiftPlanInput): ShiftPlan {
+  const steps: ShiftStep[] = [];
+  const held: HeldShift[] = [];
+  for (const target of shiftTargets(input.document, input.failedRegions)) {
+    const cap = input.document.traffic[target.service]?.shiftCap;
+    if (cap === undefined) continue;
+    const last = input.table.find(target);
+    if ((last?.movedPermille ?? 0) === target.movedPermille) continue;
+    const reason = heldReason(input, last, cap.stepIntervalMs);
+    if (reason === undefined) steps.push(nextStep(input, target, last, cap.stepPermille));
+    else held.push({ target, reason });
+  }
+  return { steps, held };
+}
--- /dev/null
+++ b/packages/protocol/src/shifts/shiftSchema.ts
@@ -0,0 +1,45 @@
+import { z } from 'zod';
+
+import { idSchema, permilleSchema } from '../common/primitives.js';
+
+/** Schemas of the durable steps by which traffic is moved between regions and zones. */
+
+/** What a step moves: part of the traffic of one region or zone for one service. */
+export const shiftUnitSchema = z.strictObject({
+  service: idSchema,
+  scope: z.enum(['region', 'zone']),
+  place: idSchema.describe('Region or availability zone whose own traffic is moved.'),
+});
+
+/** One step. Steps of a unit are numbered from 1 in each version of the document. */
+export const shiftStepSchema = z.strictObject({
+  ...shiftUnitSchema.shape,
+  documentVersion: z.int().min(0),
+  number: z.int().min(1),
+  movedPermille: permilleSchema.describe('Share of the traffic that runs elsewhere.'),
+});
+
+/** A committed step with its place in the order of all steps. */
+export const committedStepSchema = z.strictObject({
+  ...shiftStepSchema.shape,
+  revision: z.int().min(1),
+});
+
+/** Command of the control group that commits a step. */
+export const shiftStepCommandSchema = z.strictObject({
+  type: z.literal('shiftStep'),
+  step: shiftStepSchema,
+});
+
+/** All committed steps, the last one of each unit. */
+export const shiftSnapshotSchema = z.strictObject({
+  revision: z.int().min(0),
+  steps: z.array(committedStepSchema),
+});
+
+export type ShiftUnit = z.infer<typeof shiftUnitSchema>;
+export type ShiftScope = ShiftUnit['scope'];
+export type ShiftStep = z.infer<typeof shiftStepSchema>;
+export type CommittedStep = z.infer<typeof committedStepSchema>;
+export type ShiftStepCommand = z.infer<typeof shiftStepCommandSchema>;
+export type ShiftSnapshot = z.infer<typeof shiftSnapshotSchema>;
