--- /dev/null
+++ b/packages/core/src/consensus/commitment.ts
@@ -0,0 +1,51 @@
+/* eslint no-param-reassign: ['error', { props: false }] */
+import { confirmReads, releaseReadyReads } from './reads.js';
+import { termAt } from './replicaLog.js';
+import { isVoter, quorumValue, type Leadership, type ReplicaState } from './replicaState.js';
+
+/** Commitment by a quorum, and the leader's lease. */
+
+/** Part of the election timeout for which a lease holds; the rest covers clocks that drift. */
+const leaseShare = 0.8;
+
+export function commitTo(state: ReplicaState, index: number): void {
+  if (index <= state.commitIndex) return;
+  const entries = state.log.entries.slice(
+    state.commitIndex - state.log.baseIndex,
+    index - state.log.baseIndex,
+  );
+  state.commitIndex = index;
+  state.effects.push({ kind: 'apply', entries });
+  for (const entry of entries) {
+    if (entry.body.kind !== 'members') continue;
+    const { members } = entry.body;
+    state.effects.push({ kind: 'membersChanged', members, index: entry.index });
+  }
+  releaseReadyReads(state);
+}
+
+export function advanceCommit(state: ReplicaState): void {
+  const { leadership } = state;
+  if (leadership === undefined) return;
+  const index = quorumValue(state.members, (id) => {
+    if (id === state.id) return state.syncedIndex;
+    return leadership.progress.get(id)?.matchIndex ?? 0;
+  });
+  if (index <= state.commitIndex || termAt(state.log, index) !== state.term) return;
+  commitTo(state, index);
+  confirmReads(state, leadership);
+}
+
+export function quorumContactMs(state: ReplicaState, leadership: Leadership): number {
+  return quorumValue(state.members, (id) => {
+    if (id === state.id) return state.nowMs;
+    return leadership.progress.get(id)?.ackedSentAtMs ?? 0;
+  });
+}
+
+export function leaseUntilMs(state: ReplicaState): number | undefined {
+  const { leadership } = state;
+  if (leadership === undefined || !isVoter(state)) return undefined;
+  const heardMs = quorumContactMs(state, leadership);
+  return heardMs + state.options.electionTimeoutMs * leaseShare;
+}
--- /dev/null
+++ b/packages/core/src/consensus/consensusTypes.ts
@@ -0,0 +1,235 @@
+/** Types of the replicated log: durable state, messages, inputs and effects. */
+
+/** Identity of a replica: host identity, a slash, and the incarnation of its disk. */
+export type ReplicaId = string;
+
+/** Replicas of a group. Learners receive the log and do not count in a quorum. */
+export interface Members {
+  readonly voters: readonly ReplicaId[];
+  readonly learners: readonly ReplicaId[];
+}
+
+/** Content of a log entry. */
+export type EntryBody =
+  | { readonly kind: 'noop' }
+  | { readonly kind: 'command'; readonly data: Uint8Array }
+  | { readonly kind: 'members'; readonly members: Members };
+
+/** One entry of the log. */
+export interface LogEntry {
+  readonly index: number;
+  readonly term: number;
+  readonly body: EntryBody;
+}
+
+/** Term and vote; durable before either is used towards others. */
+export interface HardState {
+  readonly term: number;
+  readonly votedFor: ReplicaId | null;
+}
+
+/** Encoded state of the machine after the entry at `index`. */
+export interface Snapshot {
+  readonly index: number;
+  readonly term: number;
+  readonly members: Members;
+  readonly data: Uint8Array;
+}
+
+/** What a replica finds on its disk when it starts. */
+export interface DurableState {
+  readonly hardState: HardState;
+  readonly snapshot: Snapshot;
+  /** Entries after the snapshot, without gaps. */
+  readonly entries: readonly LogEntry[];
+}
+
+/** Timing and sizes of a group. */
+export interface ConsensusOptions {
+  /** Shortest election timeout; the longest is twice as long. */
+  readonly electionTimeoutMs: number;
+  readonly heartbeatMs: number;
+  readonly maxAppendBytes: number;
+  readonly maxAppendEntries: number;
+  /** Entries sent to a follower ahead of its acknowledgement. */
+  readonly maxInFlightEntries: number;
+  readonly snapshotChunkBytes: number;
+  /** Entries kept behind a snapshot for followers that lag a little. */
+  readonly retainedEntries: number;
+  /** Uncommitted entries beyond which a leader takes no more. */
+  readonly maxUncommittedEntries: number;
+}
+
+interface MessageBase {
+  readonly from: ReplicaId;
+  readonly to: ReplicaId;
+  readonly term: number;
+}
+
+/** Asks whether an election could be won; changes nothing at the receiver. */
+export interface PreVoteMessage extends MessageBase {
+  readonly kind: 'preVote';
+  readonly proposedTerm: number;
+  readonly lastIndex: number;
+  readonly lastTerm: number;
+}
+
+export interface PreVoteReply extends MessageBase {
+  readonly kind: 'preVoteReply';
+  readonly proposedTerm: number;
+  readonly granted: boolean;
+}
+
+export interface VoteMessage extends MessageBase {
+  readonly kind: 'vote';
+  readonly lastIndex: number;
+  readonly lastTerm: number;
+  /** Whether the leader itself asked for the election. */
+  readonly handOver: boolean;
+}
+
+export interface VoteReply extends MessageBase {
+  readonly kind: 'voteReply';
+  readonly granted: boolean;
+}
+
+/** Round and send time of a leader's message; the receiver echoes both. */
+export interface LeaderRound {
+  readonly round: number;
+  readonly sentAtMs: number;
+}
+
+export interface AppendMessage extends MessageBase, LeaderRound {
+  readonly kind: 'append';
+  readonly prevIndex: number;
+  readonly prevTerm: number;
+  readonly entries: readonly LogEntry[];
+  readonly commitIndex: number;
+}
+
+export interface AppendReply extends MessageBase, LeaderRound {
+  readonly kind: 'appendReply';
+  readonly success: boolean;
+  /** Last index that is synced and equal to the leader's; on refusal, where to go on. */
+  readonly matchIndex: number;
+  readonly prevIndex: number;
+}
+
+export interface SnapshotChunk extends MessageBase, LeaderRound {
+  readonly kind: 'snapshotChunk';
+  readonly snapshotIndex: number;
+  readonly snapshotTerm: number;
+  readonly members: Members;
+  readonly totalBytes: number;
+  readonly offset: number;
+  readonly data: Uint8Array;
+}
+
+export interface SnapshotReply extends MessageBase, LeaderRound {
+  readonly kind: 'snapshotReply';
+  readonly snapshotIndex: number;
+  readonly nextOffset: number;
+}
+
+export interface ReadIndexMessage extends MessageBase {
+  readonly kind: 'readIndex';
+  readonly readId: number;
+}
+
+export interface ReadIndexReply extends MessageBase {
+  readonly kind: 'readIndexReply';
+  readonly readId: number;
+  /** Index to reach before the read; null where the receiver does not lead. */
+  readonly index: number | null;
+}
+
+/** Asks a caught-up voter to start an election at once. */
+export interface TimeoutNowMessage extends MessageBase {
+  readonly kind: 'timeoutNow';
+}
+
+/** A message between replicas of a group. */
+export type ConsensusMessage =
+  | PreVoteMessage
+  | PreVoteReply
+  | VoteMessage
+  | VoteReply
+  | AppendMessage
+  | AppendReply
+  | SnapshotChunk
+  | SnapshotReply
+  | ReadIndexMessage
+  | ReadIndexReply
+  | TimeoutNowMessage;
+
+/** A command to replicate; the identity is unique in the life of the process. */
+export interface Proposal {
+  readonly proposalId: number;
+  readonly data: Uint8Array;
+}
+
+/** A change of the members; one at a time. */
+export type MembershipChange =
+  | { readonly change: 'add'; readonly replicaId: ReplicaId }
+  | { readonly change: 'remove'; readonly replicaId: ReplicaId };
+
+/** What can happen to a replica. */
+export type ConsensusInput =
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'message'; readonly message: ConsensusMessage }
+  | { readonly kind: 'propose'; readonly proposals: readonly Proposal[] }
+  | { readonly kind: 'synced'; readonly sequence: number }
+  | { readonly kind: 'read'; readonly readId: number }
+  | { readonly kind: 'changeMembers'; readonly change: MembershipChange }
+  | { readonly kind: 'compact'; readonly index: number; readonly data: Uint8Array }
+  | { readonly kind: 'handOver' };
+
+/** Time and randomness of a step. */
+export interface StepMoment {
+  /** Monotonic time in milliseconds. */
+  readonly nowMs: number;
+  /** Random number in [0, 1). */
+  readonly random: number;
+}
+
+export type ReplicaRole = 'follower' | 'preCandidate' | 'candidate' | 'leader';
+
+/** Why a proposal or a change was not taken. */
+export type RefusalReason = 'notLeader' | 'busy' | 'changePending' | 'unchanged';
+
+/** Changes to make durable, in the order of their sequence. */
+export interface PersistEffect {
+  readonly kind: 'persist';
+  readonly sequence: number;
+  readonly hardState?: HardState;
+  /** Entries from this index on are removed first. */
+  readonly truncateFrom?: number;
+  readonly entries: readonly LogEntry[];
+  readonly snapshot?: Snapshot;
+  /** Whether the snapshot replaces the whole log. */
+  readonly resetLog: boolean;
+}
+
+/** What the shell carries out after a step, in this order. */
+export type ConsensusEffect =
+  | PersistEffect
+  | { readonly kind: 'send'; readonly message: ConsensusMessage }
+  | { readonly kind: 'apply'; readonly entries: readonly LogEntry[] }
+  | { readonly kind: 'restore'; readonly snapshot: Snapshot }
+  | {
+      readonly kind: 'accepted';
+      readonly proposalId: number;
+      readonly index: number;
+      readonly term: number;
+    }
+  | { readonly kind: 'refused'; readonly proposalId: number; readonly reason: RefusalReason }
+  | { readonly kind: 'readReady'; readonly readId: number; readonly index: number }
+  | { readonly kind: 'readFailed'; readonly readId: number }
+  | { readonly kind: 'changeRefused'; readonly reason: RefusalReason }
+  | { readonly kind: 'membersChanged'; readonly members: Members; readonly index: number }
+  | {
+      readonly kind: 'roleChanged';
+      readonly role: ReplicaRole;
+      readonly term: number;
+      readonly leader: ReplicaId | null;
+    };
--- /dev/null
+++ b/packages/core/src/consensus/membership.ts
@@ -0,0 +1,96 @@
+/* eslint no-param-reassign: ['error', { props: false }] */
+import type { Members, MembershipChange, RefusalReason, ReplicaId } from './consensusTypes.js';
+import { appendOwn, createProgress, sendPending } from './replication.js';
+import { latestMembers, lastIndexOf } from './replicaLog.js';
+import { peersOf, type Leadership, type ReplicaState } from './replicaState.js';
+
+/** Change of the members, one at a time. */
+
+/**
+ * Host of a replica.
+ *
+ * @param replicaId - identity of the replica
+ */
+export function hostIdOf(replicaId: ReplicaId): string {
+  return replicaId.slice(0, replicaId.indexOf('/'));
+}
+
+/** Takes the members that the log now holds; they are in force before they are committed. */
+export function adoptMembers(
+  state: ReplicaState,
+  latest: { members: Members; index: number },
+): void {
+  state.members = latest.members;
+  state.membersIndex = latest.index;
+  const { leadership } = state;
+  if (leadership === undefined) return;
+  const peers = new Set(peersOf(state));
+  for (const id of leadership.progress.keys()) {
+    if (!peers.has(id)) leadership.progress.delete(id);
+  }
+  for (const id of peers) {
+    if (!leadership.progress.has(id)) leadership.progress.set(id, createProgress(state));
+  }
+}
+
+/** The members after a change; undefined where nothing changes or the last voter would go. */
+export function changedMembers(members: Members, change: MembershipChange): Members | undefined {
+  const { replicaId } = change;
+  const isKnown = members.voters.includes(replicaId) || members.learners.includes(replicaId);
+  const without = (list: readonly ReplicaId[], gone: (id: ReplicaId) => boolean) =>
+    list.filter((id) => !gone(id));
+  if (change.change === 'remove') {
+    if (!isKnown) return undefined;
+    const voters = without(members.voters, (id) => id === replicaId);
+    if (voters.length === 0) return undefined;
+    return { voters, learners: without(members.learners, (id) => id === replicaId) };
+  }
+  if (isKnown) return undefined;
+  const isFormer = (id: ReplicaId) => hostIdOf(id) === hostIdOf(replicaId);
+  const voters = without(members.voters, isFormer);
+  if (voters.length === 0) return undefined;
+  return { voters, learners: [...without(members.learners, isFormer), replicaId] };
+}
+
+function refusalOf(state: ReplicaState): RefusalReason | undefined {
+  const { leadership } = state;
+  if (leadership === undefined || leadership.handOver !== undefined) return 'notLeader';
+  if (state.membersIndex > state.commitIndex) return 'changePending';
+  if (state.commitIndex < leadership.firstIndex) return 'changePending';
+  return undefined;
+}
+
+function appendMembers(state: ReplicaState, leadership: Leadership, members: Members): void {
+  appendOwn(state, [{ kind: 'members', members }]);
+  adoptMembers(state, latestMembers(state.log, lastIndexOf(state.log)));
+  for (const id of peersOf(state)) sendPending(state, leadership, id);
+}
+
+/** Starts a change, or refuses it. */
+export function changeMembers(state: ReplicaState, change: MembershipChange): void {
+  const members = changedMembers(state.members, change);
+  const reason = refusalOf(state) ?? (members === undefined ? 'unchanged' : undefined);
+  if (reason !== undefined || members === undefined || state.leadership === undefined) {
+    state.effects.push({ kind: 'changeRefused', reason: reason ?? 'unchanged' });
+    return;
+  }
+  appendMembers(state, state.leadership, members);
+}
+
+/** Makes a learner a voter once it holds everything committed and answers in time. */
+export function promoteLearner(state: ReplicaState): void {
+  const { leadership } = state;
+  if (leadership === undefined || refusalOf(state) !== undefined) return;
+  for (const id of state.members.learners) {
+    const progress = leadership.progress.get(id);
+    if (progress === undefined || progress.ackedRound === 0) continue;
+    const silentMs = state.nowMs - progress.ackedSentAtMs;
+    if (progress.matchIndex < state.commitIndex) continue;
+    if (silentMs > state.options.electionTimeoutMs) continue;
+    appendMembers(state, leadership, {
+      voters: [...state.members.voters, id],
+      learners: state.members.learners.filter((learner) => learner !== id),
+    });
+    return;
+  }
+}
--- /dev/null
+++ b/packages/core/src/consensus/reads.ts
@@ -0,0 +1,118 @@
+/* eslint no-param-reassign: ['error', { props: false }] */
+import type { ReadIndexMessage, ReadIndexReply, ReplicaId } from './consensusTypes.js';
+import { broadcast } from './replication.js';
+import { quorumValue, send, type Leadership, type ReplicaState } from './replicaState.js';
+
+/** Linearizable reads: an index confirmed by a quorum after the read came in. */
+
+/** Starts a local read. */
+function sendReadIndex(
+  state: ReplicaState,
+  to: ReplicaId,
+  readId: number,
+  index: number | null,
+): void {
+  send(state, { kind: 'readIndexReply', from: state.id, to, term: state.term, readId, index });
+}
+
+export function releaseReadyReads(state: ReplicaState): void {
+  if (state.readyReads.length === 0) return;
+  const waiting = [];
+  for (const read of state.readyReads) {
+    if (read.index > state.commitIndex) waiting.push(read);
+    else state.effects.push({ kind: 'readReady', readId: read.readId, index: read.index });
+  }
+  state.readyReads = waiting;
+}
+
+function finishRead(state: ReplicaState, readId: number, index: number | null): void {
+  if (index === null) {
+    state.effects.push({ kind: 'readFailed', readId });
+    return;
+  }
+  state.readyReads.push({ readId, index });
+  releaseReadyReads(state);
+}
+
+/** Hands out the reads whose index is applied. */
+
+function startReadRound(state: ReplicaState, leadership: Leadership): void {
+  if (leadership.waitingReads.length === 0 || leadership.reads.length > 0) return;
+  if (state.commitIndex < leadership.firstIndex) return;
+  const round = leadership.round + 1;
+  const index = state.commitIndex;
+  leadership.reads = leadership.waitingReads.map((read) => ({ ...read, index, round }));
+  leadership.waitingReads = [];
+  broadcast(state, leadership);
+}
+
+export function startRead(state: ReplicaState, readId: number): void {
+  const { leadership } = state;
+  if (leadership !== undefined) {
+    leadership.waitingReads.push({ readId });
+    startReadRound(state, leadership);
+    return;
+  }
+  if (state.leader === null) {
+    state.effects.push({ kind: 'readFailed', readId });
+    return;
+  }
+  state.forwardedReads.set(readId, state.nowMs);
+  send(state, { kind: 'readIndex', from: state.id, to: state.leader, term: state.term, readId });
+}
+
+/** Takes a read of another replica. */
+export function onReadIndex(state: ReplicaState, message: ReadIndexMessage): void {
+  const { leadership } = state;
+  if (leadership === undefined) {
+    sendReadIndex(state, message.from, message.readId, null);
+    return;
+  }
+  leadership.waitingReads.push({ readId: message.readId, from: message.from });
+  startReadRound(state, leadership);
+}
+
+/** Takes the leader's answer to a forwarded read. */
+export function onReadIndexReply(state: ReplicaState, message: ReadIndexReply): void {
+  if (!state.forwardedReads.delete(message.readId)) return;
+  finishRead(state, message.readId, message.index);
+}
+
+/** Starts a round for the waiting reads unless one is under way. */
+/** Ends the reads whose round a quorum has answered, and starts the next round. */
+export function confirmReads(state: ReplicaState, leadership: Leadership): void {
+  const first = leadership.reads[0];
+  if (first !== undefined) {
+    const confirmed = quorumValue(state.members, (id) => {
+      if (id === state.id) return leadership.round;
+      return leadership.progress.get(id)?.ackedRound ?? 0;
+    });
+    if (confirmed < first.round) return;
+    const { reads } = leadership;
+    leadership.reads = [];
+    for (const { readId, from, index } of reads) {
+      if (from === undefined) finishRead(state, readId, index);
+      else sendReadIndex(state, from, readId, index);
+    }
+  }
+  startReadRound(state, leadership);
+}
+
+/** Fails every read of a leader that steps down. */
+export function failReads(state: ReplicaState): void {
+  const { leadership } = state;
+  if (leadership === undefined) return;
+  for (const { readId, from } of [...leadership.reads, ...leadership.waitingReads]) {
+    if (from === undefined) finishRead(state, readId, null);
+    else sendReadIndex(state, from, readId, null);
+  }
+}
+
+/** Fails forwarded reads that were not answered within the election timeout. */
+export function expireForwardedReads(state: ReplicaState): void {
+  for (const [readId, startedAtMs] of state.forwardedReads) {
+    if (state.nowMs - startedAtMs < state.options.electionTimeoutMs) continue;
+    state.forwardedReads.delete(readId);
+    finishRead(state, readId, null);
+  }
+}
--- /dev/null
+++ b/packages/core/src/consensus/replica.ts
@@ -0,0 +1,199 @@
+/* eslint no-param-reassign: ['error', { props: false }] */
+import type {
+  ConsensusEffect,
+  ConsensusInput,
+  ConsensusMessage,
+  StepMoment,
+} from './consensusTypes.js';
+import {
+  becomeFollower,
+  countOwnVote,
+  mayRaiseTerm,
+  onPreVote,
+  onPreVoteReply,
+  onTimeoutNow,
+  onVote,
+  onVoteReply,
+  startPreVote,
+} from './election.js';
+import { advanceCommit, leaseUntilMs, quorumContactMs } from './commitment.js';
+import { continueHandOver, startHandOver } from './handOver.js';
+import { changeMembers, promoteLearner } from './membership.js';
+import { expireForwardedReads, onReadIndex, onReadIndexReply, startRead } from './reads.js';
+import { broadcast, onAppend, onAppendReply, propose } from './replication.js';
+import {
+  isVoter,
+  noteSynced,
+  resetElectionDeadline,
+  sendAfterSync,
+  takeEffects,
+  type ReplicaState,
+} from './replicaState.js';
+import { compact, onSnapshotChunk, onSnapshotReply } from './snapshots.js';
+
+/** The step machine of one replica of a replicated log. */
+
+/** Steps down where no quorum was heard, or where the group no longer counts the leader. */
+function checkQuorum(state: ReplicaState): void {
+  const { leadership } = state;
+  if (leadership === undefined) return;
+  const heardMs = Math.max(leadership.startedAtMs, quorumContactMs(state, leadership));
+  const isCutOff = state.nowMs - heardMs >= state.options.electionTimeoutMs;
+  const isRemoved = !isVoter(state) && state.commitIndex >= state.membersIndex;
+  if (!isCutOff && !isRemoved) return;
+  becomeFollower(state, state.term, null);
+  resetElectionDeadline(state);
+}
+
+function onTick(state: ReplicaState): void {
+  expireForwardedReads(state);
+  checkQuorum(state);
+  const { leadership } = state;
+  if (leadership !== undefined) {
+    promoteLearner(state);
+    continueHandOver(state);
+    if (state.nowMs >= leadership.nextHeartbeatMs) broadcast(state, leadership);
+    return;
+  }
+  if (state.electionDeadlineMs === 0) resetElectionDeadline(state);
+  if (state.nowMs >= state.electionDeadlineMs) startPreVote(state);
+}
+
+/** Tells a sender of an older term about the own one. */
+function refuseOldTerm(state: ReplicaState, message: ConsensusMessage): void {
+  if (message.kind !== 'append' && message.kind !== 'snapshotChunk') return;
+  sendAfterSync(state, {
+    kind: 'appendReply',
+    from: state.id,
+    to: message.from,
+    term: state.term,
+    success: false,
+    matchIndex: 0,
+    prevIndex: 0,
+    round: 0,
+    sentAtMs: 0,
+  });
+}
+
+function followLeader(state: ReplicaState, message: ConsensusMessage): void {
+  if (state.role !== 'follower' || state.leader !== message.from) {
+    becomeFollower(state, message.term, message.from);
+  }
+  state.voteBlockedUntilMs = state.nowMs + state.options.electionTimeoutMs;
+  resetElectionDeadline(state);
+}
+
+function onMessage(state: ReplicaState, message: ConsensusMessage): void {
+  if (message.to !== state.id) return;
+  if (message.term > state.term) {
+    if (message.kind !== 'preVote' && !mayRaiseTerm(state, message)) return;
+    if (mayRaiseTerm(state, message)) becomeFollower(state, message.term, null);
+  }
+  if (message.term < state.term && message.kind !== 'preVote' && message.kind !== 'vote') {
+    refuseOldTerm(state, message);
+    return;
+  }
+  switch (message.kind) {
+    case 'preVote':
+      onPreVote(state, message);
+      break;
+    case 'preVoteReply':
+      onPreVoteReply(state, message);
+      break;
+    case 'vote':
+      onVote(state, message);
+      break;
+    case 'voteReply':
+      onVoteReply(state, message);
+      break;
+    case 'append':
+      followLeader(state, message);
+      onAppend(state, message);
+      break;
+    case 'appendReply':
+      onAppendReply(state, message);
+      break;
+    case 'snapshotChunk':
+      followLeader(state, message);
+      onSnapshotChunk(state, message);
+      break;
+    case 'snapshotReply':
+      onSnapshotReply(state, message);
+      break;
+    case 'readIndex':
+      onReadIndex(state, message);
+      break;
+    case 'readIndexReply':
+      onReadIndexReply(state, message);
+      break;
+    default:
+      onTimeoutNow(state);
+      break;
+  }
+}
+
+function onSynced(state: ReplicaState, sequence: number): void {
+  noteSynced(state, sequence);
+  countOwnVote(state);
+  advanceCommit(state);
+}
+
+function take(state: ReplicaState, input: ConsensusInput): void {
+  switch (input.kind) {
+    case 'tick':
+      onTick(state);
+      break;
+    case 'message':
+      onMessage(state, input.message);
+      break;
+    case 'propose':
+      propose(state, input.proposals);
+      break;
+    case 'synced':
+      onSynced(state, input.sequence);
+      break;
+    case 'read':
+      startRead(state, input.readId);
+      break;
+    case 'changeMembers':
+      changeMembers(state, input.change);
+      break;
+    case 'compact':
+      compact(state, input.index, input.data);
+      break;
+    default:
+      startHandOver(state);
+      break;
+  }
+}
+
+/**
+ * Moves a replica by one input.
+ *
+ * @param state - replica; changed in place
+ * @param moment - time and a random number
+ * @param input - what happened
+ * @returns what the shell carries out, in order
+ */
+export function step(
+  state: ReplicaState,
+  moment: StepMoment,
+  input: ConsensusInput,
+): ConsensusEffect[] {
+  state.nowMs = moment.nowMs;
+  state.random = moment.random;
+  take(state, input);
+  return takeEffects(state);
+}
+
+/**
+ * Tells whether the replica leads and no other replica can have been elected yet.
+ *
+ * @param state - replica
+ * @param nowMs - monotonic time
+ */
+export function holdsLease(state: ReplicaState, nowMs: number): boolean {
+  const untilMs = leaseUntilMs(state);
+  if (untilMs === undefined || state.leadership?.handOver !== undefined) return false;
+  return nowMs < untilMs;
+}
--- /dev/null
+++ b/packages/core/src/consensus/replicaLog.ts
@@ -0,0 +1,121 @@
+/* eslint no-param-reassign: ['error', { props: false }] */
+import type { LogEntry, Members, Snapshot } from './consensusTypes.js';
+
+/** The part of the log that a replica holds in memory. */
+
+/** Entries after `baseIndex`; the snapshot covers at least all before it. */
+export interface LogState {
+  snapshot: Snapshot;
+  baseIndex: number;
+  baseTerm: number;
+  entries: LogEntry[];
+}
+
+/**
+ * Creates the log from a snapshot and the entries after it.
+ *
+ * @param snapshot - newest snapshot
+ * @param entries - entries after the snapshot
+ */
+export function createLogState(snapshot: Snapshot, entries: readonly LogEntry[]): LogState {
+  return {
+    snapshot,
+    baseIndex: snapshot.index,
+    baseTerm: snapshot.term,
+    entries: [...entries],
+  };
+}
+
+/** Index of the last entry. */
+export function lastIndexOf(log: LogState): number {
+  return log.baseIndex + log.entries.length;
+}
+
+/** Entry at an index, or undefined where it is not held. */
+export function entryAt(log: LogState, index: number): LogEntry | undefined {
+  return log.entries[index - log.baseIndex - 1];
+}
+
+/** Term of an index, or undefined where it is not known. */
+export function termAt(log: LogState, index: number): number | undefined {
+  if (index === log.baseIndex) return log.baseTerm;
+  return entryAt(log, index)?.term;
+}
+
+/** Term of the last entry. */
+export function lastTermOf(log: LogState): number {
+  return termAt(log, lastIndexOf(log)) ?? 0;
+}
+
+/** Size of an entry on the wire, near enough to bound messages. */
+function entryBytes(entry: LogEntry): number {
+  return entry.body.kind === 'command' ? entry.body.data.byteLength + 16 : 64;
+}
+
+/**
+ * Entries from an index on, as many as the limits allow and at least one.
+ *
+ * @param log - log of the replica
+ * @param fromIndex - first index
+ * @param maxEntries - most entries
+ * @param maxBytes - most bytes
+ */
+export function entriesFrom(
+  log: LogState,
+  fromIndex: number,
+  maxEntries: number,
+  maxBytes: number,
+): LogEntry[] {
+  const taken: LogEntry[] = [];
+  let bytes = 0;
+  for (let index = fromIndex; index <= lastIndexOf(log); index += 1) {
+    const entry = entryAt(log, index);
+    if (entry === undefined || taken.length >= maxEntries) break;
+    bytes += entryBytes(entry);
+    if (taken.length > 0 && bytes > maxBytes) break;
+    taken.push(entry);
+  }
+  return taken;
+}
+
+/** Members in force at an index, with the index that set them. */
+export function latestMembers(
+  log: LogState,
+  upToIndex: number,
+): { members: Members; index: number } {
+  for (let index = upToIndex; index > log.baseIndex; index -= 1) {
+    const entry = entryAt(log, index);
+    if (entry?.body.kind === 'members') return { members: entry.body.members, index };
+  }
+  return { members: log.snapshot.members, index: log.snapshot.index };
+}
+
+/** Removes the entries from an index on. */
+export function truncateFrom(log: LogState, fromIndex: number): void {
+  log.entries.length = Math.max(0, fromIndex - log.baseIndex - 1);
+}
+
+/**
+ * Takes a new snapshot and drops the entries that it covers, but for the newest.
+ *
+ * @param log - log of the replica
+ * @param snapshot - new snapshot
+ * @param retained - entries kept behind the snapshot
+ */
+export function compactLog(log: LogState, snapshot: Snapshot, retained: number): void {
+  log.snapshot = snapshot;
+  const newBase = Math.max(log.baseIndex, snapshot.index - retained);
+  const baseTerm = termAt(log, newBase);
+  if (baseTerm === undefined) return;
+  log.entries = log.entries.slice(newBase - log.baseIndex);
+  log.baseIndex = newBase;
+  log.baseTerm = baseTerm;
+}
+
+/** Replaces the whole log by a snapshot. */
+export function resetLog(log: LogState, snapshot: Snapshot): void {
+  log.snapshot = snapshot;
+  log.baseIndex = snapshot.index;
+  log.baseTerm = snapshot.term;
+  log.entries = [];
+}
--- /dev/null
+++ b/packages/core/src/consensus/replicaSchedules.spec.ts
@@ -0,0 +1,405 @@
+/* eslint no-param-reassign: ['error', { props: false }] */
+import test from 'ava';
+
+import type {
+  ConsensusEffect,
+  ConsensusInput,
+  ConsensusMessage,
+  ConsensusOptions,
+  DurableState,
+  LogEntry,
+  Members,
+  PersistEffect,
+  ReplicaId,
+} from './consensusTypes.js';
+import { entryAt, lastIndexOf, termAt } from './replicaLog.js';
+import { createReplica, type ReplicaState } from './replicaState.js';
+import { holdsLease, step } from './replica.js';
+import { hostIdOf } from './membership.js';
+
+const scheduleCount = 10_000;
+const stepsPerSchedule = 300;
+
+const options: ConsensusOptions = {
+  electionTimeoutMs: 100,
+  heartbeatMs: 20,
+  maxAppendBytes: 200,
+  maxAppendEntries: 4,
+  maxInFlightEntries: 12,
+  snapshotChunkBytes: 3,
+  retainedEntries: 2,
+  maxUncommittedEntries: 64,
+};
+
+/** A deliberate fault of a replica, applied after each of its steps. */
+type Mutation = (replica: Replica, effects: ConsensusEffect[]) => void;
+
+interface Replica {
+  id: ReplicaId;
+  state: ReplicaState;
+  disk: DurableState;
+  pending: PersistEffect[];
+  isDown: boolean;
+  pausedUntil: number;
+  hash: number;
+  committedMembers: Members;
+}
+
+interface Chosen {
+  readonly term: number;
+  readonly key: string;
+}
+
+function check(condition: boolean, what: string): void {
+  if (!condition) throw new Error(what);
+}
+
+/** A generator of random numbers in [0, 1) from a seed. */
+function seededRandom(seed: number): () => number {
+  let state = Math.imul(seed, 0x9e3779b1) >>> 0;
+  return () => {
+    state = (state + 0x6d2b79f5) >>> 0;
+    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
+  };
+}
+
+const keyOf = (entry: LogEntry): string =>
+  entry.body.kind === 'command' ? `command ${entry.body.data.join('.')}` : entry.body.kind;
+
+const hashOf = (hash: number, entry: LogEntry): number => {
+  let next = hash;
+  for (const letter of keyOf(entry)) next = (next * 31 + letter.charCodeAt(0)) % 1_000_003;
+  return next;
+};
+
+const encode = (hash: number): Uint8Array => Uint8Array.from(String(hash), (c) => c.charCodeAt(0));
+
+function written(disk: DurableState, effect: PersistEffect): DurableState {
+  const { truncateFrom = Number.POSITIVE_INFINITY, resetLog } = effect;
+  const snapshot = effect.snapshot ?? disk.snapshot;
+  const kept = resetLog ? [] : disk.entries.filter((entry) => entry.index < truncateFrom);
+  const entries = [...kept, ...effect.entries].filter((entry) => entry.index > snapshot.index);
+  return { hardState: effect.hardState ?? disk.hardState, snapshot, entries };
+}
+
+/** A group of replicas, its network and its disks, moved by one seed. */
+class Schedule {
+  private readonly random: () => number;
+
+  private readonly replicas: Replica[] = [];
+
+  private network: ConsensusMessage[] = [];
+
+  private nowMs = 0;
+
+  private lossPermille = 0;
+
+  private readonly leaders = new Map<number, ReplicaId>();
+
+  private readonly seen = new Map<string, string>();
+
+  private readonly chosen: Chosen[] = [{ term: 0, key: 'start' }];
+
+  private readonly hashes: number[] = [0];
+
+  private readonly readFloors = new Map<number, number>();
+
+  private lostDisk: string | undefined;
+
+  private nextNumber = 1;
+
+  commits = 0;
+
+  constructor(
+    seed: number,
+    private readonly mutation?: Mutation,
+  ) {
+    this.random = seededRandom(seed);
+    const hosts = this.below(3) === 0 ? ['a', 'b', 'c', 'd', 'e'] : ['a', 'b', 'c'];
+    const members: Members = { voters: hosts.map((host) => `${host}/1`), learners: [] };
+    const snapshot = { index: 0, term: 0, members, data: encode(0) };
+    for (const id of members.voters) {
+      const disk = { hardState: { term: 0, votedFor: null }, snapshot, entries: [] };
+      this.replicas.push(this.started(id, disk));
+    }
+    this.lossPermille = [0, 50, 200][this.below(3)] ?? 0;
+  }
+
+  private below(bound: number): number {
+    return Math.floor(this.random() * bound);
+  }
+
+  private started(id: ReplicaId, disk: DurableState): Replica {
+    const state = createReplica(id, disk, options, this.nowMs);
+    const hash = this.hashes[disk.snapshot.index] ?? 0;
+    const committedMembers = disk.snapshot.members;
+    return { id, state, disk, pending: [], isDown: false, pausedUntil: 0, hash, committedMembers };
+  }
+
+  run(steps: number): void {
+    for (let count = 0; count < steps; count += 1) this.act();
+  }
+
+  /** Ends all faults and expects a new command to be committed. */
+  heal(): void {
+    this.lossPermille = 0;
+    for (const [index, replica] of this.replicas.entries()) {
+      if (replica.isDown) this.replicas[index] = this.started(replica.id, replica.disk);
+    }
+    for (const replica of this.replicas) replica.pausedUntil = 0;
+    const before = this.commits;
+    for (let round = 0; round < 400 && this.commits < before + 3; round += 1) {
+      this.nowMs += 5;
+      for (const replica of this.replicas) this.take(replica, { kind: 'tick' });
+      for (const replica of this.replicas) this.sync(replica, replica.pending.length);
+      const messages = this.network;
+      this.network = [];
+      for (const message of messages) this.receive(message);
+      if (round % 20 === 0) this.propose();
+      if (round % 20 === 10) this.repairDisk();
+    }
+    check(this.commits >= before + 3, 'no command is committed after the faults ended');
+  }
+
+  private act(): void {
+    const choice = this.below(1000);
+    if (choice < 520) this.deliver();
+    else if (choice < 700) this.tick();
+    else if (choice < 850) this.syncSome(this.any());
+    else if (choice < 920) this.propose();
+    else if (choice < 950) this.read();
+    else if (choice < 962) this.crash(this.any());
+    else if (choice < 980) this.restart(this.any());
+    else if (choice < 985) this.any().pausedUntil = this.nowMs + this.below(300);
+    else if (choice < 990) this.compact(this.any());
+    else if (choice < 994) this.take(this.any(), { kind: 'handOver' });
+    else if (choice < 996) this.loseDisk(this.any());
+    else this.repairDisk();
+  }
+
+  private any(): Replica {
+    return this.replicas[this.below(this.replicas.length)] as Replica;
+  }
+
+  private leader(): Replica | undefined {
+    return this.replicas.find((one) => !one.isDown && one.state.role === 'leader');
+  }
+
+  private tick(): void {
+    this.nowMs += this.below(12);
+    for (const replica of this.replicas) this.take(replica, { kind: 'tick' });
+  }
+
+  private deliver(): void {
+    if (this.network.length === 0) return this.tick();
+    const at = this.below(2) === 0 ? 0 : this.below(this.network.length);
+    const message = this.network[at] as ConsensusMessage;
+    const isDoubled = this.below(1000) < this.lossPermille;
+    if (!isDoubled) this.network.splice(at, 1);
+    if (this.below(1000) >= this.lossPermille) this.receive(message);
+    return undefined;
+  }
+
+  private receive(message: ConsensusMessage): void {
+    const replica = this.replicas.find((one) => one.id === message.to);
+    if (replica !== undefined) this.take(replica, { kind: 'message', message });
+  }
+
+  private propose(): void {
+    const replica = this.leader() ?? this.any();
+    const proposals = [];
+    for (let count = this.below(3); count >= 0; count -= 1) {
+      const proposalId = this.nextNumber;
+      this.nextNumber += 1;
+      proposals.push({ proposalId, data: Uint8Array.of(proposalId >> 8, proposalId % 256) });
+    }
+    this.take(replica, { kind: 'propose', proposals });
+  }
+
+  private read(): void {
+    const readId = this.nextNumber;
+    this.nextNumber += 1;
+    this.readFloors.set(readId, this.chosen.length - 1);
+    this.take(this.any(), { kind: 'read', readId });
+  }
+
+  private sync(replica: Replica, count: number): void {
+    const done = replica.pending.splice(0, count);
+    for (const effect of done) replica.disk = written(replica.disk, effect);
+    const last = done.at(-1);
+    if (last !== undefined) this.take(replica, { kind: 'synced', sequence: last.sequence });
+  }
+
+  private syncSome(replica: Replica): void {
+    if (replica.isDown || replica.pausedUntil > this.nowMs) return;
+    this.sync(replica, 1 + this.below(replica.pending.length + 1));
+  }
+
+  private crash(replica: Replica): void {
+    if (replica.isDown) return;
+    const survivors = replica.pending.slice(0, this.below(replica.pending.length + 1));
+    for (const effect of survivors) replica.disk = written(replica.disk, effect);
+    replica.isDown = true;
+  }
+
+  private restart(replica: Replica): void {
+    if (!replica.isDown) return;
+    this.replicas[this.replicas.indexOf(replica)] = this.started(replica.id, replica.disk);
+  }
+
+  private compact(replica: Replica): void {
+    const { commitIndex } = replica.state;
+    if (replica.isDown || replica.pausedUntil > this.nowMs) return;
+    this.take(replica, { kind: 'compact', index: commitIndex, data: encode(replica.hash) });
+  }
+
+  /** Empties a disk, unless an earlier loss is not repaired yet. */
+  private loseDisk(replica: Replica): void {
+    if (this.lostDisk !== undefined && !this.isRepaired(this.lostDisk)) return;
+    const number = Number(replica.id.split('/')[1]) + 1;
+    const id = `${hostIdOf(replica.id)}/${number}`;
+    const members = { voters: [], learners: [] };
+    const snapshot = { index: 0, term: 0, members, data: encode(0) };
+    const disk = { hardState: { term: 0, votedFor: null }, snapshot, entries: [] };
+    this.replicas[this.replicas.indexOf(replica)] = this.started(id, disk);
+    this.lostDisk = id;
+  }
+
+  private isRepaired(id: ReplicaId): boolean {
+    return this.replicas.some((one) => one.committedMembers.voters.includes(id));
+  }
+
+  private repairDisk(): void {
+    const leader = this.leader();
+    if (leader === undefined || this.lostDisk === undefined) return;
+    const change = { change: 'add', replicaId: this.lostDisk } as const;
+    this.take(leader, { kind: 'changeMembers', change });
+  }
+
+  private take(replica: Replica, input: ConsensusInput): void {
+    if (replica.isDown || replica.pausedUntil > this.nowMs) return;
+    const moment = { nowMs: this.nowMs, random: this.below(1000) / 1000 };
+    const effects = step(replica.state, moment, input);
+    this.mutation?.(replica, effects);
+    for (const effect of effects) this.carryOut(replica, effect);
+    this.checkLeases();
+  }
+
+  private carryOut(replica: Replica, effect: ConsensusEffect): void {
+    if (effect.kind === 'send') this.network.push(effect.message);
+    else if (effect.kind === 'persist') this.persist(replica, effect);
+    else if (effect.kind === 'apply') this.apply(replica, effect.entries);
+    else if (effect.kind === 'roleChanged' && effect.role === 'leader') this.elected(replica);
+    else if (effect.kind === 'membersChanged') replica.committedMembers = effect.members;
+    else if (effect.kind === 'readReady') {
+      check(effect.index >= (this.readFloors.get(effect.readId) ?? 0), 'a read missed a commit');
+      check(replica.state.commitIndex >= effect.index, 'a read came before its index');
+    } else if (effect.kind === 'restore') {
+      replica.hash = this.hashes[effect.snapshot.index] ?? -1;
+      check(String(encode(replica.hash)) === String(effect.snapshot.data), 'snapshot differs');
+      replica.committedMembers = effect.snapshot.members;
+    }
+  }
+
+  private persist(replica: Replica, effect: PersistEffect): void {
+    replica.pending.push(effect);
+    for (const entry of effect.entries) {
+      const before = termAt(replica.state.log, entry.index - 1);
+      const link = `${before} ${keyOf(entry)}`;
+      const id = `${entry.index}/${entry.term}`;
+      const known = this.seen.get(id);
+      if (before === undefined) continue;
+      check(known === undefined || known === link, 'log matching is broken');
+      this.seen.set(id, link);
+    }
+  }
+
+  private apply(replica: Replica, entries: readonly LogEntry[]): void {
+    for (const entry of entries) {
+      const key = keyOf(entry);
+      replica.hash = hashOf(replica.hash, entry);
+      const known = this.chosen[entry.index];
+      if (known !== undefined) {
+        check(known.term === entry.term && known.key === key, 'applied sequences differ');
+        continue;
+      }
+      check(entry.index === this.chosen.length, 'applied sequence has a gap');
+      this.chosen.push({ term: entry.term, key });
+      this.hashes.push(replica.hash);
+      if (entry.body.kind === 'command') this.commits += 1;
+    }
+  }
+
+  private elected(replica: Replica): void {
+    const { term, log } = replica.state;
+    check((this.leaders.get(term) ?? replica.id) === replica.id, 'two leaders in a term');
+    this.leaders.set(term, replica.id);
+    const last = this.chosen.length - 1;
+    check(lastIndexOf(log) >= last, 'a leader lacks a committed entry');
+    const held = entryAt(log, last);
+    check(held === undefined || held.term === this.chosen[last]?.term, 'committed entry lost');
+  }
+
+  private checkLeases(): void {
+    let holders = 0;
+    for (const replica of this.replicas) {
+      if (!replica.isDown && holdsLease(replica.state, this.nowMs)) holders += 1;
+    }
+    check(holders <= 1, 'two replicas hold a lease');
+  }
+}
+
+/** Runs schedules and returns the seeds that broke an invariant. */
+function brokenSeeds(from: number, count: number, mutation?: Mutation): string[] {
+  const broken: string[] = [];
+  for (let seed = from; seed < from + count; seed += 1) {
+    const schedule = new Schedule(seed, mutation);
+    try {
+      schedule.run(stepsPerSchedule);
+      if (mutation === undefined) schedule.heal();
+    } catch (error) {
+      broken.push(`seed ${seed}: ${(error as Error).message}`);
+    }
+    if (broken.length >= 5) return broken;
+  }
+  return broken;
+}
+
+test('no schedule of faults breaks an invariant, and each ends with new commits', (t) => {
+  t.deepEqual(brokenSeeds(1, scheduleCount), []);
+});
+
+const noteAllSynced: Mutation = ({ state }, effects) => {
+  for (const { message } of state.held) effects.push({ kind: 'send', message });
+  state.held = [];
+};
+
+const forgetVote: Mutation = ({ state }) => {
+  state.votedFor = null;
+};
+
+const ignoreLease: Mutation = ({ state }) => {
+  state.voteBlockedUntilMs = 0;
+};
+
+const skipReadRounds: Mutation = ({ state }) => {
+  if (state.leadership === undefined) return;
+  for (const progress of state.leadership.progress.values()) {
+    progress.ackedRound = state.leadership.round + 1;
+  }
+};
+
+const mutations: [string, Mutation][] = [
+  ['answers for votes and entries before they are synced', noteAllSynced],
+  ['forgets its vote', forgetVote],
+  ['votes while a leader may hold its lease', ignoreLease],
+  ['answers reads without asking a quorum', skipReadRounds],
+];
+
+for (const [name, mutation] of mutations) {
+  test(`the schedules catch a replica that ${name}`, (t) => {
+    t.true(brokenSeeds(1, scheduleCount, mutation).length > 0);
+  });
+}
--- /dev/null
+++ b/packages/core/src/consensus/replication.ts
@@ -0,0 +1,259 @@
+/* eslint no-param-reassign: ['error', { props: false }] */
+import type {
+  AppendMessage,
+  AppendReply,
+  EntryBody,
+  LeaderRound,
+  LogEntry,
+  Proposal,
+  ReplicaId,
+} from './consensusTypes.js';
+import { advanceCommit, commitTo } from './commitment.js';
+import { adoptMembers } from './membership.js';
+import { confirmReads } from './reads.js';
+import { entriesFrom, lastIndexOf, latestMembers, termAt, truncateFrom } from './replicaLog.js';
+import {
+  peersOf,
+  persistEntries,
+  persistTruncation,
+  send,
+  sendAfterSync,
+  type Leadership,
+  type Progress,
+  type ReplicaState,
+} from './replicaState.js';
+import { sendSnapshotChunk } from './snapshots.js';
+
+/** Replication of entries from the leader to its followers. */
+
+/** Starts to follow the progress of another replica. */
+export function createProgress(state: ReplicaState): Progress {
+  return {
+    matchIndex: 0,
+    nextIndex: lastIndexOf(state.log) + 1,
+    isProbing: true,
+    ackedRound: 0,
+    ackedSentAtMs: Number.NEGATIVE_INFINITY,
+  };
+}
+
+/** Takes the lead of the current term with an entry of its own. */
+function sendAppend(
+  state: ReplicaState,
+  leadership: Leadership,
+  to: ReplicaId,
+  progress: Progress,
+  entries: readonly LogEntry[],
+): void {
+  const prevIndex = progress.nextIndex - 1;
+  send(state, {
+    kind: 'append',
+    from: state.id,
+    to,
+    term: state.term,
+    prevIndex,
+    prevTerm: termAt(state.log, prevIndex) ?? 0,
+    entries,
+    commitIndex: state.commitIndex,
+    round: leadership.round,
+    sentAtMs: state.nowMs,
+  });
+  if (!progress.isProbing) progress.nextIndex += entries.length;
+}
+
+function needsSnapshot(state: ReplicaState, progress: Progress): boolean {
+  return progress.transfer !== undefined || progress.nextIndex <= state.log.baseIndex;
+}
+
+/** Sends the entries that a replica lacks, as far as the pipeline allows. */
+
+export function sendPending(state: ReplicaState, leadership: Leadership, to: ReplicaId): void {
+  const progress = leadership.progress.get(to);
+  if (progress === undefined || progress.isProbing || needsSnapshot(state, progress)) return;
+  const { maxAppendEntries, maxAppendBytes, maxInFlightEntries } = state.options;
+  while (progress.nextIndex <= lastIndexOf(state.log)) {
+    if (progress.nextIndex - 1 - progress.matchIndex >= maxInFlightEntries) return;
+    const entries = entriesFrom(state.log, progress.nextIndex, maxAppendEntries, maxAppendBytes);
+    sendAppend(state, leadership, to, progress, entries);
+  }
+}
+
+export function appendOwn(state: ReplicaState, bodies: readonly EntryBody[]): number {
+  const firstIndex = lastIndexOf(state.log) + 1;
+  const entries: LogEntry[] = [];
+  for (const [offset, body] of bodies.entries()) {
+    entries.push({ index: firstIndex + offset, term: state.term, body });
+  }
+  state.log.entries.push(...entries);
+  persistEntries(state, entries);
+  return firstIndex;
+}
+
+function sendProbe(
+  state: ReplicaState,
+  leadership: Leadership,
+  to: ReplicaId,
+  progress: Progress,
+): void {
+  const { maxAppendEntries, maxAppendBytes } = state.options;
+  const entries = entriesFrom(state.log, progress.nextIndex, maxAppendEntries, maxAppendBytes);
+  sendAppend(state, leadership, to, progress, entries);
+}
+
+export function broadcast(state: ReplicaState, leadership: Leadership): void {
+  leadership.round += 1;
+  leadership.nextHeartbeatMs = state.nowMs + state.options.heartbeatMs;
+  for (const to of peersOf(state)) {
+    const progress = leadership.progress.get(to);
+    if (progress === undefined) continue;
+    if (needsSnapshot(state, progress)) {
+      sendSnapshotChunk(state, leadership, to, progress);
+      continue;
+    }
+    if (progress.isProbing) {
+      sendProbe(state, leadership, to, progress);
+      continue;
+    }
+    const before = progress.nextIndex;
+    sendPending(state, leadership, to);
+    if (progress.nextIndex === before) sendAppend(state, leadership, to, progress, []);
+  }
+  confirmReads(state, leadership);
+}
+
+export function startLeading(state: ReplicaState): void {
+  const progress = new Map<ReplicaId, Progress>();
+  for (const id of peersOf(state)) progress.set(id, createProgress(state));
+  state.leadership = {
+    progress,
+    round: 0,
+    nextHeartbeatMs: state.nowMs,
+    startedAtMs: state.nowMs,
+    firstIndex: lastIndexOf(state.log) + 1,
+    reads: [],
+    waitingReads: [],
+  };
+  appendOwn(state, [{ kind: 'noop' }]);
+  broadcast(state, state.leadership);
+}
+
+/** Appends entries of the own term and returns the index of the first. */
+/** Takes proposals into the log, or refuses them all. */
+export function propose(state: ReplicaState, proposals: readonly Proposal[]): void {
+  const { leadership, options } = state;
+  const uncommitted = lastIndexOf(state.log) - state.commitIndex;
+  const isBusy = uncommitted + proposals.length > options.maxUncommittedEntries;
+  if (leadership === undefined || leadership.handOver !== undefined || isBusy) {
+    const reason = isBusy ? 'busy' : 'notLeader';
+    for (const { proposalId } of proposals) {
+      state.effects.push({ kind: 'refused', proposalId, reason });
+    }
+    return;
+  }
+  const bodies = proposals.map(({ data }): EntryBody => ({ kind: 'command', data }));
+  const firstIndex = appendOwn(state, bodies);
+  for (const [offset, { proposalId }] of proposals.entries()) {
+    const index = firstIndex + offset;
+    state.effects.push({ kind: 'accepted', proposalId, index, term: state.term });
+  }
+  for (const id of peersOf(state)) sendPending(state, leadership, id);
+}
+
+/** Sends the next entries without counting on their arrival. */
+/** Starts a new round: one message to every other replica. */
+/** Adds the entries of a message that the own log lacks, and removes those that differ. */
+function appendEntries(state: ReplicaState, message: AppendMessage): void {
+  const { log } = state;
+  const fresh: LogEntry[] = [];
+  for (const entry of message.entries) {
+    if (entry.index <= log.baseIndex) continue;
+    const known = termAt(log, entry.index);
+    if (known === entry.term && fresh.length === 0) continue;
+    if (entry.index <= state.commitIndex) throw new Error(`committed entry ${entry.index} differs`);
+    if (known !== undefined && fresh.length === 0) {
+      truncateFrom(log, entry.index);
+      persistTruncation(state, entry.index);
+    }
+    fresh.push(entry);
+  }
+  if (fresh.length === 0) return;
+  log.entries.push(...fresh);
+  persistEntries(state, fresh);
+  adoptMembers(state, latestMembers(log, lastIndexOf(log)));
+}
+
+/** Takes entries from the leader; the answer leaves once they are synced. */
+export function onAppend(state: ReplicaState, message: AppendMessage): void {
+  const { log } = state;
+  const reply = (success: boolean, matchIndex: number) =>
+    sendAfterSync(state, {
+      kind: 'appendReply',
+      from: state.id,
+      to: message.from,
+      term: state.term,
+      success,
+      matchIndex,
+      prevIndex: message.prevIndex,
+      round: message.round,
+      sentAtMs: message.sentAtMs,
+    });
+  const isCovered = message.prevIndex < log.baseIndex;
+  if (!isCovered && termAt(log, message.prevIndex) !== message.prevTerm) {
+    reply(false, Math.min(lastIndexOf(log), Math.max(message.prevIndex - 1, state.commitIndex)));
+    return;
+  }
+  appendEntries(state, message);
+  const matchIndex = message.prevIndex + message.entries.length;
+  commitTo(state, Math.min(message.commitIndex, Math.max(matchIndex, state.commitIndex)));
+  reply(true, matchIndex);
+}
+
+/** Takes note of an answer to a leader's message. */
+export function noteRound(progress: Progress, reply: LeaderRound): void {
+  progress.ackedRound = Math.max(progress.ackedRound, reply.round);
+  progress.ackedSentAtMs = Math.max(progress.ackedSentAtMs, reply.sentAtMs);
+}
+
+function noteMatch(state: ReplicaState, progress: Progress, matchIndex: number): void {
+  progress.matchIndex = Math.max(progress.matchIndex, matchIndex);
+  progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+  progress.isProbing = false;
+  const isInstalled = progress.matchIndex >= state.log.baseIndex;
+  if (progress.transfer !== undefined && isInstalled) progress.transfer = undefined;
+  advanceCommit(state);
+}
+
+function noteMismatch(
+  state: ReplicaState,
+  leadership: Leadership,
+  progress: Progress,
+  reply: AppendReply,
+): void {
+  const isStale = progress.isProbing
+    ? reply.prevIndex !== progress.nextIndex - 1
+    : reply.prevIndex <= progress.matchIndex || reply.prevIndex >= progress.nextIndex;
+  if (isStale || progress.transfer !== undefined) return;
+  progress.isProbing = true;
+  progress.nextIndex = Math.max(progress.matchIndex, reply.matchIndex) + 1;
+  if (!needsSnapshot(state, progress)) sendProbe(state, leadership, reply.from, progress);
+}
+
+/** Moves the progress of a replica by its answer. */
+export function onAppendReply(state: ReplicaState, message: AppendReply): void {
+  const { leadership } = state;
+  const progress = leadership?.progress.get(message.from);
+  if (leadership === undefined || progress === undefined) return;
+  noteRound(progress, message);
+  if (message.success) noteMatch(state, progress, message.matchIndex);
+  else noteMismatch(state, leadership, progress, message);
+  if (needsSnapshot(state, progress) && progress.transfer === undefined) {
+    sendSnapshotChunk(state, leadership, message.from, progress);
+  }
+  sendPending(state, leadership, message.from);
+  confirmReads(state, leadership);
+}
+
+/** Commits what a quorum has synced in the own term. */
+/** Applies everything up to an index that is known to be committed. */
+/** Time until which no other replica can have been elected, or undefined where not leading. */
+/** Own send time of the newest round that a quorum has answered. */
--- /dev/null
+++ b/packages/core/src/consensus/snapshots.ts
@@ -0,0 +1,148 @@
+/* eslint no-param-reassign: ['error', { props: false }] */
+import type { ReplicaId, Snapshot, SnapshotChunk, SnapshotReply } from './consensusTypes.js';
+import { adoptMembers } from './membership.js';
+import { noteRound, sendPending } from './replication.js';
+import { compactLog, latestMembers, resetLog, termAt } from './replicaLog.js';
+import {
+  persistSnapshot,
+  sendAfterSync,
+  send,
+  type Leadership,
+  type Progress,
+  type ReplicaState,
+} from './replicaState.js';
+
+/** Snapshots: compaction of the own log and installation on replicas that lag. */
+
+/**
+ * Replaces applied entries by a snapshot.
+ *
+ * @param state - replica
+ * @param index - last entry that the snapshot covers
+ * @param data - encoded state of the machine
+ */
+export function compact(state: ReplicaState, index: number, data: Uint8Array): void {
+  const { log } = state;
+  const term = termAt(log, index);
+  if (term === undefined || index > state.commitIndex || index <= log.snapshot.index) return;
+  const { members } = latestMembers(log, index);
+  const snapshot: Snapshot = { index, term, members, data };
+  compactLog(log, snapshot, state.options.retainedEntries);
+  persistSnapshot(state, snapshot, false);
+}
+
+/** Sends the next part of the snapshot; one part is under way at a time. */
+export function sendSnapshotChunk(
+  state: ReplicaState,
+  leadership: Leadership,
+  to: ReplicaId,
+  progress: Progress,
+): void {
+  const { snapshot } = state.log;
+  const isSame = progress.transfer?.snapshotIndex === snapshot.index;
+  const offset = isSame ? (progress.transfer?.offset ?? 0) : 0;
+  progress.transfer = { snapshotIndex: snapshot.index, offset, sentAtMs: state.nowMs };
+  send(state, {
+    kind: 'snapshotChunk',
+    from: state.id,
+    to,
+    term: state.term,
+    snapshotIndex: snapshot.index,
+    snapshotTerm: snapshot.term,
+    members: snapshot.members,
+    totalBytes: snapshot.data.byteLength,
+    offset,
+    data: snapshot.data.subarray(offset, offset + state.options.snapshotChunkBytes),
+    round: leadership.round,
+    sentAtMs: state.nowMs,
+  });
+}
+
+/** Takes a part of a snapshot and installs it once it is whole. */
+function replyReceived(state: ReplicaState, message: SnapshotChunk, nextOffset: number): void {
+  sendAfterSync(state, {
+    kind: 'snapshotReply',
+    from: state.id,
+    to: message.from,
+    term: state.term,
+    snapshotIndex: message.snapshotIndex,
+    nextOffset,
+    round: message.round,
+    sentAtMs: message.sentAtMs,
+  });
+}
+
+function replyInstalled(state: ReplicaState, message: SnapshotChunk, matchIndex: number): void {
+  sendAfterSync(state, {
+    kind: 'appendReply',
+    from: state.id,
+    to: message.from,
+    term: state.term,
+    success: true,
+    matchIndex,
+    prevIndex: message.snapshotIndex,
+    round: message.round,
+    sentAtMs: message.sentAtMs,
+  });
+}
+
+function install(state: ReplicaState, snapshot: Snapshot): void {
+  const { log } = state;
+  state.incoming = undefined;
+  const keepsTail = termAt(log, snapshot.index) === snapshot.term;
+  if (keepsTail) compactLog(log, snapshot, 0);
+  else resetLog(log, snapshot);
+  persistSnapshot(state, snapshot, !keepsTail);
+  if (!keepsTail) {
+    state.syncedIndex = Math.min(state.syncedIndex, snapshot.index);
+    for (const mark of state.syncMarks) {
+      mark.lastIndex = Math.min(mark.lastIndex, snapshot.index);
+    }
+  }
+  state.commitIndex = snapshot.index;
+  adoptMembers(state, latestMembers(log, log.baseIndex + log.entries.length));
+  state.effects.push({ kind: 'restore', snapshot });
+}
+
+export function onSnapshotChunk(state: ReplicaState, message: SnapshotChunk): void {
+  const { snapshotIndex, snapshotTerm, totalBytes, offset, data } = message;
+  if (snapshotIndex <= state.commitIndex) {
+    replyInstalled(state, message, state.commitIndex);
+    return;
+  }
+  const isNew = state.incoming?.index !== snapshotIndex || state.incoming.term !== snapshotTerm;
+  if (state.incoming === undefined || isNew) {
+    const bytes = new Uint8Array(totalBytes);
+    state.incoming = { index: snapshotIndex, term: snapshotTerm, bytes, received: 0 };
+  }
+  const { incoming } = state;
+  if (offset === incoming.received) {
+    incoming.bytes.set(data, offset);
+    incoming.received += data.byteLength;
+  }
+  if (incoming.received < totalBytes) {
+    replyReceived(state, message, incoming.received);
+    return;
+  }
+  install(state, {
+    index: snapshotIndex,
+    term: snapshotTerm,
+    members: message.members,
+    data: incoming.bytes,
+  });
+  replyInstalled(state, message, snapshotIndex);
+}
+
+/** Goes on with the next part after an answer. */
+export function onSnapshotReply(state: ReplicaState, message: SnapshotReply): void {
+  const { leadership } = state;
+  const progress = leadership?.progress.get(message.from);
+  if (leadership === undefined || progress === undefined) return;
+  noteRound(progress, message);
+  const { transfer } = progress;
+  if (transfer === undefined || transfer.snapshotIndex !== message.snapshotIndex) return;
+  if (message.nextOffset === transfer.offset) return;
+  transfer.offset = message.nextOffset;
+  sendSnapshotChunk(state, leadership, message.from, progress);
+  sendPending(state, leadership, message.from);
+}
