feat(membership): task, procedures and list of hosts

Change: the machine runs in each host with messages as procedure calls whose answers ride on the reply; planned stop tells leaving and left; GET /v1/hosts lists what the host sees; events memberAlive, memberSuspected, memberFailed and memberLeft. Measured: membershipHosts.spec.ts, six hosts on loopback: a silent host is failed within 3 s, a planned stop never counts as a failure.

--- a/packages/core/src/membership/memberTable.ts
+++ b/packages/core/src/membership/memberTable.ts
@@ -22,6 +22,8 @@
 
   private cached: Views | undefined;
 
+  private changes = 0;
+
   private cachedDigests: Readonly<Record<string, number>> | undefined;
 
   constructor(private readonly self: MemberEntry) {
@@ -51,9 +53,20 @@
   /** Must be called after the state of an entry has changed. */
   changed(): void {
     this.cached = undefined;
+    this.changes += 1;
     this.cachedDigests = undefined;
   }
 
+  /** Must be called after a document version has changed. */
+  versionChanged(): void {
+    this.changes += 1;
+  }
+
+  /** Number of changes so far. */
+  revision(): number {
+    return this.changes;
+  }
+
   ringPosition(entry: MemberEntry): number {
     return this.ringPositions.get(entry.identity.hostId) ?? 0;
   }
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -88,6 +88,11 @@
     return this.self;
   }
 
+  /** Number that rises with each change of what is known. */
+  revision(): number {
+    return this.table.revision();
+  }
+
   /** Hosts that carry records between a zone and the others. */
   relaysOf(availabilityZone: string): readonly MemberEntry[] {
     return this.table.views().relaysByZone.get(availabilityZone) ?? [];
@@ -112,6 +117,7 @@
   setDocumentVersion(version: number, nowMs: number): MembershipEffect[] {
     if (version <= this.self.documentVersion) return [];
     this.self.documentVersion = version;
+    this.table.versionChanged();
     if (this.gossipsVersions()) this.outbox.spread(this.self, false, nowMs);
     return this.outbox.flush();
   }
@@ -184,6 +190,7 @@
   private updateVersion(entry: MemberEntry, version: number): void {
     const updated = entry;
     updated.documentVersion = version;
+    this.table.versionChanged();
     if (this.gossipsVersions()) this.outbox.queue(entry, false);
   }
 
--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -1,10 +1,12 @@
 import { adminFeature } from './admin/adminFeature.js';
 import { metricsFeature } from './metrics/metricsFeature.js';
+import { membershipFeature } from './membership/membershipFeature.js';
 import type { Feature } from './runtime/hostParts.js';
 import { timelineFeature } from './timeline/timelineFeature.js';
 
 /** The features of a host, in the order in which they start. */
 export const features: readonly Feature[] = [
+  membershipFeature,
   timelineFeature,
   metricsFeature,
   // The administration API comes last: it mounts the routes of the features before it.
--- /dev/null
+++ b/packages/host/src/membership/memberView.ts
@@ -0,0 +1,50 @@
+import type { MembershipMachine } from '@buckthornlug/core/membership/membership.js';
+import type { MemberEntry } from '@buckthornlug/core/membership/membershipTypes.js';
+
+import type { HostRecord, MembershipView } from '../runtime/hostTypes.js';
+
+function recordOf(entry: MemberEntry): HostRecord {
+  return {
+    ...entry.identity,
+    incarnation: entry.incarnation,
+    state: entry.state,
+    documentVersion: entry.documentVersion,
+  };
+}
+
+/** Membership as other features read it; `refresh` tells it that the machine may have changed. */
+export interface RefreshedView extends MembershipView {
+  readonly refresh: () => void;
+}
+
+/**
+ * Creates a view of a machine.
+ *
+ * @param machine - machine of this host
+ */
+export function createMemberView(machine: MembershipMachine): RefreshedView {
+  const listeners = new Set<() => void>();
+  let revision = -1;
+  let records = new Map<string, HostRecord>();
+  let list: readonly HostRecord[] = [];
+  const rebuild = () => {
+    records = new Map(machine.members().map((entry) => [entry.identity.hostId, recordOf(entry)]));
+    list = [...records.values()];
+    revision = machine.revision();
+  };
+  rebuild();
+  return {
+    self: () => recordOf(machine.own()),
+    hosts: () => list,
+    find: (hostId) => records.get(hostId),
+    onChange: (listener) => {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+    refresh: () => {
+      if (machine.revision() === revision) return;
+      rebuild();
+      for (const listener of listeners) listener();
+    },
+  };
+}
--- /dev/null
+++ b/packages/host/src/membership/membershipTask.ts
@@ -0,0 +1,148 @@
+import { MembershipMachine } from '@buckthornlug/core/membership/membership.js';
+import type {
+  MemberEvent,
+  MemberMessage,
+  MembershipEffect,
+} from '@buckthornlug/core/membership/membershipTypes.js';
+
+import type { HostContext, MembershipView } from '../runtime/hostTypes.js';
+import { createMemberView } from './memberView.js';
+
+const tickMs = 100;
+/** Longest wait for the last messages of a host that leaves. */
+const leaveWaitMs = 500;
+
+/** Sends a message to its receiver and gives back the answers. */
+export type PostMessage = (message: MemberMessage) => Promise<readonly MemberMessage[]>;
+
+/** The task that owns the membership of a host. */
+export interface MembershipTask {
+  readonly view: MembershipView;
+  /** Takes a message of another host; returns the messages for it. */
+  readonly deliver: (fromHostId: string, message: MemberMessage) => readonly MemberMessage[];
+  /** Reports the version of the document in force on this host. */
+  readonly setDocumentVersion: (version: number) => void;
+  /** Hosts that carry records between a zone and the others. */
+  readonly relaysOf: (availabilityZone: string) => readonly string[];
+  /** Tells the others that this host is leaving or has left. */
+  readonly leave: (state: 'leaving' | 'left') => Promise<void>;
+  readonly close: () => void;
+}
+
+function createMachine(context: HostContext): MembershipMachine {
+  const { settings, incarnation, clock, random } = context;
+  const { hostId, region, availabilityZone, roles, listen, timing } = settings;
+  return new MembershipMachine(
+    { hostId, region, availabilityZone, roles, ...listen },
+    incarnation,
+    {
+      probeIntervalMs: timing.probeIntervalMs,
+      directTimeoutMs: timing.probeTimeoutMs / 2,
+      suspicionMs: timing.suspicionMs,
+      seeds: settings.peers,
+    },
+    random,
+    clock.nowMs(),
+  );
+}
+
+function recordEvent(context: HostContext, event: MemberEvent): void {
+  const { kind, hostId, availabilityZone, incarnation } = event;
+  context.record({ kind, detail: { member: hostId, memberZone: availabilityZone, incarnation } });
+  context.log.info(kind, { member: hostId, memberZone: availabilityZone });
+}
+
+function reportConflict(context: HostContext): void {
+  const { hostId } = context.settings;
+  context.log.error('identityConflict', { code: 'BL6002', member: hostId });
+}
+
+/** Carries out the effects of a machine and feeds the answers of other hosts back to it. */
+class MembershipRunner {
+  readonly view: ReturnType<typeof createMemberView>;
+
+  private readonly underWay = new Set<Promise<void>>();
+
+  constructor(
+    private readonly context: HostContext,
+    private readonly machine: MembershipMachine,
+    private readonly post: PostMessage,
+  ) {
+    this.view = createMemberView(machine);
+  }
+
+  carryOut(effects: readonly MembershipEffect[]): void {
+    for (const effect of effects) {
+      if (effect.effect === 'send') this.send(effect.message);
+      if (effect.effect === 'event') recordEvent(this.context, effect.event);
+      if (effect.effect === 'identityConflict') reportConflict(this.context);
+    }
+    this.view.refresh();
+  }
+
+  /** Takes a message; the messages for its sender are given back, the others are sent. */
+  deliver(fromHostId: string, message: MemberMessage): readonly MemberMessage[] {
+    if (message.from.hostId !== fromHostId) return [];
+    const effects = this.machine.receive(message, this.context.clock.nowMs());
+    const answers: MemberMessage[] = [];
+    const others: MembershipEffect[] = [];
+    for (const effect of effects) {
+      if (effect.effect === 'send' && effect.message.to === fromHostId)
+        answers.push(effect.message);
+      else others.push(effect);
+    }
+    this.carryOut(others);
+    return answers;
+  }
+
+  /** Waits until all messages are answered or lost. */
+  async settle(): Promise<void> {
+    await Promise.all(this.underWay);
+  }
+
+  private send(message: MemberMessage): void {
+    const sent = this.exchange(message).finally(() => this.underWay.delete(sent));
+    this.underWay.add(sent);
+  }
+
+  private async exchange(message: MemberMessage): Promise<void> {
+    this.context.metrics.count('membership_messages_sent_total', { kind: message.kind });
+    const answers = await this.post(message);
+    for (const answer of answers) {
+      this.carryOut(this.machine.receive(answer, this.context.clock.nowMs()));
+    }
+  }
+}
+
+/** Resolves after a time, without keeping the process alive. */
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs).unref();
+  });
+}
+
+/**
+ * Starts the membership of a host.
+ *
+ * @param context - context of the host
+ * @param post - carries messages to other hosts
+ */
+export function startMembershipTask(context: HostContext, post: PostMessage): MembershipTask {
+  const { clock } = context;
+  const machine = createMachine(context);
+  const runner = new MembershipRunner(context, machine, post);
+  const timer = setInterval(() => runner.carryOut(machine.tick(clock.nowMs())), tickMs);
+  return {
+    view: runner.view,
+    deliver: (fromHostId, message) => runner.deliver(fromHostId, message),
+    setDocumentVersion: (version) => {
+      runner.carryOut(machine.setDocumentVersion(version, clock.nowMs()));
+    },
+    relaysOf: (zone) => machine.relaysOf(zone).map((entry) => entry.identity.hostId),
+    leave: async (state) => {
+      runner.carryOut(machine.leave(state, clock.nowMs()));
+      await Promise.race([runner.settle(), pause(leaveWaitMs)]);
+    },
+    close: () => clearInterval(timer),
+  };
+}
--- a/packages/host/src/rpc/appRouter.ts
+++ b/packages/host/src/rpc/appRouter.ts
@@ -3,10 +3,12 @@
 import { lateHandlers } from './lateHandlers.js';
 import { createMetricsRouter, type MetricsHandlers } from '../metrics/metricsRouter.js';
 import { createTimelineRouter, type TimelineHandlers } from '../timeline/timelineRouter.js';
+import { createMembershipRouter, type MembershipHandlers } from '../membership/membershipRouter.js';
 import { createPingRouter, type PingHandlers } from './pingRouter.js';
 
 /** Handlers of all procedures between hosts; each feature sets its own when it starts. */
 export interface RpcHandlers {
+  membership: MembershipHandlers;
   metrics: MetricsHandlers;
   ping: PingHandlers;
   timeline: TimelineHandlers;
@@ -19,6 +21,7 @@
  */
 export function createAppRouter(handlers: Partial<RpcHandlers>) {
   return rpcRouter({
+    membership: createMembershipRouter(lateHandlers(() => handlers.membership)),
     metrics: createMetricsRouter(lateHandlers(() => handlers.metrics)),
     timeline: createTimelineRouter(lateHandlers(() => handlers.timeline)),
     ping: createPingRouter(lateHandlers(() => handlers.ping)),
--- /dev/null
+++ b/packages/testkit/src/membership/membershipHosts.spec.ts
@@ -0,0 +1,83 @@
+import { features } from '@buckthornlug/host/features.js';
+import { startHost, type RunningHost } from '@buckthornlug/host/runtime/hostRuntime.js';
+import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
+import test from 'ava';
+
+import { createFleetSettings, type FleetHost } from '../fakes/hostSettings.js';
+import { valueOf } from '../fakes/results.js';
+
+const zones = ['lagos-a', 'lagos-b', 'abuja-a'];
+const fleet: FleetHost[] = zones.flatMap((availabilityZone) =>
+  [1, 2].map((number) => ({
+    hostId: `${availabilityZone}-${number}`,
+    region: availabilityZone.split('-')[0] ?? '',
+    availabilityZone,
+  })),
+);
+const membership = features.filter((feature) => feature.name === 'membership');
+const pollMs = 20;
+
+async function startAll(settings: readonly Settings[]): Promise<RunningHost[]> {
+  const started = settings.map((one) =>
+    startHost(one, { features: membership, writeLogLine: () => undefined }),
+  );
+  return (await Promise.all(started)).map(valueOf);
+}
+
+/** Waits until a condition holds; returns the time it took, or infinity after the limit. */
+async function timeUntil(holds: () => boolean, limitMs: number): Promise<number> {
+  const startMs = performance.now();
+  while (!holds()) {
+    if (performance.now() - startMs > limitMs) return Infinity;
+    await new Promise((resolve) => {
+      setTimeout(resolve, pollMs);
+    });
+  }
+  return performance.now() - startMs;
+}
+
+function allSee(hosts: readonly RunningHost[], of: string, state: string): boolean {
+  return hosts.every(
+    (host) =>
+      host.context.settings.hostId === of || host.parts.membership.find(of)?.state === state,
+  );
+}
+
+function allAlive(hosts: readonly RunningHost[]): boolean {
+  return fleet.every((of) => allSee(hosts, of.hostId, 'alive'));
+}
+
+test.serial(
+  'hosts find each other, see a planned stop as leaving, and a restart anew',
+  async (t) => {
+    const settings = createFleetSettings(fleet);
+    const hosts = await startAll(settings);
+    t.true((await timeUntil(() => allAlive(hosts), 5000)) < 5000);
+    const [leaver] = hosts.splice(3, 1);
+    await leaver!.stop();
+    t.true((await timeUntil(() => allSee(hosts, 'lagos-b-2', 'left'), 3000)) <= 3000);
+    const failed = hosts.flatMap((host) =>
+      host.context.timeline.read(-1).filter((event) => event.kind === 'memberFailed'),
+    );
+    t.deepEqual(failed, []);
+    const [again] = await startAll([settings[3]!]);
+    hosts.push(again!);
+    t.true((await timeUntil(() => allAlive(hosts), 3000)) <= 3000);
+    await Promise.all(hosts.map((host) => host.stop()));
+  },
+);
+
+test.serial('a host that nobody reaches is failed within three seconds', async (t) => {
+  const settings = createFleetSettings(fleet);
+  const hosts = await startAll(settings);
+  t.true((await timeUntil(() => allAlive(hosts), 5000)) < 5000);
+  const [lost] = hosts.splice(5, 1);
+  const crash = lost!.stop;
+  // Stops its listener and its timers without a word to the others.
+  lost!.parts.rpcHandlers.membership = { deliver: () => [] };
+  Object.assign(lost!.parts.peers, { request: () => ({ unwrapOr: () => Promise.resolve([]) }) });
+  const tookMs = await timeUntil(() => allSee(hosts, 'abuja-a-2', 'failed'), 6000);
+  t.true(tookMs <= 3000, `${tookMs} ms`);
+  await crash();
+  await Promise.all(hosts.map((host) => host.stop()));
+});
