--- /dev/null
+++ b/packages/core/src/credits/creditDemand.ts
@@ -0,0 +1,120 @@
+import type { RemoteZone } from './remoteZones.js';
+
+/** Decides when a pool under pressure asks which other zone for how many credits. */
+
+/** Gain in expected time below which a call stays at home. */
+const minGainMs = 3;
+/** Credits asked for at once at most. */
+const maxWant = 64;
+const firstBackoffMs = 20;
+const maxBackoffMs = 640;
+
+/** Pressure of one rank on a pool. */
+export interface RankPressure {
+  readonly rank: number;
+  /** Calls that wait for a slot at home. */
+  readonly waitingCalls: number;
+  /** Calls that can only be answered elsewhere. */
+  readonly homelessCalls: number;
+  /** Expected wait of a new call at home. */
+  readonly expectedWaitMs: number;
+  /** Credits held or asked for. */
+  readonly creditsAtHand: number;
+  /** Time that a call of the rank may take to reach a slot. */
+  readonly longestWaitMs: number;
+}
+
+/** What is known of one zone's answers to requests for credits. */
+interface ZoneAnswers {
+  isAsked: boolean;
+  backoffMs: number;
+  notBeforeMs: number;
+  expectedWaitMs: number;
+}
+
+/** A request for credits. */
+export interface CreditAsk {
+  readonly zone: RemoteZone;
+  readonly rank: number;
+  readonly want: number;
+}
+
+/** Credits that a zone should be asked for. */
+function wantedCredits(pressure: RankPressure, zone: RemoteZone, answers: ZoneAnswers): number {
+  const roundTripMs = 2 * zone.oneWayDelayMs;
+  const elsewhereMs = 2 * roundTripMs + answers.expectedWaitMs;
+  if (elsewhereMs > pressure.longestWaitMs) return 0;
+  const gainMs = pressure.expectedWaitMs - elsewhereMs;
+  let want = pressure.homelessCalls;
+  if (gainMs > minGainMs) {
+    want += Math.ceil(pressure.waitingCalls * (gainMs / pressure.expectedWaitMs));
+  }
+  return Math.min(maxWant, want - pressure.creditsAtHand);
+}
+
+/** Keeps what other zones answered, and decides whom to ask next. */
+export class CreditDemand {
+  private readonly answers = new Map<string, ZoneAnswers>();
+
+  /**
+   * Decides on requests for credits.
+   *
+   * @param pressures - pressure of each rank, the most urgent first
+   * @param zones - zones that may be asked, the nearest first
+   * @param nowMs - current time
+   */
+  next(
+    pressures: readonly RankPressure[],
+    zones: readonly RemoteZone[],
+    nowMs: number,
+  ): CreditAsk[] {
+    const asks: CreditAsk[] = [];
+    for (const pressure of pressures) {
+      for (const zone of zones) {
+        const answers = this.answersOf(zone.availabilityZone, pressure.rank);
+        if (answers.isAsked || nowMs < answers.notBeforeMs) continue;
+        const want = wantedCredits(pressure, zone, answers);
+        if (want <= 0) continue;
+        answers.isAsked = true;
+        asks.push({ zone, rank: pressure.rank, want });
+        break;
+      }
+    }
+    return asks;
+  }
+
+  /**
+   * Notes the answer to a request.
+   *
+   * @param ask - the request
+   * @param granted - credits granted
+   * @param expectedWaitMs - expected wait there
+   * @param nowMs - current time
+   */
+  noteAnswer(ask: CreditAsk, granted: number, expectedWaitMs: number, nowMs: number): void {
+    const answers = this.answersOf(ask.zone.availabilityZone, ask.rank);
+    answers.isAsked = false;
+    answers.expectedWaitMs = expectedWaitMs;
+    if (granted >= ask.want) {
+      answers.backoffMs = firstBackoffMs;
+      return;
+    }
+    answers.notBeforeMs = nowMs + answers.backoffMs;
+    if (granted === 0) answers.backoffMs = Math.min(maxBackoffMs, answers.backoffMs * 2);
+    else answers.backoffMs = firstBackoffMs;
+  }
+
+  private answersOf(availabilityZone: string, rank: number): ZoneAnswers {
+    const key = `${availabilityZone}/${rank}`;
+    const known = this.answers.get(key);
+    if (known !== undefined) return known;
+    const created: ZoneAnswers = {
+      isAsked: false,
+      backoffMs: firstBackoffMs,
+      notBeforeMs: Number.NEGATIVE_INFINITY,
+      expectedWaitMs: 0,
+    };
+    this.answers.set(key, created);
+    return created;
+  }
+}
--- /dev/null
+++ b/packages/core/src/pools/pool.ts
@@ -0,0 +1,288 @@
+import type { CallOutcome } from '@buckthornlug/protocol/steering/placementTypes.js';
+
+import type { BackendSlots } from '../slots/backendSlots.js';
+import { PoolQueue } from './poolQueue.js';
+import type {
+  OfferResult,
+  PoolCall,
+  PoolEffect,
+  PoolRules,
+  QueuedCall,
+  RefuseReason,
+  RunningCall,
+} from './poolTypes.js';
+import { ServiceTimes } from './serviceTimes.js';
+
+/** Standard deviations up to which a service time counts as usual. */
+const usualDeviations = 2.3;
+/** Least part of its target that a call may always wait. */
+const minWaitShare = 0.1;
+
+/** The pool of one service in one availability zone: its backend servers and its one queue. */
+export class Pool<Call extends PoolCall> {
+  /** Learned service times. */
+  readonly times: ServiceTimes;
+
+  private readonly queue: PoolQueue<Call>;
+
+  private members: BackendSlots[] = [];
+
+  private readonly runningByRank: number[];
+
+  private nextMember = 0;
+
+  /**
+   * @param rules - rules of the pool
+   * @param nowMs - current time
+   */
+  constructor(
+    private readonly rules: PoolRules,
+    nowMs: number,
+  ) {
+    this.times = new ServiceTimes(rules.serviceTimeMs);
+    this.queue = new PoolQueue<Call>(rules, nowMs);
+    this.runningByRank = rules.ranks.map(() => 0);
+  }
+
+  /** Backend servers of the pool. */
+  get backends(): readonly BackendSlots[] {
+    return this.members;
+  }
+
+  /** Adds a backend server. */
+  add(backend: BackendSlots): void {
+    this.members = [...this.members, backend];
+  }
+
+  /** Removes a backend server; its running calls go on. */
+  remove(backendId: string): void {
+    this.members = this.members.filter((member) => member.backendId !== backendId);
+  }
+
+  /** Slots that may be used now. */
+  usableSlots(nowMs: number): number {
+    let slots = 0;
+    for (const member of this.members) slots += member.usableSlots(nowMs);
+    return slots;
+  }
+
+  /** Slots that are free now. */
+  freeSlots(nowMs: number): number {
+    let slots = 0;
+    for (const member of this.members) slots += member.freeSlots(nowMs);
+    return slots;
+  }
+
+  /** Calls that wait. */
+  get waitingCalls(): number {
+    return this.queue.waitingCalls;
+  }
+
+  /** Calls of a rank that wait. */
+  waitingCallsOf(rank: number): number {
+    return this.queue.waitingCallsOf(rank);
+  }
+
+  /**
+   * Slots that a rank and the more urgent ones need: those of the recent past, or the running and
+   * waiting calls where they are more.
+   *
+   * @param rank - index of the rank
+   * @param nowMs - current time
+   */
+  neededSlotsUpTo(rank: number, nowMs: number): number {
+    let recent = 0;
+    let present = 0;
+    for (const [index, load] of this.queue.loads(nowMs).entries()) {
+      if (index > rank) break;
+      recent += load.busySlots;
+      present += (this.runningByRank[index] ?? 0) + this.queue.waitingCallsOf(index);
+    }
+    return Math.max(recent, present);
+  }
+
+  /**
+   * Estimates how long a new call waits for a slot.
+   *
+   * @param rank - index of its rank
+   * @param nowMs - current time
+   */
+  expectedWaitMs(rank: number, nowMs: number): number {
+    if (this.queue.waitingCalls === 0 && this.freeSlots(nowMs) > 0) return 0;
+    const slots = this.usableSlots(nowMs);
+    return this.queue.expectedWaitMs(rank, slots, this.times.overallMeanMs, nowMs);
+  }
+
+  /**
+   * Tells whether a call can be answered within its target from here.
+   *
+   * @param call - the call
+   * @param waitMs - expected wait
+   * @param nowMs - current time
+   */
+  meetsTarget(call: Call, waitMs: number, nowMs: number): boolean {
+    const leftMs = call.targetAtMs - nowMs;
+    const usualMs = this.times.usualMs(call.kind, usualDeviations);
+    return waitMs === 0 || waitMs <= Math.max(leftMs - usualMs, leftMs * minWaitShare);
+  }
+
+  /**
+   * Takes a call into the queue, or refuses it. Slots are given by `pump`.
+   *
+   * @param call - the call
+   * @param nowMs - current time
+   */
+  offer(call: Call, nowMs: number): OfferResult<Call> {
+    const expectedWaitMs = this.expectedWaitMs(call.rank, nowMs);
+    const refused = this.refusal(call, expectedWaitMs, nowMs);
+    if (refused !== undefined) return { offer: 'refused', reason: refused, expectedWaitMs };
+    return { offer: 'queued', entry: this.enqueue(call, nowMs) };
+  }
+
+  /** Takes a call into the queue without a check of its wait. */
+  enqueue(call: Call, nowMs: number): QueuedCall<Call> {
+    const costMs = this.times.meanMs(call.kind);
+    const entry: QueuedCall<Call> = { call, enqueuedAtMs: nowMs, costMs, waiting: true };
+    this.queue.push(entry);
+    return entry;
+  }
+
+  /** Takes a call out of the queue whose caller hung up. */
+  cancel(entry: QueuedCall<Call>): void {
+    this.queue.remove(entry);
+  }
+
+  /**
+   * Takes the next call of a rank out of the queue, for a place elsewhere.
+   *
+   * @param rank - index of the rank
+   */
+  takeWaiting(rank: number): Call | undefined {
+    const entry = this.queue.shiftRank(rank);
+    if (entry === undefined) return undefined;
+    entry.waiting = false;
+    return entry.call;
+  }
+
+  /**
+   * Gives free slots to waiting calls, and refuses those that waited too long.
+   *
+   * @param nowMs - current time
+   * @returns what was decided, in order
+   */
+  pump(nowMs: number): PoolEffect<Call, BackendSlots>[] {
+    const effects: PoolEffect<Call, BackendSlots>[] = [];
+    if (this.queue.waitingCalls === 0) return effects;
+    this.expire(nowMs, effects);
+    const unsuited: QueuedCall<Call>[] = [];
+    let free = this.freeSlots(nowMs);
+    while (free > 0) {
+      const slots = this.usableSlots(nowMs);
+      const entry = this.queue.shift(slots, nowMs);
+      if (entry === undefined) break;
+      const backend = this.pickBackend(entry.call, nowMs);
+      if (backend === undefined) {
+        unsuited.push(entry);
+        continue;
+      }
+      effects.push(this.dispatch(entry, backend, slots, nowMs));
+      free -= 1;
+    }
+    for (const entry of unsuited.reverse()) this.queue.putBack(entry);
+    return effects;
+  }
+
+  /**
+   * Gives a slot back.
+   *
+   * @param backend - backend server that ran the call
+   * @param running - the call
+   * @param outcome - how it ended
+   * @param nowMs - current time
+   */
+  release(backend: BackendSlots, running: RunningCall, outcome: CallOutcome, nowMs: number): void {
+    backend.giveBack(outcome);
+    this.countRunning(running.rank, -1);
+    this.queue.settle(running, outcome.elapsedMs, this.usableSlots(nowMs));
+    if (outcome.result === 'answered') this.times.note(running.kind, outcome.elapsedMs);
+  }
+
+  /** Takes a free slot for a call that does not queue, such as a hedge. */
+  takeIdle(call: Call, nowMs: number): PoolEffect<Call, BackendSlots> | undefined {
+    if (this.queue.waitingCalls > 0) return undefined;
+    const backend = this.pickBackend(call, nowMs);
+    if (backend === undefined) return undefined;
+    const costMs = this.times.meanMs(call.kind);
+    const entry: QueuedCall<Call> = { call, enqueuedAtMs: nowMs, costMs, waiting: true };
+    return this.dispatch(entry, backend, this.usableSlots(nowMs), nowMs);
+  }
+
+  private refusal(call: Call, waitMs: number, nowMs: number): RefuseReason | undefined {
+    if (nowMs >= call.deadlineAtMs) return 'deadlinePassed';
+    if (!Number.isFinite(waitMs)) return 'noSlots';
+    if (this.queue.waitingCalls >= this.rules.maxQueuedCalls) return 'queueFull';
+    return this.meetsTarget(call, waitMs, nowMs) ? undefined : 'targetMissed';
+  }
+
+  private expire(nowMs: number, effects: PoolEffect<Call, BackendSlots>[]): void {
+    for (;;) {
+      const late: QueuedCall<Call>[] = [];
+      for (const head of this.queue.heads()) {
+        if (this.lateness(head, nowMs) !== undefined) late.push(head);
+      }
+      if (late.length === 0) return;
+      for (const entry of late) {
+        const reason = this.lateness(entry, nowMs) ?? 'targetMissed';
+        this.queue.remove(entry);
+        const expectedWaitMs = this.expectedWaitMs(entry.call.rank, nowMs);
+        effects.push({ effect: 'refuse', call: entry.call, reason, expectedWaitMs });
+      }
+    }
+  }
+
+  private lateness(entry: QueuedCall<Call>, nowMs: number): RefuseReason | undefined {
+    const { call } = entry;
+    if (nowMs >= call.deadlineAtMs) return 'deadlinePassed';
+    if (nowMs <= entry.enqueuedAtMs) return undefined;
+    if (nowMs + this.times.usualMs(call.kind, 0) > call.targetAtMs) return 'targetMissed';
+    return undefined;
+  }
+
+  private dispatch(
+    entry: QueuedCall<Call>,
+    backend: BackendSlots,
+    slots: number,
+    nowMs: number,
+  ): PoolEffect<Call, BackendSlots> {
+    const dispatched = entry;
+    dispatched.waiting = false;
+    const { call, costMs } = entry;
+    const running: RunningCall = { kind: call.kind, rank: call.rank, costMs };
+    backend.take();
+    this.countRunning(running.rank, 1);
+    this.queue.charge(running, slots, nowMs);
+    return { effect: 'dispatch', call, backend, running };
+  }
+
+  private countRunning(rank: number, by: 1 | -1): void {
+    this.runningByRank[rank] = (this.runningByRank[rank] ?? 0) + by;
+  }
+
+  private pickBackend(call: Call, nowMs: number): BackendSlots | undefined {
+    const count = this.members.length;
+    let best: BackendSlots | undefined;
+    let bestLoad = Number.POSITIVE_INFINITY;
+    this.nextMember = (this.nextMember + 1) % Math.max(1, count);
+    for (let step = 0; step < count; step += 1) {
+      const member = this.members[(this.nextMember + step) % count];
+      if (member === undefined || call.excluded.includes(member.backendId)) continue;
+      if (member.freeSlots(nowMs) === 0) continue;
+      const load = member.inFlight / member.usableSlots(nowMs);
+      if (load < bestLoad) {
+        best = member;
+        bestLoad = load;
+      }
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/packages/core/src/pools/poolQueue.ts
@@ -0,0 +1,137 @@
+import { DecayingRate } from './decayingRate.js';
+import type { PoolCall, PoolRules, QueuedCall, RunningCall } from './poolTypes.js';
+import { RankQueue } from './rankQueue.js';
+import { SlotTimeBucket } from './slotTimeBucket.js';
+import { estimateWaitMs, floorWaitShare, type RankLoad } from './waitEstimate.js';
+
+/** Time over which unused floor time and debts are kept. */
+const floorBurstMs = 500;
+/** Time constant of the load averages. */
+const loadWindowMs = 400;
+
+interface RankState<Call extends PoolCall> {
+  readonly queue: RankQueue<Call>;
+  readonly floor: SlotTimeBucket;
+  readonly dispatched: DecayingRate;
+}
+
+/** The waiting calls of a pool: ranks by urgency, with floors. */
+export class PoolQueue<Call extends PoolCall> {
+  private readonly ranks: RankState<Call>[];
+
+  /**
+   * @param rules - rules of the pool
+   * @param nowMs - current time
+   */
+  constructor(
+    private readonly rules: PoolRules,
+    nowMs: number,
+  ) {
+    this.ranks = rules.ranks.map((rule) => ({
+      queue: new RankQueue<Call>(),
+      floor: new SlotTimeBucket(rule.floorPermille / 1000, floorBurstMs, nowMs),
+      dispatched: new DecayingRate(loadWindowMs),
+    }));
+  }
+
+  /** Calls that wait, over all ranks. */
+  get waitingCalls(): number {
+    let calls = 0;
+    for (const rank of this.ranks) calls += rank.queue.waitingCalls;
+    return calls;
+  }
+
+  /** Calls of one rank that wait. */
+  waitingCallsOf(rank: number): number {
+    return this.ranks[rank]?.queue.waitingCalls ?? 0;
+  }
+
+  /** Adds a call to its rank. */
+  push(entry: QueuedCall<Call>): void {
+    this.ranks[entry.call.rank]?.queue.push(entry);
+  }
+
+  /** Puts a call back that found no suitable slot. */
+  putBack(entry: QueuedCall<Call>): void {
+    this.ranks[entry.call.rank]?.queue.putBack(entry);
+  }
+
+  /** Takes a waiting call out. */
+  remove(entry: QueuedCall<Call>): void {
+    this.ranks[entry.call.rank]?.queue.remove(entry);
+  }
+
+  /**
+   * Takes the next call: a starved rank that has floor time left, else the most urgent one.
+   *
+   * @param slots - slots of the pool
+   * @param nowMs - current time
+   */
+  shift(slots: number, nowMs: number): QueuedCall<Call> | undefined {
+    for (const [index, rank] of this.ranks.entries()) {
+      if (this.isStarved(index, rank, slots, nowMs)) return rank.queue.shift();
+    }
+    for (const rank of this.ranks) {
+      if (rank.queue.waitingCalls > 0) return rank.queue.shift();
+    }
+    return undefined;
+  }
+
+  /**
+   * Takes the next call of one rank, for a place elsewhere.
+   *
+   * @param rank - index of the rank
+   */
+  shiftRank(rank: number): QueuedCall<Call> | undefined {
+    return this.ranks[rank]?.queue.shift();
+  }
+
+  /** Charges a call that starts on a slot. */
+  charge(running: RunningCall, slots: number, nowMs: number): void {
+    const rank = this.ranks[running.rank];
+    if (rank === undefined) return;
+    rank.floor.fill(slots, nowMs);
+    rank.floor.charge(running.costMs, slots);
+    rank.dispatched.add(running.costMs, nowMs);
+  }
+
+  /** Corrects the charge of a call by the slot time that it really took. */
+  settle(running: RunningCall, elapsedMs: number, slots: number): void {
+    this.ranks[running.rank]?.floor.charge(elapsedMs - running.costMs, slots);
+  }
+
+  /** Longest-waiting call of each kind of each rank. */
+  *heads(): Generator<QueuedCall<Call>> {
+    for (const rank of this.ranks) {
+      if (rank.queue.waitingCalls > 0) yield* rank.queue.heads();
+    }
+  }
+
+  /** Load of each rank, for the estimate of waits. */
+  loads(nowMs: number): RankLoad[] {
+    return this.ranks.map((rank) => ({
+      waitingSlotMs: rank.queue.waitingSlotMs,
+      busySlots: rank.dispatched.perMs(nowMs),
+    }));
+  }
+
+  /**
+   * Estimates the wait of a new call.
+   *
+   * @param rank - index of its rank
+   * @param slots - slots of the pool
+   * @param meanServiceMs - expected slot time of one call
+   * @param nowMs - current time
+   */
+  expectedWaitMs(rank: number, slots: number, meanServiceMs: number, nowMs: number): number {
+    return estimateWaitMs(rank, this.rules.ranks, this.loads(nowMs), slots, meanServiceMs);
+  }
+
+  private isStarved(index: number, rank: RankState<Call>, slots: number, nowMs: number): boolean {
+    if (rank.queue.waitingCalls === 0) return false;
+    const targetMs = this.rules.ranks[index]?.targetMs ?? 0;
+    if (nowMs - rank.queue.waitingSinceMs < targetMs * floorWaitShare) return false;
+    rank.floor.fill(slots, nowMs);
+    return rank.floor.hasTokens;
+  }
+}
--- /dev/null
+++ b/packages/core/src/pools/rankQueue.ts
@@ -0,0 +1,99 @@
+import { KindQueue } from './kindQueue.js';
+import type { PoolCall, QueuedCall } from './poolTypes.js';
+
+/** Slot time that each kind gets per round. */
+const quantumMs = 50;
+
+/** The waiting calls of one rank; kinds share it by deficit round robin over slot time. */
+export class RankQueue<Call extends PoolCall> {
+  private readonly kinds = new Map<string, KindQueue<Call>>();
+
+  private round: KindQueue<Call>[] = [];
+
+  /** Calls that wait. */
+  waitingCalls = 0;
+
+  /** Expected slot time of the calls that wait. */
+  waitingSlotMs = 0;
+
+  /** Adds a call. */
+  push(entry: QueuedCall<Call>): void {
+    const queue = this.queueOf(entry.call.kind);
+    if (queue.peek() === undefined) this.enter(queue);
+    queue.push(entry);
+    this.count(entry, 1);
+  }
+
+  /** Puts a call back that found no suitable slot. */
+  putBack(entry: QueuedCall<Call>): void {
+    const queue = this.queueOf(entry.call.kind);
+    if (queue.peek() === undefined) this.enter(queue);
+    queue.unshift(entry);
+    queue.deficitMs += entry.costMs;
+    this.count(entry, 1);
+  }
+
+  /** Takes a waiting call out, wherever it stands. */
+  remove(entry: QueuedCall<Call>): void {
+    if (!entry.waiting) return;
+    const removed = entry;
+    removed.waiting = false;
+    this.count(entry, -1);
+  }
+
+  /** Takes the next call by deficit round robin. */
+  shift(): QueuedCall<Call> | undefined {
+    if (this.waitingCalls === 0) return undefined;
+    for (;;) {
+      const queue = this.round[0];
+      if (queue === undefined) return undefined;
+      const head = queue.peek();
+      if (head === undefined) {
+        queue.deficitMs = 0;
+        this.round.shift();
+        continue;
+      }
+      if (queue.deficitMs < head.costMs && this.round.length > 1) {
+        queue.deficitMs += quantumMs;
+        this.round.push(...this.round.splice(0, 1));
+        continue;
+      }
+      queue.deficitMs = Math.max(0, queue.deficitMs - head.costMs);
+      queue.shift();
+      this.count(head, -1);
+      return head;
+    }
+  }
+
+  /** Longest-waiting call of each kind. */
+  *heads(): Generator<QueuedCall<Call>> {
+    for (const queue of this.round) {
+      const head = queue.peek();
+      if (head !== undefined) yield head;
+    }
+  }
+
+  /** Time since when the longest-waiting call waits. */
+  get waitingSinceMs(): number {
+    let sinceMs = Number.POSITIVE_INFINITY;
+    for (const head of this.heads()) sinceMs = Math.min(sinceMs, head.enqueuedAtMs);
+    return sinceMs;
+  }
+
+  private enter(queue: KindQueue<Call>): void {
+    if (!this.round.includes(queue)) this.round.push(queue);
+  }
+
+  private queueOf(kind: string): KindQueue<Call> {
+    const known = this.kinds.get(kind);
+    if (known !== undefined) return known;
+    const queue = new KindQueue<Call>(kind);
+    this.kinds.set(kind, queue);
+    return queue;
+  }
+
+  private count(entry: QueuedCall<Call>, sign: 1 | -1): void {
+    this.waitingCalls += sign;
+    this.waitingSlotMs = Math.max(0, this.waitingSlotMs + sign * entry.costMs);
+  }
+}
--- /dev/null
+++ b/packages/core/src/pools/waitEstimate.ts
@@ -0,0 +1,53 @@
+import type { RankRule } from './poolTypes.js';
+
+/** State of one rank as far as the estimate needs it. */
+export interface RankLoad {
+  /** Expected slot time of the calls that wait. */
+  readonly waitingSlotMs: number;
+  /** Slots that the rank kept busy over the recent past. */
+  readonly busySlots: number;
+}
+
+/** Least part of the slots that an estimate counts on. */
+const minShare = 0.02;
+
+/** Part of its target that a starved rank waits before its floor serves it. */
+export const floorWaitShare = 0.1;
+
+/**
+ * Estimates how long a new call of a rank waits for a slot when none is free.
+ *
+ * @param rank - index of the rank
+ * @param rules - rules of all ranks
+ * @param loads - load of all ranks
+ * @param slots - slots of the pool
+ * @param meanServiceMs - expected slot time of one call
+ * @returns expected wait in milliseconds
+ */
+export function estimateWaitMs(
+  rank: number,
+  rules: readonly RankRule[],
+  loads: readonly RankLoad[],
+  slots: number,
+  meanServiceMs: number,
+): number {
+  if (slots <= 0) return Number.POSITIVE_INFINITY;
+  let aheadSlotMs = 0;
+  let takenShare = 0;
+  for (const [index, load] of loads.entries()) {
+    if (index <= rank) aheadSlotMs += load.waitingSlotMs;
+    if (index < rank) takenShare += load.busySlots / slots;
+    if (index > rank && load.waitingSlotMs > 0) {
+      takenShare += Math.min(load.busySlots / slots, (rules[index]?.floorPermille ?? 0) / 1000);
+    }
+  }
+  const residualMs = meanServiceMs / slots;
+  const leftShare = Math.max(minShare, 1 - takenShare);
+  const byPriorityMs = (residualMs + aheadSlotMs / slots) / leftShare;
+  const rule = rules[rank];
+  if (rule === undefined || rule.floorPermille === 0) return byPriorityMs;
+  const ownSlotMs = loads[rank]?.waitingSlotMs ?? 0;
+  const floorSlots = (slots * rule.floorPermille) / 1000;
+  const byFloorMs = rule.targetMs * floorWaitShare + (ownSlotMs + meanServiceMs) / floorSlots;
+  return Math.min(byPriorityMs, byFloorMs);
+}
--- /dev/null
+++ b/packages/core/src/retries/retryBudget.ts
@@ -0,0 +1,56 @@
+import type { CallOutcome, PendingCall } from '@buckthornlug/protocol/steering/placementTypes.js';
+
+/** One budget of repeated dispatches (retries and hedges) on the host that took the calls. */
+
+/** Part of the calls that may be dispatched again. */
+const defaultRetryPermille = 100;
+/** Retries that may be saved up. */
+const defaultBurst = 10;
+
+/** A budget that is filled by calls and spent by repeated dispatches. */
+export class RetryBudget {
+  private tokens: number;
+
+  /**
+   * @param retryPermille - repeated dispatches for each thousand calls
+   * @param burst - repeated dispatches that may be saved up
+   */
+  constructor(
+    private readonly retryPermille = defaultRetryPermille,
+    private readonly burst = defaultBurst,
+  ) {
+    this.tokens = burst;
+  }
+
+  /** Notes a call that came from a caller. */
+  noteCall(): void {
+    this.tokens = Math.min(this.burst, this.tokens + this.retryPermille / 1000);
+  }
+
+  /** Takes one repeated dispatch out of the budget, if there is one. */
+  spend(): boolean {
+    if (this.tokens < 1) return false;
+    this.tokens -= 1;
+    return true;
+  }
+}
+
+/**
+ * Tells whether the outcome allows to dispatch a call again at all.
+ *
+ * @param call - the call
+ * @param outcome - how its last attempt ended
+ * @param nowMs - current time
+ * @param usualMs - usual time of a call of its kind
+ */
+export function isRepeatable(
+  call: PendingCall,
+  outcome: CallOutcome,
+  nowMs: number,
+  usualMs: number,
+): boolean {
+  if (call.origin !== 'caller' || call.signal.aborted) return false;
+  if (outcome.result === 'answered' || outcome.result === 'cancelled') return false;
+  if (nowMs + usualMs > call.deadlineAtMs) return false;
+  return call.execution === 'idempotent' || outcome.result === 'notRun';
+}
