test(pools): fault tables and properties of leases, pools, credits and the retry budget

Cause: the pure modules had no tests beyond the lease model. Change: tables of faults per module, fast-check properties for slots, floors, credits, links and the budget, and a pool simulation on a virtual clock.

--- /dev/null
+++ b/packages/core/src/credits/credits.spec.ts
@@ -0,0 +1,197 @@
+import test from 'ava';
+import fc from 'fast-check';
+
+import { CreditDemand, type RankPressure } from './creditDemand.js';
+import { CreditIssuer, type PoolReserve } from './creditIssuer.js';
+import { CreditPurse } from './creditPurse.js';
+import { LinkBudget } from './linkBudget.js';
+import { listRemoteZones } from './remoteZones.js';
+
+const idle: PoolReserve = {
+  usableSlots: 20,
+  neededSlots: 0,
+  expectedWaitMs: 0,
+  longestWaitMs: 100,
+};
+
+function numberedIds(): () => string {
+  let number = 0;
+  return () => {
+    number += 1;
+    return `c${number}`;
+  };
+}
+
+const grants: readonly { title: string; reserve: Partial<PoolReserve>; granted: number }[] = [
+  { title: 'an idle pool keeps a reserve', reserve: {}, granted: 19 },
+  { title: 'needed slots are not granted', reserve: { neededSlots: 12 }, granted: 7 },
+  { title: 'a busy pool grants nothing', reserve: { neededSlots: 25 }, granted: 0 },
+  {
+    title: 'a pool that would answer too late grants nothing',
+    reserve: { expectedWaitMs: 101 },
+    granted: 0,
+  },
+  { title: 'a pool without slots grants nothing', reserve: { usableSlots: 0 }, granted: 0 },
+];
+
+for (const { title, reserve, granted } of grants) {
+  test(title, (t) => {
+    const issuer = new CreditIssuer();
+    const ids = issuer.grant(0, 30, { ...idle, ...reserve }, 300, 0, numberedIds());
+    t.is(ids.length, granted);
+  });
+}
+
+test('a credit is spent once, and not after it expired', (t) => {
+  const issuer = new CreditIssuer();
+  const [first = '', second = ''] = issuer.grant(0, 2, idle, 300, 0, numberedIds());
+  t.deepEqual(
+    [issuer.spend(first, 299), issuer.spend(first, 299), issuer.spend(second, 300)],
+    [true, false, false],
+  );
+  t.false(issuer.spend('forged', 0));
+});
+
+test('outstanding credits never exceed the idle slots, whatever is asked when', (t) => {
+  const step = fc.record({
+    passMs: fc.integer({ min: 0, max: 200 }),
+    want: fc.integer({ min: 0, max: 50 }),
+    rank: fc.integer({ min: 0, max: 2 }),
+    spends: fc.integer({ min: 0, max: 5 }),
+  });
+  const property = fc.property(fc.array(step), fc.integer({ min: 0, max: 20 }), (steps, busy) => {
+    const issuer = new CreditIssuer();
+    const nextId = numberedIds();
+    const held: string[] = [];
+    let nowMs = 0;
+    for (const { passMs, want, spends } of steps) {
+      nowMs += passMs;
+      held.push(...issuer.grant(0, want, { ...idle, neededSlots: busy }, 300, nowMs, nextId));
+      if (issuer.outstanding(nowMs) > 20 - busy) return false;
+      for (const creditId of held.splice(0, spends)) issuer.spend(creditId, nowMs);
+    }
+    return true;
+  });
+  t.notThrows(() => fc.assert(property, { seed: 4 }));
+});
+
+test('a purse gives each credit once, for its rank, and in time', (t) => {
+  const purse = new CreditPurse();
+  const credit = (creditId: string, rank: number, useBeforeMs: number) => ({
+    creditId,
+    hostId: `host-${creditId}`,
+    availabilityZone: 'lagos-b',
+    rank,
+    useBeforeMs,
+  });
+  purse.add([credit('a', 0, 100), credit('b', 0, 200), credit('c', 1, 200)]);
+  const take = (rank: number, nowMs: number, excluded = '') =>
+    purse.take(rank, nowMs, (hostId) => hostId === excluded)?.creditId;
+  t.deepEqual(
+    [take(0, 100), take(0, 100), take(1, 150, 'host-c'), take(1, 150)],
+    ['b', undefined, undefined, 'c'],
+  );
+});
+
+test('a link never carries more than its limit and one burst', (t) => {
+  const property = fc.property(
+    fc.array(
+      fc.record({
+        passMs: fc.integer({ min: 0, max: 50 }),
+        bytes: fc.integer({ min: 1, max: 9000 }),
+      }),
+    ),
+    (steps) => {
+      const budget = new LinkBudget(1_000_000, 0);
+      let nowMs = 0;
+      let sentBytes = 0;
+      for (const { passMs, bytes } of steps) {
+        nowMs += passMs;
+        if (budget.spend(bytes, nowMs)) sentBytes += bytes;
+      }
+      return sentBytes <= 200_000 + nowMs * 1000;
+    },
+  );
+  t.notThrows(() => fc.assert(property, { seed: 4 }));
+});
+
+const network = {
+  regions: [
+    { id: 'lagos', availabilityZones: ['lagos-a', 'lagos-b'] },
+    { id: 'abuja', availabilityZones: ['abuja-a'] },
+    { id: 'harcourt', availabilityZones: ['harcourt-a'] },
+  ],
+  links: [
+    { from: 'lagos', to: 'abuja', oneWayDelayMs: 55, linkBytesPerS: 1e9 },
+    { from: 'harcourt', to: 'lagos', oneWayDelayMs: 30, linkBytesPerS: 1e9 },
+  ],
+  zoneDelayMs: 3.5,
+  callerDelayMs: 1,
+};
+
+test('the own region comes first, then other regions by delay, and closed zones are left out', (t) => {
+  const zonesOf = (isOpen: (region: string, zone: string) => boolean) =>
+    listRemoteZones(network, 'lagos', 'lagos-a', isOpen).map((zone) => zone.availabilityZone);
+  t.deepEqual(
+    zonesOf(() => true),
+    ['lagos-b', 'harcourt-a', 'abuja-a'],
+  );
+  t.deepEqual(
+    zonesOf((region) => region !== 'harcourt'),
+    ['lagos-b', 'abuja-a'],
+  );
+});
+
+const pressure: RankPressure = {
+  rank: 0,
+  waitingCalls: 10,
+  homelessCalls: 0,
+  expectedWaitMs: 40,
+  creditsAtHand: 0,
+  longestWaitMs: 200,
+};
+
+const demands: readonly { title: string; pressure: Partial<RankPressure>; asked: unknown }[] = [
+  {
+    title: 'a pool without pressure asks nobody',
+    pressure: { waitingCalls: 0, expectedWaitMs: 0 },
+    asked: [],
+  },
+  { title: 'a pool under pressure asks its own region', pressure: {}, asked: [['lagos-b', 7]] },
+  {
+    title: 'a call without a place at home asks too',
+    pressure: { waitingCalls: 0, expectedWaitMs: 0, homelessCalls: 2 },
+    asked: [['lagos-b', 2]],
+  },
+  { title: 'credits at hand lower the demand', pressure: { creditsAtHand: 7 }, asked: [] },
+  {
+    title: 'a place that is too far away is not asked',
+    pressure: { longestWaitMs: 10 },
+    asked: [],
+  },
+];
+
+for (const { title, pressure: more, asked } of demands) {
+  test(title, (t) => {
+    const zones = listRemoteZones(network, 'lagos', 'lagos-a', () => true);
+    const asks = new CreditDemand().next([{ ...pressure, ...more }], zones, 0);
+    t.deepEqual(
+      asks.map((ask) => [ask.zone.availabilityZone, ask.want]),
+      asked,
+    );
+  });
+}
+
+test('a zone that grants nothing is asked less and less often, and the next one instead', (t) => {
+  const demand = new CreditDemand();
+  const zones = listRemoteZones(network, 'lagos', 'lagos-a', () => true);
+  const homeless = { ...pressure, homelessCalls: 5 };
+  const asked: string[] = [];
+  for (let nowMs = 0; nowMs < 500; nowMs += 5) {
+    for (const ask of demand.next([homeless], zones, nowMs)) {
+      asked.push(`${nowMs} ${ask.zone.availabilityZone}`);
+      demand.noteAnswer(ask, 0, 0, nowMs);
+    }
+  }
+  t.snapshot(asked);
+});
--- /dev/null
+++ b/packages/core/src/pools/pool.spec.ts
@@ -0,0 +1,237 @@
+import test from 'ava';
+import fc from 'fast-check';
+
+import { BackendSlots } from '../slots/backendSlots.js';
+import { defaultOutlierLimits } from '../slots/outliers.js';
+import { Pool } from './pool.js';
+import type { PoolCall, PoolRules, RefuseReason, RunningCall } from './poolTypes.js';
+
+const rules: PoolRules = {
+  ranks: [
+    { targetMs: 250, floorPermille: 300 },
+    { targetMs: 600, floorPermille: 200 },
+    { targetMs: 3000, floorPermille: 100 },
+  ],
+  serviceTimeMs: 40,
+  maxQueuedCalls: 1000,
+};
+const hostId = 'host-1';
+
+function readyBackend(backendId: string, slots: number): BackendSlots {
+  const timing = { leaseMs: 1e9, guardMs: 0, foreignCallMs: 0, slowStartMs: 0 };
+  const backend = new BackendSlots(backendId, hostId, timing, defaultOutlierLimits);
+  const announcement = {
+    backendId,
+    service: 'parts-desk',
+    availabilityZone: 'lagos-a',
+    endpoint: { address: '127.0.0.1', port: 8000 },
+    slots,
+    connectionLimit: slots,
+    state: 'ready' as const,
+    inFlight: 0,
+  };
+  backend.lease.receive(announcement, 0, 0);
+  const token = backend.lease.issue('t1', 0, 0);
+  backend.lease.receive({ ...announcement, lease: { hostId, token, ageMs: 0 } }, 0, 0);
+  return backend;
+}
+
+function poolOf(slotsByBackend: readonly number[], more: Partial<PoolRules> = {}): Pool<PoolCall> {
+  const pool = new Pool<PoolCall>({ ...rules, ...more }, 0);
+  for (const [index, slots] of slotsByBackend.entries()) pool.add(readyBackend(`b${index}`, slots));
+  return pool;
+}
+
+function call(rank: number, nowMs: number, more: Partial<PoolCall> = {}): PoolCall {
+  const targetMs = rules.ranks[rank]?.targetMs ?? 0;
+  return {
+    requestId: `${rank}@${nowMs}`,
+    kind: `kind-${rank}`,
+    rank,
+    targetAtMs: nowMs + targetMs,
+    deadlineAtMs: nowMs + 3 * targetMs,
+    excluded: [],
+    ...more,
+  };
+}
+
+/** Offers calls until the pool refuses one. */
+function fill(pool: Pool<PoolCall>, rank: number, nowMs: number): number {
+  for (let count = 0; ; count += 1) {
+    if (pool.offer(call(rank, nowMs), nowMs).offer === 'refused') return count;
+    pool.pump(nowMs);
+  }
+}
+
+const offers: readonly {
+  readonly title: string;
+  readonly pool: () => Pool<PoolCall>;
+  readonly call: PoolCall;
+  readonly nowMs: number;
+  readonly expected: RefuseReason | 'queued';
+}[] = [
+  {
+    title: 'a call with a free slot is taken',
+    pool: () => poolOf([1]),
+    call: call(0, 0),
+    nowMs: 0,
+    expected: 'queued',
+  },
+  {
+    title: 'a call whose wait would pass its target is refused at once',
+    pool: () => {
+      const pool = poolOf([1]);
+      fill(pool, 0, 0);
+      return pool;
+    },
+    call: call(0, 0),
+    nowMs: 0,
+    expected: 'targetMissed',
+  },
+  {
+    title: 'a call is refused when the queue is full',
+    pool: () => {
+      const pool = poolOf([1], { maxQueuedCalls: 2 });
+      fill(pool, 2, 0);
+      return pool;
+    },
+    call: call(2, 0),
+    nowMs: 0,
+    expected: 'queueFull',
+  },
+  {
+    title: 'a call whose deadline has passed is refused',
+    pool: () => poolOf([1]),
+    call: call(0, 0),
+    nowMs: 750,
+    expected: 'deadlinePassed',
+  },
+  {
+    title: 'a pool without slots refuses',
+    pool: () => poolOf([]),
+    call: call(0, 0),
+    nowMs: 0,
+    expected: 'noSlots',
+  },
+  {
+    title: 'a flood of the least urgent rank does not close the pool for urgent calls',
+    pool: () => {
+      const pool = poolOf([3, 3]);
+      fill(pool, 2, 0);
+      return pool;
+    },
+    call: call(0, 0),
+    nowMs: 0,
+    expected: 'queued',
+  },
+  {
+    title: 'a flood of the most urgent rank does not close the pool for a rank with a floor',
+    pool: () => {
+      const pool = poolOf([3, 3]);
+      fill(pool, 0, 0);
+      return pool;
+    },
+    call: call(1, 0),
+    nowMs: 0,
+    expected: 'queued',
+  },
+];
+
+for (const { title, pool, call: offered, nowMs, expected } of offers) {
+  test(title, (t) => {
+    const result = pool().offer(offered, nowMs);
+    t.is(result.offer === 'refused' ? result.reason : result.offer, expected);
+  });
+}
+
+test('an urgent call overtakes waiting calls of other ranks', (t) => {
+  const pool = poolOf([1]);
+  for (const rank of [2, 2, 1, 0]) pool.offer(call(rank, 0), 0);
+  const [first] = pool.pump(0);
+  t.is(first?.call.rank, 0);
+});
+
+test('kinds of one rank share the slots though one of them floods', (t) => {
+  const pool = poolOf([4], { maxQueuedCalls: 1000 });
+  for (let count = 0; count < 40; count += 1) pool.enqueue(call(0, 0, { kind: 'flooding' }), 0);
+  for (let count = 0; count < 2; count += 1) pool.enqueue(call(0, 0, { kind: 'modest' }), 0);
+  t.deepEqual(
+    pool
+      .pump(0)
+      .map((effect) => effect.call.kind)
+      .sort(),
+    ['flooding', 'flooding', 'modest', 'modest'],
+  );
+});
+
+test('a call never runs on an excluded backend server', (t) => {
+  const pool = poolOf([1, 1]);
+  pool.offer(call(0, 0, { excluded: ['b0'] }), 0);
+  pool.offer(call(0, 0, { excluded: ['b0'] }), 0);
+  const effects = pool.pump(0);
+  t.deepEqual(
+    effects.map((effect) => effect.effect === 'dispatch' && effect.backend.backendId),
+    ['b1'],
+  );
+  t.is(pool.waitingCalls, 1);
+});
+
+test('a call that waited past its target is refused, one past its deadline too', (t) => {
+  const pool = poolOf([1]);
+  for (const rank of [0, 0, 1]) pool.enqueue(call(rank, 0), 0);
+  pool.pump(0);
+  const late = pool.pump(800).map((effect) => effect.effect === 'refuse' && effect.reason);
+  t.deepEqual(late, ['deadlinePassed', 'targetMissed']);
+});
+
+test('a call whose caller hung up gets no slot', (t) => {
+  const pool = poolOf([1]);
+  const offer = pool.offer(call(0, 0), 0);
+  if (offer.offer === 'queued') pool.cancel(offer.entry);
+  t.deepEqual(pool.pump(0), []);
+});
+
+interface Busy {
+  readonly endsAtMs: number;
+  readonly backend: BackendSlots;
+  readonly running: RunningCall;
+}
+
+/** Keeps the ranks of a pool flooded for some time and counts the slot time that each rank got. */
+function flood(floodedRanks: readonly number[], durationMs: number, callMs: number): number[] {
+  const pool = poolOf([3, 3, 3, 3]);
+  const slotMs = rules.ranks.map(() => 0);
+  let busy: Busy[] = [];
+  for (let nowMs = 0; nowMs < durationMs; nowMs += 5) {
+    const done = busy.filter((entry) => entry.endsAtMs <= nowMs);
+    busy = busy.filter((entry) => entry.endsAtMs > nowMs);
+    for (const { backend, running } of done) {
+      pool.release(backend, running, { result: 'answered', status: 200, elapsedMs: callMs }, nowMs);
+      slotMs[running.rank] = (slotMs[running.rank] ?? 0) + callMs;
+    }
+    for (const rank of floodedRanks) {
+      for (let count = 0; count < 10; count += 1) pool.offer(call(rank, nowMs), nowMs);
+    }
+    for (const effect of pool.pump(nowMs)) {
+      if (effect.effect === 'refuse') continue;
+      busy.push({ endsAtMs: nowMs + callMs, backend: effect.backend, running: effect.running });
+    }
+  }
+  return slotMs.map((used) => used / (12 * durationMs));
+}
+
+test('in any flood each flooded rank gets its floor, and no slot idles', (t) => {
+  const property = fc.property(
+    fc.subarray([0, 1, 2], { minLength: 1 }),
+    fc.constantFrom(10, 20, 40, 80),
+    (floodedRanks, callMs) => {
+      const shares = flood(floodedRanks, 10_000, callMs);
+      const total = shares.reduce((sum, share) => sum + share, 0);
+      if (total < 0.95) return false;
+      return floodedRanks.every(
+        (rank) => (shares[rank] ?? 0) >= ((rules.ranks[rank]?.floorPermille ?? 0) / 1000) * 0.95,
+      );
+    },
+  );
+  t.notThrows(() => fc.assert(property, { seed: 4, numRuns: 30 }));
+});
--- a/packages/core/src/pools/pool.ts
+++ b/packages/core/src/pools/pool.ts
@@ -17,6 +17,8 @@
 const usualDeviations = 2.3;
 /** Least part of its target that a call may always wait. */
 const minWaitShare = 0.1;
+/** Largest part of its target that a call may be expected to wait. */
+const maxWaitShare = 0.85;
 
 /** The pool of one service in one availability zone: its backend servers and its one queue. */
 export class Pool<Call extends PoolCall> {
@@ -121,9 +123,18 @@
    * @param nowMs - current time
    */
   meetsTarget(call: Call, waitMs: number, nowMs: number): boolean {
-    const leftMs = call.targetAtMs - nowMs;
-    const usualMs = this.times.usualMs(call.kind, usualDeviations);
-    return waitMs === 0 || waitMs <= Math.max(leftMs - usualMs, leftMs * minWaitShare);
+    return waitMs === 0 || waitMs <= this.longestWaitMs(call.kind, call.targetAtMs - nowMs);
+  }
+
+  /**
+   * Longest wait for a slot with which a call is usually answered in time.
+   *
+   * @param kind - kind of work
+   * @param leftMs - time left until the target
+   */
+  longestWaitMs(kind: string, leftMs: number): number {
+    const usualMs = this.times.usualMs(kind, usualDeviations);
+    return Math.max(Math.min(leftMs - usualMs, leftMs * maxWaitShare), leftMs * minWaitShare);
   }
 
   /**
