--- a/packages/core/src/membership/memberStamp.ts
+++ b/packages/core/src/membership/memberStamp.ts
@@ -40,5 +40,6 @@
     refutation: entry.refutation,
     state: entry.state,
     documentVersion: entry.documentVersion,
+    shiftRevision: entry.shiftRevision,
   };
 }
--- a/packages/core/src/membership/memberStates.ts
+++ b/packages/core/src/membership/memberStates.ts
@@ -84,6 +84,7 @@
     known.changedAtMs = nowMs - record.ageMs;
     known.accusedHere = false;
     known.documentVersion = Math.max(known.documentVersion, record.documentVersion);
+    known.shiftRevision = Math.max(known.shiftRevision, record.shiftRevision);
     this.table.changed();
     this.announce(known, before, source, nowMs);
   }
@@ -120,6 +121,7 @@
       refutation: record.refutation,
       state: suspected ? 'alive' : record.state,
       documentVersion: record.documentVersion,
+      shiftRevision: record.shiftRevision,
       changedAtMs: nowMs - record.ageMs,
       suspicionEndsAtMs: 0,
       accusedHere: false,
--- a/packages/core/src/membership/memberTable.ts
+++ b/packages/core/src/membership/memberTable.ts
@@ -57,8 +57,8 @@
     this.cachedDigests = undefined;
   }
 
-  /** Must be called after a document version has changed. */
-  versionChanged(): void {
+  /** Must be called after the versions that a host holds have changed. */
+  versionsChanged(): void {
     this.changes += 1;
   }
 
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -4,6 +4,7 @@
 import { MemberTable } from './memberTable.js';
 import { gossipVersionsUpTo, maxSyncRecords, maxSyncZones, stallMs } from './membershipLimits.js';
 import type {
+  HeldVersions,
   MemberEntry,
   MemberIdentity,
   MemberMessage,
@@ -54,6 +55,7 @@
       refutation: 0,
       state: 'alive',
       documentVersion: 0,
+      shiftRevision: 0,
       changedAtMs: nowMs,
       suspicionEndsAtMs: 0,
       accusedHere: false,
@@ -113,15 +115,19 @@
     return this.outbox.flush();
   }
 
-  /** Reports the version of the document in force on this host. */
-  setDocumentVersion(version: number, nowMs: number): MembershipEffect[] {
-    if (version <= this.self.documentVersion) return [];
-    this.self.documentVersion = version;
-    this.table.versionChanged();
-    if (this.gossipsVersions()) this.outbox.spread(this.self, false, nowMs);
+  /** Reports what this host holds of the control group's state. */
+  setVersions(held: HeldVersions, nowMs: number): MembershipEffect[] {
+    const changed = this.raiseVersions(this.self, held);
+    if (changed && this.gossipsVersions()) this.outbox.spread(this.self, false, nowMs);
     return this.outbox.flush();
   }
 
+  /** Notes what another host said that it holds, without telling others. */
+  noteVersions(hostId: string, held: HeldVersions): void {
+    const entry = this.table.find(hostId);
+    if (entry !== undefined) this.raiseVersions(entry, held);
+  }
+
   /** Tells the others that this host takes no new work, or that it has gone. */
   leave(state: 'leaving' | 'left', nowMs: number): MembershipEffect[] {
     this.self.state = state;
@@ -184,16 +190,26 @@
       this.states.fail(entry, nowMs);
     }
     if (merged.decision === 'verify') this.probes.verify(entry);
-    if (merged.decision === 'updateVersion') this.updateVersion(entry, record.documentVersion);
+    if (merged.decision === 'updateVersions') this.updateVersions(entry, record);
   }
 
-  private updateVersion(entry: MemberEntry, version: number): void {
-    const updated = entry;
-    updated.documentVersion = version;
-    this.table.versionChanged();
+  private updateVersions(entry: MemberEntry, held: HeldVersions): void {
+    this.raiseVersions(entry, held);
     if (this.gossipsVersions()) this.outbox.queue(entry, false);
   }
 
+  /** Raises the versions of an entry; returns whether one was lower before. */
+  private raiseVersions(entry: MemberEntry, held: HeldVersions): boolean {
+    const updated = entry;
+    const isNewer =
+      held.documentVersion > entry.documentVersion || held.shiftRevision > entry.shiftRevision;
+    if (!isNewer) return false;
+    updated.documentVersion = Math.max(entry.documentVersion, held.documentVersion);
+    updated.shiftRevision = Math.max(entry.shiftRevision, held.shiftRevision);
+    this.table.versionsChanged();
+    return true;
+  }
+
   private gossipsVersions(): boolean {
     return this.table.views().participants <= gossipVersionsUpTo;
   }
--- a/packages/core/src/membership/membershipTypes.ts
+++ b/packages/core/src/membership/membershipTypes.ts
@@ -24,8 +24,13 @@
   readonly state: MemberState;
   /** Version of the document in force on the host. */
   readonly documentVersion: number;
+  /** Revision of the steps of shifts that the host holds. */
+  readonly shiftRevision: number;
 }
 
+/** What a host holds of the control group's state. */
+export type HeldVersions = Pick<MemberStamp, 'documentVersion' | 'shiftRevision'>;
+
 /** A record as it travels. */
 export interface MemberRecord extends MemberStamp {
   /** Time since the state was found. */
@@ -84,6 +89,7 @@
   refutation: number;
   state: MemberState;
   documentVersion: number;
+  shiftRevision: number;
   /** Time at which the state was found. */
   changedAtMs: number;
   /** Time at which a suspected host counts as failed. */
--- a/packages/core/src/membership/recordMerge.ts
+++ b/packages/core/src/membership/recordMerge.ts
@@ -1,5 +1,5 @@
 import { confirmMs, staleAccusationMs } from './membershipLimits.js';
-import type { MemberEntry, MemberRecord } from './membershipTypes.js';
+import type { HeldVersions, MemberEntry, MemberRecord } from './membershipTypes.js';
 import { compareStamps, isAccusation } from './memberStamp.js';
 
 /** What a record heard of means for the entry of its host. */
@@ -10,8 +10,8 @@
   | { readonly decision: 'adopt' }
   | { readonly decision: 'suspect'; readonly endsInMs: number }
   | { readonly decision: 'fail' }
-  /** Only the document version is newer. */
-  | { readonly decision: 'updateVersion' }
+  /** Only what the host holds of the control group's state is newer. */
+  | { readonly decision: 'updateVersions' }
   /** The accusation is old: a probe from here decides. */
   | { readonly decision: 'verify' };
 
@@ -53,6 +53,13 @@
   );
 }
 
+/** Whether a record tells of newer versions than an entry. */
+function holdsMore(record: HeldVersions, entry: HeldVersions): boolean {
+  return (
+    record.documentVersion > entry.documentVersion || record.shiftRevision > entry.shiftRevision
+  );
+}
+
 function decideUnknown(record: MemberRecord): MergeDecision {
   if (record.identity === undefined) return { decision: 'askIdentity' };
   return { decision: 'adopt' };
@@ -83,6 +90,6 @@
   }
   if (isVouchedFor(entry, record, source, nowMs)) return { decision: 'adopt' };
   if (record.incarnation !== entry.incarnation) return ignore;
-  if (record.documentVersion > entry.documentVersion) return { decision: 'updateVersion' };
+  if (holdsMore(record, entry)) return { decision: 'updateVersions' };
   return ignore;
 }
--- /dev/null
+++ b/packages/host/src/documents/documentFile.ts
@@ -0,0 +1,105 @@
+import { createHash } from 'node:crypto';
+import { mkdir, open, readFile, rename } from 'node:fs/promises';
+import { dirname, join } from 'node:path';
+
+import type { ControlUpdate } from '@buckthornlug/core/spreading/spreadingTypes.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+
+import { controlUpdateSchema } from './documentsSchema.js';
+
+/** The last document and steps, kept in the data folder: one line of head, one line of content. */
+
+const format = 1;
+
+/**
+ * Path of the file.
+ *
+ * @param dataFolder - data folder of the host
+ */
+export function documentFilePath(dataFolder: string): string {
+  return join(dataFolder, 'documents', 'last.json');
+}
+
+function digestOf(content: string): string {
+  return createHash('sha256').update(content).digest('hex');
+}
+
+function damaged(problem: string): Result<never, Failure> {
+  return err(failure('BL5003', `the file of the last document is damaged: ${problem}`));
+}
+
+/**
+ * Checks and decodes the content of the file.
+ *
+ * @param text - whole content
+ * @returns the update that restores a copy, or BL5003
+ */
+export function decodeDocumentFile(text: string): Result<ControlUpdate, Failure> {
+  const lineEnd = text.indexOf('\n');
+  const head = text.slice(0, Math.max(0, lineEnd));
+  const content = text.slice(lineEnd + 1);
+  if (head !== `${format} ${digestOf(content)}`) return damaged('head and content differ');
+  const parsed = controlUpdateSchema.safeParse(JSON.parse(content));
+  return parsed.success ? ok(parsed.data) : damaged('fields are missing');
+}
+
+/**
+ * Encodes the file.
+ *
+ * @param update - everything, from version 0
+ */
+export function encodeDocumentFile(update: ControlUpdate): string {
+  const content = JSON.stringify(update);
+  return `${format} ${digestOf(content)}\n${content}`;
+}
+
+/**
+ * Reads the last document.
+ *
+ * @param dataFolder - data folder of the host
+ * @returns the update that restores a copy; undefined where there is no file; BL5003 where damaged
+ */
+export async function readDocumentFile(
+  dataFolder: string,
+): Promise<Result<ControlUpdate | undefined, Failure>> {
+  const text = await readFile(documentFilePath(dataFolder), 'utf8').catch(() => undefined);
+  return text === undefined ? ok(undefined) : decodeDocumentFile(text);
+}
+
+async function replaceFile(path: string, text: string): Promise<void> {
+  const folder = dirname(path);
+  await mkdir(folder, { recursive: true });
+  const nextPath = `${path}.next`;
+  const file = await open(nextPath, 'w');
+  try {
+    await file.writeFile(text);
+    await file.sync();
+  } finally {
+    await file.close();
+  }
+  await rename(nextPath, path);
+  const directory = await open(folder, 'r');
+  try {
+    await directory.sync();
+  } finally {
+    await directory.close();
+  }
+}
+
+/**
+ * Replaces the last document; it is synced when the result is there.
+ *
+ * @param dataFolder - data folder of the host
+ * @param update - everything, from version 0
+ * @returns BL5004 where the folder cannot be written
+ */
+export function writeDocumentFile(
+  dataFolder: string,
+  update: ControlUpdate,
+): ResultAsync<void, Failure> {
+  return ResultAsync.fromPromise(
+    replaceFile(documentFilePath(dataFolder), encodeDocumentFile(update)),
+    (error) => failure('BL5004', String(error)),
+  );
+}
--- /dev/null
+++ b/packages/host/src/documents/documentsSchema.ts
@@ -0,0 +1,41 @@
+import { idSchema } from '@buckthornlug/protocol/common/primitives.js';
+import { committedStepSchema } from '@buckthornlug/protocol/shifts/shiftSchema.js';
+import { z } from 'zod';
+
+/** Messages by which hosts get changed sections and steps of shifts from each other. */
+
+const versionSchema = z.int().min(0);
+
+/** How far a host has come. */
+export const controlVersionsSchema = z.object({
+  version: versionSchema,
+  shiftRevision: versionSchema,
+});
+
+/** Versions of one host, reported on its behalf. */
+export const versionReportSchema = controlVersionsSchema.extend({ hostId: idSchema });
+
+/** Asks for what a host lacks; waits for news where it lacks nothing. */
+export const pollSchema = z.object({
+  have: controlVersionsSchema,
+  waitMs: z.number().min(0).max(10_000),
+  /** Versions of hosts that get their updates from the asking host. */
+  reports: z.array(versionReportSchema).max(500),
+});
+
+/** One section with the version that last changed it; its content was checked by the control group. */
+const versionedSectionSchema = z.object({
+  name: z.string(),
+  version: versionSchema,
+  content: z.unknown(),
+});
+
+/** Everything that a host lacks. */
+export const controlUpdateSchema = controlVersionsSchema.extend({
+  sinceVersion: versionSchema,
+  sections: z.array(versionedSectionSchema).readonly(),
+  shiftSteps: z.array(committedStepSchema).readonly(),
+});
+
+export type Poll = z.infer<typeof pollSchema>;
+export type VersionReport = z.infer<typeof versionReportSchema>;
--- a/packages/host/src/membership/memberView.ts
+++ b/packages/host/src/membership/memberView.ts
@@ -9,6 +9,7 @@
     incarnation: entry.incarnation,
     state: entry.state,
     documentVersion: entry.documentVersion,
+    shiftRevision: entry.shiftRevision,
   };
 }
 
--- a/packages/host/src/membership/membershipFeature.ts
+++ b/packages/host/src/membership/membershipFeature.ts
@@ -28,16 +28,22 @@
     const shared = parts;
     shared.membership = task.view;
     shared.rpcHandlers.membership = { deliver: task.deliver };
-    const inForce = parts.document.current();
-    if (inForce !== undefined) task.setDocumentVersion(inForce.version);
-    const endUpdates = parts.document.onChange((next) => task.setDocumentVersion(next.version));
+    shared.membershipTask = task;
+    const report = () => {
+      task.setVersions({
+        documentVersion: parts.document.current()?.version ?? 0,
+        shiftRevision: parts.shiftSteps.revision(),
+      });
+    };
+    report();
+    const endUpdates = [parts.document.onChange(report), parts.shiftSteps.onChange(report)];
     parts.adminRoutes.push((app) => registerHostsRoutes(app, task.view));
     return okAsync({
       name: 'membership',
       stopSteps: {
         leaveLookups: () => task.leave('leaving'),
         closeTasks: async () => {
-          endUpdates();
+          for (const end of endUpdates) end();
           await task.leave('left');
           task.close();
         },
--- a/packages/host/src/membership/membershipSchema.ts
+++ b/packages/host/src/membership/membershipSchema.ts
@@ -21,6 +21,7 @@
   refutation: z.int().min(0),
   state: stateSchema,
   documentVersion: z.int().min(0),
+  shiftRevision: z.int().min(0),
 });
 
 const recordSchema = stampSchema.extend({
--- a/packages/host/src/membership/membershipTask.ts
+++ b/packages/host/src/membership/membershipTask.ts
@@ -1,5 +1,6 @@
 import { MembershipMachine } from '@buckthornlug/core/membership/membership.js';
 import type {
+  HeldVersions,
   MemberEvent,
   MemberMessage,
   MembershipEffect,
@@ -20,8 +21,10 @@
   readonly view: MembershipView;
   /** Takes a message of another host; returns the messages for it. */
   readonly deliver: (fromHostId: string, message: MemberMessage) => readonly MemberMessage[];
-  /** Reports the version of the document in force on this host. */
-  readonly setDocumentVersion: (version: number) => void;
+  /** Reports what this host holds of the control group's state. */
+  readonly setVersions: (held: HeldVersions) => void;
+  /** Notes what another host said that it holds. */
+  readonly noteVersions: (hostId: string, held: HeldVersions) => void;
   /** Hosts that carry records between a zone and the others. */
   readonly relaysOf: (availabilityZone: string) => readonly string[];
   /** Tells the others that this host is leaving or has left. */
@@ -135,8 +138,10 @@
   return {
     view: runner.view,
     deliver: (fromHostId, message) => runner.deliver(fromHostId, message),
-    setDocumentVersion: (version) => {
-      runner.carryOut(machine.setDocumentVersion(version, clock.nowMs()));
+    setVersions: (held) => runner.carryOut(machine.setVersions(held, clock.nowMs())),
+    noteVersions: (hostId, held) => {
+      machine.noteVersions(hostId, held);
+      runner.view.refresh();
     },
     relaysOf: (zone) => machine.relaysOf(zone).map((entry) => entry.identity.hostId),
     leave: async (state) => {
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -13,6 +13,9 @@
 import type { Result, ResultAsync } from 'neverthrow';
 
 import type { RegisterRoutes } from '../admin/adminListener.js';
+import type { ControlStateSource } from '../documents/controlState.js';
+import type { ShiftStepHolder } from '../documents/shiftStepHolder.js';
+import type { MembershipTask } from '../membership/membershipTask.js';
 import type { RpcHandlers } from '../rpc/appRouter.js';
 import type { ForwardedCallHandler } from '../rpc/internalListener.js';
 import type { PeerClients } from '../rpc/peerClients.js';
@@ -47,6 +50,12 @@
 export interface HostParts {
   readonly document: DocumentHolder;
   membership: MembershipView;
+  /** Relays and reports of the membership; absent until its feature has started. */
+  membershipTask: MembershipTask | undefined;
+  /** Committed state of the control group, on its members only. */
+  controlState: ControlStateSource | undefined;
+  /** Steps of shifts that this host has learned of. */
+  readonly shiftSteps: ShiftStepHolder;
   readonly peers: PeerClients;
   readonly auth: RequestAuth;
   readonly rpcHandlers: Partial<RpcHandlers>;
--- a/packages/host/src/runtime/hostTypes.ts
+++ b/packages/host/src/runtime/hostTypes.ts
@@ -48,6 +48,8 @@
   readonly admin: Endpoint;
   /** Version of the document in force on the host, as last heard. */
   readonly documentVersion: number;
+  /** Revision of the steps of shifts that the host holds, as last heard; 0 where absent. */
+  readonly shiftRevision?: number;
 }
 
 /** Read access to the membership. */
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -1,6 +1,7 @@
 import { failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, errAsync } from 'neverthrow';
 
+import { createShiftStepHolder } from '../documents/shiftStepHolder.js';
 import { createPeerClients } from '../rpc/peerClients.js';
 import { createRequestAuth } from '../rpc/requestAuth.js';
 import { createDocumentHolder } from './documentHolder.js';
@@ -22,6 +23,9 @@
   const parts: HostParts = {
     document: createDocumentHolder(document),
     membership: createStaticMembership(settings, incarnation),
+    membershipTask: undefined,
+    controlState: undefined,
+    shiftSteps: createShiftStepHolder(),
     peers: createPeerClients({
       settings,
       auth,
--- a/packages/testkit/src/membership/virtualMembers.ts
+++ b/packages/testkit/src/membership/virtualMembers.ts
@@ -154,7 +154,10 @@
 
   setVersion(hostId: string, version: number): void {
     const member = this.member(hostId);
-    this.carryOut(member, member.machine.setDocumentVersion(version, this.nowMs));
+    this.carryOut(
+      member,
+      member.machine.setVersions({ documentVersion: version, shiftRevision: 0 }, this.nowMs),
+    );
   }
 
   /** State of a host as another one sees it. */
