--- /dev/null
+++ b/packages/core/src/calls/headerFields.ts
@@ -0,0 +1,81 @@
+/** Header fields as a flat list of names and values, as they came over the wire. */
+export type RawFields = readonly string[];
+
+/** Fields that speak of one connection only. */
+const hopByHopFields = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+]);
+
+/** Fields that only hosts may set. */
+const ownPrefix = 'x-buckthornlug-';
+
+/**
+ * Finds the value of a field.
+ *
+ * @param fields - flat list of names and values
+ * @param name - name in lower case
+ */
+export function fieldValue(fields: RawFields, name: string): string | undefined {
+  for (let index = 0; index + 1 < fields.length; index += 2) {
+    const candidate = fields[index];
+    if (candidate?.length === name.length && candidate.toLowerCase() === name) {
+      return fields[index + 1];
+    }
+  }
+  return undefined;
+}
+
+function namedByConnection(fields: RawFields): readonly string[] {
+  const value = fieldValue(fields, 'connection');
+  if (value === undefined) return [];
+  return value
+    .toLowerCase()
+    .split(',')
+    .map((name) => name.trim());
+}
+
+/**
+ * Keeps the fields that travel from end to end: neither those of one connection nor those that only
+ * hosts may set.
+ *
+ * @param fields - flat list of names and values
+ */
+export function endToEndFields(fields: RawFields): string[] {
+  const connectionFields = namedByConnection(fields);
+  const kept: string[] = [];
+  for (let index = 0; index + 1 < fields.length; index += 2) {
+    const name = fields[index] ?? '';
+    const lowerName = name.toLowerCase();
+    if (hopByHopFields.has(lowerName)) continue;
+    if (lowerName.startsWith(ownPrefix)) continue;
+    if (connectionFields.includes(lowerName)) continue;
+    kept.push(name, fields[index + 1] ?? '');
+  }
+  return kept;
+}
+
+/** Statuses whose answers have no body. */
+const bodylessStatuses = new Set([204, 304]);
+
+/**
+ * Tells whether the end of an answer is stated, so that a cut answer can be told from a whole one.
+ *
+ * @param method - method of the request
+ * @param status - HTTP status of the answer
+ * @param fields - header fields of the answer
+ */
+export function hasStatedEnd(method: string, status: number, fields: RawFields): boolean {
+  if (method === 'HEAD' || bodylessStatuses.has(status)) return true;
+  if (fieldValue(fields, 'content-length') !== undefined) return true;
+  const coding = fieldValue(fields, 'transfer-encoding');
+  return coding !== undefined && coding.toLowerCase().trim().endsWith('chunked');
+}
--- /dev/null
+++ b/packages/host/src/calls/acceptCall.ts
@@ -0,0 +1,143 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import { createClassifier, findKind, type Classify } from '@buckthornlug/core/calls/classify.js';
+import {
+  forwardedCallHeader,
+  forwardedCallSchema,
+} from '@buckthornlug/protocol/calls/forwardedCallSchema.js';
+import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, ok, Result } from 'neverthrow';
+
+import type { HostParts } from '../runtime/hostParts.js';
+import type { HostContext } from '../runtime/hostTypes.js';
+import type { AcceptedCall } from './callTypes.js';
+
+const numberBase = 36;
+
+/** Turns requests into accepted calls. */
+export interface CallAcceptor {
+  /** Takes a request of a caller; BL2010, BL3001 or BL3010. */
+  readonly fromCaller: (
+    request: IncomingMessage,
+    response: ServerResponse,
+  ) => Result<AcceptedCall, Failure>;
+  /** Takes a call forwarded by another host; BL2010, BL3001 or BL3010. */
+  readonly fromHost: (
+    request: IncomingMessage,
+    response: ServerResponse,
+    fromHostId: string,
+  ) => Result<AcceptedCall, Failure>;
+}
+
+const parseJson = Result.fromThrowable(
+  (text: string): unknown => JSON.parse(text),
+  () => failure('BL3010', 'the header of a forwarded call is not JSON'),
+);
+
+function parseForwarded(request: IncomingMessage) {
+  const field = request.headers[forwardedCallHeader];
+  if (typeof field !== 'string') return err(failure('BL3010', 'no header of a forwarded call'));
+  return parseJson(field).andThen((value) => {
+    const parsed = forwardedCallSchema.safeParse(value);
+    if (parsed.success) return ok(parsed.data);
+    return err(failure('BL3010', 'the header of a forwarded call has wrong fields'));
+  });
+}
+
+function withoutQuery(url: string): string {
+  const queryAt = url.indexOf('?');
+  return queryAt < 0 ? url : url.slice(0, queryAt);
+}
+
+/**
+ * Creates the acceptor of a host.
+ *
+ * @param context - context of the host
+ * @param parts - document and membership
+ */
+export function createCallAcceptor(context: HostContext, parts: HostParts): CallAcceptor {
+  const { settings, clock, incarnation } = context;
+  const idPrefix = `${settings.hostId}-${incarnation.toString(numberBase)}-`;
+  let lastNumber = 0;
+  let classifiedDocument: SteeringDocument | undefined;
+  let classify: Classify = () => undefined;
+
+  const classifierOf = (document: SteeringDocument): Classify => {
+    if (classifiedDocument !== document) {
+      classifiedDocument = document;
+      classify = createClassifier(document);
+    }
+    return classify;
+  };
+
+  const regionOfZone = (document: SteeringDocument, zone: string): string | undefined =>
+    document.network.regions.find((region) => region.availabilityZones.includes(zone))?.id;
+
+  const callerRegion = (document: SteeringDocument, request: IncomingMessage): string => {
+    const zone = parts.findCallerZone(request.socket.remoteAddress ?? '');
+    if (zone === undefined) return settings.region;
+    return regionOfZone(document, zone) ?? settings.region;
+  };
+
+  return {
+    fromCaller: (request, response) => {
+      const inForce = parts.document.current();
+      if (inForce === undefined) return err(failure('BL2010', 'no document is in force'));
+      const url = request.url ?? '/';
+      if (!url.startsWith('/')) return err(failure('BL3010', 'the path must start with a slash'));
+      const { host: hostName } = request.headers;
+      if (hostName === undefined) return err(failure('BL3010', 'the Host header is missing'));
+      const method = request.method ?? 'GET';
+      const head = { method, path: withoutQuery(url), hostName };
+      const classification = classifierOf(inForce.document)(head);
+      if (classification === undefined) return err(failure('BL3001', `${hostName} ${method}`));
+      const arrivedAtMs = clock.nowMs();
+      lastNumber += 1;
+      return ok({
+        requestId: idPrefix + lastNumber.toString(numberBase),
+        request,
+        response,
+        classification,
+        arrivedAtMs,
+        targetAtMs: arrivedAtMs + classification.targetMs,
+        deadlineAtMs: arrivedAtMs + classification.kind.timeLimitMs,
+        origin: 'caller',
+        originZone: settings.availabilityZone,
+        originRegion: callerRegion(inForce.document, request),
+        earlierAttempts: 0,
+        excluded: [],
+        crossedZones: false,
+      });
+    },
+
+    fromHost: (request, response, fromHostId) => {
+      const inForce = parts.document.current();
+      if (inForce === undefined) return err(failure('BL2010', 'no document is in force'));
+      const sender = parts.membership.find(fromHostId);
+      return parseForwarded(request).andThen((forwarded) => {
+        const { service, kind, creditId } = forwarded;
+        const classification = findKind(inForce.document, service, kind);
+        if (classification === undefined) return err(failure('BL3001', `${service} ${kind}`));
+        const arrivedAtMs = clock.nowMs();
+        const isZonePeer = sender?.availabilityZone === settings.availabilityZone;
+        return ok({
+          requestId: forwarded.requestId,
+          request,
+          response,
+          classification: { ...classification, rank: forwarded.rank },
+          arrivedAtMs,
+          targetAtMs: arrivedAtMs + forwarded.targetLeftMs,
+          deadlineAtMs: arrivedAtMs + forwarded.timeLeftMs,
+          origin: isZonePeer ? ('zonePeer' as const) : ('otherZone' as const),
+          originZone: forwarded.originZone,
+          originRegion: forwarded.originRegion,
+          earlierAttempts: forwarded.attempt,
+          excluded: forwarded.excluded,
+          crossedZones: forwarded.crossedZones,
+          ...(creditId === undefined ? {} : { creditId }),
+        });
+      });
+    },
+  };
+}
--- /dev/null
+++ b/packages/host/src/calls/attempt.ts
@@ -0,0 +1,191 @@
+import { endToEndFields, hasStatedEnd } from '@buckthornlug/core/calls/headerFields.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import type { CallOutcome } from '@buckthornlug/protocol/steering/placementTypes.js';
+import type { Dispatcher } from 'undici';
+
+import type { AnswerSink, AttemptResult } from './callTypes.js';
+import { BodyError } from './bodyError.js';
+import { CallAborted } from './callAborted.js';
+import type { RequestBody } from './requestBody.js';
+
+/** A refusal found in the head of an answer. */
+export interface HeadRefusal {
+  readonly failure: Failure;
+  readonly result: 'notRun' | 'broken';
+  readonly failedBackendId?: string;
+}
+
+/** Judges the head of an answer; undefined passes it on. */
+export type JudgeHead = (status: number, fields: readonly string[]) => HeadRefusal | undefined;
+
+/** One attempt of a call. */
+export interface AttemptPlan {
+  readonly dispatcher: Dispatcher;
+  readonly method: string;
+  readonly path: string;
+  readonly fields: readonly string[];
+  readonly body: RequestBody;
+  readonly sink: AnswerSink;
+  readonly judge: JudgeHead;
+  /** Failure to report where the other side breaks off: BL3006 or BL3014. */
+  readonly brokenCode: 'BL3006' | 'BL3014';
+  readonly signal: AbortSignal;
+  readonly nowMs: () => number;
+}
+
+function textFields(rawHeaders: unknown): string[] {
+  if (!Array.isArray(rawHeaders)) return [];
+  return (rawHeaders as (Buffer | string)[]).map((part) =>
+    typeof part === 'string' ? part : part.toString('latin1'),
+  );
+}
+
+/** State of one attempt, as the handler of the HTTP client. */
+class Attempt implements Dispatcher.DispatchHandler {
+  private readonly startedAtMs: number;
+
+  private requestStarted = false;
+
+  private answerStarted = false;
+
+  private status: number | undefined;
+
+  private refusal: HeadRefusal | undefined;
+
+  private controller: Dispatcher.DispatchController | undefined;
+
+  private isDone = false;
+
+  constructor(
+    private readonly plan: AttemptPlan,
+    private readonly done: (result: AttemptResult) => void,
+  ) {
+    this.startedAtMs = plan.nowMs();
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.plan.signal.aborted) {
+      controller.abort(this.plan.signal.reason as Error);
+      return;
+    }
+    this.requestStarted = true;
+  }
+
+  onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+    if (status < 200) return;
+    this.status = status;
+    const fields = textFields(controller.rawHeaders);
+    this.refusal = this.plan.judge(status, fields) ?? this.openEnded(status, fields);
+    if (this.refusal !== undefined) {
+      if (this.refusal.result === 'broken') controller.abort(new Error('answer refused'));
+      return;
+    }
+    this.answerStarted = true;
+    this.plan.sink.start(status, endToEndFields(fields));
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.refusal !== undefined || this.isDone) return;
+    if (this.plan.sink.write(chunk)) return;
+    controller.pause();
+    this.plan.sink.onDrain(() => controller.resume());
+  }
+
+  onResponseEnd(): void {
+    if (this.refusal !== undefined) {
+      this.finish(this.refusal.result, this.refusal.failure);
+      return;
+    }
+    if (this.isDone) return;
+    this.plan.sink.end();
+    this.finish('answered');
+  }
+
+  onResponseError(_controller: unknown, error: Error): void {
+    if (this.refusal !== undefined) {
+      this.finish(this.refusal.result, this.refusal.failure);
+      return;
+    }
+    if (error instanceof CallAborted) {
+      this.finishAborted(error);
+      return;
+    }
+    if (!this.requestStarted) {
+      this.finish('notRun', failure('BL3003', `not connected: ${error.message}`));
+      return;
+    }
+    if (error instanceof BodyError) {
+      this.finish('cancelled', error.failure);
+      return;
+    }
+    this.finish('broken', failure(this.plan.brokenCode, error.message));
+  }
+
+  /** Ends the attempt because the caller hung up or the deadline passed. */
+  abort(reason: CallAborted): void {
+    this.controller?.abort(reason);
+    this.finishAborted(reason);
+  }
+
+  private openEnded(status: number, fields: readonly string[]): HeadRefusal | undefined {
+    if (hasStatedEnd(this.plan.method, status, fields)) return undefined;
+    return { failure: failure('BL3020', `status ${status} without length`), result: 'broken' };
+  }
+
+  private finishAborted(reason: CallAborted): void {
+    if (reason.result === 'cancelled') {
+      this.finish('cancelled', failure('BL3017', 'the caller hung up'));
+      return;
+    }
+    const code = this.requestStarted ? 'BL3005' : 'BL3004';
+    this.finish('timedOut', failure(code, 'the deadline passed'));
+  }
+
+  private finish(result: CallOutcome['result'], problem?: Failure): void {
+    if (this.isDone) return;
+    this.isDone = true;
+    this.done({
+      outcome: {
+        result,
+        elapsedMs: this.plan.nowMs() - this.startedAtMs,
+        ...(this.status === undefined ? {} : { status: this.status }),
+      },
+      answerStarted: this.answerStarted,
+      requestStarted: this.requestStarted,
+      ...(problem === undefined ? {} : { failure: problem }),
+      ...(this.refusal?.failedBackendId === undefined
+        ? {}
+        : { failedBackendId: this.refusal.failedBackendId }),
+    });
+  }
+}
+
+/**
+ * Sends a call once and passes the answer to its sink while it arrives.
+ *
+ * @param plan - where to send what, and who takes the answer
+ * @returns how the attempt ended; never rejects
+ */
+export function runAttempt(plan: AttemptPlan): Promise<AttemptResult> {
+  return new Promise((resolve) => {
+    let onAbort = (): void => undefined;
+    const attempt = new Attempt(plan, (result) => {
+      plan.signal.removeEventListener('abort', onAbort);
+      resolve(result);
+    });
+    onAbort = () => attempt.abort(plan.signal.reason as CallAborted);
+    plan.signal.addEventListener('abort', onAbort);
+    plan.dispatcher.dispatch(
+      {
+        method: plan.method,
+        path: plan.path,
+        headers: plan.fields as string[],
+        body: plan.body.form === 'whole' ? plan.body.bytes : plan.body.open(),
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      },
+      attempt,
+    );
+  });
+}
--- /dev/null
+++ b/packages/host/src/calls/callAbort.ts
@@ -0,0 +1,40 @@
+import type { ServerResponse } from 'node:http';
+
+import { CallAborted } from './callAborted.js';
+
+/** Ends the work on a call when its caller hangs up or its deadline passes. */
+export interface CallAbort {
+  readonly signal: AbortSignal;
+  /** Stops watching; to be called when the call has ended. */
+  readonly dispose: () => void;
+}
+
+/**
+ * Watches a call.
+ *
+ * @param response - answer to the call
+ * @param timeLeftMs - time until the deadline
+ * @param endsWithCaller - whether the work is given up when the caller hangs up
+ */
+export function watchCall(
+  response: ServerResponse,
+  timeLeftMs: number,
+  endsWithCaller: boolean,
+): CallAbort {
+  const controller = new AbortController();
+  const onClose = () => {
+    if (!response.writableFinished) controller.abort(new CallAborted('cancelled'));
+  };
+  const timer = setTimeout(
+    () => controller.abort(new CallAborted('timedOut')),
+    Math.max(0, timeLeftMs),
+  );
+  if (endsWithCaller) response.once('close', onClose);
+  return {
+    signal: controller.signal,
+    dispose: () => {
+      clearTimeout(timer);
+      response.off('close', onClose);
+    },
+  };
+}
--- /dev/null
+++ b/packages/host/src/calls/callServer.ts
@@ -0,0 +1,125 @@
+import { requestIdHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
+import type { Failure } from '@buckthornlug/protocol/results/failure.js';
+import { failure } from '@buckthornlug/protocol/results/failure.js';
+
+import type { HostParts } from '../runtime/hostParts.js';
+import type { HostContext } from '../runtime/hostTypes.js';
+import { createStreamingSink } from './answerSinks.js';
+import { watchCall, type CallAbort } from './callAbort.js';
+import type { RunCall } from './callRunner.js';
+import type { AcceptedCall } from './callTypes.js';
+import { identityOf, runOnce } from './onceWork.js';
+import { sendRefusal } from './refusal.js';
+import { receiveBody } from './requestBody.js';
+
+/** Serves accepted calls to their end. */
+export interface CallServer {
+  /** Serves a call; the answer or refusal goes to its response. */
+  readonly serve: (call: AcceptedCall) => void;
+  readonly callsInFlight: () => number;
+  /** Resolves when no call is in flight, or after the time given. */
+  readonly whenIdle: (timeoutMs: number) => Promise<void>;
+}
+
+/** How a call ended, for the log and the metrics. */
+interface ServedCall {
+  readonly failure?: Failure | undefined;
+  readonly failedBackendId?: string | undefined;
+}
+
+/**
+ * Creates the server of calls.
+ *
+ * @param context - context of the host
+ * @param parts - ledger of the host
+ * @param runCall - places and dispatches calls
+ */
+export function createCallServer(
+  context: HostContext,
+  parts: HostParts,
+  runCall: RunCall,
+): CallServer {
+  const { limits } = context.settings;
+  let inFlight = 0;
+  const idleWaiters = new Set<() => void>();
+
+  const runAccepted = async (call: AcceptedCall, abort: CallAbort): Promise<ServedCall> => {
+    const identity = call.origin === 'caller' ? identityOf(call) : undefined;
+    const received = await receiveBody(call.request, limits, identity !== undefined);
+    if (received.isErr()) return { failure: received.error };
+    const body = received.value;
+    const extraFields = [requestIdHeader, call.requestId];
+    if (identity !== undefined && body.form === 'whole') {
+      const work = { parts, runCall };
+      return { failure: await runOnce(work, call, identity, body, abort.signal, extraFields) };
+    }
+    const sink = createStreamingSink(call.response, extraFields);
+    return runCall(call, body, sink, abort.signal);
+  };
+
+  const recordEnd = (call: AcceptedCall, served: ServedCall) => {
+    const { serviceId, kind } = call.classification;
+    const labels = { service: serviceId, kind: kind.id, rank: kind.rank };
+    const result = served.failure?.code ?? 'answered';
+    const elapsedMs = context.clock.nowMs() - call.arrivedAtMs;
+    context.metrics.count('calls_total', { ...labels, result });
+    if (served.failure === undefined) context.metrics.observeMs('call_ms', elapsedMs, labels);
+    if (served.failure === undefined || served.failure.code === 'BL3017') return;
+    context.record({
+      kind: 'callRefused',
+      requestId: call.requestId,
+      service: serviceId,
+      code: served.failure.code,
+    });
+  };
+
+  const endCall = () => {
+    inFlight -= 1;
+    if (inFlight > 0) return;
+    for (const resume of idleWaiters) resume();
+  };
+
+  const serveToEnd = async (call: AcceptedCall): Promise<void> => {
+    inFlight += 1;
+    const timeLeftMs = call.deadlineAtMs - context.clock.nowMs();
+    const isOnce = call.classification.kind.execution === 'once';
+    const abort = watchCall(call.response, timeLeftMs, !isOnce);
+    try {
+      const served = await runAccepted(call, abort);
+      const { requestId } = call;
+      if (served.failure !== undefined) {
+        const { failedBackendId } = served;
+        sendRefusal(call.response, served.failure, { requestId, failedBackendId });
+      }
+      recordEnd(call, served);
+    } catch (error) {
+      const detail = error instanceof Error ? error.message : String(error);
+      context.log.error('callDefect', { requestId: call.requestId, detail });
+      sendRefusal(call.response, failure('BL3018', detail), { requestId: call.requestId });
+    } finally {
+      abort.dispose();
+      endCall();
+    }
+  };
+
+  return {
+    serve: (call) => {
+      serveToEnd(call).catch((error: unknown) => {
+        context.log.error('callDefect', { detail: String(error) });
+      });
+    },
+    callsInFlight: () => inFlight,
+    whenIdle: (timeoutMs) =>
+      new Promise((resolve) => {
+        if (inFlight === 0) {
+          resolve();
+          return;
+        }
+        const timer = setTimeout(resolve, timeoutMs);
+        idleWaiters.add(() => {
+          clearTimeout(timer);
+          resolve();
+        });
+      }),
+  };
+}
--- /dev/null
+++ b/packages/host/src/calls/callersListener.ts
@@ -0,0 +1,69 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+
+import {
+  announcePath,
+  healthPath,
+  lookupPath,
+  reservedPathPrefix,
+} from '@buckthornlug/protocol/calls/callHeaders.js';
+import { failure } from '@buckthornlug/protocol/results/failure.js';
+import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
+
+import { answerMalformedRequests } from './malformedRequests.js';
+import { sendRefusal } from './refusal.js';
+
+/** Takes one request. */
+export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void;
+
+/** Handlers of the listener for callers. */
+export interface CallersHandlers {
+  readonly lookup: RequestHandler;
+  readonly announce: RequestHandler;
+  readonly health: RequestHandler;
+  readonly call: RequestHandler;
+  readonly onRefused: (code: string) => void;
+}
+
+/** Interval in which the server looks for heads that arrive too slowly. */
+const headCheckIntervalMs = 500;
+const keepAliveTimeoutMs = 15_000;
+
+function route(handlers: CallersHandlers, url: string): RequestHandler | undefined {
+  if (!url.startsWith(reservedPathPrefix)) return handlers.call;
+  const queryAt = url.indexOf('?');
+  const path = queryAt < 0 ? url : url.slice(0, queryAt);
+  if (path === lookupPath) return handlers.lookup;
+  if (path === announcePath) return handlers.announce;
+  if (path === healthPath) return handlers.health;
+  return undefined;
+}
+
+/**
+ * Creates the server for callers and backend servers.
+ *
+ * @param limits - bounds of heads and connections
+ * @param handlers - what answers each path
+ */
+export function createCallersServer(limits: Settings['limits'], handlers: CallersHandlers): Server {
+  const server = createServer(
+    {
+      maxHeaderSize: limits.maxHeadBytes,
+      headersTimeout: limits.headTimeoutMs,
+      requestTimeout: 0,
+      connectionsCheckingInterval: headCheckIntervalMs,
+      keepAliveTimeout: keepAliveTimeoutMs,
+      noDelay: true,
+    },
+    (request, response) => {
+      const handler = route(handlers, request.url ?? '/');
+      if (handler === undefined) {
+        sendRefusal(response, failure('BL3001', 'no such path of this host'));
+        return;
+      }
+      handler(request, response);
+    },
+  );
+  server.maxConnections = limits.maxConnections;
+  answerMalformedRequests(server, (problem) => handlers.onRefused(problem.code));
+  return server;
+}
--- /dev/null
+++ b/packages/host/src/calls/callsFeature.ts
@@ -0,0 +1,130 @@
+import type { ServerResponse } from 'node:http';
+
+import { failure } from '@buckthornlug/protocol/results/failure.js';
+import type { ResultAsync } from 'neverthrow';
+import type { Failure } from '@buckthornlug/protocol/results/failure.js';
+
+import { createAnnounceEndpoint } from '../announce/announceEndpoint.js';
+import { createLookupAnswers } from '../lookups/lookupAnswers.js';
+import { createLookupEndpoint } from '../lookups/lookupEndpoint.js';
+import type { Feature, HostParts } from '../runtime/hostParts.js';
+import type { HostContext, RunningFeature } from '../runtime/hostTypes.js';
+import { closeServer, listen } from '../runtime/listen.js';
+import { createCallAcceptor } from './acceptCall.js';
+import { createCallersServer, type RequestHandler } from './callersListener.js';
+import { createCallRunner } from './callRunner.js';
+import { createCallServer } from './callServer.js';
+import { createConnections } from './connections.js';
+import { createDispatch } from './dispatch.js';
+import { sendRefusal } from './refusal.js';
+
+const sweepIntervalMs = 10_000;
+/** Time in which a planned stop is known to all hosts, so that no look-up names the host. */
+const leaveKnownMs = 1000;
+
+/** How far a planned stop has got. */
+type StopProgress = 'serving' | 'leaving' | 'finishing';
+
+function sleep(timeMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, timeMs);
+  });
+}
+
+/** Longest time for which a look-up that names this host may be cached. */
+function longestLookupMs(parts: HostParts): number {
+  const inForce = parts.document.current();
+  if (inForce === undefined) return 0;
+  const services = Object.values(inForce.document.services);
+  return services.reduce((longest, service) => Math.max(longest, service.lookupTtlMs), 0);
+}
+
+function createHealthEndpoint(
+  context: HostContext,
+  parts: HostParts,
+  progress: () => StopProgress,
+): RequestHandler {
+  return (_request, response) => {
+    const documentVersion = parts.document.current()?.version;
+    const isReady = progress() === 'serving' && documentVersion !== undefined;
+    const state = progress();
+    const body = JSON.stringify({ hostId: context.settings.hostId, state, documentVersion });
+    response.writeHead(isReady ? 200 : 503, { 'content-type': 'application/json' });
+    response.end(body);
+  };
+}
+
+function startCalls(context: HostContext, parts: HostParts): ResultAsync<RunningFeature, Failure> {
+  const { settings, clock, metrics } = context;
+  let progress: StopProgress = 'serving';
+  const connections = createConnections(clock.nowMs);
+  const acceptor = createCallAcceptor(context, parts);
+  const runCall = createCallRunner(context, parts, createDispatch(context, parts, connections));
+  const callServer = createCallServer(context, parts, runCall);
+  const answers = createLookupAnswers(context, parts);
+  parts.document.onChange(() => answers.invalidate());
+  parts.membership.onChange(() => answers.invalidate());
+
+  const countRefused = (code: string) => metrics.count('requests_refused_total', { code });
+
+  const take = (response: ServerResponse, accept: () => ReturnType<typeof acceptor.fromCaller>) => {
+    if (progress !== 'serving') response.setHeader('connection', 'close');
+    if (progress === 'finishing') {
+      sendRefusal(response, failure('BL3016', 'the host is stopping'));
+      return;
+    }
+    const accepted = accept();
+    if (accepted.isOk()) {
+      callServer.serve(accepted.value);
+      return;
+    }
+    countRefused(accepted.error.code);
+    sendRefusal(response, accepted.error);
+  };
+
+  parts.provide({
+    forwardedCalls: (request, response, fromHostId) =>
+      take(response, () => acceptor.fromHost(request, response, fromHostId)),
+  });
+
+  const server = createCallersServer(settings.limits, {
+    lookup: createLookupEndpoint(answers),
+    announce: createAnnounceEndpoint(context, parts, connections.noteLimit),
+    health: createHealthEndpoint(context, parts, () => progress),
+    call: (request, response) => take(response, () => acceptor.fromCaller(request, response)),
+    onRefused: countRefused,
+  });
+  const sweepTimer = setInterval(connections.sweep, sweepIntervalMs);
+
+  const running: RunningFeature = {
+    name: 'calls',
+    stopSteps: {
+      leaveLookups: async () => {
+        progress = 'leaving';
+        answers.invalidate();
+        const lookupMs = longestLookupMs(parts);
+        if (lookupMs > 0) await sleep(lookupMs + leaveKnownMs + settings.timing.leaveLookupMs);
+      },
+      finishCalls: async () => {
+        progress = 'finishing';
+        await callServer.whenIdle(settings.timing.stopGraceMs);
+      },
+      closeListeners: async () => {
+        clearInterval(sweepTimer);
+        const closed = closeServer(server);
+        server.closeAllConnections();
+        await closed;
+        await connections.close();
+      },
+    },
+    status: () => ({ callsInFlight: callServer.callsInFlight(), progress }),
+  };
+  return listen(server, settings.listen.callers).map(() => running);
+}
+
+/** Listener for callers: calls, look-ups and announcements. */
+export const callsFeature: Feature = {
+  name: 'calls',
+  wanted: (settings) => settings.roles.includes('entry'),
+  start: startCalls,
+};
--- /dev/null
+++ b/packages/host/src/calls/connections.ts
@@ -0,0 +1,87 @@
+import type { Announcement } from '@buckthornlug/protocol/announce/announceSchema.js';
+import type { Endpoint } from '@buckthornlug/protocol/common/primitives.js';
+import { Pool } from 'undici';
+
+import { originOf } from '../rpc/peerClients.js';
+
+/** Connections to a backend server before its announcement was seen here. */
+const defaultConnections = 4;
+const connectionsPerHost = 512;
+const connectTimeoutMs = 1000;
+/** Time without use after which the connections to a backend server are given up. */
+const unusedMs = 30_000;
+const keepAliveMs = 4000;
+
+interface PoolEntry {
+  readonly pool: Pool;
+  readonly connections: number;
+  lastUsedAtMs: number;
+}
+
+/** Connections to backend servers and to other hosts for forwarded calls. */
+export interface Connections {
+  /** Notes how many connections a backend server takes. */
+  readonly noteLimit: (announcement: Announcement) => void;
+  readonly toBackend: (endpoint: Endpoint) => Pool;
+  readonly toHost: (endpoint: Endpoint) => Pool;
+  /** Gives up connections that were not used for long. */
+  readonly sweep: () => void;
+  readonly close: () => Promise<void>;
+}
+
+function createPool(origin: string, connections: number): Pool {
+  return new Pool(origin, {
+    connections,
+    pipelining: 1,
+    connect: { timeout: connectTimeoutMs },
+    keepAliveTimeout: keepAliveMs,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+}
+
+/**
+ * Creates the connections of a host.
+ *
+ * @param nowMs - monotonic time
+ */
+export function createConnections(nowMs: () => number): Connections {
+  const pools = new Map<string, PoolEntry>();
+  const limits = new Map<string, number>();
+
+  const poolOf = (origin: string, connections: number): Pool => {
+    const known = pools.get(origin);
+    if (known !== undefined && known.connections >= connections) {
+      known.lastUsedAtMs = nowMs();
+      return known.pool;
+    }
+    if (known !== undefined) known.pool.close().catch(() => undefined);
+    const pool = createPool(origin, connections);
+    pools.set(origin, { pool, connections, lastUsedAtMs: nowMs() });
+    return pool;
+  };
+
+  return {
+    noteLimit: (announcement) => {
+      const { slots, connectionLimit, endpoint } = announcement;
+      limits.set(originOf(endpoint), Math.min(slots, connectionLimit));
+    },
+    toBackend: (endpoint) => {
+      const origin = originOf(endpoint);
+      return poolOf(origin, limits.get(origin) ?? defaultConnections);
+    },
+    toHost: (endpoint) => poolOf(originOf(endpoint), connectionsPerHost),
+    sweep: () => {
+      for (const [origin, entry] of pools) {
+        if (nowMs() - entry.lastUsedAtMs < unusedMs) continue;
+        pools.delete(origin);
+        limits.delete(origin);
+        entry.pool.close().catch(() => undefined);
+      }
+    },
+    close: async () => {
+      await Promise.all([...pools.values()].map((entry) => entry.pool.destroy()));
+      pools.clear();
+    },
+  };
+}
--- /dev/null
+++ b/packages/host/src/calls/dispatch.ts
@@ -0,0 +1,189 @@
+import {
+  executionHeader,
+  requestIdHeader,
+  resultCodeHeader,
+  timeLeftHeader,
+} from '@buckthornlug/protocol/calls/callHeaders.js';
+import {
+  failedBackendHeader,
+  forwardedCallHeader,
+  retryAfterMsHeader,
+  type ForwardedCall,
+} from '@buckthornlug/protocol/calls/forwardedCallSchema.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { resultCodes, type ResultCode } from '@buckthornlug/protocol/results/resultCodes.js';
+import type { PendingCall, Placement } from '@buckthornlug/protocol/steering/placementTypes.js';
+import { endToEndFields, fieldValue } from '@buckthornlug/core/calls/headerFields.js';
+
+import type { HostParts } from '../runtime/hostParts.js';
+import type { HostContext } from '../runtime/hostTypes.js';
+import { runAttempt, type HeadRefusal } from './attempt.js';
+import type { AcceptedCall, AnswerSink, AttemptResult } from './callTypes.js';
+import type { Connections } from './connections.js';
+import type { RequestBody } from './requestBody.js';
+
+/** A call with what its attempts have in common. */
+export interface DispatchedCall {
+  readonly call: AcceptedCall;
+  readonly pending: PendingCall;
+  readonly body: RequestBody;
+  readonly sink: AnswerSink;
+}
+
+/** Sends calls to the places that were found for them. */
+export type Dispatch = (
+  dispatched: DispatchedCall,
+  placement: Exclude<Placement, { readonly place: 'refused' }>,
+) => Promise<AttemptResult>;
+
+const shedRetryAfterMs = 500;
+
+function isResultCode(code: string): code is ResultCode {
+  return Object.hasOwn(resultCodes, code);
+}
+
+function retryTime(fields: readonly string[]): { retryAfterMs?: number } {
+  const retryAfterMs = Number(fieldValue(fields, retryAfterMsHeader));
+  return Number.isFinite(retryAfterMs) && retryAfterMs > 0 ? { retryAfterMs } : {};
+}
+
+/** Finds the refusal of another host in the head of its answer. */
+function refusalOfHost(hostId: string, fields: readonly string[]): HeadRefusal | undefined {
+  const code = fieldValue(fields, resultCodeHeader);
+  if (code === undefined) return undefined;
+  const detail = `refused by host "${hostId}"`;
+  if (!isResultCode(code)) {
+    return { failure: failure('BL3014', `${detail} with ${code}`), result: 'broken' };
+  }
+  const isNotRun = fieldValue(fields, executionHeader) === 'notRun';
+  const failedBackendId = fieldValue(fields, failedBackendHeader);
+  return {
+    failure: failure(code, detail, retryTime(fields)),
+    result: isNotRun ? 'notRun' : 'broken',
+    ...(failedBackendId === undefined ? {} : { failedBackendId }),
+  };
+}
+
+/** Finds the proof that a backend server did not run the call in the status of its answer. */
+function refusalOfBackend(
+  call: AcceptedCall,
+  backendId: string,
+  status: number,
+): HeadRefusal | undefined {
+  if (!call.classification.service.notRunStatuses.includes(status)) return undefined;
+  const shed: Failure = failure('BL3015', `backend server "${backendId}" answered ${status}`, {
+    retryAfterMs: shedRetryAfterMs,
+  });
+  return { failure: shed, result: 'notRun', failedBackendId: backendId };
+}
+
+function timeLeftMs(context: HostContext, pending: PendingCall): number {
+  return Math.max(0, Math.round(pending.deadlineAtMs - context.clock.nowMs()));
+}
+
+function describeForwarded(
+  context: HostContext,
+  { call, pending }: DispatchedCall,
+  crossesZones: boolean,
+  creditId: string | undefined,
+): ForwardedCall {
+  return {
+    requestId: call.requestId,
+    service: pending.service,
+    kind: pending.kind,
+    rank: pending.rank,
+    timeLeftMs: timeLeftMs(context, pending),
+    targetLeftMs: Math.round(pending.targetAtMs - context.clock.nowMs()),
+    attempt: pending.attempt,
+    excluded: [...pending.excluded],
+    originZone: call.originZone,
+    originRegion: call.originRegion,
+    crossedZones: call.crossedZones || crossesZones,
+    ...(creditId === undefined ? {} : { creditId }),
+  };
+}
+
+/** Attempt that ended before anything was sent. */
+function notSent(problem: Failure): AttemptResult {
+  return {
+    outcome: { result: 'notRun', elapsedMs: 0 },
+    failure: problem,
+    answerStarted: false,
+    requestStarted: false,
+  };
+}
+
+/**
+ * Creates the dispatch of a host.
+ *
+ * @param context - context of the host
+ * @param parts - addresses and signatures of requests to other hosts
+ * @param connections - connections to backend servers and hosts
+ */
+export function createDispatch(
+  context: HostContext,
+  parts: HostParts,
+  connections: Connections,
+): Dispatch {
+  const common = ({ call, pending, body, sink }: DispatchedCall) => ({
+    method: call.request.method ?? 'GET',
+    path: call.request.url ?? '/',
+    body,
+    sink,
+    signal: pending.signal,
+    nowMs: context.clock.nowMs,
+  });
+
+  const toBackend = (
+    dispatched: DispatchedCall,
+    placement: Extract<Placement, { readonly place: 'backend' }>,
+  ) => {
+    const { call, pending } = dispatched;
+    const fields = endToEndFields(call.request.rawHeaders);
+    fields.push(requestIdHeader, call.requestId);
+    fields.push(timeLeftHeader, String(timeLeftMs(context, pending)));
+    return runAttempt({
+      ...common(dispatched),
+      dispatcher: connections.toBackend(placement.endpoint),
+      fields,
+      judge: (status) => refusalOfBackend(call, placement.backendId, status),
+      brokenCode: 'BL3006',
+    });
+  };
+
+  const toHost = (
+    dispatched: DispatchedCall,
+    placement: Extract<Placement, { readonly place: 'host' }>,
+  ) => {
+    const { call } = dispatched;
+    const { hostId, creditId } = placement;
+    const endpoint = parts.peers.addressOf(hostId);
+    const zone = parts.membership.find(hostId)?.availabilityZone;
+    if (endpoint === undefined || zone === undefined) {
+      return Promise.resolve(notSent(failure('BL3003', `host "${hostId}" is not known`)));
+    }
+    const crossesZones = zone !== context.settings.availabilityZone;
+    const mayForward = call.origin === 'caller' || (call.origin === 'zonePeer' && crossesZones);
+    if (!mayForward || (call.crossedZones && crossesZones)) {
+      return Promise.resolve(notSent(failure('BL3011', `to host "${hostId}"`)));
+    }
+    const forwarded = describeForwarded(context, dispatched, crossesZones, creditId);
+    const plan = common(dispatched);
+    const fields = endToEndFields(call.request.rawHeaders);
+    const signature = parts.auth.sign({ method: plan.method, path: plan.path });
+    for (const [name, value] of Object.entries(signature)) fields.push(name, value);
+    fields.push(forwardedCallHeader, JSON.stringify(forwarded));
+    return runAttempt({
+      ...plan,
+      dispatcher: connections.toHost(endpoint),
+      fields,
+      judge: (_status, answerFields) => refusalOfHost(hostId, answerFields),
+      brokenCode: 'BL3014',
+    });
+  };
+
+  return (dispatched, placement) => {
+    if (placement.place === 'backend') return toBackend(dispatched, placement);
+    return toHost(dispatched, placement);
+  };
+}
--- /dev/null
+++ b/packages/host/src/calls/malformedRequests.ts
@@ -0,0 +1,48 @@
+import type { Server } from 'node:http';
+import type { Socket } from 'node:net';
+
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+
+import { encodeRefusal } from './refusal.js';
+
+/** Error of the HTTP parser or of a time limit of the server. */
+interface ClientError extends Error {
+  readonly code?: string;
+}
+
+function failureOf(error: ClientError): Failure {
+  if (error.code === 'HPE_HEADER_OVERFLOW') return failure('BL3008', 'the head is too large');
+  if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') return failure('BL3009', 'the head is too slow');
+  return failure('BL3010', error.code ?? 'the request cannot be parsed');
+}
+
+function writeRefusal(socket: Socket, problem: Failure): void {
+  const refusal = encodeRefusal(problem, { closes: true });
+  let head = `HTTP/1.1 ${refusal.status} Refused\r\n`;
+  for (let index = 0; index + 1 < refusal.fields.length; index += 2) {
+    head += `${refusal.fields[index]}: ${refusal.fields[index + 1]}\r\n`;
+  }
+  socket.end(Buffer.concat([Buffer.from(`${head}\r\n`), refusal.body]));
+}
+
+/**
+ * Answers requests that the HTTP parser cannot take with their result code.
+ *
+ * @param server - server of callers
+ * @param onRefused - told of each refusal
+ */
+export function answerMalformedRequests(
+  server: Server,
+  onRefused: (problem: Failure) => void,
+): void {
+  server.on('clientError', (error: ClientError, socket) => {
+    const { _httpMessage: openAnswer } = socket as { _httpMessage?: { headersSent: boolean } };
+    if (error.code === 'ECONNRESET' || !socket.writable || openAnswer?.headersSent === true) {
+      socket.destroy();
+      return;
+    }
+    const problem = failureOf(error);
+    onRefused(problem);
+    writeRefusal(socket as Socket, problem);
+  });
+}
--- /dev/null
+++ b/packages/host/src/calls/onceWork.ts
@@ -0,0 +1,110 @@
+import { createHash } from 'node:crypto';
+
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import type { LedgerKey } from '@buckthornlug/protocol/steering/ledgerTypes.js';
+
+import type { HostParts } from '../runtime/hostParts.js';
+import { createStoringSink, sendStored } from './answerSinks.js';
+import type { RunCall, RunResult } from './callRunner.js';
+import type { AcceptedCall } from './callTypes.js';
+import type { RequestBody } from './requestBody.js';
+
+/** Largest answer that is kept for resends. */
+const maxStoredAnswerBytes = 1024 * 1024;
+
+/** A whole body. */
+type WholeBody = Extract<RequestBody, { readonly form: 'whole' }>;
+
+/**
+ * Finds the identity of once-only work; undefined for work that has none.
+ *
+ * @param call - classified call
+ */
+export function identityOf(call: AcceptedCall): string | undefined {
+  const { kind } = call.classification;
+  if (kind.execution !== 'once' || kind.identity === undefined) return undefined;
+  const identity = call.request.headers[kind.identity.header];
+  if (typeof identity !== 'string' || identity === '') return undefined;
+  return identity;
+}
+
+function ledgerKey(call: AcceptedCall, identity: string, body: WholeBody): LedgerKey {
+  const { serviceId, kind } = call.classification;
+  const digest = createHash('sha256');
+  digest.update(`${call.request.method}\n${call.request.url}\n`);
+  if (body.bytes !== null) digest.update(body.bytes);
+  return {
+    service: serviceId,
+    kind: kind.id,
+    identity,
+    requestDigest: digest.digest('base64url'),
+  };
+}
+
+/** What once-only work is given. */
+export interface OnceWorkParts {
+  readonly parts: HostParts;
+  readonly runCall: RunCall;
+}
+
+/** Commits the outcome, then sends the answer. */
+async function finishOnce(
+  work: OnceWorkParts,
+  call: AcceptedCall,
+  intentId: string,
+  result: RunResult,
+  sink: ReturnType<typeof createStoringSink>,
+  extraFields: readonly string[],
+): Promise<Failure | undefined> {
+  const { ledger } = work.parts;
+  if (result.failure === undefined) {
+    const answer = sink.stored();
+    const finished = await ledger.finish(intentId, { outcome: 'answered', answer });
+    if (finished.isErr()) return failure('BL9002', finished.error.detail);
+    if (answer.bodyBase64 === undefined) return failure('BL9003', 'the answer was not kept');
+    sink.sendTo(call.response, extraFields);
+    return undefined;
+  }
+  if (result.isNotRun) {
+    await ledger.finish(intentId, { outcome: 'notRun' });
+    return result.failure;
+  }
+  await ledger.finish(intentId, { outcome: 'unknown' });
+  return failure('BL9002', result.failure.detail);
+}
+
+/**
+ * Runs once-only work: commits the intent before the dispatch and the outcome before the answer.
+ *
+ * @param work - ledger and runner of calls
+ * @param call - classified call with an identity
+ * @param identity - identity of the work
+ * @param body - whole body
+ * @param signal - aborted when the deadline passes
+ * @param extraFields - header fields that are added to the answer
+ * @returns the failure to send, or undefined where an answer was sent
+ */
+export async function runOnce(
+  work: OnceWorkParts,
+  call: AcceptedCall,
+  identity: string,
+  body: WholeBody,
+  signal: AbortSignal,
+  extraFields: readonly string[],
+): Promise<Failure | undefined> {
+  const { ledger } = work.parts;
+  const { ledgerGroups } = call.classification.kind;
+  const key = ledgerKey(call, identity, body);
+  const decision = await ledger.begin(key, ledgerGroups, call.deadlineAtMs);
+  if (decision.decision === 'refused') return decision.failure;
+  if (decision.decision === 'replay') {
+    if (decision.answer.bodyBase64 === undefined) {
+      return failure('BL9003', 'the answer was not kept');
+    }
+    sendStored(call.response, decision.answer, extraFields);
+    return undefined;
+  }
+  const sink = createStoringSink(maxStoredAnswerBytes);
+  const result = await work.runCall(call, body, sink, signal);
+  return finishOnce(work, call, decision.intentId, result, sink, extraFields);
+}
--- /dev/null
+++ b/packages/host/src/calls/requestBody.ts
@@ -0,0 +1,118 @@
+import type { IncomingMessage } from 'node:http';
+import type { Readable } from 'node:stream';
+
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, ok, type Result } from 'neverthrow';
+
+import { BodyGuard, type BodyLimits } from './bodyGuard.js';
+
+/** The body of a call: kept whole, or streamed from the caller once. */
+export type RequestBody =
+  | { readonly form: 'whole'; readonly bytes: Buffer | null }
+  | { readonly form: 'stream'; readonly open: () => Readable };
+
+function statedLength(request: IncomingMessage): number | undefined {
+  const field = request.headers['content-length'];
+  return field === undefined ? undefined : Number(field);
+}
+
+/**
+ * Tells whether a request has a body at all.
+ *
+ * @param request - request whose head has arrived
+ */
+function hasBody(request: IncomingMessage): boolean {
+  if (request.headers['transfer-encoding'] !== undefined) return true;
+  return (statedLength(request) ?? 0) > 0;
+}
+
+function tooLarge(limits: BodyLimits): Failure {
+  return failure('BL3007', `a body may have ${limits.maxBodyBytes} bytes`);
+}
+
+/** Result of receiving a body. */
+type Received = Result<RequestBody, Failure>;
+
+/** Reads a body up to a bound; what is beyond it stays in the request. */
+class BodyReader {
+  private readonly chunks: Buffer[] = [];
+
+  private keptBytes = 0;
+
+  private readonly idleTimer: NodeJS.Timeout;
+
+  constructor(
+    private readonly request: IncomingMessage,
+    private readonly keepBytes: number,
+    private readonly limits: BodyLimits,
+    private readonly done: (received: Received) => void,
+  ) {
+    this.idleTimer = setTimeout(
+      () => this.finish(err(failure('BL3009', 'the body paused for too long'))),
+      limits.idleBodyTimeoutMs,
+    );
+  }
+
+  /** Begins to read. */
+  start(): void {
+    this.request.on('data', this.onData);
+    this.request.once('end', this.onEnd);
+    this.request.once('close', this.onClose);
+  }
+
+  private readonly onData = (chunk: Buffer): void => {
+    this.idleTimer.refresh();
+    this.chunks.push(chunk);
+    this.keptBytes += chunk.length;
+    if (this.keptBytes > this.limits.maxBodyBytes) {
+      this.finish(err(tooLarge(this.limits)));
+      return;
+    }
+    if (this.keptBytes <= this.keepBytes) return;
+    this.finish(ok({ form: 'stream', open: () => new BodyGuard(this.request, this.limits) }));
+    this.request.unshift(Buffer.concat(this.chunks));
+  };
+
+  private readonly onEnd = (): void => {
+    this.finish(ok({ form: 'whole', bytes: Buffer.concat(this.chunks) }));
+  };
+
+  private readonly onClose = (): void => {
+    this.finish(err(failure('BL3017', 'the caller hung up inside the body')));
+  };
+
+  private finish(received: Received): void {
+    clearTimeout(this.idleTimer);
+    this.request.off('data', this.onData);
+    this.request.off('end', this.onEnd);
+    this.request.off('close', this.onClose);
+    this.request.pause();
+    this.done(received);
+  }
+}
+
+/**
+ * Receives the body of a call. A body up to `replayBodyBytes` is kept whole, so that it can be sent
+ * again; a larger one is streamed once.
+ *
+ * @param request - request whose head has arrived
+ * @param limits - bounds of the body
+ * @param whole - whether the body must be kept whole up to its largest size
+ * @returns the body; BL3007 too large, BL3009 too slow, BL3017 broken off
+ */
+export function receiveBody(
+  request: IncomingMessage,
+  limits: BodyLimits,
+  whole: boolean,
+): Promise<Received> | Received {
+  if (!hasBody(request)) return ok({ form: 'whole', bytes: null });
+  const lengthBytes = statedLength(request);
+  if (lengthBytes !== undefined && lengthBytes > limits.maxBodyBytes) return err(tooLarge(limits));
+  const keepBytes = whole ? limits.maxBodyBytes : limits.replayBodyBytes;
+  if (lengthBytes !== undefined && lengthBytes > keepBytes) {
+    return ok({ form: 'stream', open: () => new BodyGuard(request, limits) });
+  }
+  return new Promise((resolve) => {
+    new BodyReader(request, keepBytes, limits, resolve).start();
+  });
+}
--- /dev/null
+++ b/packages/host/src/lookups/lookupAnswers.ts
@@ -0,0 +1,95 @@
+import { orderHosts } from '@buckthornlug/core/lookups/lookupOrder.js';
+import type { LookupReply } from '@buckthornlug/protocol/lookup/lookupSchema.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, ok, type Result } from 'neverthrow';
+
+import type { HostParts } from '../runtime/hostParts.js';
+import type { DocumentInForce, HostContext, HostRecord } from '../runtime/hostTypes.js';
+
+/** Hosts named in one answer. */
+const maxHosts = 8;
+
+/** An answer ready to be sent. */
+export interface EncodedAnswer {
+  readonly fields: readonly string[];
+  readonly body: Buffer;
+}
+
+/** Answers look-ups from memory. */
+export interface LookupAnswers {
+  /**
+   * Finds the hosts for a caller.
+   *
+   * @returns the answer; BL2010, BL7001 or BL7003
+   */
+  readonly answer: (service: string, callerAddress: string) => Result<EncodedAnswer, Failure>;
+  /** Forgets all answers, so that they are worked out anew. */
+  readonly invalidate: () => void;
+}
+
+function takesCalls(host: HostRecord): boolean {
+  return (host.state === 'alive' || host.state === 'suspected') && host.roles.includes('entry');
+}
+
+function encode(reply: LookupReply): EncodedAnswer {
+  const body = Buffer.from(JSON.stringify(reply));
+  const fields = ['content-type', 'application/json', 'content-length', String(body.length)];
+  return { fields, body };
+}
+
+/**
+ * Creates the answers of a host. One answer is kept for each pair of zone and service until the
+ * document or the membership changes.
+ *
+ * @param context - context of the host
+ * @param parts - document, membership and zones of callers
+ */
+export function createLookupAnswers(context: HostContext, parts: HostParts): LookupAnswers {
+  const { settings } = context;
+  const answers = new Map<string, Map<string, Result<EncodedAnswer, Failure>>>();
+
+  const compute = (
+    inForce: DocumentInForce,
+    service: string,
+    zone: string,
+  ): Result<EncodedAnswer, Failure> => {
+    const { network, services } = inForce.document;
+    const known = services[service];
+    if (known === undefined) return err(failure('BL7001', `service "${service}"`));
+    const region = network.regions.find((entry) => entry.availabilityZones.includes(zone));
+    const ordered = orderHosts(network, parts.membership.hosts().filter(takesCalls), {
+      service,
+      availabilityZone: zone,
+      region: region?.id ?? settings.region,
+      poolOwnerId: parts.poolOwner(zone, service),
+    });
+    if (ordered.length === 0) return err(failure('BL7003', 'no host takes calls'));
+    const hosts = ordered.slice(0, maxHosts).map((host) => ({
+      hostId: host.hostId,
+      availabilityZone: host.availabilityZone,
+      address: host.callers.address,
+      port: host.callers.port,
+    }));
+    const ttlMs = known.lookupTtlMs;
+    return ok(encode({ service, documentVersion: inForce.version, ttlMs, hosts }));
+  };
+
+  return {
+    answer: (service, callerAddress) => {
+      const inForce = parts.document.current();
+      if (inForce === undefined) return err(failure('BL2010', 'no document is in force'));
+      const zone = parts.findCallerZone(callerAddress) ?? settings.availabilityZone;
+      let ofZone = answers.get(zone);
+      if (ofZone === undefined) {
+        ofZone = new Map();
+        answers.set(zone, ofZone);
+      }
+      const known = ofZone.get(service);
+      if (known !== undefined) return known;
+      const computed = compute(inForce, service, zone);
+      if (computed.isOk()) ofZone.set(service, computed);
+      return computed;
+    },
+    invalidate: () => answers.clear(),
+  };
+}
--- a/packages/host/src/rpc/internalListener.ts
+++ b/packages/host/src/rpc/internalListener.ts
@@ -1,10 +1,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
-import { resultCodeHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
-import type { Failure } from '@buckthornlug/protocol/results/failure.js';
-import { resultCodes } from '@buckthornlug/protocol/results/resultCodes.js';
 import { nodeHTTPRequestHandler } from '@trpc/server/adapters/node-http';
 
+import { sendRefusal } from '../calls/refusal.js';
 import type { AppRouter } from './appRouter.js';
 import type { RequestAuth } from './requestAuth.js';
 
@@ -28,16 +26,6 @@
   readonly forwardedCalls: () => ForwardedCallHandler;
 }
 
-function refuse(response: ServerResponse, refusal: Failure): void {
-  const body = JSON.stringify({ code: refusal.code, detail: refusal.detail });
-  response.writeHead(resultCodes[refusal.code].httpStatus, {
-    'content-type': 'application/json',
-    [resultCodeHeader]: refusal.code,
-    connection: 'close',
-  });
-  response.end(body);
-}
-
 /**
  * Creates the server for requests of other hosts: procedures under `/rpc`, forwarded calls elsewhere.
  *
@@ -47,7 +35,7 @@
   const server = createServer((request, response) => {
     const sender = parts.auth.authenticate(request);
     if (sender.isErr()) {
-      refuse(response, sender.error);
+      sendRefusal(response, sender.error);
       return;
     }
     const url = request.url ?? '/';
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -39,16 +39,9 @@
 /** Finds the availability zone nearest to a caller's address. */
 export type FindCallerZone = (callerAddress: string) => string | undefined;
 
-/**
- * What the features of a host give to each other. A feature sets the members that it owns while it
- * starts; others read them at each use. features.ts gives the order of starts.
- */
-export interface HostParts {
-  readonly document: DocumentHolder;
+/** The parts that features provide, each by its owner while it starts. */
+export interface ProvidedParts {
   membership: MembershipView;
-  readonly peers: PeerClients;
-  readonly auth: RequestAuth;
-  readonly rpcHandlers: Partial<RpcHandlers>;
   /** Takes the calls that other hosts forward. */
   forwardedCalls: ForwardedCallHandler;
   placeCall: PlaceCall;
@@ -56,8 +49,21 @@
   receiveAnnouncement: ReceiveAnnouncement;
   ledger: LedgerHooks;
   findCallerZone: FindCallerZone;
-  /** Hosts that own the pool of a service in a zone, the owner first; empty where not known. */
+  /** Host that owns the pool of a service in a zone; undefined where not known. */
   poolOwner: (availabilityZone: string, service: string) => string | undefined;
+}
+
+/**
+ * What the features of a host give to each other. Provided parts are read at each use, since a later
+ * feature may replace them. features.ts gives the order of starts.
+ */
+export interface HostParts extends ProvidedParts {
+  /** Sets the parts that a feature owns. */
+  readonly provide: (owned: Partial<ProvidedParts>) => void;
+  readonly document: DocumentHolder;
+  readonly peers: PeerClients;
+  readonly auth: RequestAuth;
+  readonly rpcHandlers: Partial<RpcHandlers>;
   /** Features that have started so far, for `status`. */
   readonly running: RunningFeature[];
 }
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -20,6 +20,9 @@
   const notStarted = failure('BL3003', 'the host has not started yet', { retryAfterMs: 500 });
   const noLedger = failure('BL9001', 'the ledger has not started', { retryAfterMs: 1000 });
   const parts: HostParts = {
+    provide: (owned) => {
+      Object.assign(parts, owned);
+    },
     document: createDocumentHolder(document),
     membership: createStaticMembership(settings, incarnation),
     peers: createPeerClients(settings, auth, (hostId) => parts.membership.find(hostId)?.internal),
--- a/packages/protocol/src/results/resultCodes.ts
+++ b/packages/protocol/src/results/resultCodes.ts
@@ -92,6 +92,7 @@
   },
   BL2010: {
     httpStatus: 503,
+    truth: 'notRun',
     meaning: 'No document is in force on this host yet.',
     action: 'Try again, or another host.',
   },
@@ -204,6 +205,18 @@
     meaning: 'A defect stopped the call.',
     action: 'Report it with the log lines of the request.',
   },
+  BL3019: {
+    httpStatus: 400,
+    truth: 'unknown',
+    meaning: 'The body broke off or grew too large after a backend server had started on the call.',
+    action: 'Repeat only idempotent work; send the whole body without pauses.',
+  },
+  BL3020: {
+    httpStatus: 502,
+    truth: 'ran',
+    meaning: 'The answer of the backend server states no end, so it cannot be proved whole.',
+    action: 'Let the backend server send a length or a chunked coding.',
+  },
 
   BL4001: {
     httpStatus: 400,
@@ -255,6 +268,7 @@
 
   BL6001: {
     httpStatus: 401,
+    truth: 'notRun',
     meaning: 'The request between hosts has no valid key.',
     action: 'Check the cluster keys of both hosts.',
   },
