--- a/packages/host/src/rpc/internalListener.ts
+++ b/packages/host/src/rpc/internalListener.ts
@@ -1,10 +1,14 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
+import { formatHybridTime } from '@buckthornlug/core/timeline/hybridClock.js';
+import { clockHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
 import { nodeHTTPRequestHandler } from '@trpc/server/adapters/node-http';
 
 import { sendRefusal } from '../calls/refusal.js';
 import type { AppRouter } from './appRouter.js';
 import type { RequestAuth } from './requestAuth.js';
+import { observeClockHeader } from '../timeline/clockHeader.js';
+import type { TimelineRecorder } from '../timeline/timelineRecorder.js';
 
 const rpcPrefix = '/rpc/';
 /** Largest body of a request between hosts. */
@@ -22,10 +26,21 @@
 export interface InternalListenerParts {
   readonly router: AppRouter;
   readonly auth: RequestAuth;
+  readonly timeline: Pick<TimelineRecorder, 'readClock' | 'observeClock'>;
   /** Handler of forwarded calls at the moment of the request. */
   readonly forwardedCalls: () => ForwardedCallHandler;
 }
 
+/** Takes in the sender's clock and sends back the own one. */
+function exchangeClocks(
+  timeline: InternalListenerParts['timeline'],
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  observeClockHeader(timeline, request.headers[clockHeader]);
+  response.setHeader(clockHeader, formatHybridTime(timeline.readClock()));
+}
+
 /**
  * Creates the server for requests of other hosts: procedures under `/rpc`, forwarded calls elsewhere.
  *
@@ -38,6 +53,7 @@
       sendRefusal(response, sender.error);
       return;
     }
+    exchangeClocks(parts.timeline, request, response);
     const url = request.url ?? '/';
     if (!url.startsWith(rpcPrefix)) {
       parts.forwardedCalls()(request, response, sender.value);
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -12,6 +12,7 @@
 import type { MayRetry, PlaceCall } from '@buckthornlug/protocol/steering/placementTypes.js';
 import type { Result, ResultAsync } from 'neverthrow';
 
+import type { RegisterRoutes } from '../admin/adminListener.js';
 import type { RpcHandlers } from '../rpc/appRouter.js';
 import type { ForwardedCallHandler } from '../rpc/internalListener.js';
 import type { PeerClients } from '../rpc/peerClients.js';
@@ -64,6 +65,8 @@
   readonly peers: PeerClients;
   readonly auth: RequestAuth;
   readonly rpcHandlers: Partial<RpcHandlers>;
+  /** Routes of the administration API; features add theirs while they start. */
+  readonly adminRoutes: RegisterRoutes[];
   /** Features that have started so far, for `status`. */
   readonly running: RunningFeature[];
 }
