--- a/packages/testkit/src/scenarios/scenarioDocument.ts
+++ b/packages/testkit/src/scenarios/scenarioDocument.ts
@@ -74,7 +74,10 @@
     format: 1,
     teams: [{ id: scenarioTeam.id, sections: ['*'], keys: [scenarioTeam.key] }],
     network: {
-      regions: Object.entries(regions).map(([id, availabilityZones]) => ({ id, availabilityZones })),
+      regions: Object.entries(regions).map(([id, availabilityZones]) => ({
+        id,
+        availabilityZones,
+      })),
       links,
       zoneDelayMs: 1,
       callerDelayMs: 1,
