--- a/packages/core/src/ledger/ledgerMachine.ts
+++ b/packages/core/src/ledger/ledgerMachine.ts
@@ -86,7 +86,7 @@
     if (command.outcome.outcome === 'answered') {
       store.markAnswered(record, command.outcome.answer, logIndex);
     } else if (command.outcome.outcome === 'notRun') {
-      store.free(record);
+      store.free(record, command.atMs);
     } else {
       store.markUnknown(record);
     }
@@ -100,7 +100,7 @@
       return { reply: 'cancelled' };
     }
     if (record.state === 'answered') return { reply: 'ended' };
-    store.free(record);
+    store.free(record, command.beganAtMs);
     return { reply: 'cancelled' };
   };
 
--- a/packages/core/src/ledger/ledgerStore.ts
+++ b/packages/core/src/ledger/ledgerStore.ts
@@ -83,10 +83,15 @@
     this.evictAnswers();
   }
 
-  /** Frees an identity; its intent can never start again. */
-  free(record: LedgerRecord): void {
+  /**
+   * Frees an identity; its intent can never start again.
+   *
+   * @param record - record of the intent
+   * @param lastBeginAtMs - time of the holder after its last begin command of the intent
+   */
+  free(record: LedgerRecord, lastBeginAtMs: number): void {
     this.remove(keyId(record.key), record);
-    this.cancel(record.intentId, record.beganAtMs);
+    this.cancel(record.intentId, Math.max(record.beganAtMs, lastBeginAtMs));
   }
 
   /** Makes sure that an intent never starts. */
--- /dev/null
+++ b/packages/host/src/ledger/ledgerReplies.ts
@@ -0,0 +1,50 @@
+import type { LedgerReply } from '@buckthornlug/protocol/ledger/ledgerSchema.js';
+import { failure } from '@buckthornlug/protocol/results/failure.js';
+import type { LedgerDecision } from '@buckthornlug/protocol/steering/ledgerTypes.js';
+
+const retryAfterMs = 1000;
+
+/** Builds the refusal of a call that was proved not to have started. */
+export function notStarted(detail: string): LedgerDecision {
+  return { decision: 'refused', failure: failure('BL9001', detail, { retryAfterMs }) };
+}
+
+/** Builds the refusal of a call whose work may have been started. */
+export function outcomeUnknown(detail: string): LedgerDecision {
+  return { decision: 'refused', failure: failure('BL9002', detail) };
+}
+
+/** Builds the refusal of a resend whose first attempt is running still. */
+export function stillRunning(): LedgerDecision {
+  const detail = 'the first attempt has not ended';
+  return { decision: 'refused', failure: failure('BL9005', detail, { retryAfterMs }) };
+}
+
+/**
+ * Turns a final reply to a begin command into what the call is told.
+ *
+ * @param reply - reply of the ledger
+ * @param intentId - intent of the call
+ * @param group - name of the ledger group
+ * @returns the decision, or undefined where the first attempt is running and the call must wait
+ */
+export function decisionOf(
+  reply: LedgerReply,
+  intentId: string,
+  group: string,
+): LedgerDecision | undefined {
+  if (reply.reply === 'running') return undefined;
+  if (reply.reply === 'run') return { decision: 'run', intentId, group };
+  if (reply.reply === 'replay') return { decision: 'replay', answer: reply.answer };
+  if (reply.reply === 'unknown') return outcomeUnknown('no outcome was recorded in time');
+  if (reply.reply === 'answerNotKept') {
+    return { decision: 'refused', failure: failure('BL9003', 'the answer is no longer kept') };
+  }
+  if (reply.reply === 'otherRequest') {
+    const detail = 'method, path or body differ from the first request';
+    return { decision: 'refused', failure: failure('BL9004', detail) };
+  }
+  if (reply.reply === 'refused')
+    return notStarted(`the ledger refused the intent: ${reply.reason}`);
+  return outcomeUnknown(`the ledger answered "${reply.reply}" to a begin command`);
+}
--- /dev/null
+++ b/packages/host/src/ledger/ledgerTask.ts
@@ -0,0 +1,276 @@
+import { ledgerGroupOf } from '@buckthornlug/core/ledger/ledgerGroup.js';
+import type {
+  BeginCommand,
+  IntentHolder,
+  LedgerCommand,
+  LedgerReply,
+} from '@buckthornlug/protocol/ledger/ledgerSchema.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import type {
+  LedgerDecision,
+  LedgerKey,
+  LedgerOutcome,
+} from '@buckthornlug/protocol/steering/ledgerTypes.js';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+
+import type { LedgerHooks } from '../runtime/hostParts.js';
+import { decisionOf, notStarted, outcomeUnknown, stillRunning } from './ledgerReplies.js';
+import type { LedgerGroup, LedgerTaskParts, OpenIntent } from './ledgerTaskTypes.js';
+
+/** Waits between two tries of a command. */
+const firstBackoffMs = 25;
+const maxBackoffMs = 400;
+/** Part of the time left that the start of a call may take. */
+const beginShare = 0.5;
+/** Time kept back from a waiting resend to tell its caller. */
+const replyMarginMs = 20;
+/** Shortest time in which the end of an intent is tried while its caller waits. */
+const minEndMs = 500;
+/** Time for which the end of an intent is tried after its caller was told. */
+const backgroundEndMs = 600_000;
+
+/** Whether a command that failed with that code may have been committed. */
+function mayBeCommitted(problem: Failure): boolean {
+  return problem.code !== 'BL5001';
+}
+
+/** The ledger of a host: commits intents before dispatch and outcomes before answers. */
+export class LedgerTask implements LedgerHooks {
+  private readonly open = new Map<string, OpenIntent>();
+
+  private readonly background = new Set<Promise<void>>();
+
+  private readonly stopping = new AbortController();
+
+  private intents = 0;
+
+  private lastAtMs = 0;
+
+  constructor(private readonly parts: LedgerTaskParts) {}
+
+  readonly begin = async (
+    key: LedgerKey,
+    groups: readonly string[],
+    deadlineAtMs: number,
+  ): Promise<LedgerDecision> => {
+    const groupId = ledgerGroupOf(key, groups);
+    const group = groupId === undefined ? undefined : this.parts.findGroup(groupId);
+    if (group === undefined) return notStarted(`ledger group "${groupId}" is not known here`);
+    const startedAtMs = this.nowMs();
+    const { service, kind } = key;
+    const intent = { intentId: this.nextIntentId(), group, service, kind, deadlineAtMs };
+    const decision = await this.tryBegin(key, intent);
+    const labels = { service, decision: decision.decision };
+    this.parts.context.metrics.observeMs('ledger_begin', this.nowMs() - startedAtMs, labels);
+    if (decision.decision === 'run') this.open.set(intent.intentId, intent);
+    this.recordBegin(intent, decision);
+    return decision;
+  };
+
+  readonly finish = (intentId: string, outcome: LedgerOutcome): ResultAsync<void, Failure> =>
+    new ResultAsync(this.tryFinish(intentId, outcome));
+
+  /** Intents whose end is not committed yet. */
+  openIntents(): number {
+    return this.open.size;
+  }
+
+  /** Declares the intents of former lives of this host unknown; repeated until committed. */
+  loseFormerLives(group: LedgerGroup): void {
+    const { settings, incarnation } = this.parts.context;
+    const { hostId } = settings;
+    const command: LedgerCommand = { type: 'loseHolder', hostId, maxIncarnation: incarnation - 1 };
+    this.inBackground(group, command, (reply) => {
+      if (reply.reply === 'lost' && reply.intents > 0) {
+        this.recordUnknown(group, { holder: hostId, intents: reply.intents });
+      }
+    });
+  }
+
+  /** Moves the clock of a ledger that this host leads. */
+  async retire(group: LedgerGroup): Promise<void> {
+    const command: LedgerCommand = { type: 'retire', nowMs: this.wallMs() };
+    await group.submit(command, this.rpcTimeoutMs());
+  }
+
+  /** Resolves when no end of an intent waits for its commit. */
+  async settled(): Promise<void> {
+    while (this.background.size > 0) await Promise.all(this.background);
+  }
+
+  /** Ends the tries that still run. */
+  stop(): void {
+    this.stopping.abort();
+  }
+
+  private async tryBegin(key: LedgerKey, intent: OpenIntent): Promise<LedgerDecision> {
+    const { group, intentId, deadlineAtMs } = intent;
+    const giveUpAtMs = this.nowMs() + (deadlineAtMs - this.nowMs()) * beginShare;
+    let mayExist = false;
+    let isWaiting = false;
+    for (let backoffMs = firstBackoffMs; ; backoffMs = Math.min(maxBackoffMs, backoffMs * 2)) {
+      const lastTryAtMs = isWaiting ? deadlineAtMs - replyMarginMs : giveUpAtMs;
+      const leftMs = lastTryAtMs - this.nowMs();
+      if (leftMs <= 0) break;
+      const command = this.beginCommand(key, intent);
+      const reply = await group.submit(command, Math.min(leftMs, this.rpcTimeoutMs()));
+      if (reply.isOk()) {
+        const decision = decisionOf(reply.value, intentId, group.groupId);
+        if (decision !== undefined) return decision;
+        isWaiting = true;
+        await this.loseHolder(group, reply.value);
+      } else {
+        mayExist ||= mayBeCommitted(reply.error);
+      }
+      await this.parts.sleep(Math.min(backoffMs, Math.max(1, leftMs)), this.stopping.signal);
+      if (this.stopping.signal.aborted) break;
+    }
+    if (mayExist) {
+      const proof = await this.cancel(intent);
+      if (!proof) return outcomeUnknown('the intent may have been recorded');
+    }
+    return isWaiting ? stillRunning() : notStarted('no quorum of the ledger answered in time');
+  }
+
+  /** Tells the ledger that the holder of a running intent is gone, where the membership says so. */
+  private async loseHolder(group: LedgerGroup, reply: LedgerReply): Promise<void> {
+    if (reply.reply !== 'running' || !this.isGone(reply.holder)) return;
+    const { hostId, incarnation } = reply.holder;
+    const command: LedgerCommand = { type: 'loseHolder', hostId, maxIncarnation: incarnation };
+    const lost = await group.submit(command, this.rpcTimeoutMs());
+    if (lost.isOk() && lost.value.reply === 'lost' && lost.value.intents > 0) {
+      this.recordUnknown(group, { holder: hostId, intents: lost.value.intents });
+    }
+  }
+
+  private isGone(holder: IntentHolder): boolean {
+    const record = this.parts.membership().find(holder.hostId);
+    if (record === undefined) return false;
+    if (record.incarnation > holder.incarnation) return true;
+    return record.state === 'failed' || record.state === 'left';
+  }
+
+  /** Cancels an intent that may have been recorded; tells whether that is proved. */
+  private async cancel(intent: OpenIntent): Promise<boolean> {
+    const { group, intentId } = intent;
+    const command: LedgerCommand = { type: 'cancel', intentId, beganAtMs: this.wallMs() };
+    const leftMs = Math.max(minEndMs, intent.deadlineAtMs - this.nowMs());
+    const reply = await this.submitUntil(group, command, this.nowMs() + leftMs);
+    if (reply.isOk()) return reply.value.reply === 'cancelled';
+    this.inBackground(group, command, () => undefined);
+    return false;
+  }
+
+  private async tryFinish(
+    intentId: string,
+    outcome: LedgerOutcome,
+  ): Promise<Result<void, Failure>> {
+    const intent = this.open.get(intentId);
+    if (intent === undefined) return err(failure('BL9002', `intent "${intentId}" is not open`));
+    this.open.delete(intentId);
+    const startedAtMs = this.nowMs();
+    const command: LedgerCommand = { type: 'finish', intentId, outcome, atMs: this.wallMs() };
+    const untilMs = Math.max(intent.deadlineAtMs, startedAtMs + minEndMs);
+    const reply = await this.submitUntil(intent.group, command, untilMs);
+    const labels = { service: intent.service, outcome: outcome.outcome };
+    this.parts.context.metrics.observeMs('ledger_finish', this.nowMs() - startedAtMs, labels);
+    if (reply.isErr()) {
+      const record = () => this.recordOutcome(intent, outcome);
+      this.inBackground(intent.group, command, record);
+      return err(failure('BL9002', `the outcome is not recorded yet: ${reply.error.detail}`));
+    }
+    if (reply.value.reply !== 'recorded') {
+      return err(failure('BL9002', 'the ledger holds another outcome'));
+    }
+    this.recordOutcome(intent, outcome);
+    return ok(undefined);
+  }
+
+  private async submitUntil(
+    group: LedgerGroup,
+    command: LedgerCommand,
+    untilMs: number,
+  ): Promise<Result<LedgerReply, Failure>> {
+    for (let backoffMs = firstBackoffMs; ; backoffMs = Math.min(maxBackoffMs, backoffMs * 2)) {
+      const leftMs = Math.max(1, untilMs - this.nowMs());
+      const reply = await group.submit(command, Math.min(leftMs, this.rpcTimeoutMs()));
+      if (reply.isOk()) return reply;
+      if (this.nowMs() + backoffMs >= untilMs || this.stopping.signal.aborted) return reply;
+      await this.parts.sleep(backoffMs, this.stopping.signal);
+    }
+  }
+
+  private inBackground(
+    group: LedgerGroup,
+    command: LedgerCommand,
+    onReply: (reply: LedgerReply) => void,
+  ): void {
+    const untilMs = this.nowMs() + backgroundEndMs;
+    const task = this.submitUntil(group, command, untilMs).then((reply) => {
+      this.background.delete(task);
+      if (reply.isOk()) onReply(reply.value);
+      else this.parts.context.log.warn('ledgerCommandGivenUp', { command: command.type });
+    });
+    this.background.add(task);
+  }
+
+  private beginCommand(key: LedgerKey, intent: OpenIntent): BeginCommand {
+    const { settings, incarnation } = this.parts.context;
+    const atMs = this.wallMs();
+    return {
+      type: 'begin',
+      key,
+      intentId: intent.intentId,
+      holder: { hostId: settings.hostId, incarnation },
+      atMs,
+      deadlineAtMs: atMs + intent.deadlineAtMs - this.nowMs(),
+    };
+  }
+
+  private nextIntentId(): string {
+    const { settings, incarnation } = this.parts.context;
+    this.intents += 1;
+    return `${settings.hostId}.${incarnation}.${this.intents}`;
+  }
+
+  private nowMs(): number {
+    return this.parts.context.clock.nowMs();
+  }
+
+  /** Wall time that never goes back, so that an end is never older than its begin. */
+  private wallMs(): number {
+    this.lastAtMs = Math.max(this.lastAtMs, this.parts.context.clock.wallMs());
+    return this.lastAtMs;
+  }
+
+  private rpcTimeoutMs(): number {
+    return this.parts.context.settings.timing.rpcTimeoutMs;
+  }
+
+  private recordBegin(intent: OpenIntent, decision: LedgerDecision): void {
+    const { intentId, group, service, kind } = intent;
+    const detail = { group: group.groupId, intentId, workKind: kind };
+    const { record } = this.parts.context;
+    if (decision.decision === 'run') record({ kind: 'ledgerIntent', service, detail });
+    if (decision.decision !== 'refused' || decision.failure.code !== 'BL9002') return;
+    record({ kind: 'ledgerUnknown', service, code: 'BL9002', detail });
+  }
+
+  private recordOutcome(intent: OpenIntent, outcome: LedgerOutcome): void {
+    const { intentId, group, service, kind } = intent;
+    const detail = { group: group.groupId, intentId, workKind: kind, outcome: outcome.outcome };
+    const isUnknown = outcome.outcome === 'unknown';
+    const { record } = this.parts.context;
+    if (isUnknown) record({ kind: 'ledgerUnknown', service, code: 'BL9002', detail });
+    else record({ kind: 'ledgerOutcome', service, detail });
+  }
+
+  private recordUnknown(group: LedgerGroup, detail: { holder: string; intents: number }): void {
+    const { groupId } = group;
+    this.parts.context.record({
+      kind: 'ledgerUnknown',
+      code: 'BL9002',
+      detail: { group: groupId, ...detail },
+    });
+  }
+}
--- a/packages/protocol/src/ledger/ledgerSchema.ts
+++ b/packages/protocol/src/ledger/ledgerSchema.ts
@@ -54,7 +54,7 @@
 export const cancelCommandSchema = z.strictObject({
   type: z.literal('cancel'),
   intentId: z.string().min(1),
-  beganAtMs: z.number().describe('The `atMs` of the begin command that is cancelled.'),
+  beganAtMs: z.number().describe('The `atMs` of the last begin command of the intent.'),
 });
 
 /** Declares the open intents of a lost or restarted process unknown. */
