test(ledger): fault table of the ledger task; refuse as not run while the group does not answer

Cause: a begin command without a reply leaves the call unknown; a cut-off host answered so for each call. Change: after a command without a reply, a command without effect must come through before an intent is sent, so that further calls are refused as not run.

--- a/packages/host/src/ledger/ledgerTask.ts
+++ b/packages/host/src/ledger/ledgerTask.ts
@@ -14,6 +14,7 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 
 import type { LedgerHooks } from '../runtime/hostParts.js';
+import { GroupContact, mayBeCommitted } from './groupContact.js';
 import { decisionOf, notStarted, outcomeUnknown, stillRunning } from './ledgerReplies.js';
 import type { LedgerGroup, LedgerTaskParts, OpenIntent } from './ledgerTaskTypes.js';
 
@@ -29,11 +30,6 @@
 /** Time for which the end of an intent is tried after its caller was told. */
 const backgroundEndMs = 600_000;
 
-/** Whether a command that failed with that code may have been committed. */
-function mayBeCommitted(problem: Failure): boolean {
-  return problem.code !== 'BL5001';
-}
-
 /** The ledger of a host: commits intents before dispatch and outcomes before answers. */
 export class LedgerTask implements LedgerHooks {
   private readonly open = new Map<string, OpenIntent>();
@@ -46,7 +42,11 @@
 
   private lastAtMs = 0;
 
-  constructor(private readonly parts: LedgerTaskParts) {}
+  private readonly contact: GroupContact;
+
+  constructor(private readonly parts: LedgerTaskParts) {
+    this.contact = new GroupContact(parts.context.clock);
+  }
 
   readonly begin = async (
     key: LedgerKey,
@@ -90,7 +90,7 @@
   /** Moves the clock of a ledger that this host leads. */
   async retire(group: LedgerGroup): Promise<void> {
     const command: LedgerCommand = { type: 'retire', nowMs: this.wallMs() };
-    await group.submit(command, this.rpcTimeoutMs());
+    await this.contact.submit(group, command, this.rpcTimeoutMs());
   }
 
   /** Resolves when no end of an intent waits for its commit. */
@@ -112,8 +112,15 @@
       const lastTryAtMs = isWaiting ? deadlineAtMs - replyMarginMs : giveUpAtMs;
       const leftMs = lastTryAtMs - this.nowMs();
       if (leftMs <= 0) break;
+      const isReachable =
+        mayExist || (await this.contact.isReachable(group, Math.min(leftMs, this.rpcTimeoutMs())));
+      if (!isReachable) break;
       const command = this.beginCommand(key, intent);
-      const reply = await group.submit(command, Math.min(leftMs, this.rpcTimeoutMs()));
+      const reply = await this.contact.submit(
+        group,
+        command,
+        Math.min(leftMs, this.rpcTimeoutMs()),
+      );
       if (reply.isOk()) {
         const decision = decisionOf(reply.value, intentId, group.groupId);
         if (decision !== undefined) return decision;
@@ -137,7 +144,7 @@
     if (reply.reply !== 'running' || !this.isGone(reply.holder)) return;
     const { hostId, incarnation } = reply.holder;
     const command: LedgerCommand = { type: 'loseHolder', hostId, maxIncarnation: incarnation };
-    const lost = await group.submit(command, this.rpcTimeoutMs());
+    const lost = await this.contact.submit(group, command, this.rpcTimeoutMs());
     if (lost.isOk() && lost.value.reply === 'lost' && lost.value.intents > 0) {
       this.recordUnknown(group, { holder: hostId, intents: lost.value.intents });
     }
@@ -193,7 +200,11 @@
   ): Promise<Result<LedgerReply, Failure>> {
     for (let backoffMs = firstBackoffMs; ; backoffMs = Math.min(maxBackoffMs, backoffMs * 2)) {
       const leftMs = Math.max(1, untilMs - this.nowMs());
-      const reply = await group.submit(command, Math.min(leftMs, this.rpcTimeoutMs()));
+      const reply = await this.contact.submit(
+        group,
+        command,
+        Math.min(leftMs, this.rpcTimeoutMs()),
+      );
       if (reply.isOk()) return reply;
       if (this.nowMs() + backoffMs >= untilMs || this.stopping.signal.aborted) return reply;
       await this.parts.sleep(backoffMs, this.stopping.signal);
--- a/packages/testkit/src/ledger/fakeLedgerGroup.ts
+++ b/packages/testkit/src/ledger/fakeLedgerGroup.ts
@@ -63,6 +63,28 @@
     return this.machine.apply(structuredClone(command), this.logIndex);
   }
 
+  /** Has the network misbehave for a time. */
+  misbehaveFor(durationMs: number, faults: LedgerNetworkFaults): void {
+    this.faults = faults;
+    this.time.schedule(durationMs, () => {
+      this.faults = faultlessNetwork;
+    });
+  }
+
+  /** Leaves the group without a leader for a time. */
+  loseLeaderFor(durationMs: number): void {
+    this.isLeaderless = true;
+    this.time.schedule(durationMs, () => {
+      this.isLeaderless = false;
+    });
+  }
+
+  /** Cuts a host off from the group for a time. */
+  cutOffFor(durationMs: number, hostId: string): void {
+    this.cutOff.add(hostId);
+    this.time.schedule(durationMs, () => this.cutOff.delete(hostId));
+  }
+
   /** Goes on from a snapshot, as a new leader does that lost its disk and was repaired. */
   moveToRepairedReplica(): void {
     const snapshot: unknown = structuredClone(this.machine.snapshot());
