--- /dev/null
+++ b/packages/core/src/membership/memberTable.ts
@@ -0,0 +1,122 @@
+import { relaysPerZone } from './membershipLimits.js';
+import type { MemberEntry } from './membershipTypes.js';
+import { takesPart } from './memberStamp.js';
+import { hashText } from './textHash.js';
+
+/** Sorted views of the hosts that take part. */
+interface Views {
+  /** Other hosts of the own zone in order of the ring. */
+  readonly zonePeers: readonly MemberEntry[];
+  /** Relays of other zones in order of the ring. */
+  readonly foreignRelays: readonly MemberEntry[];
+  readonly relaysByZone: ReadonlyMap<string, readonly MemberEntry[]>;
+  readonly failed: readonly MemberEntry[];
+  readonly participants: number;
+}
+
+/** All hosts that are known, with the views that probing needs. */
+export class MemberTable {
+  private readonly entries = new Map<string, MemberEntry>();
+
+  private readonly ringPositions = new Map<string, number>();
+
+  private cached: Views | undefined;
+
+  private cachedDigests: Readonly<Record<string, number>> | undefined;
+
+  constructor(private readonly self: MemberEntry) {
+    this.add(self);
+  }
+
+  add(entry: MemberEntry): void {
+    this.entries.set(entry.identity.hostId, entry);
+    this.ringPositions.set(entry.identity.hostId, hashText(entry.identity.hostId));
+    this.changed();
+  }
+
+  remove(hostId: string): void {
+    this.entries.delete(hostId);
+    this.ringPositions.delete(hostId);
+    this.changed();
+  }
+
+  find(hostId: string): MemberEntry | undefined {
+    return this.entries.get(hostId);
+  }
+
+  all(): IterableIterator<MemberEntry> {
+    return this.entries.values();
+  }
+
+  /** Must be called after the state of an entry has changed. */
+  changed(): void {
+    this.cached = undefined;
+    this.cachedDigests = undefined;
+  }
+
+  ringPosition(entry: MemberEntry): number {
+    return this.ringPositions.get(entry.identity.hostId) ?? 0;
+  }
+
+  views(): Views {
+    this.cached ??= this.buildViews();
+    return this.cached;
+  }
+
+  selfIsRelay(): boolean {
+    const relays = this.views().relaysByZone.get(this.self.identity.availabilityZone) ?? [];
+    return relays.includes(this.self);
+  }
+
+  /** Digests of the hosts that take part, by zone. Suspicions and document versions do not count. */
+  digests(): Readonly<Record<string, number>> {
+    this.cachedDigests ??= this.buildDigests();
+    return this.cachedDigests;
+  }
+
+  /** Zones whose digests differ from those of another host. */
+  differingZones(others: Readonly<Record<string, number>>): string[] {
+    const own = this.digests();
+    const zones = new Set([...Object.keys(own), ...Object.keys(others)]);
+    return [...zones].filter((zone) => own[zone] !== others[zone]);
+  }
+
+  private buildDigests(): Readonly<Record<string, number>> {
+    const digests: Record<string, number> = {};
+    for (const entry of this.entries.values()) {
+      if (!takesPart(entry.state)) continue;
+      const { hostId, availabilityZone } = entry.identity;
+      const state = entry.state === 'leaving' ? 'leaving' : 'alive';
+      const hash = hashText(`${hostId} ${entry.incarnation} ${state}`);
+      digests[availabilityZone] = ((digests[availabilityZone] ?? 0) ^ hash) >>> 0;
+    }
+    return digests;
+  }
+
+  private buildViews(): Views {
+    const ring = [...this.entries.values()].sort(
+      (left, right) => this.ringPosition(left) - this.ringPosition(right),
+    );
+    const participants = ring.filter((entry) => takesPart(entry.state));
+    const relaysByZone = new Map<string, MemberEntry[]>();
+    for (const entry of participants) {
+      const relays = relaysByZone.get(entry.identity.availabilityZone) ?? [];
+      relaysByZone.set(entry.identity.availabilityZone, relays);
+      if (relays.length < relaysPerZone) relays.push(entry);
+    }
+    const ownZone = this.self.identity.availabilityZone;
+    const inOwnZone = (entry: MemberEntry) => entry.identity.availabilityZone === ownZone;
+    const relays = [...relaysByZone.values()].flat();
+    return {
+      zonePeers: participants.filter((entry) => entry !== this.self && inOwnZone(entry)),
+      foreignRelays: this.inRingOrder(relays.filter((entry) => !inOwnZone(entry))),
+      relaysByZone,
+      failed: ring.filter((entry) => entry.state === 'failed'),
+      participants: participants.length,
+    };
+  }
+
+  private inRingOrder(entries: readonly MemberEntry[]): MemberEntry[] {
+    return [...entries].sort((left, right) => this.ringPosition(left) - this.ringPosition(right));
+  }
+}
--- a/packages/host/src/rpc/internalListener.ts
+++ b/packages/host/src/rpc/internalListener.ts
@@ -1,11 +1,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
 import { formatHybridTime } from '@buckthornlug/core/timeline/hybridClock.js';
-import { clockHeader, resultCodeHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
-import type { Failure } from '@buckthornlug/protocol/results/failure.js';
-import { resultCodes } from '@buckthornlug/protocol/results/resultCodes.js';
+import { clockHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
 import { nodeHTTPRequestHandler } from '@trpc/server/adapters/node-http';
 
+import { sendRefusal } from '../calls/refusal.js';
 import type { AppRouter } from './appRouter.js';
 import type { RequestAuth } from './requestAuth.js';
 import { observeClockHeader } from '../timeline/clockHeader.js';
@@ -32,16 +31,6 @@
   readonly forwardedCalls: () => ForwardedCallHandler;
 }
 
-function refuse(response: ServerResponse, refusal: Failure): void {
-  const body = JSON.stringify({ code: refusal.code, detail: refusal.detail });
-  response.writeHead(resultCodes[refusal.code].httpStatus, {
-    'content-type': 'application/json',
-    [resultCodeHeader]: refusal.code,
-    connection: 'close',
-  });
-  response.end(body);
-}
-
 /** Takes in the sender's clock and sends back the own one. */
 function exchangeClocks(
   timeline: InternalListenerParts['timeline'],
@@ -61,7 +50,7 @@
   const server = createServer((request, response) => {
     const sender = parts.auth.authenticate(request);
     if (sender.isErr()) {
-      refuse(response, sender.error);
+      sendRefusal(response, sender.error);
       return;
     }
     exchangeClocks(parts.timeline, request, response);
