--- a/packages/host/src/documents/updateServer.ts
+++ b/packages/host/src/documents/updateServer.ts
@@ -37,12 +37,13 @@
 
   private pause(waitMs: number): Promise<void> {
     return new Promise((resolve) => {
+      let timer: NodeJS.Timeout | undefined;
       const resume = () => {
         clearTimeout(timer);
         this.waiting.delete(resume);
         resolve();
       };
-      const timer = setTimeout(resume, waitMs);
+      timer = setTimeout(resume, waitMs);
       this.waiting.add(resume);
     });
   }
--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -1,4 +1,7 @@
 import { adminFeature } from './admin/adminFeature.js';
+import { backendsFeature } from './backends/backendsFeature.js';
+import { callsFeature } from './calls/callsFeature.js';
+import { documentsFeature } from './documents/documentsFeature.js';
 import { metricsFeature } from './metrics/metricsFeature.js';
 import { membershipFeature } from './membership/membershipFeature.js';
 import type { Feature } from './runtime/hostParts.js';
@@ -7,8 +10,11 @@
 /** The features of a host, in the order in which they start. */
 export const features: readonly Feature[] = [
   membershipFeature,
+  documentsFeature,
   timelineFeature,
   metricsFeature,
+  backendsFeature,
+  callsFeature,
   // The administration API comes last: it mounts the routes of the features before it.
   adminFeature,
 ];
--- a/packages/host/src/membership/membershipFeature.ts
+++ b/packages/host/src/membership/membershipFeature.ts
@@ -25,10 +25,9 @@
   wanted: () => true,
   start: (context, parts) => {
     const task = startMembershipTask(context, createPost(context, parts));
-    const shared = parts;
-    shared.membership = task.view;
-    shared.rpcHandlers.membership = { deliver: task.deliver };
-    shared.membershipTask = task;
+    parts.provide({ membership: task.view, membershipTask: task });
+    const { rpcHandlers } = parts;
+    rpcHandlers.membership = { deliver: task.deliver };
     const report = () => {
       task.setVersions({
         documentVersion: parts.document.current()?.version ?? 0,
--- a/packages/host/src/rpc/appRouter.ts
+++ b/packages/host/src/rpc/appRouter.ts
@@ -3,11 +3,13 @@
 import { lateHandlers } from './lateHandlers.js';
 import { createMetricsRouter, type MetricsHandlers } from '../metrics/metricsRouter.js';
 import { createTimelineRouter, type TimelineHandlers } from '../timeline/timelineRouter.js';
+import { createDocumentsRouter, type DocumentsHandlers } from '../documents/documentsRouter.js';
 import { createMembershipRouter, type MembershipHandlers } from '../membership/membershipRouter.js';
 import { createPingRouter, type PingHandlers } from './pingRouter.js';
 
 /** Handlers of all procedures between hosts; each feature sets its own when it starts. */
 export interface RpcHandlers {
+  documents: DocumentsHandlers;
   membership: MembershipHandlers;
   metrics: MetricsHandlers;
   ping: PingHandlers;
@@ -21,6 +23,7 @@
  */
 export function createAppRouter(handlers: Partial<RpcHandlers>) {
   return rpcRouter({
+    documents: createDocumentsRouter(lateHandlers(() => handlers.documents)),
     membership: createMembershipRouter(lateHandlers(() => handlers.membership)),
     metrics: createMetricsRouter(lateHandlers(() => handlers.metrics)),
     timeline: createTimelineRouter(lateHandlers(() => handlers.timeline)),
--- a/packages/protocol/src/admin/adminSchema.ts
+++ b/packages/protocol/src/admin/adminSchema.ts
@@ -58,6 +58,15 @@
   features: z.record(z.string(), z.record(z.string(), z.unknown())),
 });
 
+/** `GET /v1/versions/:version`: whether a version is in force everywhere. */
+export const versionReplySchema = z.object({
+  version: z.int().min(0),
+  inForce: z.boolean(),
+  /** Hosts that have not confirmed the version. */
+  behindHosts: z.array(z.object({ hostId: idSchema, documentVersion: z.int().min(0) })),
+});
+
+export type VersionReply = z.infer<typeof versionReplySchema>;
 export type HostStatus = z.infer<typeof hostStatusSchema>;
 export type BackendStatus = z.infer<typeof backendStatusSchema>;
 export type ShiftStatus = z.infer<typeof shiftStatusSchema>;
