--- /dev/null
+++ b/packages/host/src/consensus/consensusFeature.ts
@@ -0,0 +1,25 @@
+import { okAsync } from 'neverthrow';
+
+import type { Feature } from '../runtime/hostParts.js';
+import { HostGroups } from './groups.js';
+import { registerGroupRoutes } from './groupRoutes.js';
+
+/** The replicated groups of the settings; features that start later open them. */
+export const consensusFeature: Feature = {
+  name: 'consensus',
+  wanted: () => true,
+  start: (context, parts) => {
+    const groups = new HostGroups(context, parts.peers);
+    parts.openGroup = groups.open;
+    parts.rpcHandlers.consensus = groups.handlers();
+    parts.adminRoutes.push((app) => registerGroupRoutes(app, groups));
+    return okAsync({
+      name: 'consensus',
+      stopSteps: {
+        handOver: () => groups.handOver(),
+        closeTasks: () => groups.stop(),
+      },
+      status: () => ({ groups: groups.groupIds().map((groupId) => groups.describe(groupId)) }),
+    });
+  },
+};
--- /dev/null
+++ b/packages/host/src/consensus/consensusRouter.ts
@@ -0,0 +1,36 @@
+import { rpcProcedure, rpcRouter } from '@buckthornlug/protocol/rpc/rpcContext.js';
+
+import {
+  deliverSchema,
+  describeSchema,
+  joinSchema,
+  submitSchema,
+  type DeliverRequest,
+  type DescribeRequest,
+  type GroupDescription,
+  type JoinRequest,
+  type LeaderReply,
+  type SubmitRequest,
+} from './consensusSchema.js';
+
+/** What the replicated groups answer to other hosts. */
+export interface ConsensusHandlers {
+  readonly deliver: (request: DeliverRequest) => { readonly taken: boolean };
+  readonly submit: (request: SubmitRequest) => Promise<LeaderReply>;
+  readonly describe: (request: DescribeRequest) => GroupDescription;
+  readonly join: (request: JoinRequest) => LeaderReply;
+}
+
+/**
+ * Builds the procedures of replicated groups.
+ *
+ * @param handlers - functions that answer
+ */
+export function createConsensusRouter(handlers: ConsensusHandlers) {
+  return rpcRouter({
+    deliver: rpcProcedure.input(deliverSchema).mutation(({ input }) => handlers.deliver(input)),
+    submit: rpcProcedure.input(submitSchema).mutation(({ input }) => handlers.submit(input)),
+    describe: rpcProcedure.input(describeSchema).query(({ input }) => handlers.describe(input)),
+    join: rpcProcedure.input(joinSchema).mutation(({ input }) => handlers.join(input)),
+  });
+}
--- /dev/null
+++ b/packages/host/src/consensus/groupFiles.ts
@@ -0,0 +1,226 @@
+import { mkdir, open, readdir, readFile, rename, rm, stat } from 'node:fs/promises';
+import { join } from 'node:path';
+import { crc32 } from 'node:zlib';
+
+import type {
+  DurableState,
+  HardState,
+  PersistEffect,
+  Snapshot,
+} from '@buckthornlug/core/consensus/consensusTypes.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, ok, type Result } from 'neverthrow';
+
+import { decodeBinary, encodeBinary } from './binaryCodec.js';
+import { encodeRecord, scanRecords, type ScannedRecords } from './logRecords.js';
+import type { ReplicaIdentity } from './storageTypes.js';
+
+/** Files of a group folder, format 1; docs/design/agreement.md describes the layout. */
+
+const formatVersion = 1;
+const identityName = 'replica.json';
+const logHead = Buffer.from(`buckthornlug-log-${formatVersion}\n`);
+const snapshotHead = Buffer.from(`buckthornlug-snapshot-${formatVersion}\n`);
+const checksumBytes = 4;
+
+/** First record of a segment: everything that stands before its batches. */
+export interface SegmentBase {
+  readonly hardState: HardState;
+  readonly snapshotIndex: number;
+  readonly entries: DurableState['entries'];
+}
+
+/** Changes of one batch, as they stand in a record. */
+export type StoredBatch = readonly Omit<PersistEffect, 'kind' | 'snapshot'>[];
+
+/** Path of a segment by its number. */
+export const segmentPath = (folder: string, number: number): string =>
+  join(folder, `log-${String(number).padStart(10, '0')}.seg`);
+
+/** Path of a snapshot by its index. */
+export const snapshotPath = (folder: string, index: number): string =>
+  join(folder, `snapshot-${String(index).padStart(12, '0')}.snap`);
+
+/** Numbers in the names of files with a prefix, lowest first. */
+export async function numbersOf(folder: string, prefix: string): Promise<number[]> {
+  const names = await readdir(folder);
+  const numbers: number[] = [];
+  for (const name of names) {
+    const match = /^(log|snapshot)-(\d+)\.(seg|snap)$/.exec(name);
+    if (match?.[1] === prefix) numbers.push(Number(match[2]));
+  }
+  return numbers.sort((left, right) => left - right);
+}
+
+/** Syncs the names in a folder. */
+async function syncFolder(folder: string): Promise<void> {
+  const handle = await open(folder, 'r');
+  try {
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+}
+
+/** Writes a file whole or not at all, and syncs it with its name. */
+export async function writeWhole(folder: string, path: string, bytes: Uint8Array): Promise<void> {
+  const temporary = `${path}.tmp`;
+  const handle = await open(temporary, 'w');
+  try {
+    await handle.writeFile(bytes);
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+  await rename(temporary, path);
+  await syncFolder(folder);
+}
+
+/** Writes a snapshot file. */
+export async function writeSnapshot(folder: string, snapshot: Snapshot): Promise<void> {
+  const payload = Buffer.from(encodeBinary(snapshot));
+  const checksum = Buffer.alloc(checksumBytes);
+  checksum.writeUInt32BE(crc32(payload), 0);
+  const bytes = Buffer.concat([snapshotHead, checksum, payload]);
+  await writeWhole(folder, snapshotPath(folder, snapshot.index), bytes);
+}
+
+/** Writes a new segment that begins with its base. */
+export async function writeSegment(
+  folder: string,
+  number: number,
+  base: SegmentBase,
+): Promise<void> {
+  const bytes = Buffer.concat([logHead, encodeRecord(encodeBinary(base))]);
+  await writeWhole(folder, segmentPath(folder, number), bytes);
+}
+
+/** Writes the identity of the replica. */
+export async function writeIdentity(folder: string, identity: ReplicaIdentity): Promise<void> {
+  const text = JSON.stringify({ format: formatVersion, ...identity });
+  await writeWhole(folder, join(folder, identityName), Buffer.from(`${text}\n`));
+}
+
+const damaged = (path: string, problem: string): Failure =>
+  failure('BL5003', `${path}: ${problem}`);
+
+/** Reads the identity; undefined where the folder is new. */
+export async function readIdentity(
+  folder: string,
+): Promise<Result<ReplicaIdentity | undefined, Failure>> {
+  const path = join(folder, identityName);
+  await mkdir(folder, { recursive: true });
+  const names = await readdir(folder);
+  if (!names.includes(identityName)) {
+    const hasState = names.some((name) => name.endsWith('.seg') || name.endsWith('.snap'));
+    return hasState ? err(damaged(path, 'the file is missing')) : ok(undefined);
+  }
+  try {
+    const value = JSON.parse(await readFile(path, 'utf8')) as Record<string, unknown>;
+    const { format, incarnation, formationId } = value;
+    if (format !== formatVersion) return err(damaged(path, `format ${String(format)} is unknown`));
+    if (typeof incarnation !== 'string') return err(damaged(path, 'it holds no incarnation'));
+    return ok(typeof formationId === 'string' ? { incarnation, formationId } : { incarnation });
+  } catch {
+    return err(damaged(path, 'it is not valid JSON'));
+  }
+}
+
+/** Reads a snapshot file. */
+export async function readSnapshot(
+  folder: string,
+  index: number,
+): Promise<Result<Snapshot, Failure>> {
+  const path = snapshotPath(folder, index);
+  const bytes = await readFile(path).catch(() => undefined);
+  if (bytes === undefined) return err(damaged(path, 'the file is missing'));
+  if (!bytes.subarray(0, snapshotHead.byteLength).equals(snapshotHead)) {
+    return err(damaged(path, 'its format is unknown'));
+  }
+  const payload = bytes.subarray(snapshotHead.byteLength + checksumBytes);
+  if (bytes.byteLength < snapshotHead.byteLength + checksumBytes) {
+    return err(damaged(path, 'it is cut short'));
+  }
+  if (crc32(payload) !== bytes.readUInt32BE(snapshotHead.byteLength)) {
+    return err(damaged(path, 'its checksum is wrong'));
+  }
+  return ok(decodeBinary(payload) as Snapshot);
+}
+
+/** Reads the records of a segment. */
+export async function readSegment(
+  folder: string,
+  number: number,
+): Promise<Result<ScannedRecords, Failure>> {
+  const path = segmentPath(folder, number);
+  const bytes = await readFile(path);
+  if (!bytes.subarray(0, logHead.byteLength).equals(logHead)) {
+    return err(damaged(path, 'its format is unknown'));
+  }
+  const scanned = scanRecords(bytes.subarray(logHead.byteLength));
+  if (scanned.end === 'damaged') {
+    return err(damaged(path, `bad record at byte ${logHead.byteLength + scanned.validBytes}`));
+  }
+  if (scanned.payloads.length === 0) return err(damaged(path, 'its first record is missing'));
+  const validBytes = logHead.byteLength + scanned.validBytes;
+  return ok({ ...scanned, validBytes });
+}
+
+/** Joins the entries of many batches without copying them for each. */
+export function replayBatches(base: DurableState, batches: readonly StoredBatch[]): DurableState {
+  const entries = [...base.entries];
+  let { hardState } = base;
+  for (const change of batches.flat()) {
+    hardState = change.hardState ?? hardState;
+    if (change.resetLog) entries.length = 0;
+    const first = entries[0]?.index ?? 0;
+    if (change.truncateFrom !== undefined) {
+      entries.length = Math.max(0, Math.min(entries.length, change.truncateFrom - first));
+    }
+    entries.push(...change.entries);
+  }
+  return { ...base, hardState, entries };
+}
+
+/** State of a joined replica, and where its log goes on. */
+export interface ReadState {
+  readonly durable: DurableState;
+  readonly segment: number;
+  /** Size of the segment without a torn write at its end. */
+  readonly validBytes: number;
+  readonly cutBytes: number;
+}
+
+/** Reads the state of a joined replica. */
+export async function readDurable(folder: string): Promise<Result<ReadState, Failure>> {
+  const segment = (await numbersOf(folder, 'log')).at(-1);
+  if (segment === undefined) return err(damaged(folder, 'no log is there'));
+  const scanned = await readSegment(folder, segment);
+  if (scanned.isErr()) return err(scanned.error);
+  const [first, ...rest] = scanned.value.payloads;
+  const base = decodeBinary(first as Uint8Array) as SegmentBase;
+  const snapshot = await readSnapshot(folder, base.snapshotIndex);
+  if (snapshot.isErr()) return err(snapshot.error);
+  const batches = rest.map((payload) => decodeBinary(payload) as StoredBatch);
+  const durable = replayBatches({ ...base, snapshot: snapshot.value }, batches);
+  const { size } = await stat(segmentPath(folder, segment));
+  const { validBytes } = scanned.value;
+  return ok({ durable, segment, validBytes, cutBytes: size - validBytes });
+}
+
+/** Removes segments and snapshots that a newer segment has replaced, and unfinished files. */
+export async function removeOld(
+  folder: string,
+  segment: number,
+  snapshotIndex: number,
+): Promise<void> {
+  for (const number of await numbersOf(folder, 'log')) {
+    if (number < segment) await rm(segmentPath(folder, number));
+  }
+  for (const index of await numbersOf(folder, 'snapshot')) {
+    if (index !== snapshotIndex) await rm(snapshotPath(folder, index));
+  }
+  for (const name of await readdir(folder)) {
+    if (name.endsWith('.tmp')) await rm(join(folder, name));
+  }
+}
--- /dev/null
+++ b/packages/host/src/consensus/groupTask.ts
@@ -0,0 +1,399 @@
+import type {
+  ConsensusEffect,
+  ConsensusInput,
+  ConsensusOptions,
+  LogEntry,
+  PersistEffect,
+  Proposal,
+  Snapshot,
+} from '@buckthornlug/core/consensus/consensusTypes.js';
+import { holdsLease, step } from '@buckthornlug/core/consensus/replica.js';
+import { lastIndexOf } from '@buckthornlug/core/consensus/replicaLog.js';
+import { createReplica, type ReplicaState } from '@buckthornlug/core/consensus/replicaState.js';
+import { hostIdOf } from '@buckthornlug/core/consensus/membership.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+
+import { decodeBinary, encodeBinary } from './binaryCodec.js';
+import type { GroupDescription, ReplicaStatus } from './consensusSchema.js';
+import type { GroupTask, GroupTaskParts, ProposalResult } from './groupTaskTypes.js';
+import { createMessageOutbox } from './messageOutbox.js';
+import { PendingReplies } from './pendingReplies.js';
+
+/** The task of one replica: carries out the effects of its step machine. */
+
+const ticksPerHeartbeat = 3;
+const storageRetryMs = 5000;
+const barrierRetryMs = 20;
+const handOverPollMs = 10;
+/** A snapshot is taken when the log since the last one has grown by both bounds. */
+const snapshotEveryEntries = 1000;
+const snapshotEveryBytes = 1024 * 1024;
+
+function consensusOptions(electionTimeoutMs: number, heartbeatMs: number): ConsensusOptions {
+  return {
+    electionTimeoutMs,
+    heartbeatMs,
+    maxAppendBytes: 512 * 1024,
+    maxAppendEntries: 512,
+    maxInFlightEntries: 4096,
+    snapshotChunkBytes: 512 * 1024,
+    retainedEntries: 256,
+    maxUncommittedEntries: 16_384,
+  };
+}
+
+/** State, queues and timers of one replica. */
+class ReplicaTask<Command, Reply> {
+  readonly replicaId: string;
+
+  private readonly state: ReplicaState;
+
+  private readonly pending = new PendingReplies<Reply>();
+
+  private readonly outbox;
+
+  private readonly reads = new Map<number, (isReady: boolean) => void>();
+
+  private readonly listeners = new Set<(logIndex: number) => void>();
+
+  private readonly ticker: NodeJS.Timeout;
+
+  private proposals: Proposal[] = [];
+
+  private unwritten: PersistEffect[] = [];
+
+  private isWriting = false;
+
+  private writing: Promise<void> = Promise.resolve();
+
+  private storageFailure: Failure | undefined;
+
+  private isStopped = false;
+
+  private appliedIndex = 0;
+
+  private logBytes = 0;
+
+  private snapshotBytes = 0;
+
+  private snapshotIndex = 0;
+
+  private nextReadId = 1;
+
+  constructor(private readonly parts: GroupTaskParts<Command, Reply>) {
+    const { context, storage } = parts;
+    const { timing, hostId } = context.settings;
+    const { identity, durable } = storage.stored();
+    if (durable === undefined) throw new Error('the replica has not joined its group');
+    this.replicaId = `${hostId}/${identity.incarnation}`;
+    const options = consensusOptions(timing.electionTimeoutMs, timing.heartbeatMs);
+    this.restoreMachine(durable.snapshot);
+    this.state = createReplica(this.replicaId, durable, options, context.clock.nowMs());
+    this.outbox = createMessageOutbox(parts.sendBatch);
+    this.ticker = setInterval(
+      () => this.take({ kind: 'tick' }),
+      timing.heartbeatMs / ticksPerHeartbeat,
+    );
+  }
+
+  /** Moves the step machine and carries out its effects. */
+  take(input: ConsensusInput): void {
+    if (this.isStopped || this.storageFailure !== undefined) return;
+    const { clock, random } = this.parts.context;
+    const moment = { nowMs: clock.nowMs(), random: random() };
+    for (const effect of step(this.state, moment, input)) this.carryOut(effect);
+  }
+
+  private carryOut(effect: ConsensusEffect): void {
+    switch (effect.kind) {
+      case 'persist':
+        this.unwritten.push(effect);
+        this.writeNext();
+        break;
+      case 'send':
+        this.outbox.post(effect.message);
+        break;
+      case 'apply':
+        this.apply(effect.entries);
+        break;
+      case 'restore':
+        this.restoreMachine(effect.snapshot);
+        this.pending.skipTo(effect.snapshot.index);
+        this.notifyApplied();
+        break;
+      case 'accepted':
+        this.pending.accept(effect.proposalId, effect.index, effect.term);
+        break;
+      case 'refused':
+        this.pending.refuse(effect.proposalId);
+        break;
+      case 'readReady':
+      case 'readFailed':
+        this.reads.get(effect.readId)?.(effect.kind === 'readReady');
+        this.reads.delete(effect.readId);
+        break;
+      default:
+        this.report(effect);
+    }
+  }
+
+  private report(effect: ConsensusEffect): void {
+    const { context, groupId } = this.parts;
+    if (effect.kind === 'roleChanged') {
+      const { role, term } = effect;
+      context.log.debug('roleChanged', { groupId, role, term });
+      if (role === 'leader') {
+        context.log.info('leaderElected', { groupId, term });
+        context.record({ kind: 'leaderElected', detail: { groupId, term } });
+      } else if (effect.leader === null && role === 'follower') {
+        context.record({ kind: 'leaderLost', detail: { groupId, term } });
+      }
+    } else if (effect.kind === 'membersChanged') {
+      const voters = effect.members.voters.join(',');
+      const learners = effect.members.learners.join(',');
+      context.log.info('membersChanged', { groupId, voters, learners });
+      context.record({ kind: 'replicaAdded', detail: { groupId, voters, learners } });
+    }
+  }
+
+  private restoreMachine(snapshot: Snapshot): void {
+    this.appliedIndex = snapshot.index;
+    this.snapshotIndex = snapshot.index;
+    this.snapshotBytes = snapshot.data.byteLength;
+    this.logBytes = 0;
+    if (snapshot.data.byteLength > 0) this.parts.machine.restore(decodeBinary(snapshot.data));
+  }
+
+  private apply(entries: readonly LogEntry[]): void {
+    for (const { index, term, body } of entries) {
+      let reply: Reply | undefined;
+      if (body.kind === 'command') {
+        reply = this.parts.machine.apply(decodeBinary(body.data) as Command, index);
+        this.logBytes += body.data.byteLength;
+      }
+      this.appliedIndex = index;
+      this.pending.applied(index, term, reply as Reply);
+    }
+    this.notifyApplied();
+    setImmediate(() => this.snapshotIfDue());
+  }
+
+  private notifyApplied(): void {
+    for (const listener of this.listeners) listener(this.appliedIndex);
+  }
+
+  private snapshotIfDue(): void {
+    if (this.appliedIndex - this.snapshotIndex < snapshotEveryEntries) return;
+    if (this.logBytes < Math.max(snapshotEveryBytes, this.snapshotBytes)) return;
+    const data = encodeBinary(this.parts.machine.snapshot());
+    this.snapshotIndex = this.appliedIndex;
+    this.snapshotBytes = data.byteLength;
+    this.logBytes = 0;
+    this.take({ kind: 'compact', index: this.appliedIndex, data });
+  }
+
+  /** Writes what has gathered as one batch, then what gathered meanwhile. */
+  private writeNext(): void {
+    if (this.isWriting || this.unwritten.length === 0 || this.isStopped) return;
+    this.isWriting = true;
+    setImmediate(() => {
+      if (this.isStopped) return;
+      const batch = this.unwritten;
+      this.unwritten = [];
+      this.writing = this.parts.storage.write(batch).match(
+        () => {
+          this.isWriting = false;
+          this.take({ kind: 'synced', sequence: batch.at(-1)?.sequence ?? 0 });
+          this.writeNext();
+        },
+        (problem) => this.failStorage(problem, batch),
+      );
+    });
+  }
+
+  /** Stops taking part until the whole state can be written anew. */
+  private failStorage(problem: Failure, batch: readonly PersistEffect[]): void {
+    const { context, groupId } = this.parts;
+    this.unwritten = [...batch, ...this.unwritten];
+    this.storageFailure = problem;
+    context.log.error('storageFault', { groupId, code: problem.code, detail: problem.detail });
+    context.record({ kind: 'storageFault', code: problem.code, detail: { groupId } });
+    setTimeout(() => this.retryStorage(), storageRetryMs).unref();
+  }
+
+  private retryStorage(): void {
+    if (this.isStopped) return;
+    const { term, votedFor, log } = this.state;
+    const { snapshot } = log;
+    const entries = log.entries.filter((entry) => entry.index > snapshot.index);
+    const sequence = this.state.persistSequence;
+    this.parts.storage.rewrite({ hardState: { term, votedFor }, snapshot, entries }).match(
+      () => {
+        this.unwritten = [];
+        this.isWriting = false;
+        this.storageFailure = undefined;
+        this.take({ kind: 'synced', sequence });
+      },
+      () => setTimeout(() => this.retryStorage(), storageRetryMs).unref(),
+    );
+  }
+
+  propose(command: Command, timeoutMs: number): ProposalResult<Reply> {
+    if (this.state.role !== 'leader' || this.storageFailure !== undefined || this.isStopped) {
+      return new ResultAsync(Promise.resolve(err(this.notLeading())));
+    }
+    const { proposalId, result } = this.pending.open(timeoutMs);
+    this.proposals.push({ proposalId, data: encodeBinary(command) });
+    if (this.proposals.length === 1) setImmediate(() => this.flushProposals());
+    return result;
+  }
+
+  private flushProposals(): void {
+    const { proposals } = this;
+    this.proposals = [];
+    this.take({ kind: 'propose', proposals });
+  }
+
+  private notLeading(): Failure {
+    if (this.storageFailure !== undefined) return failure('BL5001', this.storageFailure.detail);
+    return failure('BL5001', 'this host does not lead the group');
+  }
+
+  private async barrier(timeoutMs: number): Promise<Result<void, Failure>> {
+    const { clock } = this.parts.context;
+    const untilMs = clock.nowMs() + timeoutMs;
+    while (clock.nowMs() < untilMs && !this.isStopped) {
+      const isReady = await this.readOnce(untilMs - clock.nowMs());
+      if (isReady) return ok(undefined);
+      await new Promise((resolve) => {
+        setTimeout(resolve, barrierRetryMs);
+      });
+    }
+    return err(failure('BL5001', 'no leader confirmed the read in time'));
+  }
+
+  private readOnce(timeoutMs: number): Promise<boolean> {
+    const readId = this.nextReadId;
+    this.nextReadId += 1;
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        this.reads.delete(readId);
+        resolve(false);
+      }, timeoutMs);
+      this.reads.set(readId, (isReady) => {
+        clearTimeout(timer);
+        resolve(isReady);
+      });
+      this.take({ kind: 'read', readId });
+    });
+  }
+
+  readBarrier(timeoutMs: number): ResultAsync<void, Failure> {
+    return new ResultAsync(this.barrier(timeoutMs));
+  }
+
+  onApplied(listener: (logIndex: number) => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  isLeader(): boolean {
+    if (this.storageFailure !== undefined || this.isStopped) return false;
+    return holdsLease(this.state, this.parts.context.clock.nowMs());
+  }
+
+  leaderId(): string | undefined {
+    return this.state.leader === null ? undefined : hostIdOf(this.state.leader);
+  }
+
+  wantsToJoin(): boolean {
+    const { voters, learners } = this.state.members;
+    const isMember = voters.includes(this.replicaId) || learners.includes(this.replicaId);
+    return !isMember && lastIndexOf(this.state.log) === 0;
+  }
+
+  private statusOf(replicaId: string, role: ReplicaStatus['role']): ReplicaStatus {
+    const hostId = hostIdOf(replicaId);
+    const { leadership, log } = this.state;
+    if (leadership === undefined) return { replicaId, hostId, role };
+    const matchIndex = leadership.progress.get(replicaId)?.matchIndex;
+    const lagEntries = replicaId === this.replicaId ? 0 : lastIndexOf(log) - (matchIndex ?? 0);
+    return { replicaId, hostId, role, lagEntries };
+  }
+
+  describe(): GroupDescription {
+    const { term, commitIndex, members } = this.state;
+    const { groupId, storage } = this.parts;
+    const leaderId = this.leaderId();
+    const { formationId } = storage.stored().identity;
+    return {
+      groupId,
+      state: this.storageFailure === undefined ? 'running' : 'failed',
+      replicaId: this.replicaId,
+      ...(formationId === undefined ? {} : { formationId }),
+      term,
+      ...(leaderId === undefined ? {} : { leaderId }),
+      isLeader: this.isLeader(),
+      commitIndex,
+      replicas: [
+        ...members.voters.map((id) => this.statusOf(id, 'voter')),
+        ...members.learners.map((id) => this.statusOf(id, 'learner')),
+      ],
+      ...(this.storageFailure === undefined ? {} : { failure: this.storageFailure }),
+    };
+  }
+
+  async handOver(): Promise<void> {
+    if (this.state.role !== 'leader' || this.state.members.voters.length < 2) return;
+    const { clock, settings } = this.parts.context;
+    const untilMs = clock.nowMs() + 2 * settings.timing.electionTimeoutMs;
+    this.take({ kind: 'handOver' });
+    while (this.state.role === 'leader' && clock.nowMs() < untilMs) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, handOverPollMs);
+      });
+    }
+  }
+
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    clearInterval(this.ticker);
+    this.outbox.close();
+    this.pending.close();
+    for (const end of this.reads.values()) end(false);
+    this.reads.clear();
+    await this.writing;
+    await this.parts.storage.close();
+  }
+}
+
+/**
+ * Starts the task of a replica that has joined its group.
+ *
+ * @param parts - machine, storage and transport
+ */
+export function startGroupTask<Command, Reply>(
+  parts: GroupTaskParts<Command, Reply>,
+): GroupTask<Command, Reply> {
+  const task = new ReplicaTask(parts);
+  return {
+    replicaId: task.replicaId,
+    deliver: (messages) => {
+      for (const message of messages) task.take({ kind: 'message', message });
+    },
+    propose: (command, timeoutMs) => task.propose(command, timeoutMs),
+    readBarrier: (timeoutMs) => task.readBarrier(timeoutMs),
+    onApplied: (listener) => task.onApplied(listener),
+    isLeader: () => task.isLeader(),
+    leaderId: () => task.leaderId(),
+    wantsToJoin: () => task.wantsToJoin(),
+    addReplica: (replicaId) =>
+      task.take({ kind: 'changeMembers', change: { change: 'add', replicaId } }),
+    removeReplica: (replicaId) =>
+      task.take({ kind: 'changeMembers', change: { change: 'remove', replicaId } }),
+    describe: () => task.describe(),
+    handOver: () => task.handOver(),
+    stop: () => task.stop(),
+  };
+}
--- /dev/null
+++ b/packages/host/src/consensus/groupTaskTypes.ts
@@ -0,0 +1,41 @@
+import type { ConsensusMessage } from '@buckthornlug/core/consensus/consensusTypes.js';
+import type { ReplicatedMachine } from '@buckthornlug/core/consensus/replicatedMachineTypes.js';
+import type { Failure } from '@buckthornlug/protocol/results/failure.js';
+import type { ResultAsync } from 'neverthrow';
+
+import type { HostContext } from '../runtime/hostTypes.js';
+import type { GroupDescription } from './consensusSchema.js';
+import type { SendBatch } from './messageOutbox.js';
+import type { GroupStorage } from './storageTypes.js';
+
+/** What the task of one replica is given. */
+export interface GroupTaskParts<Command, Reply> {
+  readonly context: HostContext;
+  readonly groupId: string;
+  readonly machine: ReplicatedMachine<Command, Reply>;
+  readonly storage: GroupStorage;
+  readonly sendBatch: SendBatch;
+}
+
+/** Outcome of a proposal. */
+export type ProposalResult<Reply> = ResultAsync<Reply, Failure>;
+
+/** The task of one replica: owns its state, storage and timers. */
+export interface GroupTask<Command, Reply> {
+  readonly replicaId: string;
+  readonly deliver: (messages: readonly ConsensusMessage[]) => void;
+  /** Proposes on this replica; BL5001 where it does not lead. */
+  readonly propose: (command: Command, timeoutMs: number) => ProposalResult<Reply>;
+  readonly readBarrier: (timeoutMs: number) => ResultAsync<void, Failure>;
+  readonly onApplied: (listener: (logIndex: number) => void) => () => void;
+  readonly isLeader: () => boolean;
+  readonly leaderId: () => string | undefined;
+  /** Whether the replica waits to be added to the group. */
+  readonly wantsToJoin: () => boolean;
+  readonly addReplica: (replicaId: string) => void;
+  readonly removeReplica: (replicaId: string) => void;
+  readonly describe: () => GroupDescription;
+  /** Hands the lead over; resolves when another replica leads or the time is up. */
+  readonly handOver: () => Promise<void>;
+  readonly stop: () => Promise<void>;
+}
--- /dev/null
+++ b/packages/host/src/consensus/groups.ts
@@ -0,0 +1,186 @@
+import type { ConsensusMessage } from '@buckthornlug/core/consensus/consensusTypes.js';
+import { hostIdOf } from '@buckthornlug/core/consensus/membership.js';
+import type { ReplicatedMachine } from '@buckthornlug/core/consensus/replicatedMachineTypes.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+
+import type { PeerClients } from '../rpc/peerClients.js';
+import type { HostContext } from '../runtime/hostTypes.js';
+import { decodeText, encodeText } from './binaryCodec.js';
+import type { ConsensusHandlers } from './consensusRouter.js';
+import type {
+  GroupDescription,
+  JoinRequest,
+  LeaderReply,
+  SubmitRequest,
+} from './consensusSchema.js';
+import type { GroupHandle } from './groupTypes.js';
+import { LeaderClient } from './leaderClient.js';
+import { MemberReplica } from './memberReplica.js';
+
+/** All replicated groups of a host. */
+
+/**
+ * Opens a group on this host. On a member the machine is kept up to date with the log; on other
+ * hosts it stays empty and commands go to the leader.
+ */
+export type OpenGroup = <Command, Reply>(
+  groupId: string,
+  machine: ReplicatedMachine<Command, Reply>,
+) => GroupHandle<Command, Reply>;
+
+/** A group of this host, whatever its commands are. */
+type AnyReplica = MemberReplica<unknown, unknown>;
+
+/** Refusal that names the leader, where it is known. */
+function notLeader(replica: AnyReplica | undefined, groupId: string): LeaderReply {
+  if (replica?.task === undefined) {
+    return { ok: false, failure: failure('BL5005', `no replica of "${groupId}" runs here`) };
+  }
+  const leaderId = replica.task.leaderId();
+  const problem = failure('BL5001', 'this host does not lead the group');
+  return { ok: false, failure: problem, ...(leaderId === undefined ? {} : { leaderId }) };
+}
+
+/** Groups of a host: opening, answers to other hosts, and the planned stop. */
+export class HostGroups {
+  private readonly replicas = new Map<string, AnyReplica>();
+
+  private readonly starts: Promise<void>[] = [];
+
+  constructor(
+    private readonly context: HostContext,
+    private readonly peers: PeerClients,
+  ) {}
+
+  private memberHostIds(groupId: string): readonly string[] {
+    const group = this.context.settings.groups.find(({ id }) => id === groupId);
+    return group?.members ?? [];
+  }
+
+  /** Hosts of the group now, as far as the own replica knows, and those of the settings. */
+  private knownHostIds(groupId: string): readonly string[] {
+    const replicas = this.replicas.get(groupId)?.describe().replicas ?? [];
+    const hostIds = [...replicas.map(({ hostId }) => hostId), ...this.memberHostIds(groupId)];
+    return [...new Set(hostIds)];
+  }
+
+  open: OpenGroup = <Command, Reply>(
+    groupId: string,
+    machine: ReplicatedMachine<Command, Reply>,
+  ): GroupHandle<Command, Reply> => {
+    const { settings, clock } = this.context;
+    const memberHostIds = this.memberHostIds(groupId);
+    let replica: MemberReplica<Command, Reply> | undefined;
+    if (memberHostIds.includes(settings.hostId) && settings.dataFolder !== undefined) {
+      const { dataFolder } = settings;
+      const { context, peers } = this;
+      replica = new MemberReplica({ context, peers, groupId, memberHostIds, machine, dataFolder });
+      this.replicas.set(groupId, replica as unknown as AnyReplica);
+      this.starts.push(replica.start());
+    }
+    const client = new LeaderClient<Command, Reply>({
+      groupId,
+      hostId: settings.hostId,
+      memberHostIds: () => this.knownHostIds(groupId),
+      peers: this.peers,
+      clock,
+      localTask: () => replica?.task,
+    });
+    const notMember = failure('BL5005', `this host holds no replica of "${groupId}"`);
+    return {
+      groupId,
+      submit: (command, timeoutMs) => client.submit(command, timeoutMs),
+      isLeader: () => replica?.task?.isLeader() ?? false,
+      leaderId: () => client.leaderId(),
+      readBarrier: (timeoutMs) => replica?.readBarrier(timeoutMs) ?? errAsync(notMember),
+      onApplied: (listener) => replica?.onApplied(listener) ?? (() => undefined),
+    };
+  };
+
+  private async submit(request: SubmitRequest): Promise<LeaderReply> {
+    const replica = this.replicas.get(request.groupId);
+    const { task } = replica ?? {};
+    if (task === undefined || task.leaderId() !== this.context.settings.hostId) {
+      return notLeader(replica, request.groupId);
+    }
+    const result = await task.propose(decodeText(request.command), request.timeoutMs);
+    if (result.isOk()) return { ok: true, reply: encodeText(result.value) };
+    if (result.error.code === 'BL5001') return notLeader(replica, request.groupId);
+    return { ok: false, failure: result.error };
+  }
+
+  private join(request: JoinRequest): LeaderReply {
+    const { groupId, replicaId } = request;
+    const replica = this.replicas.get(groupId);
+    const { task } = replica ?? {};
+    if (task === undefined || !task.isLeader()) return notLeader(replica, groupId);
+    if (!this.knownHostIds(groupId).includes(hostIdOf(replicaId))) {
+      return { ok: false, failure: failure('BL5005', `"${replicaId}" is of no member host`) };
+    }
+    task.addReplica(replicaId);
+    return { ok: true, reply: encodeText(null) };
+  }
+
+  /** Answers to other hosts. */
+  handlers(): ConsensusHandlers {
+    return {
+      deliver: ({ groupId, formationId, messages }) => {
+        const batch = decodeText(messages) as ConsensusMessage[];
+        return { taken: this.replicas.get(groupId)?.deliver(formationId, batch) ?? false };
+      },
+      submit: (request) => this.submit(request),
+      describe: ({ groupId }) => this.describe(groupId),
+      join: (request) => this.join(request),
+    };
+  }
+
+  /** Groups of the settings. */
+  groupIds(): string[] {
+    return this.context.settings.groups.map(({ id }) => id);
+  }
+
+  /** A group as this host sees it. */
+  describe(groupId: string): GroupDescription {
+    return this.replicas.get(groupId)?.describe() ?? { groupId, state: 'unknown' };
+  }
+
+  /** A group as its leader sees it, or as the first member that answers. */
+  describeAnywhere(groupId: string): ResultAsync<GroupDescription, Failure> {
+    const own = this.describe(groupId);
+    if (own.isLeader) return okAsync(own);
+    return ResultAsync.fromSafePromise(this.askForDescription(groupId, own));
+  }
+
+  private async askForDescription(
+    groupId: string,
+    own: GroupDescription,
+  ): Promise<GroupDescription> {
+    const { hostId } = this.context.settings;
+    const others = this.knownHostIds(groupId).filter((id) => id !== hostId);
+    const answers = await Promise.all(
+      others.map((id) =>
+        this.peers.request(id, (client, signal) =>
+          client.consensus.describe.query({ groupId }, { signal }),
+        ),
+      ),
+    );
+    const found = [own, ...answers.flatMap((answer) => (answer.isOk() ? [answer.value] : []))];
+    const rank = (one: GroupDescription) => (one.isLeader ? 1e12 : 0) + (one.commitIndex ?? -1);
+    return found.reduce((best, one) => (rank(one) > rank(best) ? one : best));
+  }
+
+  /** Resolves when the folders of all groups have been opened. */
+  async started(): Promise<void> {
+    await Promise.all(this.starts);
+  }
+
+  async handOver(): Promise<void> {
+    await Promise.all([...this.replicas.values()].map((replica) => replica.task?.handOver()));
+  }
+
+  async stop(): Promise<void> {
+    await this.started();
+    await Promise.all([...this.replicas.values()].map((replica) => replica.stop()));
+  }
+}
--- /dev/null
+++ b/packages/host/src/consensus/leaderClient.ts
@@ -0,0 +1,136 @@
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+
+import type { PeerClients } from '../rpc/peerClients.js';
+import type { Clock } from '../runtime/hostTypes.js';
+import { decodeText, encodeText } from './binaryCodec.js';
+import type { GroupTask } from './groupTaskTypes.js';
+
+/** Finds the leader of a group and passes commands on to it. */
+
+const retryPauseMs = 25;
+/** Causes of a failed request that prove that it was never sent. */
+const neverSent = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'no address of host'];
+
+/** What the client is given. */
+export interface LeaderClientParts<Command, Reply> {
+  readonly groupId: string;
+  readonly hostId: string;
+  /** Hosts to ask for the leader. */
+  readonly memberHostIds: () => readonly string[];
+  readonly peers: Pick<PeerClients, 'request'>;
+  readonly clock: Clock;
+  /** Replica of this host, if any. */
+  readonly localTask: () => GroupTask<Command, Reply> | undefined;
+}
+
+/** Outcome of one attempt: final, or where to try next. */
+type Attempt<Reply> =
+  | { readonly isFinal: true; readonly result: Result<Reply, Failure> }
+  | { readonly isFinal: false; readonly problem: Failure; readonly leaderId?: string };
+
+async function attemptLocally<Command, Reply>(
+  task: GroupTask<Command, Reply>,
+  command: Command,
+  timeoutMs: number,
+): Promise<Attempt<Reply>> {
+  const result = await task.propose(command, timeoutMs);
+  if (result.isErr() && result.error.code === 'BL5001') {
+    return { isFinal: false, problem: result.error };
+  }
+  return { isFinal: true, result };
+}
+
+/** Passes commands on to the leader of a group. */
+export class LeaderClient<Command, Reply> {
+  private hint: string | undefined;
+
+  private nextMember = 0;
+
+  constructor(private readonly parts: LeaderClientParts<Command, Reply>) {}
+
+  /** Leader as far as it is known here. */
+  leaderId(): string | undefined {
+    return this.parts.localTask()?.leaderId() ?? this.hint;
+  }
+
+  private target(): string | undefined {
+    const { hostId } = this.parts;
+    const known = this.hint ?? this.parts.localTask()?.leaderId();
+    if (known !== undefined && known !== hostId) return known;
+    const others = this.parts.memberHostIds().filter((id) => id !== hostId);
+    this.nextMember += 1;
+    return others[this.nextMember % Math.max(1, others.length)];
+  }
+
+  private async attemptRemotely(
+    target: string,
+    command: string,
+    timeoutMs: number,
+  ): Promise<Attempt<Reply>> {
+    const { peers, groupId } = this.parts;
+    const sent = await peers.request(
+      target,
+      (client, signal) =>
+        client.consensus.submit.mutate({ groupId, command, timeoutMs }, { signal }),
+      timeoutMs,
+    );
+    if (sent.isErr()) {
+      const { detail } = sent.error;
+      if (neverSent.some((cause) => detail.includes(cause))) {
+        return { isFinal: false, problem: failure('BL5001', detail) };
+      }
+      this.hint = undefined;
+      return { isFinal: true, result: err(failure('BL5002', detail)) };
+    }
+    const reply = sent.value;
+    if (reply.ok) {
+      this.hint = target;
+      return { isFinal: true, result: ok(decodeText(reply.reply) as Reply) };
+    }
+    const { failure: problem, leaderId } = reply;
+    if (problem.code !== 'BL5001' && problem.code !== 'BL5005') {
+      return { isFinal: true, result: err(problem) };
+    }
+    return { isFinal: false, problem, ...(leaderId === undefined ? {} : { leaderId }) };
+  }
+
+  private async run(command: Command, timeoutMs: number): Promise<Result<Reply, Failure>> {
+    const { clock, localTask } = this.parts;
+    const untilMs = clock.nowMs() + timeoutMs;
+    let problem = failure('BL5001', 'no leader was found in time');
+    let text: string | undefined;
+    for (;;) {
+      const restMs = Math.ceil(untilMs - clock.nowMs());
+      if (restMs <= 0) return err(problem);
+      const task = localTask();
+      const isLocal = task !== undefined && task.leaderId() === this.parts.hostId;
+      const target = isLocal ? undefined : this.target();
+      let attempt: Attempt<Reply> = { isFinal: false, problem };
+      if (isLocal) attempt = await attemptLocally(task, command, restMs);
+      else if (target !== undefined) {
+        text ??= encodeText(command);
+        attempt = await this.attemptRemotely(target, text, restMs);
+      }
+      if (attempt.isFinal) return attempt.result;
+      ({ problem } = attempt);
+      const isNewHint = attempt.leaderId !== undefined && attempt.leaderId !== target;
+      this.hint = isNewHint ? attempt.leaderId : undefined;
+      if (isNewHint) continue;
+      await new Promise((resolve) => {
+        setTimeout(resolve, retryPauseMs);
+      });
+    }
+  }
+
+  /**
+   * Commits a command.
+   *
+   * @param command - command of the machine
+   * @param timeoutMs - time limit over all attempts
+   * @returns the machine's reply; BL5001 where it was not proposed, BL5002 where that is not known
+   */
+  submit(command: Command, timeoutMs: number): ResultAsync<Reply, Failure> {
+    return new ResultAsync(this.run(command, timeoutMs));
+  }
+}
--- /dev/null
+++ b/packages/host/src/consensus/memberReplica.ts
@@ -0,0 +1,234 @@
+import { randomUUID } from 'node:crypto';
+import { join } from 'node:path';
+
+import type { ConsensusMessage } from '@buckthornlug/core/consensus/consensusTypes.js';
+import type { ReplicatedMachine } from '@buckthornlug/core/consensus/replicatedMachineTypes.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, ResultAsync, type Result } from 'neverthrow';
+
+import type { PeerClients } from '../rpc/peerClients.js';
+import type { HostContext } from '../runtime/hostTypes.js';
+import { encodeText } from './binaryCodec.js';
+import type { GroupDescription } from './consensusSchema.js';
+import { firstState, nextFormationStep } from './formation.js';
+import { openGroupStorage } from './groupStorage.js';
+import { startGroupTask } from './groupTask.js';
+import type { GroupTask } from './groupTaskTypes.js';
+import type { GroupStorage } from './storageTypes.js';
+
+/** The replica of a member host: opens its folder, forms or joins the group, runs its task. */
+
+const formationPollMs = 150;
+const joinPollMs = 300;
+const barrierPollMs = 10;
+const groupsFolder = 'groups';
+
+/** What a member replica is given. */
+export interface MemberReplicaParts<Command, Reply> {
+  readonly context: HostContext;
+  readonly peers: Pick<PeerClients, 'request'>;
+  readonly groupId: string;
+  /** Hosts that start the group. */
+  readonly memberHostIds: readonly string[];
+  readonly machine: ReplicatedMachine<Command, Reply>;
+  readonly dataFolder: string;
+}
+
+/**
+ * Folder of a group.
+ *
+ * @param dataFolder - data folder of the host
+ * @param groupId - group
+ */
+export function groupFolder(dataFolder: string, groupId: string): string {
+  return join(dataFolder, groupsFolder, groupId);
+}
+
+/** A replica on its way into its group, and its task once it is there. */
+export class MemberReplica<Command, Reply> {
+  private storage: GroupStorage | undefined;
+
+  private problem: Failure | undefined;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private isStopped = false;
+
+  private readonly listeners = new Set<(logIndex: number) => void>();
+
+  task: GroupTask<Command, Reply> | undefined;
+
+  constructor(private readonly parts: MemberReplicaParts<Command, Reply>) {}
+
+  /** Opens the folder; resolves when the replica runs or is on its way. */
+  async start(): Promise<void> {
+    const { dataFolder, groupId, context } = this.parts;
+    const folder = groupFolder(dataFolder, groupId);
+    const opened = await openGroupStorage(folder, () => randomUUID().slice(0, 8));
+    if (opened.isErr()) {
+      this.problem = opened.error;
+      const { code, detail } = opened.error;
+      context.log.error('storageFault', { groupId, code, detail });
+      context.record({ kind: 'storageFault', code, detail: { groupId, detail } });
+      return;
+    }
+    this.storage = opened.value;
+    const { cutBytes, identity } = opened.value.stored();
+    if (cutBytes > 0) context.log.warn('tornWriteCut', { groupId, cutBytes });
+    if (identity.formationId === undefined) this.pollFormation();
+    else this.startTask(opened.value);
+  }
+
+  private replicaId(storage: GroupStorage): string {
+    return `${this.parts.context.settings.hostId}/${storage.stored().identity.incarnation}`;
+  }
+
+  private otherMembers(): string[] {
+    const { hostId } = this.parts.context.settings;
+    return this.parts.memberHostIds.filter((id) => id !== hostId);
+  }
+
+  private async askMembers(): Promise<GroupDescription[]> {
+    const { peers, groupId } = this.parts;
+    const answers = await Promise.all(
+      this.otherMembers().map((hostId) =>
+        peers.request(hostId, (client, signal) =>
+          client.consensus.describe.query({ groupId }, { signal }),
+        ),
+      ),
+    );
+    return answers.flatMap((answer) => (answer.isOk() ? [answer.value] : []));
+  }
+
+  private pollFormation(): void {
+    this.runFormation().then(
+      (isDone) => {
+        if (isDone || this.isStopped) return;
+        this.timer = setTimeout(() => this.pollFormation(), formationPollMs);
+      },
+      (error: unknown) => {
+        this.parts.context.log.error('formationFailed', { problem: String(error) });
+      },
+    );
+  }
+
+  /** One attempt to enter the group. */
+  private async runFormation(): Promise<boolean> {
+    const { storage } = this;
+    if (storage === undefined) return true;
+    const answers = await this.askMembers();
+    const next = nextFormationStep(this.replicaId(storage), this.parts.memberHostIds, answers);
+    if (next.step === 'wait' || this.isStopped) return false;
+    const formationId = next.step === 'form' ? randomUUID() : next.formationId;
+    const joined = await storage.join(formationId, firstState(next.voters));
+    if (joined.isErr()) {
+      this.problem = joined.error;
+      return false;
+    }
+    this.problem = undefined;
+    this.startTask(storage);
+    return true;
+  }
+
+  private startTask(storage: GroupStorage): void {
+    const { context, groupId, machine } = this.parts;
+    const formationId = storage.stored().identity.formationId ?? '';
+    this.task = startGroupTask({
+      context,
+      groupId,
+      machine,
+      storage,
+      sendBatch: (hostId, messages) => this.sendBatch(hostId, formationId, messages),
+    });
+    this.task.onApplied((logIndex) => {
+      for (const listener of this.listeners) listener(logIndex);
+    });
+    context.log.info('replicaStarted', { groupId, replicaId: this.task.replicaId });
+    if (this.task.wantsToJoin()) this.pollJoin();
+  }
+
+  private async sendBatch(
+    hostId: string,
+    formationId: string,
+    messages: readonly ConsensusMessage[],
+  ): Promise<void> {
+    const { peers, groupId } = this.parts;
+    const batch = { groupId, formationId, messages: encodeText(messages) };
+    await peers.request(hostId, (client, signal) =>
+      client.consensus.deliver.mutate(batch, { signal }),
+    );
+  }
+
+  private pollJoin(): void {
+    const { task } = this;
+    if (task === undefined || this.isStopped || !task.wantsToJoin()) return;
+    this.requestJoin(task.replicaId).finally(() => {
+      this.timer = setTimeout(() => this.pollJoin(), joinPollMs);
+    });
+  }
+
+  /** Asks every member; the leader among them adds the replica. */
+  private async requestJoin(replicaId: string): Promise<void> {
+    const { peers, groupId } = this.parts;
+    await Promise.all(
+      this.otherMembers().map((hostId) =>
+        peers.request(hostId, (client, signal) =>
+          client.consensus.join.mutate({ groupId, replicaId }, { signal }),
+        ),
+      ),
+    );
+  }
+
+  /** Calls back after the machine has changed, also where the task starts later. */
+  onApplied(listener: (logIndex: number) => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /** Waits until the replica runs and holds everything committed before the call. */
+  readBarrier(timeoutMs: number): ResultAsync<void, Failure> {
+    return new ResultAsync(this.barrier(timeoutMs));
+  }
+
+  private async barrier(timeoutMs: number): Promise<Result<void, Failure>> {
+    const { clock } = this.parts.context;
+    const untilMs = clock.nowMs() + timeoutMs;
+    while (this.task === undefined && clock.nowMs() < untilMs && !this.isStopped) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, barrierPollMs);
+      });
+    }
+    if (this.task !== undefined) return this.task.readBarrier(untilMs - clock.nowMs());
+    return err(this.problem ?? failure('BL5001', 'the replica has not entered its group yet'));
+  }
+
+  describe(): GroupDescription {
+    const { groupId } = this.parts;
+    if (this.task !== undefined) return this.withStart(this.task.describe());
+    if (this.problem !== undefined) return { groupId, state: 'failed', failure: this.problem };
+    if (this.storage === undefined) return { groupId, state: 'unknown' };
+    return { groupId, state: 'empty', replicaId: this.replicaId(this.storage) };
+  }
+
+  /** Adds the first voters while this host still holds the start of the group. */
+  private withStart(description: GroupDescription): GroupDescription {
+    const snapshot = this.storage?.stored().durable?.snapshot;
+    if (snapshot === undefined || snapshot.index > 0) return description;
+    return { ...description, firstVoters: snapshot.members.voters };
+  }
+
+  /** Takes messages of other replicas of the same start of the group. */
+  deliver(formationId: string, messages: readonly ConsensusMessage[]): boolean {
+    if (this.storage?.stored().identity.formationId !== formationId) return false;
+    if (this.task === undefined) return false;
+    this.task.deliver(messages);
+    return true;
+  }
+
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    clearTimeout(this.timer);
+    if (this.task === undefined) await this.storage?.close();
+    else await this.task.stop();
+  }
+}
--- /dev/null
+++ b/packages/host/src/consensus/messageOutbox.ts
@@ -0,0 +1,73 @@
+/* eslint no-param-reassign: ['error', { props: false }] */
+import type { ConsensusMessage } from '@buckthornlug/core/consensus/consensusTypes.js';
+import { hostIdOf } from '@buckthornlug/core/consensus/membership.js';
+
+/** Sends messages to other replicas in batches, a few requests at a time to each host. */
+
+/** Requests under way to one host; more messages wait and join the next batch. */
+const maxRequestsInFlight = 8;
+const maxBatchMessages = 256;
+/** Messages that wait for a host that does not answer; older ones are dropped first. */
+const maxWaitingMessages = 1024;
+
+/** Sends one batch; resolves when it was taken or lost. */
+export type SendBatch = (hostId: string, messages: readonly ConsensusMessage[]) => Promise<void>;
+
+/** Messages of one replica to the others. */
+export interface MessageOutbox {
+  readonly post: (message: ConsensusMessage) => void;
+  readonly close: () => void;
+}
+
+interface HostQueue {
+  waiting: ConsensusMessage[];
+  inFlight: number;
+  isScheduled: boolean;
+}
+
+/**
+ * Creates an outbox.
+ *
+ * @param sendBatch - sends one batch
+ */
+export function createMessageOutbox(sendBatch: SendBatch): MessageOutbox {
+  const queues = new Map<string, HostQueue>();
+  let isClosed = false;
+
+  const queueOf = (hostId: string): HostQueue => {
+    const known = queues.get(hostId);
+    if (known !== undefined) return known;
+    const created = { waiting: [], inFlight: 0, isScheduled: false };
+    queues.set(hostId, created);
+    return created;
+  };
+
+  const flush = (hostId: string, queue: HostQueue): void => {
+    queue.isScheduled = false;
+    while (!isClosed && queue.waiting.length > 0 && queue.inFlight < maxRequestsInFlight) {
+      const batch = queue.waiting.splice(0, maxBatchMessages);
+      queue.inFlight += 1;
+      const done = () => {
+        queue.inFlight -= 1;
+        flush(hostId, queue);
+      };
+      sendBatch(hostId, batch).then(done, done);
+    }
+  };
+
+  return {
+    post: (message) => {
+      const hostId = hostIdOf(message.to);
+      const queue = queueOf(hostId);
+      queue.waiting.push(message);
+      if (queue.waiting.length > maxWaitingMessages) queue.waiting.shift();
+      if (queue.isScheduled || isClosed) return;
+      queue.isScheduled = true;
+      queueMicrotask(() => flush(hostId, queue));
+    },
+    close: () => {
+      isClosed = true;
+      queues.clear();
+    },
+  };
+}
--- /dev/null
+++ b/packages/host/src/consensus/pendingReplies.ts
@@ -0,0 +1,82 @@
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+
+/** Commands of this host that wait for their outcome. */
+
+interface Waiting<Reply> {
+  readonly resolve: (result: Result<Reply, Failure>) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+interface Accepted {
+  readonly proposalId: number;
+  readonly term: number;
+}
+
+const unknownOutcome = failure('BL5002', 'the command was not confirmed in time');
+const notProposed = failure('BL5001', 'this host does not lead the group');
+
+/** Proposals by identity and, once in the log, by index. */
+export class PendingReplies<Reply> {
+  private readonly waiting = new Map<number, Waiting<Reply>>();
+
+  private readonly accepted = new Map<number, Accepted>();
+
+  private nextId = 1;
+
+  /**
+   * Starts to wait for the outcome of a proposal.
+   *
+   * @param timeoutMs - time after which the outcome is unknown
+   */
+  open(timeoutMs: number): { proposalId: number; result: ResultAsync<Reply, Failure> } {
+    const proposalId = this.nextId;
+    this.nextId += 1;
+    const outcome = new Promise<Result<Reply, Failure>>((resolve) => {
+      const timer = setTimeout(() => this.settle(proposalId, err(unknownOutcome)), timeoutMs);
+      this.waiting.set(proposalId, { resolve, timer });
+    });
+    return { proposalId, result: new ResultAsync(outcome) };
+  }
+
+  private settle(proposalId: number, result: Result<Reply, Failure>): void {
+    const entry = this.waiting.get(proposalId);
+    if (entry === undefined) return;
+    this.waiting.delete(proposalId);
+    clearTimeout(entry.timer);
+    entry.resolve(result);
+  }
+
+  /** Takes note of the place of a proposal in the log. */
+  accept(proposalId: number, index: number, term: number): void {
+    this.accepted.set(index, { proposalId, term });
+  }
+
+  /** Ends a proposal that was not taken. */
+  refuse(proposalId: number): void {
+    this.settle(proposalId, err(notProposed));
+  }
+
+  /** Ends the proposal at an applied index, if it is one of this host. */
+  applied(index: number, term: number, reply: Reply): void {
+    const entry = this.accepted.get(index);
+    if (entry === undefined) return;
+    this.accepted.delete(index);
+    this.settle(entry.proposalId, entry.term === term ? ok(reply) : err(notProposed));
+  }
+
+  /** Forgets the indexes that a snapshot covers; their outcome is not known here. */
+  skipTo(index: number): void {
+    for (const [at, { proposalId }] of this.accepted) {
+      if (at > index) continue;
+      this.accepted.delete(at);
+      this.settle(proposalId, err(unknownOutcome));
+    }
+  }
+
+  /** Ends everything that waits. */
+  close(): void {
+    for (const proposalId of [...this.waiting.keys()]) this.settle(proposalId, err(unknownOutcome));
+    this.accepted.clear();
+  }
+}
--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -1,4 +1,5 @@
 import { adminFeature } from './admin/adminFeature.js';
+import { consensusFeature } from './consensus/consensusFeature.js';
 import { metricsFeature } from './metrics/metricsFeature.js';
 import type { Feature } from './runtime/hostParts.js';
 import { timelineFeature } from './timeline/timelineFeature.js';
@@ -7,6 +8,7 @@
 export const features: readonly Feature[] = [
   timelineFeature,
   metricsFeature,
+  consensusFeature,
   // The administration API comes last: it mounts the routes of the features before it.
   adminFeature,
 ];
--- a/packages/host/src/rpc/appRouter.ts
+++ b/packages/host/src/rpc/appRouter.ts
@@ -1,5 +1,6 @@
 import { rpcRouter } from '@buckthornlug/protocol/rpc/rpcContext.js';
 
+import { createConsensusRouter, type ConsensusHandlers } from '../consensus/consensusRouter.js';
 import { lateHandlers } from './lateHandlers.js';
 import { createMetricsRouter, type MetricsHandlers } from '../metrics/metricsRouter.js';
 import { createTimelineRouter, type TimelineHandlers } from '../timeline/timelineRouter.js';
@@ -7,6 +8,7 @@
 
 /** Handlers of all procedures between hosts; each feature sets its own when it starts. */
 export interface RpcHandlers {
+  consensus: ConsensusHandlers;
   metrics: MetricsHandlers;
   ping: PingHandlers;
   timeline: TimelineHandlers;
@@ -19,6 +21,7 @@
  */
 export function createAppRouter(handlers: Partial<RpcHandlers>) {
   return rpcRouter({
+    consensus: createConsensusRouter(lateHandlers(() => handlers.consensus)),
     metrics: createMetricsRouter(lateHandlers(() => handlers.metrics)),
     timeline: createTimelineRouter(lateHandlers(() => handlers.timeline)),
     ping: createPingRouter(lateHandlers(() => handlers.ping)),
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -13,6 +13,7 @@
 import type { Result, ResultAsync } from 'neverthrow';
 
 import type { RegisterRoutes } from '../admin/adminListener.js';
+import type { OpenGroup } from '../consensus/groups.js';
 import type { RpcHandlers } from '../rpc/appRouter.js';
 import type { ForwardedCallHandler } from '../rpc/internalListener.js';
 import type { PeerClients } from '../rpc/peerClients.js';
@@ -49,6 +50,8 @@
   membership: MembershipView;
   readonly peers: PeerClients;
   readonly auth: RequestAuth;
+  /** Opens a replicated group of the settings, on members and other hosts alike. */
+  openGroup: OpenGroup;
   readonly rpcHandlers: Partial<RpcHandlers>;
   /** Takes the calls that other hosts forward. */
   forwardedCalls: ForwardedCallHandler;
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -29,6 +29,9 @@
       memberAddress: (hostId) => parts.membership.find(hostId)?.internal,
     }),
     auth,
+    openGroup: () => {
+      throw new Error('the replicated groups have not started');
+    },
     rpcHandlers: { ping: { ping: () => ({ hostId: settings.hostId, incarnation }) } },
     forwardedCalls: (_request, response) => response.writeHead(503).end(),
     placeCall: () => Promise.resolve({ place: 'refused', failure: notStarted }),
