fix(host): take a stop signal from the start; ask configured hosts that no record names yet

Cause: SIGTERM right after the line hostStarted ended the process by the signal, since the handler came later (hostProcess.spec.ts under load: status null); a host asked for the time line before membership had met the others left them out (adminApi.spec.ts).

--- a/packages/host/src/commands/runCommand.ts
+++ b/packages/host/src/commands/runCommand.ts
@@ -1,6 +1,6 @@
 import { Command, Option } from 'clipanion';
 
-import { startHost, type RunningHost } from '../runtime/hostRuntime.js';
+import { startHost } from '../runtime/hostRuntime.js';
 import { badInputStatus, describeFailure, SettingsCommand } from './settingsCommand.js';
 
 const startFailedStatus = 1;
@@ -13,11 +13,6 @@
   });
 }
 
-async function runUntilStopped(host: RunningHost): Promise<void> {
-  await stopRequested();
-  await host.stop();
-}
-
 /** `buckthornlug run`: runs a host until SIGTERM or SIGINT. */
 export class RunCommand extends SettingsCommand {
   static override readonly paths = [['run']];
@@ -39,12 +34,14 @@
       this.context.stdout.write(`${this.settings}: valid\n`);
       return 0;
     }
+    const requested = stopRequested();
     const started = await startHost(loaded.value);
     if (started.isErr()) {
       this.context.stderr.write(describeFailure(started.error));
       return startFailedStatus;
     }
-    await runUntilStopped(started.value);
+    await requested;
+    await started.value.stop();
     return 0;
   }
 }
--- a/packages/host/src/metrics/metricsFeature.ts
+++ b/packages/host/src/metrics/metricsFeature.ts
@@ -19,7 +19,7 @@
     parts.adminRoutes.push((app) =>
       registerMetricsRoutes(app, {
         readLocal: read,
-        otherHosts: () => otherLiveHosts(parts.membership),
+        otherHosts: () => otherLiveHosts(parts.membership, context.settings),
         readRemote: (hostId) =>
           parts.peers.request(hostId, (client, signal) =>
             client.metrics.read.query(undefined, { signal }),
--- a/packages/host/src/timeline/timelineFeature.ts
+++ b/packages/host/src/timeline/timelineFeature.ts
@@ -20,7 +20,7 @@
     parts.adminRoutes.push((app) =>
       registerTimelineRoutes(app, {
         readLocal: () => read({ afterSequence: 0 }),
-        otherHosts: () => otherLiveHosts(parts.membership),
+        otherHosts: () => otherLiveHosts(parts.membership, context.settings),
         readRemote: (hostId) =>
           parts.peers.request(hostId, (client, signal) =>
             client.timeline.read.query({ afterSequence: 0 }, { signal }),
