refactor(calls): classify and order look-ups by the compiled table

Cause: classification stood twice, in core/calls and in core/table. Change: one table per host, compiled on each change of the document; core/calls/classify is gone.

--- a/packages/core/src/lookups/lookupOrder.ts
+++ b/packages/core/src/lookups/lookupOrder.ts
@@ -1,63 +1,59 @@
-import type { Network } from '@buckthornlug/protocol/document/documentTypes.js';
+import type { NetworkEntry } from '../table/tableTypes.js';
 
 /** What the order of a look-up needs to know of a host. */
 export interface LookupHost {
   readonly hostId: string;
-  readonly region: string;
   readonly availabilityZone: string;
 }
 
-/** Distances between regions by the links of the document. */
-function regionDelayMs(network: Network, from: string, to: string): number {
-  if (from === to) return 0;
-  for (const link of network.links) {
-    if (link.from === from && link.to === to) return link.oneWayDelayMs;
-    if (link.from === to && link.to === from) return link.oneWayDelayMs;
-  }
-  return Number.POSITIVE_INFINITY;
+/** A look-up: who asks, and who owns the pool of the zone. */
+export interface LookupQuestion {
+  readonly service: string;
+  readonly availabilityZone: string;
+  readonly poolOwnerId: string | undefined;
 }
 
-/** A number from a text, spread evenly, to vary the order between zones. */
+const hashStart = 2166136261;
+const hashFactor = 16777619;
+const ownerDistance = -2;
+const ownZoneDistance = -1;
+
+/** Maps a text to a number, spread evenly. */
 function hashText(text: string): number {
-  let hash = 2166136261;
+  let hash = hashStart;
   for (let index = 0; index < text.length; index += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), 16777619);
+    hash = Math.imul(hash ^ text.charCodeAt(index), hashFactor);
   }
   return hash >>> 0;
 }
 
-/** A look-up: who asks, and who owns the pool of the zone. */
-export interface LookupQuestion {
-  readonly service: string;
-  readonly availabilityZone: string;
-  readonly region: string;
-  readonly poolOwnerId: string | undefined;
-}
-
 /**
  * Orders the hosts that a caller should use: the pool owner of its zone, the other hosts of the zone,
- * other zones of the region, then other regions by delay. Hosts of equal distance stand in an order
- * that differs from zone to zone.
+ * then the hosts of other zones by delay. Hosts of equal distance stand in an order that differs from
+ * zone to zone.
  *
- * @param network - regions and links
+ * @param network - compiled section `network`
  * @param hosts - hosts that take calls
  * @param question - who asks for what
  */
 export function orderHosts<Host extends LookupHost>(
-  network: Network,
+  network: NetworkEntry,
   hosts: readonly Host[],
   question: LookupQuestion,
 ): Host[] {
+  const { service, availabilityZone, poolOwnerId } = question;
+  const zones = network.zonesByDelay.get(availabilityZone) ?? [];
+  const delays = new Map(zones.map((zone) => [zone.availabilityZone, zone.oneWayDelayMs]));
   const distanceOf = (host: Host): number => {
-    if (host.availabilityZone === question.availabilityZone) {
-      return host.hostId === question.poolOwnerId ? -2 : -1;
+    if (host.availabilityZone !== availabilityZone) {
+      return delays.get(host.availabilityZone) ?? Number.POSITIVE_INFINITY;
     }
-    return regionDelayMs(network, question.region, host.region);
+    return host.hostId === poolOwnerId ? ownerDistance : ownZoneDistance;
   };
   const ranked = hosts.map((host) => ({
     host,
     distance: distanceOf(host),
-    tie: hashText(`${question.availabilityZone} ${question.service} ${host.hostId}`),
+    tie: hashText(`${availabilityZone} ${service} ${host.hostId}`),
   }));
   ranked.sort((one, other) => {
     if (one.distance !== other.distance) return one.distance < other.distance ? -1 : 1;
--- a/packages/host/src/calls/acceptCall.ts
+++ b/packages/host/src/calls/acceptCall.ts
@@ -1,11 +1,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { createClassifier, findKind, type Classify } from '@buckthornlug/core/calls/classify.js';
+import { classifyCall } from '@buckthornlug/core/table/table.js';
+import type { CallClass, SteeringTable } from '@buckthornlug/core/table/tableTypes.js';
 import {
   forwardedCallHeader,
   forwardedCallSchema,
 } from '@buckthornlug/protocol/calls/forwardedCallSchema.js';
-import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, ok, Result } from 'neverthrow';
 
@@ -50,6 +50,11 @@
   return queryAt < 0 ? url : url.slice(0, queryAt);
 }
 
+function sectionOf(table: SteeringTable, callClass: CallClass | undefined) {
+  if (callClass === undefined) return undefined;
+  return table.services.get(callClass.service)?.section;
+}
+
 /**
  * Creates the acceptor of a host.
  *
@@ -60,51 +65,41 @@
   const { settings, clock, incarnation } = context;
   const idPrefix = `${settings.hostId}-${incarnation.toString(numberBase)}-`;
   let lastNumber = 0;
-  let classifiedDocument: SteeringDocument | undefined;
-  let classify: Classify = () => undefined;
-
-  const classifierOf = (document: SteeringDocument): Classify => {
-    if (classifiedDocument !== document) {
-      classifiedDocument = document;
-      classify = createClassifier(document);
-    }
-    return classify;
-  };
-
-  const regionOfZone = (document: SteeringDocument, zone: string): string | undefined =>
-    document.network.regions.find((region) => region.availabilityZones.includes(zone))?.id;
 
-  const callerRegion = (document: SteeringDocument, request: IncomingMessage): string => {
+  const callerRegion = (table: SteeringTable, request: IncomingMessage): string => {
     const zone = parts.findCallerZone(request.socket.remoteAddress ?? '');
     if (zone === undefined) return settings.region;
-    return regionOfZone(document, zone) ?? settings.region;
+    return table.network.regionOfZone.get(zone) ?? settings.region;
   };
 
   return {
     fromCaller: (request, response) => {
-      const inForce = parts.document.current();
-      if (inForce === undefined) return err(failure('BL2010', 'no document is in force'));
+      const table = parts.table.current();
+      if (table === undefined) return err(failure('BL2010', 'no document is in force'));
       const url = request.url ?? '/';
       if (!url.startsWith('/')) return err(failure('BL3010', 'the path must start with a slash'));
       const { host: hostName } = request.headers;
       if (hostName === undefined) return err(failure('BL3010', 'the Host header is missing'));
       const method = request.method ?? 'GET';
-      const head = { method, path: withoutQuery(url), hostName };
-      const classification = classifierOf(inForce.document)(head);
-      if (classification === undefined) return err(failure('BL3001', `${hostName} ${method}`));
+      const callClass = classifyCall(table, hostName, method, withoutQuery(url));
+      const section = sectionOf(table, callClass);
+      if (callClass === undefined || section === undefined) {
+        return err(failure('BL3001', `${hostName} ${method}`));
+      }
       const arrivedAtMs = clock.nowMs();
       lastNumber += 1;
       return ok({
         requestId: idPrefix + lastNumber.toString(numberBase),
         request,
         response,
-        classification,
+        callClass,
+        section,
         arrivedAtMs,
-        targetAtMs: arrivedAtMs + classification.targetMs,
-        deadlineAtMs: arrivedAtMs + classification.kind.timeLimitMs,
+        targetAtMs: arrivedAtMs + callClass.targetMs,
+        deadlineAtMs: arrivedAtMs + callClass.timeLimitMs,
         origin: 'caller',
         originZone: settings.availabilityZone,
-        originRegion: callerRegion(inForce.document, request),
+        originRegion: callerRegion(table, request),
         earlierAttempts: 0,
         excluded: [],
         crossedZones: false,
@@ -112,20 +107,24 @@
     },
 
     fromHost: (request, response, fromHostId) => {
-      const inForce = parts.document.current();
-      if (inForce === undefined) return err(failure('BL2010', 'no document is in force'));
+      const table = parts.table.current();
+      if (table === undefined) return err(failure('BL2010', 'no document is in force'));
       const sender = parts.membership.find(fromHostId);
       return parseForwarded(request).andThen((forwarded) => {
         const { service, kind, creditId } = forwarded;
-        const classification = findKind(inForce.document, service, kind);
-        if (classification === undefined) return err(failure('BL3001', `${service} ${kind}`));
+        const entry = table.services.get(service);
+        const rule = entry?.rules.find((candidate) => candidate.callClass.kind.id === kind);
+        if (entry === undefined || rule === undefined) {
+          return err(failure('BL3001', `${service} ${kind}`));
+        }
         const arrivedAtMs = clock.nowMs();
         const isZonePeer = sender?.availabilityZone === settings.availabilityZone;
         return ok({
           requestId: forwarded.requestId,
           request,
           response,
-          classification: { ...classification, rank: forwarded.rank },
+          callClass: { ...rule.callClass, rank: forwarded.rank },
+          section: entry.section,
           arrivedAtMs,
           targetAtMs: arrivedAtMs + forwarded.targetLeftMs,
           deadlineAtMs: arrivedAtMs + forwarded.timeLeftMs,
--- a/packages/host/src/calls/callRunner.ts
+++ b/packages/host/src/calls/callRunner.ts
@@ -35,13 +35,13 @@
   excluded: readonly string[],
   signal: AbortSignal,
 ): PendingCall {
-  const { classification } = call;
+  const { callClass } = call;
   return {
     requestId: call.requestId,
-    service: classification.serviceId,
-    kind: classification.kind.id,
-    rank: classification.rank,
-    execution: classification.kind.execution,
+    service: callClass.service,
+    kind: callClass.kind.id,
+    rank: callClass.rank,
+    execution: callClass.execution,
     arrivedAtMs: call.arrivedAtMs,
     targetAtMs: call.targetAtMs,
     deadlineAtMs: call.deadlineAtMs,
--- a/packages/host/src/calls/callServer.ts
+++ b/packages/host/src/calls/callServer.ts
@@ -58,8 +58,8 @@
   };
 
   const recordEnd = (call: AcceptedCall, served: ServedCall) => {
-    const { serviceId, kind } = call.classification;
-    const labels = { service: serviceId, kind: kind.id, rank: kind.rank };
+    const { service, kind, rank } = call.callClass;
+    const labels = { service, kind: kind.id, rank: String(rank) };
     const result = served.failure?.code ?? 'answered';
     const elapsedMs = context.clock.nowMs() - call.arrivedAtMs;
     context.metrics.count('calls_total', { ...labels, result });
@@ -68,7 +68,7 @@
     context.record({
       kind: 'callRefused',
       requestId: call.requestId,
-      service: serviceId,
+      service,
       code: served.failure.code,
     });
   };
@@ -82,7 +82,7 @@
   const serveToEnd = async (call: AcceptedCall): Promise<void> => {
     inFlight += 1;
     const timeLeftMs = call.deadlineAtMs - context.clock.nowMs();
-    const isOnce = call.classification.kind.execution === 'once';
+    const isOnce = call.callClass.execution === 'once';
     const abort = watchCall(call.response, timeLeftMs, !isOnce);
     try {
       const served = await runAccepted(call, abort);
--- a/packages/host/src/calls/callTypes.ts
+++ b/packages/host/src/calls/callTypes.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import type { Classification } from '@buckthornlug/core/calls/classify.js';
+import type { CallClass } from '@buckthornlug/core/table/tableTypes.js';
+import type { Service } from '@buckthornlug/protocol/document/documentTypes.js';
 import type { Failure } from '@buckthornlug/protocol/results/failure.js';
 import type { CallOutcome, PendingCall } from '@buckthornlug/protocol/steering/placementTypes.js';
 
@@ -9,7 +10,9 @@
   readonly requestId: string;
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
-  readonly classification: Classification;
+  readonly callClass: CallClass;
+  /** Section of the service in force when the call came in. */
+  readonly section: Service;
   readonly arrivedAtMs: number;
   readonly targetAtMs: number;
   readonly deadlineAtMs: number;
--- a/packages/host/src/calls/dispatch.ts
+++ b/packages/host/src/calls/dispatch.ts
@@ -70,7 +70,7 @@
   backendId: string,
   status: number,
 ): HeadRefusal | undefined {
-  if (!call.classification.service.notRunStatuses.includes(status)) return undefined;
+  if (!call.section.notRunStatuses.includes(status)) return undefined;
   const shed: Failure = failure('BL3015', `backend server "${backendId}" answered ${status}`, {
     retryAfterMs: shedRetryAfterMs,
   });
--- a/packages/host/src/calls/onceWork.ts
+++ b/packages/host/src/calls/onceWork.ts
@@ -21,7 +21,7 @@
  * @param call - classified call
  */
 export function identityOf(call: AcceptedCall): string | undefined {
-  const { kind } = call.classification;
+  const { kind } = call.callClass;
   if (kind.execution !== 'once' || kind.identity === undefined) return undefined;
   const identity = call.request.headers[kind.identity.header];
   if (typeof identity !== 'string' || identity === '') return undefined;
@@ -29,12 +29,12 @@
 }
 
 function ledgerKey(call: AcceptedCall, identity: string, body: WholeBody): LedgerKey {
-  const { serviceId, kind } = call.classification;
+  const { service, kind } = call.callClass;
   const digest = createHash('sha256');
   digest.update(`${call.request.method}\n${call.request.url}\n`);
   if (body.bytes !== null) digest.update(body.bytes);
   return {
-    service: serviceId,
+    service,
     kind: kind.id,
     identity,
     requestDigest: digest.digest('base64url'),
@@ -93,7 +93,7 @@
   extraFields: readonly string[],
 ): Promise<Failure | undefined> {
   const { ledger } = work.parts;
-  const { ledgerGroups } = call.classification.kind;
+  const { ledgerGroups } = call.callClass.kind;
   const key = ledgerKey(call, identity, body);
   const decision = await ledger.begin(key, ledgerGroups, call.deadlineAtMs);
   if (decision.decision === 'refused') return decision.failure;
--- a/packages/host/src/lookups/lookupAnswers.ts
+++ b/packages/host/src/lookups/lookupAnswers.ts
@@ -53,14 +53,14 @@
     service: string,
     zone: string,
   ): Result<EncodedAnswer, Failure> => {
-    const { network, services } = inForce.document;
-    const known = services[service];
-    if (known === undefined) return err(failure('BL7001', `service "${service}"`));
-    const region = network.regions.find((entry) => entry.availabilityZones.includes(zone));
-    const ordered = orderHosts(network, parts.membership.hosts().filter(takesCalls), {
+    const table = parts.table.current();
+    const known = table?.services.get(service)?.section;
+    if (table === undefined || known === undefined) {
+      return err(failure('BL7001', `service "${service}"`));
+    }
+    const ordered = orderHosts(table.network, parts.membership.hosts().filter(takesCalls), {
       service,
       availabilityZone: zone,
-      region: region?.id ?? settings.region,
       poolOwnerId: parts.poolOwner(zone, service),
     });
     if (ordered.length === 0) return err(failure('BL7003', 'no host takes calls'));
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -17,6 +17,7 @@
 import type { ForwardedCallHandler } from '../rpc/internalListener.js';
 import type { PeerClients } from '../rpc/peerClients.js';
 import type { RequestAuth } from '../rpc/requestAuth.js';
+import type { TableHolder } from '../table/tableHolder.js';
 import type { DocumentHolder } from './documentHolder.js';
 import type { HostContext, MembershipView, RunningFeature } from './hostTypes.js';
 
@@ -62,6 +63,8 @@
   /** Sets the parts that a feature owns. */
   readonly provide: (owned: Partial<ProvidedParts>) => void;
   readonly document: DocumentHolder;
+  /** The document in force, compiled. */
+  readonly table: TableHolder;
   readonly peers: PeerClients;
   readonly auth: RequestAuth;
   readonly rpcHandlers: Partial<RpcHandlers>;
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -1,3 +1,4 @@
+import { callerZone } from '@buckthornlug/core/table/table.js';
 import { failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, errAsync } from 'neverthrow';
 
@@ -6,6 +7,7 @@
 import { createDocumentHolder } from './documentHolder.js';
 import type { HostParts } from './hostParts.js';
 import type { DocumentInForce, HostContext } from './hostTypes.js';
+import { createTableHolder } from '../table/tableHolder.js';
 import { createStaticMembership } from './staticMembership.js';
 
 /**
@@ -19,11 +21,13 @@
   const auth = createRequestAuth(settings);
   const notStarted = failure('BL3003', 'the host has not started yet', { retryAfterMs: 500 });
   const noLedger = failure('BL9001', 'the ledger has not started', { retryAfterMs: 1000 });
+  const documents = createDocumentHolder(document);
   const parts: HostParts = {
     provide: (owned) => {
       Object.assign(parts, owned);
     },
-    document: createDocumentHolder(document),
+    document: documents,
+    table: createTableHolder(documents),
     membership: createStaticMembership(settings, incarnation),
     peers: createPeerClients({
       settings,
@@ -41,7 +45,10 @@
       begin: () => Promise.resolve({ decision: 'refused', failure: noLedger }),
       finish: () => errAsync(noLedger),
     },
-    findCallerZone: () => undefined,
+    findCallerZone: (callerAddress) => {
+      const table = parts.table.current();
+      return table === undefined ? undefined : callerZone(table, callerAddress);
+    },
     poolOwner: () => undefined,
     adminRoutes: [],
     running: [],
