test(calls): fault table of backend servers, forwarded calls and once-only work

Cause: the promises of the path need failures that bring them about. Change: fault cases called at the pool owner and through another host; once-only work against a ledger in memory; a retry that finds no place reports the failure of the last attempt. Conclusion: npx ava packages/testkit/src/calls/*.spec.ts passes.

--- a/packages/host/src/calls/callRunner.ts
+++ b/packages/host/src/calls/callRunner.ts
@@ -118,8 +118,8 @@
       const pending = pendingOf(call, attempt, excluded, signal);
       const placement = await place(pending);
       if (placement.place === 'refused') {
-        const refused = { failure: placement.failure, answerStarted: false, isNotRun: true };
-        return joinResults(lastFailure, refused);
+        if (lastFailure !== undefined) return lastFailure;
+        return { failure: placement.failure, answerStarted: false, isNotRun: true };
       }
       if (signal.aborted) {
         placement.release({ result: 'cancelled', elapsedMs: 0 });
