--- a/packages/host/src/consensus/consensusFeature.ts
+++ b/packages/host/src/consensus/consensusFeature.ts
@@ -10,7 +10,7 @@
   wanted: () => true,
   start: (context, parts) => {
     const groups = new HostGroups(context, parts.peers);
-    parts.openGroup = groups.open;
+    parts.provide({ openGroup: groups.open });
     parts.rpcHandlers.consensus = groups.handlers();
     parts.adminRoutes.push((app) => registerGroupRoutes(app, groups));
     return okAsync({
--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -1,14 +1,20 @@
 import { adminFeature } from './admin/adminFeature.js';
 import { consensusFeature } from './consensus/consensusFeature.js';
+import { backendsFeature } from './backends/backendsFeature.js';
+import { callsFeature } from './calls/callsFeature.js';
 import { metricsFeature } from './metrics/metricsFeature.js';
+import { membershipFeature } from './membership/membershipFeature.js';
 import type { Feature } from './runtime/hostParts.js';
 import { timelineFeature } from './timeline/timelineFeature.js';
 
 /** The features of a host, in the order in which they start. */
 export const features: readonly Feature[] = [
+  membershipFeature,
   timelineFeature,
   metricsFeature,
   consensusFeature,
+  backendsFeature,
+  callsFeature,
   // The administration API comes last: it mounts the routes of the features before it.
   adminFeature,
 ];
