--- a/packages/core/src/shifts/shiftLimiter.ts
+++ b/packages/core/src/shifts/shiftLimiter.ts
@@ -9,7 +9,7 @@
 
 /**
  * Admits shifted calls so that no window of the part's length holds more than its calls. It starts
- * closed for one window, and closes for one window after a pause of the process, so that calls
+ * closed for at least one window, and closes again after a pause of the process, so that calls
  * admitted by a former pool owner or before the pause are counted out.
  */
 export class ShiftLimiter {
@@ -27,18 +27,20 @@
   /**
    * @param part - calls and window
    * @param nowMs - monotonic time
+   * @param closedMs - shortest time for which it stays closed at the start and after a pause
    */
   constructor(
     private part: ShiftPart,
     nowMs: number,
+    private readonly closedMs = 0,
   ) {
-    this.closedUntilMs = nowMs + part.windowMs;
+    this.closedUntilMs = nowMs + this.closedForMs();
     this.observedAtMs = nowMs;
   }
 
   /** Tells the limiter that the process runs; to be called more often than each 250 ms. */
   observe(nowMs: number): void {
-    if (nowMs - this.observedAtMs > maxGapMs) this.closedUntilMs = nowMs + this.part.windowMs;
+    if (nowMs - this.observedAtMs > maxGapMs) this.closedUntilMs = nowMs + this.closedForMs();
     this.observedAtMs = nowMs;
     if (this.pending === undefined || nowMs < this.pending.atMs) return;
     this.part = this.pending.part;
@@ -76,6 +78,10 @@
     return Math.max(1, Math.ceil(Math.max(freeAtMs, this.closedUntilMs) - nowMs));
   }
 
+  private closedForMs(): number {
+    return Math.max(this.closedMs, this.part.windowMs);
+  }
+
   private dropOutside(oldestMs: number): void {
     while ((this.admitted[this.firstInside] ?? oldestMs) < oldestMs) this.firstInside += 1;
     if (this.firstInside < compactionLength) return;
--- /dev/null
+++ b/packages/host/src/shifts/shiftAdmission.ts
@@ -0,0 +1,79 @@
+import { ShiftLimiter } from '@buckthornlug/core/shifts/shiftLimiter.js';
+import { shiftPartOf, type ShiftPart } from '@buckthornlug/core/shifts/shiftParts.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+
+import type { DocumentView, HostContext } from '../runtime/hostTypes.js';
+
+/** Time beyond the slot lease for which a new pool owner admits no shifted call. */
+const takeOverMs = 1000;
+
+/** What the admission of shifted calls is given. */
+export interface ShiftAdmissionParts {
+  readonly context: Pick<HostContext, 'settings' | 'clock' | 'metrics'>;
+  readonly document: Pick<DocumentView, 'current'>;
+  /** Host that owns the pool of a service in a zone; undefined where not known. */
+  readonly poolOwner: (availabilityZone: string, service: string) => string | undefined;
+}
+
+/**
+ * Admits calls of other regions on the pool owner that would run them. Its part of the region's cap
+ * is fixed, so that the zones together stay below the cap whatever the senders believe.
+ */
+export class ShiftAdmission {
+  private readonly limiters = new Map<string, ShiftLimiter>();
+
+  constructor(private readonly parts: ShiftAdmissionParts) {}
+
+  /** Follows the document and the owners of pools; to be called more often than each 250 ms. */
+  observe(): void {
+    const services = this.parts.document.current()?.document.services ?? {};
+    for (const service of Object.keys(services)) this.limiterOf(service);
+    for (const service of this.limiters.keys()) {
+      if (services[service] === undefined) this.limiters.delete(service);
+    }
+  }
+
+  /** Admits a call, or tells why it is refused as not run. */
+  readonly admitShifted = (service: string, fromRegion: string): Failure | undefined => {
+    const { context } = this.parts;
+    const limiter = this.limiterOf(service);
+    const nowMs = context.clock.nowMs();
+    const isAdmitted = limiter?.admit(nowMs) ?? false;
+    const labels = { service, fromRegion, admitted: String(isAdmitted) };
+    context.metrics.count('shifted_calls_total', labels);
+    if (isAdmitted) return undefined;
+    const retryAfterMs = limiter?.retryAfterMs(nowMs) ?? takeOverMs;
+    return failure('BL8001', `region "${fromRegion}" sends too much`, { retryAfterMs });
+  };
+
+  /** The limiter of a service; none where another host owns the pool. */
+  private limiterOf(service: string): ShiftLimiter | undefined {
+    const { context, poolOwner } = this.parts;
+    const { hostId, availabilityZone, timing } = context.settings;
+    const owner = poolOwner(availabilityZone, service);
+    const part = this.partOf(service);
+    if (part === undefined || (owner !== undefined && owner !== hostId)) {
+      this.limiters.delete(service);
+      return undefined;
+    }
+    const nowMs = context.clock.nowMs();
+    const known = this.limiters.get(service);
+    if (known === undefined) {
+      const created = new ShiftLimiter(part, nowMs, timing.slotLeaseMs + takeOverMs);
+      this.limiters.set(service, created);
+      return created;
+    }
+    known.observe(nowMs);
+    known.change(part, nowMs);
+    return known;
+  }
+
+  private partOf(service: string): ShiftPart | undefined {
+    const { region, availabilityZone } = this.parts.context.settings;
+    const document = this.parts.document.current()?.document;
+    const cap = document?.traffic[service]?.shiftCap.maxShiftedCallsPerS;
+    const zones = document?.network.regions.find((each) => each.id === region)?.availabilityZones;
+    if (cap === undefined || zones === undefined) return undefined;
+    return shiftPartOf(cap, zones, availabilityZone);
+  }
+}
--- /dev/null
+++ b/packages/host/src/shifts/shiftLeader.ts
@@ -0,0 +1,132 @@
+import { ShiftAcknowledgements } from '@buckthornlug/core/shifts/shiftAcknowledgements.js';
+import { planShifts, type HeldShift } from '@buckthornlug/core/shifts/shiftPlanner.js';
+import { shiftTargets } from '@buckthornlug/core/shifts/shiftTargets.js';
+import type { CommittedStep, ShiftUnit } from '@buckthornlug/protocol/shifts/shiftSchema.js';
+
+import type { DocumentInForce, HostContext, MembershipView } from '../runtime/hostTypes.js';
+import type { ShiftExchange, ShiftExchangeReply } from './shiftExchangeSchema.js';
+import type { ShiftControl } from './shiftTaskTypes.js';
+
+const livingStates: ReadonlySet<string> = new Set(['alive', 'suspected', 'leaving']);
+
+/** What the planner of a control host is given. */
+export interface ShiftLeaderParts {
+  readonly context: Pick<HostContext, 'settings' | 'clock' | 'record' | 'log'>;
+  readonly control: ShiftControl;
+  readonly membership: () => Pick<MembershipView, 'hosts'>;
+}
+
+function eventDetail(unit: ShiftUnit): Record<string, string> {
+  return { scope: unit.scope, place: unit.place };
+}
+
+/** Plans and commits the steps while this control host leads. */
+export class ShiftLeader {
+  private readonly acknowledgements = new ShiftAcknowledgements();
+
+  private wasLeader = false;
+
+  private isCommitting = false;
+
+  private heldUnits: ReadonlySet<string> = new Set();
+
+  constructor(private readonly parts: ShiftLeaderParts) {}
+
+  /** Answers a host: the steps it lacks, and where the leader is. */
+  exchange(fromHostId: string, request: ShiftExchange): ShiftExchangeReply {
+    const { control } = this.parts;
+    const isLeader = control.isLeader();
+    if (isLeader) this.acknowledgements.note(fromHostId, request.revision);
+    const leaderId = control.leaderId();
+    return {
+      isLeader,
+      ...(leaderId === undefined ? {} : { leaderId }),
+      steps: control.table.since(request.revision),
+    };
+  }
+
+  /** Commits what may be moved now; to be called regularly. */
+  async tick(): Promise<void> {
+    const isLeader = this.parts.control.isLeader();
+    if (isLeader !== this.wasLeader) this.acknowledgements.reset();
+    this.wasLeader = isLeader;
+    const inForce = this.parts.control.document();
+    if (!isLeader || inForce === undefined || this.isCommitting) return;
+    this.isCommitting = true;
+    try {
+      await this.commitSteps(inForce);
+    } finally {
+      this.isCommitting = false;
+    }
+  }
+
+  private async commitSteps(inForce: DocumentInForce): Promise<void> {
+    const { context, control, membership } = this.parts;
+    const { table } = control;
+    const nowMs = context.clock.nowMs();
+    const hosts = membership().hosts();
+    const living = hosts.filter((host) => livingStates.has(host.state));
+    const hostIds = living.map((host) => host.hostId);
+    this.acknowledgements.note(context.settings.hostId, table.revision);
+    this.acknowledgements.prune(table.all());
+    const plan = planShifts({
+      document: inForce.document,
+      documentVersion: inForce.version,
+      table,
+      failedRegions: this.failedRegions(inForce),
+      acknowledgedAtMs: (step) => this.acknowledgements.acknowledgedAtMs(step, hostIds, nowMs),
+      nowMs,
+    });
+    this.reportHeld(plan.held);
+    for (const step of plan.steps) {
+      const committed = await control.submitStep(step, context.settings.timing.rpcTimeoutMs);
+      if (committed.isErr()) {
+        const { code, detail } = committed.error;
+        context.log.info('shiftStepRefused', { code, detail, place: step.place });
+        return;
+      }
+      this.reportStep(committed.value, inForce);
+    }
+  }
+
+  /** Regions whose hosts are known and all dead. */
+  private failedRegions(inForce: DocumentInForce): ReadonlySet<string> {
+    const hosts = this.parts.membership().hosts();
+    const failed = new Set<string>();
+    for (const region of inForce.document.network.regions) {
+      const own = hosts.filter((host) => host.region === region.id);
+      const isFailed = own.length > 0 && own.every((host) => !livingStates.has(host.state));
+      if (isFailed) failed.add(region.id);
+    }
+    return failed;
+  }
+
+  private reportStep(step: CommittedStep, inForce: DocumentInForce): void {
+    const { context } = this.parts;
+    const { service, documentVersion: version, movedPermille, number } = step;
+    const detail = { ...eventDetail(step), movedPermille, number };
+    context.record({ kind: 'shiftStep', service, version, detail });
+    context.log.info('shiftStep', { service, version, ...detail });
+    const target = shiftTargets(inForce.document, this.failedRegions(inForce)).find(
+      (each) => each.service === service && each.scope === step.scope && each.place === step.place,
+    );
+    if (target?.movedPermille === movedPermille) {
+      context.record({ kind: 'shiftDone', service, version, detail });
+    }
+  }
+
+  /** Records each unit once when it starts to wait for hosts that lack its last step. */
+  private reportHeld(held: readonly HeldShift[]): void {
+    const waiting = held.filter((each) => each.reason === 'notAcknowledged');
+    const units = new Set<string>();
+    for (const { target } of waiting) {
+      const unit = `${target.service}/${target.scope}/${target.place}`;
+      units.add(unit);
+      if (this.heldUnits.has(unit)) continue;
+      const { service } = target;
+      const detail = { ...eventDetail(target), reason: 'notAcknowledged' };
+      this.parts.context.record({ kind: 'shiftHeld', service, detail });
+    }
+    this.heldUnits = units;
+  }
+}
--- /dev/null
+++ b/packages/host/src/shifts/shiftRoutes.ts
@@ -0,0 +1,46 @@
+import type { ShiftTable } from '@buckthornlug/core/shifts/shiftTable.js';
+import { shiftTargets } from '@buckthornlug/core/shifts/shiftTargets.js';
+import type { ShiftStatus } from '@buckthornlug/protocol/admin/adminSchema.js';
+import type { Hono } from 'hono';
+
+import type { DocumentView } from '../runtime/hostTypes.js';
+
+/** What the routes of the shifts read. */
+export interface ShiftRoutesParts {
+  readonly document: Pick<DocumentView, 'current'>;
+  readonly table: () => ShiftTable;
+  readonly failedRegions: () => ReadonlySet<string>;
+  readonly isHeld: () => boolean;
+}
+
+/** Lists every unit that has moved or is to move. */
+function listShifts(parts: ShiftRoutesParts): ShiftStatus[] {
+  const inForce = parts.document.current();
+  if (inForce === undefined) return [];
+  const table = parts.table();
+  const held = parts.isHeld();
+  const shifts: ShiftStatus[] = [];
+  for (const target of shiftTargets(inForce.document, parts.failedRegions())) {
+    const step = table.find(target);
+    if (step === undefined && target.movedPermille === 0) continue;
+    shifts.push({
+      service: target.service,
+      region: target.place,
+      movedPermille: step?.movedPermille ?? 0,
+      targetPermille: target.movedPermille,
+      step: step?.number ?? 0,
+      held,
+    });
+  }
+  return shifts;
+}
+
+/**
+ * Adds `GET /v1/shifts`.
+ *
+ * @param app - administration API
+ * @param parts - document and steps
+ */
+export function registerShiftRoutes(app: Hono, parts: ShiftRoutesParts): void {
+  app.get('/v1/shifts', (context) => context.json({ shifts: listShifts(parts) }));
+}
--- a/packages/testkit/src/ledger/fakeLedgerGroup.ts
+++ b/packages/testkit/src/ledger/fakeLedgerGroup.ts
@@ -8,8 +8,8 @@
 import { err, ok, okAsync, ResultAsync, type Result } from 'neverthrow';
 
 import type { SeededRandom } from '../random/seededRandom.js';
-import type { ProcessTime } from './processTime.js';
-import type { VirtualTime } from './virtualTime.js';
+import type { ProcessTime } from '../time/processTime.js';
+import type { VirtualTime } from '../time/virtualTime.js';
 
 /** How the network of a fake ledger group misbehaves, as probabilities. */
 export interface LedgerNetworkFaults {
--- a/packages/testkit/src/ledger/ledgerFaults.spec.ts
+++ b/packages/testkit/src/ledger/ledgerFaults.spec.ts
@@ -6,7 +6,7 @@
 import { OnceBackend } from './onceBackend.js';
 import { OnceFleet } from './onceFleet.js';
 import type { OnceMoment, OnceReply } from './onceHost.js';
-import { VirtualTime } from './virtualTime.js';
+import { VirtualTime } from '../time/virtualTime.js';
 
 const seed = 4;
 const timeLimitMs = 3000;
--- a/packages/testkit/src/ledger/onceBackend.ts
+++ b/packages/testkit/src/ledger/onceBackend.ts
@@ -1,8 +1,8 @@
 import type { LedgerOutcome } from '@buckthornlug/protocol/steering/ledgerTypes.js';
 
 import type { SeededRandom } from '../random/seededRandom.js';
-import type { ProcessTime } from './processTime.js';
-import type { VirtualTime } from './virtualTime.js';
+import type { ProcessTime } from '../time/processTime.js';
+import type { VirtualTime } from '../time/virtualTime.js';
 
 /** Probabilities of what a backend server does other than answer in time. */
 export interface OnceBackendFaults {
--- a/packages/testkit/src/ledger/onceCaller.ts
+++ b/packages/testkit/src/ledger/onceCaller.ts
@@ -4,7 +4,7 @@
 import type { SeededRandom } from '../random/seededRandom.js';
 import type { OnceFleet } from './onceFleet.js';
 import type { OnceReply } from './onceHost.js';
-import type { VirtualTime } from './virtualTime.js';
+import type { VirtualTime } from '../time/virtualTime.js';
 
 /** What a caller is given. */
 export interface OnceCallerParts {
--- a/packages/testkit/src/ledger/onceFleet.ts
+++ b/packages/testkit/src/ledger/onceFleet.ts
@@ -4,7 +4,7 @@
 import { FakeLedgerGroup } from './fakeLedgerGroup.js';
 import type { OnceBackend } from './onceBackend.js';
 import { OnceHost, type OnceMoment } from './onceHost.js';
-import type { VirtualTime } from './virtualTime.js';
+import type { VirtualTime } from '../time/virtualTime.js';
 
 /** What the fleet is given. */
 export interface OnceFleetParts {
--- a/packages/testkit/src/ledger/onceHost.ts
+++ b/packages/testkit/src/ledger/onceHost.ts
@@ -10,8 +10,8 @@
 import type { LedgerGroup } from '@buckthornlug/host/ledger/ledgerTaskTypes.js';
 import { createMetrics } from '@buckthornlug/host/metrics/metrics.js';
 
-import { ProcessTime } from './processTime.js';
-import type { VirtualTime } from './virtualTime.js';
+import { ProcessTime } from '../time/processTime.js';
+import type { VirtualTime } from '../time/virtualTime.js';
 
 /** What a caller gets: a whole answer or a failure. */
 export type OnceReply =
--- a/packages/testkit/src/ledger/onceRound.ts
+++ b/packages/testkit/src/ledger/onceRound.ts
@@ -4,7 +4,7 @@
 import { OnceCaller } from './onceCaller.js';
 import { OnceFleet } from './onceFleet.js';
 import type { OnceReply } from './onceHost.js';
-import { VirtualTime } from './virtualTime.js';
+import { VirtualTime } from '../time/virtualTime.js';
 
 /** What one seeded round of faults showed. */
 export interface OnceRoundResult {
