--- a/packages/testkit/src/bench/experiments.ts
+++ b/packages/testkit/src/bench/experiments.ts
@@ -1,4 +1,6 @@
 import type { Experiment } from './benchTypes.js';
+import { onceExperiment } from './once/onceExperiment.js';
+import { shiftExperiment } from './shift/shiftExperiment.js';
 
 /** The experiments of `npm run bench`. */
-export const experiments: readonly Experiment[] = [];
+export const experiments: readonly Experiment[] = [onceExperiment, shiftExperiment];
--- a/packages/testkit/src/ledger/fakeLedgerGroup.ts
+++ b/packages/testkit/src/ledger/fakeLedgerGroup.ts
@@ -7,7 +7,7 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, ok, okAsync, ResultAsync, type Result } from 'neverthrow';
 
-import type { SeededRandom } from '../random/seededRandom.js';
+import type { Draws } from '../random/draws.js';
 import type { ProcessTime } from '../time/processTime.js';
 import type { VirtualTime } from '../time/virtualTime.js';
 
@@ -54,7 +54,7 @@
   constructor(
     readonly groupId: string,
     private readonly time: VirtualTime,
-    private readonly random: SeededRandom,
+    private readonly random: Draws,
   ) {}
 
   /** Commits a command at once. */
--- a/packages/testkit/src/ledger/ledgerFaults.spec.ts
+++ b/packages/testkit/src/ledger/ledgerFaults.spec.ts
@@ -1,7 +1,7 @@
 import type { LedgerKey } from '@buckthornlug/protocol/steering/ledgerTypes.js';
 import test from 'ava';
 
-import { createSeededRandom } from '../random/seededRandom.js';
+import { createDraws } from '../random/draws.js';
 import { faultlessNetwork, type FakeLedgerGroup } from './fakeLedgerGroup.js';
 import { OnceBackend } from './onceBackend.js';
 import { OnceFleet } from './onceFleet.js';
@@ -138,7 +138,7 @@
 /** Runs one case and tells what each call heard, how often the work ran, and the events. */
 async function runCase({ moment, bringAbout, resendAtMs, resendDigest }: FaultCase) {
   const time = new VirtualTime();
-  const random = createSeededRandom(seed);
+  const random = createDraws(seed);
   const backend = new OnceBackend(time, random, noBackendFaults, timeLimitMs);
   let isDue = true;
   const fleet: OnceFleet = new OnceFleet({
@@ -185,7 +185,7 @@
 
 test('a host that is cut off refuses all calls but the first as not run, without dispatch', async (t) => {
   const time = new VirtualTime();
-  const random = createSeededRandom(seed);
+  const random = createDraws(seed);
   const backend = new OnceBackend(time, random, noBackendFaults, timeLimitMs);
   const hostIds = ['host-a'];
   const onMoment = () => undefined;
--- a/packages/testkit/src/ledger/onceBackend.ts
+++ b/packages/testkit/src/ledger/onceBackend.ts
@@ -1,6 +1,6 @@
 import type { LedgerOutcome } from '@buckthornlug/protocol/steering/ledgerTypes.js';
 
-import type { SeededRandom } from '../random/seededRandom.js';
+import type { Draws } from '../random/draws.js';
 import type { ProcessTime } from '../time/processTime.js';
 import type { VirtualTime } from '../time/virtualTime.js';
 
@@ -26,7 +26,7 @@
 
   constructor(
     private readonly time: VirtualTime,
-    private readonly random: SeededRandom,
+    private readonly random: Draws,
     private readonly faults: OnceBackendFaults,
     private readonly timeLimitMs: number,
   ) {}
--- a/packages/testkit/src/ledger/onceCaller.ts
+++ b/packages/testkit/src/ledger/onceCaller.ts
@@ -1,7 +1,7 @@
 import { executionTruth } from '@buckthornlug/protocol/results/failure.js';
 import type { LedgerKey, StoredAnswer } from '@buckthornlug/protocol/steering/ledgerTypes.js';
 
-import type { SeededRandom } from '../random/seededRandom.js';
+import type { Draws } from '../random/draws.js';
 import type { OnceFleet } from './onceFleet.js';
 import type { OnceReply } from './onceHost.js';
 import type { VirtualTime } from '../time/virtualTime.js';
@@ -9,7 +9,7 @@
 /** What a caller is given. */
 export interface OnceCallerParts {
   readonly time: VirtualTime;
-  readonly random: SeededRandom;
+  readonly random: Draws;
   readonly fleet: OnceFleet;
   readonly hostIds: readonly string[];
   /** Ledger groups of the kind as the document in force names them. */
--- a/packages/testkit/src/ledger/onceFleet.ts
+++ b/packages/testkit/src/ledger/onceFleet.ts
@@ -1,6 +1,6 @@
 import type { EventInput } from '@buckthornlug/protocol/events/eventSchema.js';
 
-import type { SeededRandom } from '../random/seededRandom.js';
+import type { Draws } from '../random/draws.js';
 import { FakeLedgerGroup } from './fakeLedgerGroup.js';
 import type { OnceBackend } from './onceBackend.js';
 import { OnceHost, type OnceMoment } from './onceHost.js';
@@ -9,7 +9,7 @@
 /** What the fleet is given. */
 export interface OnceFleetParts {
   readonly time: VirtualTime;
-  readonly random: SeededRandom;
+  readonly random: Draws;
   readonly backend: OnceBackend;
   readonly hostIds: readonly string[];
   readonly groupIds: readonly string[];
--- a/packages/testkit/src/ledger/onceRound.ts
+++ b/packages/testkit/src/ledger/onceRound.ts
@@ -1,4 +1,4 @@
-import { createSeededRandom, type SeededRandom } from '../random/seededRandom.js';
+import { createDraws, type Draws } from '../random/draws.js';
 import type { LedgerNetworkFaults } from './fakeLedgerGroup.js';
 import { OnceBackend, type OnceBackendFaults } from './onceBackend.js';
 import { OnceCaller } from './onceCaller.js';
@@ -49,7 +49,7 @@
 class OnceRound {
   private readonly time = new VirtualTime();
 
-  private readonly random: SeededRandom;
+  private readonly random: Draws;
 
   private readonly backend: OnceBackend;
 
@@ -66,7 +66,7 @@
   private pauses = 0;
 
   constructor(private readonly seed: number) {
-    this.random = createSeededRandom(seed);
+    this.random = createDraws(seed);
     this.backend = new OnceBackend(this.time, this.random, backendFaults, timeLimitMs);
     this.fleet = new OnceFleet({
       time: this.time,
--- a/packages/testkit/src/random/seededRandom.ts
+++ b/packages/testkit/src/random/draws.ts
@@ -1,8 +1,7 @@
-import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { createSeededRandom } from '../fakes/seededRandom.js';
 
 /** Draws from one seeded sequence. */
-export interface SeededRandom {
+export interface Draws {
   /** Number in [0, 1). */
   readonly next: () => number;
   /** Number in [low, high). */
@@ -14,13 +13,12 @@
 }
 
 /**
- * Creates a repeatable sequence of random numbers.
+ * Creates repeatable draws.
  *
  * @param seed - whole number that fixes the sequence
  */
-export function createSeededRandom(seed: number): SeededRandom {
-  const generator = xoroshiro128plus(seed);
-  const next = () => uniformFloat64(generator);
+export function createDraws(seed: number): Draws {
+  const next = createSeededRandom(seed);
   return {
     next,
     between: (low, high) => low + next() * (high - low),
--- a/packages/testkit/src/shifts/fakeShiftControl.ts
+++ b/packages/testkit/src/shifts/fakeShiftControl.ts
@@ -5,7 +5,7 @@
 import type { CommittedStep, ShiftStep } from '@buckthornlug/protocol/shifts/shiftSchema.js';
 import { err, ResultAsync, type Result } from 'neverthrow';
 
-import type { SeededRandom } from '../random/seededRandom.js';
+import type { Draws } from '../random/draws.js';
 import type { ProcessTime } from '../time/processTime.js';
 import type { VirtualTime } from '../time/virtualTime.js';
 
@@ -35,7 +35,7 @@
 
   constructor(
     private readonly time: VirtualTime,
-    private readonly random: SeededRandom,
+    private readonly random: Draws,
     private readonly document: () => DocumentInForce,
   ) {}
 
--- a/packages/testkit/src/shifts/shiftRound.ts
+++ b/packages/testkit/src/shifts/shiftRound.ts
@@ -7,7 +7,7 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 
-import { createSeededRandom, type SeededRandom } from '../random/seededRandom.js';
+import { createDraws, type Draws } from '../random/draws.js';
 import type { ProcessTime } from '../time/processTime.js';
 import { VirtualTime } from '../time/virtualTime.js';
 import { FakeShiftControl } from './fakeShiftControl.js';
@@ -103,7 +103,7 @@
 class ShiftRound {
   private readonly time = new VirtualTime();
 
-  private readonly random: SeededRandom;
+  private readonly random: Draws;
 
   private readonly control: FakeShiftControl;
 
@@ -130,7 +130,7 @@
   private readonly controlHosts = regions.map((region) => `${region}-0-0`);
 
   constructor(private readonly seed: number) {
-    this.random = createSeededRandom(seed);
+    this.random = createDraws(seed);
     this.control = new FakeShiftControl(this.time, this.random, () => this.accepted);
     [this.control.leaderId] = this.controlHosts;
     for (const place of places()) this.start(place);
