--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -1,4 +1,6 @@
 import { adminFeature } from './admin/adminFeature.js';
+import { backendsFeature } from './backends/backendsFeature.js';
+import { callsFeature } from './calls/callsFeature.js';
 import { metricsFeature } from './metrics/metricsFeature.js';
 import type { Feature } from './runtime/hostParts.js';
 import { timelineFeature } from './timeline/timelineFeature.js';
@@ -7,6 +9,8 @@
 export const features: readonly Feature[] = [
   timelineFeature,
   metricsFeature,
+  backendsFeature,
+  callsFeature,
   // The administration API comes last: it mounts the routes of the features before it.
   adminFeature,
 ];
