--- a/packages/core/src/credits/creditDemand.ts
+++ b/packages/core/src/credits/creditDemand.ts
@@ -42,11 +42,11 @@
 /** Credits that a zone should be asked for. */
 function wantedCredits(pressure: RankPressure, zone: RemoteZone, answers: ZoneAnswers): number {
   const roundTripMs = 2 * zone.oneWayDelayMs;
-  const elsewhereMs = 2 * roundTripMs + answers.expectedWaitMs;
-  if (elsewhereMs > pressure.longestWaitMs) return 0;
-  const gainMs = pressure.expectedWaitMs - elsewhereMs;
+  const untilCreditMs = roundTripMs + answers.expectedWaitMs;
+  if (untilCreditMs > pressure.longestWaitMs) return 0;
+  const gainMs = pressure.expectedWaitMs - untilCreditMs - roundTripMs;
   let want = pressure.homelessCalls;
-  if (gainMs > minGainMs) {
+  if (gainMs > minGainMs && Number.isFinite(gainMs)) {
     want += Math.ceil(pressure.waitingCalls * (gainMs / pressure.expectedWaitMs));
   }
   return Math.min(maxWant, want - pressure.creditsAtHand);
@@ -104,6 +104,21 @@
     else answers.backoffMs = firstBackoffMs;
   }
 
+  /**
+   * Tells whether no zone may be asked for a rank now, so that waiting for a credit is of no use.
+   *
+   * @param rank - index of the rank
+   * @param zones - zones that may be asked
+   * @param nowMs - current time
+   */
+  isHopeless(rank: number, zones: readonly RemoteZone[], nowMs: number): boolean {
+    for (const zone of zones) {
+      const answers = this.answersOf(zone.availabilityZone, rank);
+      if (answers.isAsked || nowMs >= answers.notBeforeMs) return false;
+    }
+    return true;
+  }
+
   private answersOf(availabilityZone: string, rank: number): ZoneAnswers {
     const key = `${availabilityZone}/${rank}`;
     const known = this.answers.get(key);
--- a/packages/core/src/pools/pool.ts
+++ b/packages/core/src/pools/pool.ts
@@ -25,7 +25,7 @@
   /** Learned service times. */
   readonly times: ServiceTimes;
 
-  private readonly queue: PoolQueue<Call>;
+  private queue: PoolQueue<Call>;
 
   private members: BackendSlots[] = [];
 
@@ -38,7 +38,7 @@
    * @param nowMs - current time
    */
   constructor(
-    private readonly rules: PoolRules,
+    private rules: PoolRules,
     nowMs: number,
   ) {
     this.times = new ServiceTimes(rules.serviceTimeMs);
@@ -61,6 +61,25 @@
     this.members = this.members.filter((member) => member.backendId !== backendId);
   }
 
+  /**
+   * Brings new rules in force; waiting calls keep their place in line.
+   *
+   * @param rules - new rules
+   * @param nowMs - current time
+   */
+  reconfigure(rules: PoolRules, nowMs: number): void {
+    const former = this.queue;
+    this.rules = rules;
+    this.queue = new PoolQueue<Call>(rules, nowMs);
+    const lowestRank = rules.ranks.length - 1;
+    for (let entry = former.shiftAny(); entry !== undefined; entry = former.shiftAny()) {
+      const rank = Math.min(entry.call.rank, lowestRank);
+      this.queue.push(
+        rank === entry.call.rank ? entry : { ...entry, call: { ...entry.call, rank } },
+      );
+    }
+  }
+
   /** Slots that may be used now. */
   usableSlots(nowMs: number): number {
     let slots = 0;
@@ -164,15 +183,18 @@
   }
 
   /**
-   * Takes the next call of a rank out of the queue, for a place elsewhere.
+   * Takes a waiting call of a rank out of the queue, for a place elsewhere.
    *
    * @param rank - index of the rank
+   * @param isSuited - tells whether a call may go there
    */
-  takeWaiting(rank: number): Call | undefined {
-    const entry = this.queue.shiftRank(rank);
-    if (entry === undefined) return undefined;
-    entry.waiting = false;
-    return entry.call;
+  takeWaiting(rank: number, isSuited: (call: Call) => boolean): Call | undefined {
+    for (const entry of this.queue.headsOf(rank)) {
+      if (!isSuited(entry.call)) continue;
+      this.queue.remove(entry);
+      return entry.call;
+    }
+    return undefined;
   }
 
   /**
--- a/packages/core/src/pools/poolQueue.ts
+++ b/packages/core/src/pools/poolQueue.ts
@@ -71,19 +71,20 @@
     for (const [index, rank] of this.ranks.entries()) {
       if (this.isStarved(index, rank, slots, nowMs)) return rank.queue.shift();
     }
+    return this.shiftAny();
+  }
+
+  /** Takes the next call of the most urgent rank that waits. */
+  shiftAny(): QueuedCall<Call> | undefined {
     for (const rank of this.ranks) {
       if (rank.queue.waitingCalls > 0) return rank.queue.shift();
     }
     return undefined;
   }
 
-  /**
-   * Takes the next call of one rank, for a place elsewhere.
-   *
-   * @param rank - index of the rank
-   */
-  shiftRank(rank: number): QueuedCall<Call> | undefined {
-    return this.ranks[rank]?.queue.shift();
+  /** Longest-waiting call of each kind of one rank. */
+  headsOf(rank: number): Iterable<QueuedCall<Call>> {
+    return this.ranks[rank]?.queue.heads() ?? [];
   }
 
   /** Charges a call that starts on a slot. */
--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -1,15 +1,15 @@
 import { adminFeature } from './admin/adminFeature.js';
-import { backendsFeature } from './backends/backendsFeature.js';
 import { callsFeature } from './calls/callsFeature.js';
 import { metricsFeature } from './metrics/metricsFeature.js';
 import type { Feature } from './runtime/hostParts.js';
+import { slotsFeature } from './slots/slotsFeature.js';
 import { timelineFeature } from './timeline/timelineFeature.js';
 
 /** The features of a host, in the order in which they start. */
 export const features: readonly Feature[] = [
   timelineFeature,
   metricsFeature,
-  backendsFeature,
+  slotsFeature,
   callsFeature,
   // The administration API comes last: it mounts the routes of the features before it.
   adminFeature,
--- a/packages/host/src/rpc/appRouter.ts
+++ b/packages/host/src/rpc/appRouter.ts
@@ -2,6 +2,7 @@
 
 import { lateHandlers } from './lateHandlers.js';
 import { createMetricsRouter, type MetricsHandlers } from '../metrics/metricsRouter.js';
+import { createSlotsRouter, type SlotsHandlers } from '../slots/slotsRouter.js';
 import { createTimelineRouter, type TimelineHandlers } from '../timeline/timelineRouter.js';
 import { createPingRouter, type PingHandlers } from './pingRouter.js';
 
@@ -9,6 +10,7 @@
 export interface RpcHandlers {
   metrics: MetricsHandlers;
   ping: PingHandlers;
+  slots: SlotsHandlers;
   timeline: TimelineHandlers;
 }
 
@@ -20,6 +22,7 @@
 export function createAppRouter(handlers: Partial<RpcHandlers>) {
   return rpcRouter({
     metrics: createMetricsRouter(lateHandlers(() => handlers.metrics)),
+    slots: createSlotsRouter(lateHandlers(() => handlers.slots)),
     timeline: createTimelineRouter(lateHandlers(() => handlers.timeline)),
     ping: createPingRouter(lateHandlers(() => handlers.ping)),
   });
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -37,6 +37,14 @@
   readonly finish: (intentId: string, outcome: LedgerOutcome) => ResultAsync<void, Failure>;
 }
 
+/** The shifts as the placement of calls sees them. */
+export interface ShiftHooks {
+  /** Admits a call that came from another region, or tells why the cap refuses it. */
+  readonly admitShifted: (service: string, fromRegion: string) => Failure | undefined;
+  /** Share of a zone's or region's own traffic that runs elsewhere now, in permille. */
+  readonly movedPermille: (service: string, scope: 'zone' | 'region', place: string) => number;
+}
+
 /** Finds the availability zone nearest to a caller's address. */
 export type FindCallerZone = (callerAddress: string) => string | undefined;
 
@@ -50,6 +58,7 @@
   receiveAnnouncement: ReceiveAnnouncement;
   ledger: LedgerHooks;
   findCallerZone: FindCallerZone;
+  shifts: ShiftHooks;
   /** Host that owns the pool of a service in a zone; undefined where not known. */
   poolOwner: (availabilityZone: string, service: string) => string | undefined;
 }
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -42,6 +42,7 @@
       finish: () => errAsync(noLedger),
     },
     findCallerZone: () => undefined,
+    shifts: { admitShifted: () => undefined, movedPermille: () => 0 },
     poolOwner: () => undefined,
     adminRoutes: [],
     running: [],
--- /dev/null
+++ b/packages/host/src/slots/placement.ts
@@ -0,0 +1,103 @@
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import type {
+  PendingCall,
+  PlaceCall,
+  Placement,
+} from '@buckthornlug/protocol/steering/placementTypes.js';
+
+import type { HostParts } from '../runtime/hostParts.js';
+import type { HostContext } from '../runtime/hostTypes.js';
+import type { CreditTask } from './creditTask.js';
+import type { PoolOwners } from './poolOwners.js';
+import type { PoolTask } from './poolTask.js';
+import type { RemoteLinks } from './remoteLinks.js';
+import type { CallReach } from './slotsTypes.js';
+
+const retryAfterMs = 200;
+const wholePermille = 1000;
+
+/** A pool of this host with its credits. */
+export interface OwnPool {
+  readonly task: PoolTask;
+  readonly credits: CreditTask;
+}
+
+/** What the placement is given. */
+export interface PlacementParts {
+  readonly poolOf: (service: string) => OwnPool | undefined;
+  readonly owners: PoolOwners;
+  readonly links: RemoteLinks;
+  /** Told of each call that came from a caller. */
+  readonly noteCall: (call: PendingCall) => void;
+  /** Told that the decision on a call was left to the pool owner. */
+  readonly noteForwarded: (call: PendingCall) => void;
+}
+
+function refused(problem: Failure): Placement {
+  return { place: 'refused', failure: problem };
+}
+
+/**
+ * Creates the placement of calls: own slots, the pool owner of the zone, or another zone.
+ *
+ * @param context - context of the host
+ * @param parts - shifts
+ * @param placementParts - pools, owners and links
+ */
+export function createPlacement(
+  context: HostContext,
+  parts: HostParts,
+  placementParts: PlacementParts,
+): PlaceCall {
+  const { settings, clock } = context;
+  const { poolOf, owners, links } = placementParts;
+
+  /** Where a call of this zone may run, by the shifts. */
+  const reachOf = (service: string): CallReach => {
+    const moved = (scope: 'zone' | 'region', place: string) =>
+      context.random() * wholePermille < parts.shifts.movedPermille(service, scope, place);
+    if (moved('region', settings.region)) return 'otherRegions';
+    if (moved('zone', settings.availabilityZone)) return 'otherZones';
+    return 'anywhere';
+  };
+
+  const placeHere = (call: PendingCall, own: OwnPool, reach: CallReach): Promise<Placement> => {
+    const leftMs = call.targetAtMs - clock.nowMs();
+    const creditWaitMs =
+      reach === 'homeOnly' ? 0 : own.credits.creditWaitMs(call.rank, Math.max(0, leftMs));
+    return own.task.place(call, reach, creditWaitMs, (waiting) => own.credits.tryCredit(waiting));
+  };
+
+  const fromOtherZone = (call: PendingCall, own: OwnPool): Promise<Placement> => {
+    if (!own.credits.spendGranted(call.creditId)) {
+      const more = { retryAfterMs };
+      return Promise.resolve(refused(failure('BL3012', 'the credit is not valid here', more)));
+    }
+    if (call.originRegion !== settings.region) {
+      const overCap = parts.shifts.admitShifted(call.service, call.originRegion);
+      if (overCap !== undefined) return Promise.resolve(refused(overCap));
+    }
+    const linkMs = 2 * links.delayToRegionMs(call.originRegion);
+    return placeHere({ ...call, targetAtMs: call.targetAtMs + linkMs }, own, 'homeOnly');
+  };
+
+  const toOwner = (call: PendingCall, hostId: string): Promise<Placement> => {
+    placementParts.noteForwarded(call);
+    return Promise.resolve({ place: 'host', hostId, release: () => undefined });
+  };
+
+  return (call) => {
+    const own = poolOf(call.service);
+    if (own === undefined) {
+      return Promise.resolve(refused(failure('BL3001', `service "${call.service}"`)));
+    }
+    if (call.origin === 'otherZone') return fromOtherZone(call, own);
+    if (call.origin === 'caller') placementParts.noteCall(call);
+    const owner = owners.localOwner(call.service, call.excluded);
+    const isOwner = owner === undefined || owner === settings.hostId;
+    if (isOwner || own.task.holdsSlots()) return placeHere(call, own, reachOf(call.service));
+    if (call.origin === 'caller') return toOwner(call, owner);
+    const detail = `host "${owner}" owns the pool`;
+    return Promise.resolve(refused(failure('BL3003', detail, { retryAfterMs })));
+  };
+}
--- /dev/null
+++ b/packages/host/src/slots/poolTask.ts
@@ -0,0 +1,249 @@
+import { Pool } from '@buckthornlug/core/pools/pool.js';
+import type {
+  PoolEffect,
+  PoolRules,
+  QueuedCall,
+  RefuseReason,
+  RunningCall,
+} from '@buckthornlug/core/pools/poolTypes.js';
+import { ejectOutlier } from '@buckthornlug/core/slots/ejections.js';
+import type { BackendSlots } from '@buckthornlug/core/slots/backendSlots.js';
+import { defaultOutlierLimits } from '@buckthornlug/core/slots/outliers.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import type {
+  CallOutcome,
+  PendingCall,
+  Placement,
+} from '@buckthornlug/protocol/steering/placementTypes.js';
+
+import type { HostContext } from '../runtime/hostTypes.js';
+import { HomelessCalls } from './homelessCalls.js';
+import type { CallReach, KnownBackend, WaitingCall } from './slotsTypes.js';
+
+const minRetryAfterMs = 50;
+const maxRetryAfterMs = 30_000;
+
+/** Turns the reason of a refusal into the failure that the caller hears. */
+function refusalOf(reason: RefuseReason, expectedWaitMs: number): Failure {
+  const wait = Number.isFinite(expectedWaitMs) ? expectedWaitMs : minRetryAfterMs;
+  const retryAfterMs = Math.round(Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, wait)));
+  if (reason === 'deadlinePassed') return failure('BL3004', 'the call waited too long');
+  if (reason === 'noSlots') return failure('BL3003', 'no slot is held here', { retryAfterMs });
+  const detail = `${reason}, expected wait ${retryAfterMs} ms`;
+  return failure('BL3002', detail, { retryAfterMs });
+}
+
+/** The pool of one service in the zone of this host: owns its queue and its backend servers. */
+export class PoolTask {
+  /** Calls that can only be answered by other zones. */
+  readonly homeless = new HomelessCalls();
+
+  /** Decisions of the pool. */
+  readonly pool: Pool<WaitingCall>;
+
+  private readonly backends = new Map<string, KnownBackend>();
+
+  /**
+   * @param service - service of the pool
+   * @param context - context of the host
+   * @param rules - rules of the pool
+   */
+  constructor(
+    readonly service: string,
+    private readonly context: HostContext,
+    rules: PoolRules,
+  ) {
+    this.pool = new Pool(rules, context.clock.nowMs());
+  }
+
+  /** Backend servers that announced themselves here. */
+  get known(): Iterable<KnownBackend> {
+    return this.backends.values();
+  }
+
+  /** Finds a backend server. */
+  find(backendId: string): KnownBackend | undefined {
+    return this.backends.get(backendId);
+  }
+
+  /** Adds a backend server. */
+  add(backend: KnownBackend): void {
+    this.backends.set(backend.slots.backendId, backend);
+    this.pool.add(backend.slots);
+  }
+
+  /** Removes a backend server. */
+  remove(backendId: string): void {
+    this.backends.delete(backendId);
+    this.pool.remove(backendId);
+  }
+
+  /** Whether the host may use slots of the pool now. */
+  holdsSlots(): boolean {
+    return this.pool.usableSlots(this.context.clock.nowMs()) > 0;
+  }
+
+  /** Whether calls wait, so that time matters. */
+  get isBusy(): boolean {
+    return this.pool.waitingCalls > 0 || this.homeless.size > 0;
+  }
+
+  /**
+   * Finds a place for a call.
+   *
+   * @param pending - the call
+   * @param reach - where it may run
+   * @param creditWaitMs - time that the call may wait for a credit; 0 where none can be had
+   * @param tryCredit - spends a credit at hand, where there is one
+   */
+  place(
+    pending: PendingCall,
+    reach: CallReach,
+    creditWaitMs: number,
+    tryCredit: (call: WaitingCall) => boolean,
+  ): Promise<Placement> {
+    return this.wait(pending, reach, (call) => {
+      const nowMs = this.context.clock.nowMs();
+      if (reach === 'otherZones' || reach === 'otherRegions') {
+        this.waitForCredit(call, creditWaitMs, refusalOf('noSlots', creditWaitMs), tryCredit);
+        return undefined;
+      }
+      const offer = this.pool.offer(call, nowMs);
+      if (offer.offer === 'queued') {
+        this.pump();
+        return offer.entry;
+      }
+      const refusal = refusalOf(offer.reason, offer.expectedWaitMs);
+      const mayLeave = reach === 'anywhere' && offer.reason !== 'deadlinePassed';
+      if (mayLeave) this.waitForCredit(call, creditWaitMs, refusal, tryCredit);
+      else call.resolve({ place: 'refused', failure: refusal });
+      return undefined;
+    });
+  }
+
+  /** Gives free slots to waiting calls. */
+  pump(): void {
+    const nowMs = this.context.clock.nowMs();
+    this.homeless.expire(nowMs);
+    for (const effect of this.pool.pump(nowMs)) this.carryOut(effect);
+  }
+
+  /** Takes the call that should use a credit of its rank. */
+  takeForCredit(rank: number, mayGo: (call: WaitingCall) => boolean): WaitingCall | undefined {
+    const homeless = this.homeless.take(rank, mayGo);
+    if (homeless !== undefined) return homeless;
+    return this.pool.takeWaiting(rank, (call) => call.reach === 'anywhere' && mayGo(call));
+  }
+
+  /** State of the pool, for `status`. */
+  describe() {
+    const nowMs = this.context.clock.nowMs();
+    return {
+      service: this.service,
+      slots: this.pool.usableSlots(nowMs),
+      freeSlots: this.pool.freeSlots(nowMs),
+      waitingCalls: this.pool.waitingCalls,
+      backends: [...this.backends.values()].map(({ slots, announcement }) => ({
+        backendId: slots.backendId,
+        endpoint: announcement.endpoint,
+        state: announcement.state,
+        standing: slots.standing(nowMs),
+        announcedSlots: announcement.slots,
+        usableSlots: slots.usableSlots(nowMs),
+        inFlight: slots.inFlight,
+      })),
+    };
+  }
+
+  private wait(
+    pending: PendingCall,
+    reach: CallReach,
+    enter: (call: WaitingCall) => QueuedCall<WaitingCall> | undefined,
+  ) {
+    return new Promise<Placement>((settle) => {
+      let entry: QueuedCall<WaitingCall> | undefined;
+      let call: WaitingCall | undefined;
+      let isSettled = false;
+      const onAbort = () => {
+        if (entry !== undefined) this.pool.cancel(entry);
+        if (call === undefined) return;
+        this.homeless.remove(call);
+        call.resolve({ place: 'refused', failure: failure('BL3017', 'the caller hung up') });
+      };
+      const isRepeated = pending.attempt > 0;
+      call = {
+        requestId: pending.requestId,
+        kind: pending.kind,
+        rank: pending.rank,
+        targetAtMs: isRepeated ? pending.deadlineAtMs : pending.targetAtMs,
+        deadlineAtMs: pending.deadlineAtMs,
+        excluded: pending.excluded,
+        pending,
+        reach,
+        isSettled: () => isSettled,
+        resolve: (placement) => {
+          isSettled = true;
+          pending.signal.removeEventListener('abort', onAbort);
+          settle(placement);
+        },
+      };
+      pending.signal.addEventListener('abort', onAbort);
+      entry = enter(call);
+    });
+  }
+
+  private waitForCredit(
+    call: WaitingCall,
+    creditWaitMs: number,
+    refusal: Failure,
+    tryCredit: (call: WaitingCall) => boolean,
+  ): void {
+    if (tryCredit(call)) return;
+    const untilMs = Math.min(call.deadlineAtMs, this.context.clock.nowMs() + creditWaitMs);
+    if (creditWaitMs > 0 && this.homeless.add(call, untilMs, refusal)) return;
+    call.resolve({ place: 'refused', failure: refusal });
+  }
+
+  private carryOut(effect: PoolEffect<WaitingCall, BackendSlots>): void {
+    const { call } = effect;
+    if (effect.effect === 'refuse') {
+      call.resolve({ place: 'refused', failure: refusalOf(effect.reason, effect.expectedWaitMs) });
+      return;
+    }
+    const backend = this.backends.get(effect.backend.backendId);
+    let isReleased = false;
+    const release = (outcome: CallOutcome) => {
+      if (isReleased) return;
+      isReleased = true;
+      this.release(effect.backend, effect.running, outcome);
+    };
+    if (call.isSettled()) {
+      release({ result: 'cancelled', elapsedMs: 0 });
+      return;
+    }
+    if (backend === undefined) {
+      release({ result: 'notRun', elapsedMs: 0 });
+      call.resolve({ place: 'refused', failure: refusalOf('noSlots', 0) });
+      return;
+    }
+    const { backendId, endpoint } = backend.announcement;
+    call.resolve({ place: 'backend', backendId, endpoint, release });
+  }
+
+  private release(backend: BackendSlots, running: RunningCall, outcome: CallOutcome): void {
+    const nowMs = this.context.clock.nowMs();
+    const before = backend.standing(nowMs);
+    this.pool.release(backend, running, outcome, nowMs);
+    const isEjected = ejectOutlier(this.pool.backends, backend, defaultOutlierLimits, nowMs);
+    if (isEjected) this.recordBackend('backendEjected', backend.backendId);
+    if (before === 'probation' && backend.standing(nowMs) === 'in') {
+      this.recordBackend('backendReadmitted', backend.backendId);
+    }
+    this.pump();
+  }
+
+  private recordBackend(kind: 'backendEjected' | 'backendReadmitted', backendId: string): void {
+    this.context.record({ kind, service: this.service, detail: { backendId } });
+    this.context.log.info(kind, { service: this.service, backendId });
+  }
+}
--- /dev/null
+++ b/packages/host/src/slots/slotsFeature.ts
@@ -0,0 +1,123 @@
+import { failure } from '@buckthornlug/protocol/results/failure.js';
+import { okAsync } from 'neverthrow';
+
+import type { Feature, HostParts } from '../runtime/hostParts.js';
+import type { HostContext } from '../runtime/hostTypes.js';
+import { createAnnouncements } from './announcements.js';
+import { CreditTask } from './creditTask.js';
+import { createPlacement, type OwnPool } from './placement.js';
+import { createPoolOwners } from './poolOwners.js';
+import { poolRulesOf } from './poolRules.js';
+import { PoolTask } from './poolTask.js';
+import { createRemoteLinks } from './remoteLinks.js';
+import { createRetries } from './retries.js';
+import { createTicker } from './ticker.js';
+import { watchAdmission } from './watchAdmission.js';
+
+/** Interval in which waiting calls are looked after. */
+const tickMs = 5;
+const sweepMs = 250;
+
+function startSlots(context: HostContext, parts: HostParts) {
+  const { settings, clock } = context;
+  const pools = new Map<string, OwnPool>();
+  const tasks = new Map<string, PoolTask>();
+  const owners = createPoolOwners(context, parts);
+  const links = createRemoteLinks(context, parts);
+
+  const poolOf = (service: string): OwnPool | undefined => {
+    const known = pools.get(service);
+    if (known !== undefined) return known;
+    const document = parts.document.current()?.document;
+    if (document?.services[service] === undefined) return undefined;
+    const rules = poolRulesOf(document, service, settings.limits.maxQueuedCalls);
+    const task = new PoolTask(service, context, rules);
+    const created = { task, credits: new CreditTask(task, context, parts, links) };
+    pools.set(service, created);
+    tasks.set(service, task);
+    return created;
+  };
+
+  parts.document.onChange(({ document }) => {
+    for (const [service, { task }] of pools) {
+      const rules = poolRulesOf(document, service, settings.limits.maxQueuedCalls);
+      task.pool.reconfigure(rules, clock.nowMs());
+    }
+  });
+
+  const usualMs = (service: string, kind: string) =>
+    pools.get(service)?.task.pool.times.usualMs(kind, 0) ?? 0;
+  const retries = createRetries(context, usualMs);
+  const announcements = createAnnouncements(
+    context,
+    parts,
+    owners,
+    (service) => poolOf(service)?.task,
+    tasks,
+  );
+  const place = createPlacement(context, parts, { poolOf, owners, links, ...retries });
+
+  const isBusy = () => {
+    for (const { task } of pools.values()) {
+      if (task.isBusy) return true;
+    }
+    return false;
+  };
+  const ticker = createTicker(tickMs, isBusy, () => {
+    for (const { task, credits } of pools.values()) {
+      if (!task.isBusy) continue;
+      task.pump();
+      credits.tick();
+    }
+  });
+  const admission = watchAdmission(context);
+  const sweepTimer = setInterval(() => {
+    announcements.sweep();
+    admission.sweep();
+  }, sweepMs);
+
+  parts.provide({
+    placeCall: async (call) => {
+      const placement = place(call);
+      ticker.wake();
+      const placed = await placement;
+      admission.note(call.service, placed);
+      return placed;
+    },
+    mayRetry: retries.mayRetry,
+    receiveAnnouncement: announcements.receive,
+    poolOwner: owners.ownerOf,
+  });
+  const { rpcHandlers } = parts;
+  rpcHandlers.slots = {
+    credits: (request) =>
+      poolOf(request.service)?.credits.grant(request) ?? {
+        creditIds: [],
+        ttlMs: 0,
+        expectedWaitMs: 0,
+      },
+  };
+
+  return okAsync({
+    name: 'slots',
+    stopSteps: {
+      leaveLookups: async () => owners.leave(),
+      closeTasks: async () => {
+        ticker.stop();
+        clearInterval(sweepTimer);
+        const refusal = failure('BL3016', 'the host is stopping');
+        for (const { task } of pools.values()) task.homeless.refuseAll(refusal);
+      },
+    },
+    status: () => ({
+      pools: [...pools.values()].map(({ task }) => task.describe()),
+    }),
+  });
+}
+
+/** Slots of backend servers, pools, credits and retries of this host. */
+export const slotsFeature: Feature = {
+  name: 'slots',
+  wanted: (settings) => settings.roles.includes('entry'),
+  start: startSlots,
+};
--- /dev/null
+++ b/packages/host/src/slots/ticker.ts
@@ -0,0 +1,26 @@
+/** Repeats work while there is some, and costs nothing otherwise. */
+export interface Ticker {
+  /** Starts the repetition where there is work. */
+  readonly wake: () => void;
+  readonly stop: () => void;
+}
+
+/**
+ * Creates a ticker.
+ *
+ * @param intervalMs - time between two repetitions
+ * @param isBusy - tells whether there is work
+ * @param work - the work
+ */
+export function createTicker(intervalMs: number, isBusy: () => boolean, work: () => void): Ticker {
+  let timer: NodeJS.Timeout | undefined;
+  const wake = () => {
+    if (timer !== undefined || !isBusy()) return;
+    timer = setTimeout(() => {
+      timer = undefined;
+      work();
+      wake();
+    }, intervalMs);
+  };
+  return { wake, stop: () => clearTimeout(timer) };
+}
