--- a/packages/core/src/pools/pool.ts
+++ b/packages/core/src/pools/pool.ts
@@ -131,6 +131,7 @@
   expectedWaitMs(rank: number, nowMs: number): number {
     if (this.queue.waitingCalls === 0 && this.freeSlots(nowMs) > 0) return 0;
     const slots = this.usableSlots(nowMs);
+    if (slots === 0) return this.expectedStartMs(nowMs);
     return this.queue.expectedWaitMs(rank, slots, this.times.overallMeanMs, nowMs);
   }
 
@@ -250,6 +251,16 @@
     return this.dispatch(entry, backend, this.usableSlots(nowMs), nowMs);
   }
 
+  /** Estimates when the first lease gives slots, while none does. */
+  private expectedStartMs(nowMs: number): number {
+    let soonestMs = Number.POSITIVE_INFINITY;
+    for (const member of this.members) {
+      if (member.standing(nowMs) === 'ejected') continue;
+      soonestMs = Math.min(soonestMs, member.lease.expectedStartMs(nowMs));
+    }
+    return soonestMs;
+  }
+
   private refusal(call: Call, waitMs: number, nowMs: number): RefuseReason | undefined {
     if (nowMs >= call.deadlineAtMs) return 'deadlinePassed';
     if (!Number.isFinite(waitMs)) return 'noSlots';
--- a/packages/core/src/slots/slotLease.ts
+++ b/packages/core/src/slots/slotLease.ts
@@ -9,6 +9,9 @@
 /** Time after which a new owner pauses to learn how many calls of the former owner still run. */
 const settleAfterMs = 300;
 
+/** Usual time from a reply to the announcement that starts the lease. */
+const usualStartMs = 40;
+
 /** Tells whether the host that issued a token gave up its lease with it. */
 export function isReleaseToken(token: string): boolean {
   return token.endsWith(releasedSuffix);
@@ -37,6 +40,8 @@
 
   private lowestInFlight = 0;
 
+  private receivedAtMs = Number.NEGATIVE_INFINITY;
+
   private slots = 0;
 
   private state: BackendState = 'warming';
@@ -60,6 +65,7 @@
   receive(announcement: Announcement, nowMs: number, ownInFlight: number): void {
     this.slots = Math.min(announcement.slots, announcement.connectionLimit);
     this.state = announcement.state;
+    this.receivedAtMs = nowMs;
     const echo = announcement.lease;
     if (echo === undefined) {
       this.restart(nowMs);
@@ -142,6 +148,20 @@
     return !this.isHeld(nowMs) || (this.foreignInFlight > 0 && nowMs < this.foreignUntilMs);
   }
 
+  /**
+   * Estimates the time until the lease gives slots, while it gives none.
+   *
+   * @param nowMs - current time
+   * @returns infinity where no lease is about to start
+   */
+  expectedStartMs(nowMs: number): number {
+    const isSilent = nowMs - this.receivedAtMs > this.timing.leaseMs;
+    const isReleased = this.issued.every((entry) => isReleaseToken(entry.token));
+    const isGoing = this.state === 'draining' || this.state === 'leaving';
+    if (isSilent || isReleased || isGoing) return Number.POSITIVE_INFINITY;
+    return Math.max(0, this.usableFromMs - nowMs) + usualStartMs;
+  }
+
   /** State that the backend server last announced. */
   get announcedState(): BackendState {
     return this.state;
--- a/packages/testkit/src/fakes/announcer.ts
+++ b/packages/testkit/src/fakes/announcer.ts
@@ -39,6 +39,7 @@
   const agent = new Agent({ connections: 1, connect: { timeout: requestTimeoutMs } });
   let lastReply: AnnouncementReply | undefined;
   let lastSentAtMs = 0;
+  let repliedEndpoint: Endpoint | undefined;
   let failuresInRow = 0;
   let turn = 0;
   let isStopped = false;
@@ -62,6 +63,8 @@
               ageMs: sentAtMs - lastSentAtMs,
             },
           };
+    const isSameHost = JSON.stringify(endpoint) === JSON.stringify(repliedEndpoint);
+    if (isSameHost) lastSentAtMs = sentAtMs;
     const reply = await request(`${originOf(endpoint)}${announcePath}`, {
       method: 'POST',
       dispatcher: agent,
@@ -76,6 +79,7 @@
     if (reply.statusCode !== 200) return false;
     lastReply = announcementReplySchema.parse(JSON.parse(text));
     lastSentAtMs = sentAtMs;
+    repliedEndpoint = endpoint;
     return true;
   };
 
