--- a/packages/host/src/rpc/appRouter.ts
+++ b/packages/host/src/rpc/appRouter.ts
@@ -4,10 +4,12 @@
 import { createMetricsRouter, type MetricsHandlers } from '../metrics/metricsRouter.js';
 import { createSlotsRouter, type SlotsHandlers } from '../slots/slotsRouter.js';
 import { createTimelineRouter, type TimelineHandlers } from '../timeline/timelineRouter.js';
+import { createMembershipRouter, type MembershipHandlers } from '../membership/membershipRouter.js';
 import { createPingRouter, type PingHandlers } from './pingRouter.js';
 
 /** Handlers of all procedures between hosts; each feature sets its own when it starts. */
 export interface RpcHandlers {
+  membership: MembershipHandlers;
   metrics: MetricsHandlers;
   ping: PingHandlers;
   slots: SlotsHandlers;
@@ -21,6 +23,7 @@
  */
 export function createAppRouter(handlers: Partial<RpcHandlers>) {
   return rpcRouter({
+    membership: createMembershipRouter(lateHandlers(() => handlers.membership)),
     metrics: createMetricsRouter(lateHandlers(() => handlers.metrics)),
     slots: createSlotsRouter(lateHandlers(() => handlers.slots)),
     timeline: createTimelineRouter(lateHandlers(() => handlers.timeline)),
