feat(submissions): control machine, submissions with compare-and-set per section, administration routes

Cause: operators drive the system only by submitting sections of the document. Change: packages/core/src/submissions holds versioned sections, kept answers, signatures and the steps of shifts; any host takes submissions and reads; BL2012 for an answer that is not kept.

--- /dev/null
+++ b/packages/core/src/submissions/canonicalJson.ts
@@ -0,0 +1,18 @@
+/** One JSON text for equal values, as signatures and digests need it. */
+
+function sorted(value: unknown): unknown {
+  if (Array.isArray(value)) return value.map(sorted);
+  if (value === null || typeof value !== 'object') return value;
+  const entries = Object.entries(value).filter(([, field]) => field !== undefined);
+  entries.sort(([left], [right]) => (left < right ? -1 : 1));
+  return Object.fromEntries(entries.map(([name, field]) => [name, sorted(field)]));
+}
+
+/**
+ * Encodes plain data with sorted member names and no blanks.
+ *
+ * @param value - plain data
+ */
+export function canonicalJson(value: unknown): string {
+  return JSON.stringify(sorted(value));
+}
--- /dev/null
+++ b/packages/core/src/submissions/controlMachine.spec.ts
@@ -0,0 +1,188 @@
+import { checkDocument } from '@buckthornlug/protocol/document/document.js';
+import { splitSections } from '@buckthornlug/protocol/document/sections.js';
+import type { Submission } from '@buckthornlug/protocol/submissions/submissionSchema.js';
+import test from 'ava';
+
+import { createControlMachine, type ControlMachine } from './controlMachine.js';
+import { signSubmission, verifySubmission } from './submissionSignature.js';
+import type { SubmissionAuthority, SubmissionOutcome } from './submissionTypes.js';
+
+const secrets = { all: 'secret-of-team-all', shop: 'secret-of-team-shop' };
+
+function sampleSections(): Record<string, unknown> {
+  const document = checkDocument({
+    format: 1,
+    teams: [
+      { id: 'all', sections: ['*'], keys: [{ id: 'k1', secret: secrets.all }] },
+      { id: 'shop', sections: ['traffic/shop'], keys: [{ id: 'k1', secret: secrets.shop }] },
+    ],
+    network: {
+      regions: [{ id: 'north', availabilityZones: ['north-a'] }],
+      zoneDelayMs: 3,
+      callerDelayMs: 1,
+    },
+    ranks: [{ id: 'urgent', targetMs: 250, floorPermille: 100 }],
+    services: {
+      shop: {
+        hostNames: ['shop.example'],
+        kinds: [
+          {
+            id: 'order',
+            match: {},
+            rank: 'urgent',
+            execution: 'once',
+            identity: { header: 'x-order' },
+            ledgerGroups: ['ledger-north'],
+            timeLimitMs: 750,
+          },
+        ],
+      },
+    },
+    traffic: {
+      shop: { shiftCap: { stepPermille: 300, stepIntervalMs: 1000, maxShiftedCallsPerS: 50 } },
+    },
+  })._unsafeUnwrap();
+  return Object.fromEntries(splitSections(document));
+}
+
+/** Fields of a submission that a test chooses. */
+interface Wanted {
+  readonly id?: string;
+  readonly team?: keyof typeof secrets;
+  readonly secret?: string;
+  readonly base: Record<string, number>;
+  readonly sections: Record<string, unknown>;
+}
+
+function signed({ id = 'submission-1', team = 'all', secret, base, sections }: Wanted): Submission {
+  const body = { submissionId: id, team, keyId: 'k1', baseVersions: base, sections };
+  return signSubmission(body, secret ?? secrets[team]);
+}
+
+function submit(
+  machine: ControlMachine,
+  wanted: Wanted,
+  authority: SubmissionAuthority = 'team',
+): SubmissionOutcome {
+  const command = { type: 'submission', submission: signed(wanted), authority } as const;
+  return machine.apply(command, 1) as SubmissionOutcome;
+}
+
+function zeroes(sections: Record<string, unknown>): Record<string, number> {
+  return Object.fromEntries(Object.keys(sections).map((name) => [name, 0]));
+}
+
+function startedMachine(): ControlMachine {
+  const machine = createControlMachine(verifySubmission);
+  const sections = sampleSections();
+  submit(machine, { id: 'bootstrap', base: zeroes(sections), sections }, 'cluster');
+  return machine;
+}
+
+function codeOf(outcome: SubmissionOutcome): string {
+  return outcome.accepted ? `version ${outcome.reply.version}` : outcome.failure.code;
+}
+
+const traffic = (stepPermille: number) => ({
+  shiftCap: { stepPermille, stepIntervalMs: 1000, maxShiftedCallsPerS: 50 },
+});
+
+const oneTrafficChange = (id: string, stepPermille: number): Wanted => ({
+  id,
+  base: { 'traffic/shop': 1 },
+  sections: { 'traffic/shop': traffic(stepPermille) },
+});
+
+const withLedger = (ledgerGroups: string[]) => {
+  const shop = structuredClone(sampleSections()['services/shop']) as {
+    kinds: { ledgerGroups: string[] }[];
+  };
+  for (const kind of shop.kinds) kind.ledgerGroups = ledgerGroups;
+  return shop;
+};
+
+const faults: [name: string, wanted: Wanted][] = [
+  ['a valid change', oneTrafficChange('valid-change', 100)],
+  ['a change by the owning team', { ...oneTrafficChange('owned-change', 100), team: 'shop' }],
+  ['a wrong key', { ...oneTrafficChange('wrong-key', 100), secret: 'not-the-secret-of-it' }],
+  [
+    'a foreign section',
+    { id: 'foreign1', team: 'shop', base: { ranks: 1 }, sections: { ranks: [] } },
+  ],
+  ['an old base version', { ...oneTrafficChange('old-base', 100), base: { 'traffic/shop': 0 } }],
+  ['no base version', { ...oneTrafficChange('no-base-1', 100), base: {} }],
+  ['wrong fields', { id: 'wrong-fields', base: { ranks: 1 }, sections: { ranks: [{ id: 'X' }] } }],
+  [
+    'contradicting sections',
+    { id: 'contradiction', base: { 'traffic/shop': 1 }, sections: { 'traffic/shop': null } },
+  ],
+  ['an unknown section', { id: 'unknown-1', base: { colours: 0 }, sections: { colours: [] } }],
+  [
+    'a moved ledger',
+    {
+      id: 'moved-ledger',
+      base: { 'services/shop': 1 },
+      sections: { 'services/shop': withLedger(['ledger-south']) },
+    },
+  ],
+];
+
+test('each fault of a submission has its code and paths, and changes nothing', (t) => {
+  for (const [name, wanted] of faults) {
+    const machine = startedMachine();
+    const outcome = submit(machine, wanted);
+    t.snapshot(outcome.accepted ? codeOf(outcome) : outcome.failure, name);
+    t.is(machine.documents.currentVersion(), outcome.accepted ? 2 : 1);
+  }
+});
+
+test('the first submission needs a cluster key, and later ones cannot use it', (t) => {
+  const machine = createControlMachine(verifySubmission);
+  const sections = sampleSections();
+  const first = { base: zeroes(sections), sections };
+  t.is(codeOf(submit(machine, { ...first, id: 'no-cluster' })), 'BL2006');
+  t.is(codeOf(submit(machine, { ...first, id: 'with-cluster' }, 'cluster')), 'version 1');
+  const later = { ...oneTrafficChange('cluster-later', 50), secret: 'a-cluster-key-secret' };
+  t.is(codeOf(submit(machine, later, 'cluster')), 'BL2006');
+});
+
+test('of two submissions on an equal version one wins and the other hears the current one', (t) => {
+  const machine = startedMachine();
+  t.is(codeOf(submit(machine, oneTrafficChange('race-left', 100))), 'version 2');
+  const lost = submit(machine, oneTrafficChange('race-right', 200));
+  t.is(codeOf(lost), 'BL2005');
+  t.regex(lost.accepted ? '' : lost.failure.detail, /version 2/);
+});
+
+test('submissions on different sections do not clash', (t) => {
+  const machine = startedMachine();
+  t.is(codeOf(submit(machine, oneTrafficChange('traffic-1', 100))), 'version 2');
+  const ranks = [{ id: 'urgent', targetMs: 300, floorPermille: 100 }];
+  t.is(
+    codeOf(submit(machine, { id: 'ranks-01', base: { ranks: 1 }, sections: { ranks } })),
+    'version 3',
+  );
+});
+
+test('a resend gets the first answer across a snapshot, and other content under it is refused', (t) => {
+  const machine = startedMachine();
+  const first = submit(machine, oneTrafficChange('resent-01', 100));
+  const refused = submit(machine, oneTrafficChange('resent-02', 200));
+  const restored = createControlMachine(verifySubmission);
+  restored.restore(structuredClone(machine.snapshot()));
+  t.deepEqual(submit(restored, oneTrafficChange('resent-01', 100)), first);
+  t.deepEqual(submit(restored, oneTrafficChange('resent-02', 200)), refused);
+  t.is(codeOf(submit(restored, oneTrafficChange('resent-01', 300))), 'BL2007');
+  t.is(restored.documents.currentVersion(), 2);
+});
+
+test('a step of a shift counts only for the version in force and within its cap', (t) => {
+  const machine = startedMachine();
+  const step = (documentVersion: number, movedPermille: number) => {
+    const unit = { service: 'shop', scope: 'region', place: 'north' } as const;
+    const command = { ...unit, documentVersion, number: 1, movedPermille };
+    const reply = machine.apply({ type: 'shiftStep', step: command }, 1);
+    return 'committed' in reply && reply.committed;
+  };
+  t.deepEqual([step(2, 100), step(1, 301), step(1, 300)], [false, false, true]);
+});
--- /dev/null
+++ b/packages/core/src/submissions/controlMachine.ts
@@ -0,0 +1,86 @@
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import type {
+  CommittedStep,
+  ShiftSnapshot,
+  ShiftStepCommand,
+} from '@buckthornlug/protocol/shifts/shiftSchema.js';
+
+import type { ReplicatedMachine } from '../consensus/replicatedMachineTypes.js';
+import { ShiftTable } from '../shifts/shiftTable.js';
+import { DocumentStore } from './documentStore.js';
+import type { VerifySubmission } from './submissionSignature.js';
+import type { DocumentsSnapshot, SubmissionCommand, SubmissionOutcome } from './submissionTypes.js';
+
+/** Everything that the control group commits. */
+
+/** Reply to a step of a shift. */
+export type ShiftStepOutcome =
+  | { readonly committed: true; readonly step: CommittedStep }
+  | { readonly committed: false; readonly failure: Failure };
+
+/** Reply by type of command. Each type of command of the control group stands here once. */
+export interface ControlReplies {
+  readonly submission: SubmissionOutcome;
+  readonly shiftStep: ShiftStepOutcome;
+}
+
+/** A command of the control group. */
+export type ControlCommand = SubmissionCommand | ShiftStepCommand;
+
+/** A reply of the control group. */
+export type ControlReply = ControlReplies[keyof ControlReplies];
+
+interface ControlSnapshot {
+  readonly documents: DocumentsSnapshot;
+  readonly shifts: ShiftSnapshot;
+}
+
+/** The machine of the control group, with read access to its parts. */
+export interface ControlMachine extends ReplicatedMachine<ControlCommand, ControlReply> {
+  readonly documents: DocumentStore;
+  readonly shifts: ShiftTable;
+}
+
+function commitStep(
+  documents: DocumentStore,
+  shifts: ShiftTable,
+  { step }: ShiftStepCommand,
+): ShiftStepOutcome {
+  const current = documents.current();
+  const cap = current?.document.traffic[step.service]?.shiftCap;
+  if (current === undefined || cap === undefined) {
+    const problem = failure('BL8002', `service "${step.service}" has no traffic section`);
+    return { committed: false, failure: problem };
+  }
+  const plan = { documentVersion: current.version, stepPermille: cap.stepPermille };
+  const result = shifts.commit(step, plan);
+  if (result.isErr()) return { committed: false, failure: result.error };
+  return { committed: true, step: result.value };
+}
+
+/**
+ * Creates the machine of the control group.
+ *
+ * @param verify - checks the signature of a submission
+ */
+export function createControlMachine(verify: VerifySubmission): ControlMachine {
+  const documents = new DocumentStore(verify);
+  const shifts = new ShiftTable();
+  return {
+    documents,
+    shifts,
+    apply: (command) => {
+      if (command.type === 'submission') return documents.submit(command);
+      return commitStep(documents, shifts, command);
+    },
+    snapshot: (): ControlSnapshot => ({
+      documents: documents.snapshot(),
+      shifts: shifts.snapshot(),
+    }),
+    restore: (snapshot) => {
+      const restored = snapshot as ControlSnapshot;
+      documents.restore(restored.documents);
+      shifts.restore(restored.shifts);
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/submissions/documentStore.ts
@@ -0,0 +1,168 @@
+import type {
+  SectionName,
+  SteeringDocument,
+  VersionedSection,
+} from '@buckthornlug/protocol/document/documentTypes.js';
+import { joinSections, splitSections } from '@buckthornlug/protocol/document/sections.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import type { Submission } from '@buckthornlug/protocol/submissions/submissionSchema.js';
+import { err, ok, type Result } from 'neverthrow';
+
+import {
+  checkBaseVersions,
+  checkJoined,
+  checkOwnership,
+  checkSignature,
+} from './submissionChecks.js';
+import { submissionDigest, type VerifySubmission } from './submissionSignature.js';
+import type {
+  AcceptedDocument,
+  DocumentsSnapshot,
+  KeptAnswer,
+  SubmissionCommand,
+  SubmissionOutcome,
+} from './submissionTypes.js';
+
+/** Answers kept for resends; the oldest goes first. */
+const maxKeptAnswers = 10_000;
+
+/** The document as versioned sections, and the answers to submissions. */
+export class DocumentStore {
+  private version = 0;
+
+  private sections = new Map<SectionName, VersionedSection>();
+
+  private answers = new Map<string, KeptAnswer>();
+
+  private accepted: AcceptedDocument | undefined;
+
+  constructor(private readonly verify: VerifySubmission) {}
+
+  /** Answers a submission; one that was answered before gets that answer again. */
+  submit(command: SubmissionCommand): SubmissionOutcome {
+    const { submission } = command;
+    const digest = submissionDigest(submission);
+    const known = this.answers.get(submission.submissionId);
+    if (known !== undefined) return DocumentStore.repeat(known, digest);
+    const authorized = this.authorize(command);
+    if (authorized.isErr()) return { accepted: false, failure: authorized.error };
+    const outcome = this.decide(submission);
+    this.keep({ submissionId: submission.submissionId, digest, outcome });
+    return outcome;
+  }
+
+  private static repeat(known: KeptAnswer, digest: string): SubmissionOutcome {
+    if (known.digest === digest) return known.outcome;
+    const problem = failure('BL2007', `"${known.submissionId}" was used for another content`);
+    return { accepted: false, failure: problem };
+  }
+
+  /** Whether the submission may change the sections that it names; not kept as an answer. */
+  private authorize({ submission, authority }: SubmissionCommand): Result<void, Failure> {
+    const current = this.current();
+    if (current === undefined) {
+      if (authority === 'cluster') return ok(undefined);
+      return err(failure('BL2006', 'the first submission is signed with a cluster key'));
+    }
+    return checkSignature(current.document.teams, submission, this.verify).andThen((team) =>
+      checkOwnership(team, submission),
+    );
+  }
+
+  private decide(submission: Submission): SubmissionOutcome {
+    const result = checkBaseVersions(submission, this.version, (name) => this.versionOf(name))
+      .andThen(() => checkJoined(submission, this.joined(submission), this.current()?.document))
+      .map((document) => this.take(submission, document));
+    if (result.isErr()) return { accepted: false, failure: result.error };
+    return { accepted: true, reply: result.value };
+  }
+
+  private versionOf(name: SectionName): number {
+    const section = this.sections.get(name);
+    return section === undefined || section.content === null ? 0 : section.version;
+  }
+
+  /** Contents after the change. */
+  private joined(submission: Submission): Map<SectionName, unknown> {
+    const contents = new Map<SectionName, unknown>();
+    for (const [name, { content }] of this.sections) {
+      if (content !== null) contents.set(name, content);
+    }
+    for (const [name, content] of Object.entries(submission.sections)) {
+      if (content === null) contents.delete(name);
+      else contents.set(name, content);
+    }
+    return contents;
+  }
+
+  private take(submission: Submission, document: SteeringDocument) {
+    this.version += 1;
+    const { version } = this;
+    const contents = splitSections(document);
+    for (const name of Object.keys(submission.sections)) {
+      this.sections.set(name, { name, version, content: contents.get(name) ?? null });
+    }
+    this.accepted = undefined;
+    const { submissionId } = submission;
+    return { submissionId, version, sectionVersions: this.sectionVersions() };
+  }
+
+  private sectionVersions(): Record<SectionName, number> {
+    const versions: Record<SectionName, number> = {};
+    for (const [name, section] of this.sections) {
+      if (section.content !== null) versions[name] = section.version;
+    }
+    return versions;
+  }
+
+  private keep(answer: KeptAnswer): void {
+    this.answers.set(answer.submissionId, answer);
+    if (this.answers.size <= maxKeptAnswers) return;
+    const [oldest] = this.answers.keys();
+    if (oldest !== undefined) this.answers.delete(oldest);
+  }
+
+  /** Answer to a submission, if one is kept. */
+  answerTo(submissionId: string): SubmissionOutcome | undefined {
+    return this.answers.get(submissionId)?.outcome;
+  }
+
+  /** The accepted document; undefined before the first submission. */
+  current(): AcceptedDocument | undefined {
+    if (this.version === 0) return undefined;
+    if (this.accepted === undefined) {
+      const contents = new Map<SectionName, unknown>();
+      for (const [name, { content }] of this.sections) {
+        if (content !== null) contents.set(name, content);
+      }
+      this.accepted = {
+        version: this.version,
+        sectionVersions: this.sectionVersions(),
+        document: joinSections(contents) as unknown as SteeringDocument,
+      };
+    }
+    return this.accepted;
+  }
+
+  /** Version of the document; 0 before the first submission. */
+  currentVersion(): number {
+    return this.version;
+  }
+
+  /** Sections changed after a version, the removed ones included. */
+  sectionsSince(version: number): VersionedSection[] {
+    return [...this.sections.values()].filter((section) => section.version > version);
+  }
+
+  snapshot(): DocumentsSnapshot {
+    const sections = [...this.sections.values()];
+    return { version: this.version, sections, answers: [...this.answers.values()] };
+  }
+
+  restore({ version, sections, answers }: DocumentsSnapshot): void {
+    this.version = version;
+    this.sections = new Map(sections.map((section) => [section.name, section]));
+    this.answers = new Map(answers.map((answer) => [answer.submissionId, answer]));
+    this.accepted = undefined;
+  }
+}
--- /dev/null
+++ b/packages/core/src/submissions/submissionChecks.ts
@@ -0,0 +1,108 @@
+import { checkDocument } from '@buckthornlug/protocol/document/document.js';
+import type {
+  SectionName,
+  SteeringDocument,
+  Teams,
+} from '@buckthornlug/protocol/document/documentTypes.js';
+import {
+  coversSection,
+  joinSections,
+  sectionSchema,
+} from '@buckthornlug/protocol/document/sections.js';
+import { failure, type Failure, type Fault } from '@buckthornlug/protocol/results/failure.js';
+import type { Submission } from '@buckthornlug/protocol/submissions/submissionSchema.js';
+import { err, ok, type Result } from 'neverthrow';
+
+import type { VerifySubmission } from './submissionSignature.js';
+
+/** Checks of a submission against the accepted document. Each reports every fault. */
+
+/** Team of a submission, with its signature checked. */
+export function checkSignature(
+  teams: Teams,
+  submission: Submission,
+  verify: VerifySubmission,
+): Result<Teams[number], Failure> {
+  const team = teams.find(({ id }) => id === submission.team);
+  const key = team?.keys.find(({ id }) => id === submission.keyId);
+  if (team === undefined || key === undefined || !verify(submission, key.secret)) {
+    return err(failure('BL2006', `no valid signature of team "${submission.team}"`));
+  }
+  return ok(team);
+}
+
+/** Checks that the team owns every section that the submission changes. */
+export function checkOwnership(team: Teams[number], submission: Submission): Result<void, Failure> {
+  const faults: Fault[] = [];
+  for (const name of Object.keys(submission.sections)) {
+    if (team.sections.some((pattern) => coversSection(pattern, name))) continue;
+    faults.push({ path: name, problem: `team "${team.id}" does not own the section` });
+  }
+  if (faults.length === 0) return ok(undefined);
+  return err(failure('BL2004', 'the team does not own every section', { faults }));
+}
+
+/**
+ * Compares the base version of each changed section with its current one.
+ *
+ * @param submission - submission
+ * @param version - version of the accepted document
+ * @param versionOf - version of a section; 0 where there is none
+ */
+export function checkBaseVersions(
+  submission: Submission,
+  version: number,
+  versionOf: (name: SectionName) => number,
+): Result<void, Failure> {
+  const faults: Fault[] = [];
+  for (const name of Object.keys(submission.sections)) {
+    const base = submission.baseVersions[name];
+    const current = versionOf(name);
+    if (base === current) continue;
+    const problem = `based on version ${base ?? 'none'}, current is ${current}`;
+    faults.push({ path: name, problem });
+  }
+  if (faults.length === 0) return ok(undefined);
+  return err(failure('BL2005', `the document is at version ${version}`, { faults }));
+}
+
+/** Checks that kinds of at-most-once work keep their ledger groups. */
+function checkLedgers(before: SteeringDocument, after: SteeringDocument): Result<void, Failure> {
+  const faults: Fault[] = [];
+  for (const [serviceId, service] of Object.entries(after.services)) {
+    for (const [index, kind] of service.kinds.entries()) {
+      const old = before.services[serviceId]?.kinds.find(({ id }) => id === kind.id);
+      if (old?.execution !== 'once' || kind.execution !== 'once') continue;
+      if (old.ledgerGroups.join(' ') === kind.ledgerGroups.join(' ')) continue;
+      const path = `services/${serviceId}/kinds/${index}/ledgerGroups`;
+      faults.push({ path, problem: `must stay ${old.ledgerGroups.join(', ')}` });
+    }
+  }
+  if (faults.length === 0) return ok(undefined);
+  return err(failure('BL2011', 'identities would move to another ledger', { faults }));
+}
+
+/**
+ * Checks the document that a submission leads to.
+ *
+ * @param submission - submission
+ * @param sections - sections of the document after the change
+ * @param before - accepted document, if any
+ * @returns the document with its defaults; BL2002, BL2003 or BL2011 with every fault
+ */
+export function checkJoined(
+  submission: Submission,
+  sections: ReadonlyMap<SectionName, unknown>,
+  before: SteeringDocument | undefined,
+): Result<SteeringDocument, Failure> {
+  const faults: Fault[] = [];
+  for (const name of Object.keys(submission.sections)) {
+    if (sectionSchema(name) !== undefined) continue;
+    faults.push({ path: name, problem: 'no such section can exist' });
+  }
+  if (faults.length > 0) return err(failure('BL2002', 'the document is not valid', { faults }));
+  return checkDocument(joinSections(sections)).andThen((document) => {
+    if (before === undefined) return ok(document);
+    return checkLedgers(before, document).map(() => document);
+  });
+}
--- /dev/null
+++ b/packages/core/src/submissions/submissionSignature.ts
@@ -0,0 +1,46 @@
+import { createHash, createHmac, timingSafeEqual } from 'node:crypto';
+
+import type {
+  Submission,
+  SubmissionBody,
+} from '@buckthornlug/protocol/submissions/submissionSchema.js';
+
+import { canonicalJson } from './canonicalJson.js';
+
+/** Tells whether a submission is signed with a secret. */
+export type VerifySubmission = (submission: Submission, secret: string) => boolean;
+
+/** Removes the signature. */
+export function bodyOf(submission: Submission): SubmissionBody {
+  const { submissionId, team, keyId, baseVersions, sections } = submission;
+  return { submissionId, team, keyId, baseVersions, sections };
+}
+
+/**
+ * Signs a submission: HMAC-SHA256 over the canonical JSON of the body, in base64url.
+ *
+ * @param body - submission without signature
+ * @param secret - secret of the key named in the body
+ */
+export function signSubmission(body: SubmissionBody, secret: string): Submission {
+  const signature = createHmac('sha256', secret).update(canonicalJson(body)).digest('base64url');
+  return { ...body, signature };
+}
+
+/** Compares in a time that does not depend on where the signatures differ. */
+export const verifySubmission: VerifySubmission = (submission, secret) => {
+  const expected = Buffer.from(signSubmission(bodyOf(submission), secret).signature);
+  const given = Buffer.from(submission.signature);
+  return expected.byteLength === given.byteLength && timingSafeEqual(expected, given);
+};
+
+/**
+ * Digest of what a submission asks for.
+ *
+ * @param submission - submission; its signature does not count
+ */
+export function submissionDigest(submission: Submission): string {
+  return createHash('sha256')
+    .update(canonicalJson(bodyOf(submission)))
+    .digest('base64url');
+}
--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -5,6 +5,7 @@
 import { metricsFeature } from './metrics/metricsFeature.js';
 import { membershipFeature } from './membership/membershipFeature.js';
 import type { Feature } from './runtime/hostParts.js';
+import { submissionsFeature } from './submissions/submissionsFeature.js';
 import { timelineFeature } from './timeline/timelineFeature.js';
 
 /** The features of a host, in the order in which they start. */
@@ -13,6 +14,7 @@
   timelineFeature,
   metricsFeature,
   consensusFeature,
+  submissionsFeature,
   backendsFeature,
   callsFeature,
   // The administration API comes last: it mounts the routes of the features before it.
--- a/packages/host/src/rpc/appRouter.ts
+++ b/packages/host/src/rpc/appRouter.ts
@@ -1,6 +1,10 @@
 import { rpcRouter } from '@buckthornlug/protocol/rpc/rpcContext.js';
 
 import { createConsensusRouter, type ConsensusHandlers } from '../consensus/consensusRouter.js';
+import {
+  createSubmissionsRouter,
+  type SubmissionsHandlers,
+} from '../submissions/submissionsRouter.js';
 import { lateHandlers } from './lateHandlers.js';
 import { createMetricsRouter, type MetricsHandlers } from '../metrics/metricsRouter.js';
 import { createTimelineRouter, type TimelineHandlers } from '../timeline/timelineRouter.js';
@@ -13,6 +17,7 @@
   membership: MembershipHandlers;
   metrics: MetricsHandlers;
   ping: PingHandlers;
+  submissions: SubmissionsHandlers;
   timeline: TimelineHandlers;
 }
 
@@ -26,6 +31,7 @@
     consensus: createConsensusRouter(lateHandlers(() => handlers.consensus)),
     membership: createMembershipRouter(lateHandlers(() => handlers.membership)),
     metrics: createMetricsRouter(lateHandlers(() => handlers.metrics)),
+    submissions: createSubmissionsRouter(lateHandlers(() => handlers.submissions)),
     timeline: createTimelineRouter(lateHandlers(() => handlers.timeline)),
     ping: createPingRouter(lateHandlers(() => handlers.ping)),
   });
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -17,6 +17,7 @@
 import type { RpcHandlers } from '../rpc/appRouter.js';
 import type { ForwardedCallHandler } from '../rpc/internalListener.js';
 import type { PeerClients } from '../rpc/peerClients.js';
+import type { ControlGroup } from '../submissions/controlGroup.js';
 import type { RequestAuth } from '../rpc/requestAuth.js';
 import type { TableHolder } from '../table/tableHolder.js';
 import type { DocumentHolder } from './documentHolder.js';
@@ -47,6 +48,8 @@
   membership: MembershipView;
   /** Opens a replicated group of the settings, on members and other hosts alike. */
   openGroup: OpenGroup;
+  /** The control group; undefined where the settings name none. */
+  control: ControlGroup | undefined;
   /** Takes the calls that other hosts forward. */
   forwardedCalls: ForwardedCallHandler;
   placeCall: PlaceCall;
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -36,6 +36,7 @@
       memberAddress: (hostId) => parts.membership.find(hostId)?.internal,
     }),
     auth,
+    control: undefined,
     openGroup: () => {
       throw new Error('the replicated groups have not started');
     },
--- /dev/null
+++ b/packages/host/src/submissions/controlGroup.ts
@@ -0,0 +1,93 @@
+import type {
+  ControlCommand,
+  ControlMachine,
+  ControlReply,
+} from '@buckthornlug/core/submissions/controlMachine.js';
+import type { ShiftTable } from '@buckthornlug/core/shifts/shiftTable.js';
+import type {
+  SubmissionCommand,
+  SubmissionOutcome,
+} from '@buckthornlug/core/submissions/submissionTypes.js';
+import type { VersionedSection } from '@buckthornlug/protocol/document/documentTypes.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import type { CommittedStep, ShiftStep } from '@buckthornlug/protocol/shifts/shiftSchema.js';
+import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
+
+import type { GroupHandle } from '../consensus/groupTypes.js';
+import type { DocumentInForce } from '../runtime/hostTypes.js';
+
+/** How far a host has come with what the control group has committed. */
+interface CommittedVersions {
+  readonly version: number;
+  readonly shiftRevision: number;
+}
+
+/** The control group as the features of a host see it. */
+export interface ControlGroup {
+  /** Whether the machine of this host follows the group. */
+  readonly isMember: boolean;
+  readonly machine: ControlMachine;
+  /** Committed steps of shifts; empty on hosts that are no members. */
+  readonly table: ShiftTable;
+  /** The accepted document as this member knows it. */
+  readonly document: () => DocumentInForce | undefined;
+  readonly isLeader: () => boolean;
+  readonly leaderId: () => string | undefined;
+  readonly submit: (
+    command: SubmissionCommand,
+    timeoutMs: number,
+  ) => ResultAsync<SubmissionOutcome, Failure>;
+  /** Commits a step; BL8002 for a step of an older plan. */
+  readonly submitStep: (step: ShiftStep, timeoutMs: number) => ResultAsync<CommittedStep, Failure>;
+  readonly readBarrier: (timeoutMs: number) => ResultAsync<void, Failure>;
+  /** Everything that a host lacks which has come as far as stated. */
+  readonly updateSince: (have: CommittedVersions) => CommittedVersions & {
+    readonly sinceVersion: number;
+    readonly sections: readonly VersionedSection[];
+    readonly shiftSteps: readonly CommittedStep[];
+  };
+  /** Calls back after a commit; returns a function that ends it. */
+  readonly onChange: (listener: () => void) => () => void;
+}
+
+/**
+ * Gives the features access to the control group.
+ *
+ * @param handle - handle of the group
+ * @param machine - machine of this host
+ * @param isMember - whether this host is a member
+ */
+export function createControlGroup(
+  handle: GroupHandle<ControlCommand, ControlReply>,
+  machine: ControlMachine,
+  isMember: boolean,
+): ControlGroup {
+  const { documents, shifts } = machine;
+  const otherReply = failure('BL5002', 'the reply is of another command');
+  return {
+    isMember,
+    machine,
+    table: shifts,
+    document: () => documents.current(),
+    isLeader: handle.isLeader,
+    leaderId: handle.leaderId,
+    submit: (command, timeoutMs) =>
+      handle
+        .submit(command, timeoutMs)
+        .andThen((reply) => ('accepted' in reply ? okAsync(reply) : errAsync(otherReply))),
+    submitStep: (step, timeoutMs) =>
+      handle.submit({ type: 'shiftStep', step }, timeoutMs).andThen((reply) => {
+        if (!('committed' in reply)) return errAsync(otherReply);
+        return reply.committed ? okAsync(reply.step) : errAsync(reply.failure);
+      }),
+    readBarrier: handle.readBarrier,
+    updateSince: (have) => ({
+      version: documents.currentVersion(),
+      shiftRevision: shifts.revision,
+      sinceVersion: have.version,
+      sections: documents.sectionsSince(have.version),
+      shiftSteps: shifts.since(have.shiftRevision),
+    }),
+    onChange: (listener) => handle.onApplied(listener),
+  };
+}
--- /dev/null
+++ b/packages/host/src/submissions/controlReader.ts
@@ -0,0 +1,68 @@
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+
+import type { PeerClients } from '../rpc/peerClients.js';
+import type { ControlGroup } from './controlGroup.js';
+import type { ControlRead, ControlReadReply } from './submissionsRouter.js';
+
+/** Linearizable reads of the control group from any host. */
+
+type ControlValue = Extract<ControlReadReply, { ok: true }>;
+
+/**
+ * Reads on this member once it holds everything committed.
+ *
+ * @param control - control group
+ * @param request - what to read
+ */
+export async function readOnMember(
+  control: ControlGroup,
+  request: ControlRead,
+): Promise<ControlReadReply> {
+  const caughtUp = await control.readBarrier(request.timeoutMs);
+  if (caughtUp.isErr()) return { ok: false, failure: caughtUp.error };
+  const { documents } = control.machine;
+  if (request.submissionId === undefined) return { ok: true, document: documents.current() };
+  return { ok: true, outcome: documents.answerTo(request.submissionId) };
+}
+
+async function readAnywhere(
+  control: ControlGroup,
+  peers: Pick<PeerClients, 'request'>,
+  memberHostIds: readonly string[],
+  request: ControlRead,
+): Promise<Result<ControlValue, Failure>> {
+  let problem = failure('BL5001', 'no member of the control group answered');
+  if (control.isMember) {
+    const reply = await readOnMember(control, request);
+    if (reply.ok) return ok(reply);
+    problem = reply.failure;
+  }
+  for (const hostId of memberHostIds) {
+    const sent = await peers.request(
+      hostId,
+      (client, signal) => client.submissions.read.query(request, { signal }),
+      request.timeoutMs,
+    );
+    if (sent.isOk() && sent.value.ok) return ok(sent.value);
+    problem = sent.isErr() ? sent.error : problem;
+  }
+  return err(problem);
+}
+
+/**
+ * Reads on this host, or on the first member that answers.
+ *
+ * @param control - control group
+ * @param peers - clients of other hosts
+ * @param memberHostIds - other members, in the order in which they are asked
+ * @param request - what to read; the time limit holds for each member
+ */
+export function readControl(
+  control: ControlGroup,
+  peers: Pick<PeerClients, 'request'>,
+  memberHostIds: readonly string[],
+  request: ControlRead,
+): ResultAsync<ControlValue, Failure> {
+  return new ResultAsync(readAnywhere(control, peers, memberHostIds, request));
+}
--- /dev/null
+++ b/packages/host/src/submissions/submissionsFeature.ts
@@ -0,0 +1,53 @@
+import { createControlMachine } from '@buckthornlug/core/submissions/controlMachine.js';
+import { verifySubmission } from '@buckthornlug/core/submissions/submissionSignature.js';
+import { okAsync } from 'neverthrow';
+
+import type { Feature } from '../runtime/hostParts.js';
+import { createControlGroup } from './controlGroup.js';
+import { readControl, readOnMember } from './controlReader.js';
+import { registerSubmissionRoutes } from './submissionRoutes.js';
+import { commitSubmission } from './submitter.js';
+
+const controlGroupId = 'control';
+const readTimeoutMs = 3000;
+
+/** The control group: submissions of operators and the steps of shifts. */
+export const submissionsFeature: Feature = {
+  name: 'submissions',
+  wanted: (settings) => settings.groups.some(({ id }) => id === controlGroupId),
+  start: (context, parts) => {
+    const { settings } = context;
+    const group = settings.groups.find(({ id }) => id === controlGroupId);
+    const memberHostIds = group?.members ?? [];
+    const isMember = memberHostIds.includes(settings.hostId) && settings.dataFolder !== undefined;
+    const machine = createControlMachine(verifySubmission);
+    const handle = parts.openGroup<
+      Parameters<typeof machine.apply>[0],
+      ReturnType<typeof machine.apply>
+    >(controlGroupId, machine);
+    const control = createControlGroup(handle, machine, isMember);
+    parts.provide({ control });
+    parts.rpcHandlers.submissions = { read: (request) => readOnMember(control, request) };
+    const others = memberHostIds.filter((hostId) => hostId !== settings.hostId);
+    const read = (submissionId?: string) =>
+      readControl(control, parts.peers, others, {
+        timeoutMs: readTimeoutMs,
+        ...(submissionId === undefined ? {} : { submissionId }),
+      });
+    parts.adminRoutes.push((app) =>
+      registerSubmissionRoutes(app, {
+        readDocument: () => read().map(({ document }) => document),
+        readAnswer: (submissionId) => read(submissionId).map(({ outcome }) => outcome),
+        submit: (submission) => commitSubmission(context, control, submission),
+      }),
+    );
+    return okAsync({
+      name: 'submissions',
+      stopSteps: {},
+      status: () => ({
+        version: machine.documents.currentVersion(),
+        shiftRevision: machine.shifts.revision,
+      }),
+    });
+  },
+};
--- /dev/null
+++ b/packages/host/src/submissions/submitter.ts
@@ -0,0 +1,84 @@
+import { verifySubmission } from '@buckthornlug/core/submissions/submissionSignature.js';
+import type { SubmissionCommand } from '@buckthornlug/core/submissions/submissionTypes.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import type { SecretKey } from '@buckthornlug/protocol/settings/settingsSchema.js';
+import type {
+  Submission,
+  SubmissionReply,
+} from '@buckthornlug/protocol/submissions/submissionSchema.js';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+
+import type { HostContext } from '../runtime/hostTypes.js';
+import type { ControlGroup } from './controlGroup.js';
+
+/** Commits submissions; a submission may be sent again since its identity makes it idempotent. */
+
+const submitTimeoutMs = 10_000;
+const attemptTimeoutMs = 2500;
+
+/** Adds who vouches for the submission. */
+function commandOf(submission: Submission, clusterKeys: readonly SecretKey[]): SubmissionCommand {
+  const key = clusterKeys.find(({ id }) => id === submission.keyId);
+  const isCluster = key !== undefined && verifySubmission(submission, key.secret);
+  return { type: 'submission', submission, authority: isCluster ? 'cluster' : 'team' };
+}
+
+function report(
+  context: HostContext,
+  submission: Submission,
+  result: Result<SubmissionReply, Failure>,
+): void {
+  const { submissionId, team } = submission;
+  if (result.isOk()) {
+    const { version } = result.value;
+    context.log.info('submissionAccepted', { submissionId, team, version });
+    context.record({ kind: 'submissionAccepted', version, detail: { submissionId, team } });
+    return;
+  }
+  const { code } = result.error;
+  context.log.info('submissionRefused', { submissionId, team, code });
+  context.record({ kind: 'submissionRefused', code, detail: { submissionId, team } });
+}
+
+async function commit(
+  context: HostContext,
+  control: ControlGroup,
+  submission: Submission,
+): Promise<Result<SubmissionReply, Failure>> {
+  const command = commandOf(submission, context.settings.clusterKeys);
+  const untilMs = context.clock.nowMs() + submitTimeoutMs;
+  let isUnknown = false;
+  for (;;) {
+    const restMs = untilMs - context.clock.nowMs();
+    if (restMs <= 0) break;
+    const answer = await control.submit(command, Math.min(attemptTimeoutMs, restMs));
+    if (answer.isOk()) {
+      const outcome = answer.value;
+      return outcome.accepted ? ok(outcome.reply) : err(outcome.failure);
+    }
+    if (answer.error.code === 'BL5002') isUnknown = true;
+    else if (answer.error.code !== 'BL5001') return err(answer.error);
+  }
+  if (isUnknown) return err(failure('BL2008', 'the control group did not confirm in time'));
+  return err(failure('BL5001', 'the control group has no leader'));
+}
+
+/**
+ * Commits a submission.
+ *
+ * @param context - context of the host
+ * @param control - control group
+ * @param submission - checked submission
+ * @returns the accepted version; the failure of the submission, or BL2008 where it is not known
+ */
+export function commitSubmission(
+  context: HostContext,
+  control: ControlGroup,
+  submission: Submission,
+): ResultAsync<SubmissionReply, Failure> {
+  const committed = commit(context, control, submission).then((result) => {
+    report(context, submission, result);
+    return result;
+  });
+  return new ResultAsync(committed);
+}
--- a/packages/protocol/src/results/resultCodes.ts
+++ b/packages/protocol/src/results/resultCodes.ts
@@ -101,6 +101,11 @@
     meaning: 'The change would move where identities of at-most-once work are kept.',
     action: 'Leave the ledger of the kind unchanged.',
   },
+  BL2012: {
+    httpStatus: 404,
+    meaning: 'No answer to the submission is kept.',
+    action: 'Send the submission again.',
+  },
 
   BL3001: {
     httpStatus: 404,
