--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -5,6 +5,7 @@
 import { membershipFeature } from './membership/membershipFeature.js';
 import type { Feature } from './runtime/hostParts.js';
 import { slotsFeature } from './slots/slotsFeature.js';
+import { submissionsFeature } from './submissions/submissionsFeature.js';
 import { timelineFeature } from './timeline/timelineFeature.js';
 
 /** The features of a host, in the order in which they start. */
@@ -14,6 +15,7 @@
   metricsFeature,
   consensusFeature,
   slotsFeature,
+  submissionsFeature,
   callsFeature,
   // The administration API comes last: it mounts the routes of the features before it.
   adminFeature,
--- a/packages/host/src/rpc/appRouter.ts
+++ b/packages/host/src/rpc/appRouter.ts
@@ -1,6 +1,10 @@
 import { rpcRouter } from '@buckthornlug/protocol/rpc/rpcContext.js';
 
 import { createConsensusRouter, type ConsensusHandlers } from '../consensus/consensusRouter.js';
+import {
+  createSubmissionsRouter,
+  type SubmissionsHandlers,
+} from '../submissions/submissionsRouter.js';
 import { lateHandlers } from './lateHandlers.js';
 import { createMetricsRouter, type MetricsHandlers } from '../metrics/metricsRouter.js';
 import { createSlotsRouter, type SlotsHandlers } from '../slots/slotsRouter.js';
@@ -15,6 +19,7 @@
   metrics: MetricsHandlers;
   ping: PingHandlers;
   slots: SlotsHandlers;
+  submissions: SubmissionsHandlers;
   timeline: TimelineHandlers;
 }
 
@@ -29,6 +34,7 @@
     membership: createMembershipRouter(lateHandlers(() => handlers.membership)),
     metrics: createMetricsRouter(lateHandlers(() => handlers.metrics)),
     slots: createSlotsRouter(lateHandlers(() => handlers.slots)),
+    submissions: createSubmissionsRouter(lateHandlers(() => handlers.submissions)),
     timeline: createTimelineRouter(lateHandlers(() => handlers.timeline)),
     ping: createPingRouter(lateHandlers(() => handlers.ping)),
   });
