--- a/packages/host/src/lookups/lookupAnswers.ts
+++ b/packages/host/src/lookups/lookupAnswers.ts
@@ -12,7 +12,8 @@
 /** An answer ready to be sent. */
 export interface EncodedAnswer {
   readonly fields: readonly string[];
-  readonly body: Buffer;
+  /** Body as text, so that head and body go out in one write. */
+  readonly body: string;
 }
 
 /** Answers look-ups from memory. */
@@ -32,8 +33,13 @@
 }
 
 function encode(reply: LookupReply): EncodedAnswer {
-  const body = Buffer.from(JSON.stringify(reply));
-  const fields = ['content-type', 'application/json', 'content-length', String(body.length)];
+  const body = JSON.stringify(reply);
+  const fields = [
+    'content-type',
+    'application/json',
+    'content-length',
+    String(Buffer.byteLength(body)),
+  ];
   return { fields, body };
 }
 
--- a/packages/testkit/src/bench/experiments.ts
+++ b/packages/testkit/src/bench/experiments.ts
@@ -1,4 +1,6 @@
 import type { Experiment } from './benchTypes.js';
+import { callOverhead } from './callOverhead.js';
+import { lookup } from './lookup.js';
 
 /** The experiments of `npm run bench`. */
-export const experiments: readonly Experiment[] = [];
+export const experiments: readonly Experiment[] = [callOverhead, lookup];
--- a/packages/testkit/src/calls/callFleet.ts
+++ b/packages/testkit/src/calls/callFleet.ts
@@ -53,6 +53,8 @@
   /** Index of the host that each backend server announces to. */
   readonly backendHosts: readonly number[];
   readonly features?: readonly Feature[];
+  /** Slots of each backend server. */
+  readonly slots?: number;
 }
 
 async function readReply(reply: Dispatcher.ResponseData): Promise<TestReply> {
@@ -92,6 +94,7 @@
         hosts: [settings[hostIndex]!.listen.callers],
         announceKey: testAnnounceKey,
         meanMs: 1,
+        slots: options.slots ?? 3,
         seed: index + 1,
       }),
     ),
--- a/packages/testkit/src/fakes/backendAnswers.ts
+++ b/packages/testkit/src/fakes/backendAnswers.ts
@@ -8,6 +8,8 @@
 export interface AnswerContent {
   readonly backendId: string;
   readonly answerBytes: number;
+  /** Size of the body that came with the request. */
+  readonly bodyBytes: number;
 }
 
 /** Body that names the request, filled up to the size asked for. */
@@ -15,6 +17,7 @@
   const { url, method, headers } = request;
   const named = JSON.stringify({
     backendId: content.backendId,
+    bodyBytes: content.bodyBytes,
     method,
     url,
     requestId: headers[requestIdHeader],
--- a/packages/testkit/src/fakes/fakeBackend.ts
+++ b/packages/testkit/src/fakes/fakeBackend.ts
@@ -62,6 +62,17 @@
   });
 }
 
+/** Reads a body to its end; resolves to its size, also where it broke off. */
+async function receiveBody(request: IncomingMessage): Promise<number> {
+  let bodyBytes = 0;
+  try {
+    for await (const chunk of request) bodyBytes += (chunk as Buffer).length;
+  } catch {
+    request.destroy();
+  }
+  return bodyBytes;
+}
+
 /**
  * Starts a fake backend server in this process.
  *
@@ -105,7 +116,7 @@
     noteExecution(request);
     const fault = random() < behaviour.faultShare ? behaviour.answerFault : 'none';
     try {
-      request.resume();
+      const bodyBytes = await receiveBody(request);
       const workMs = options.meanMs === 0 ? 0 : serviceTimeMs(random);
       const lateMs = fault === 'isLate' ? behaviour.lateMs : 0;
       if (workMs + lateMs > 0) await sleep(workMs + lateMs);
@@ -118,6 +129,7 @@
       await answerWithFault(request, response, fault, {
         backendId: options.backendId,
         answerBytes: behaviour.answerBytes,
+        bodyBytes,
       });
     } finally {
       counts.inFlight -= 1;
