--- a/packages/host/src/calls/callRunner.ts
+++ b/packages/host/src/calls/callRunner.ts
@@ -35,13 +35,13 @@
   excluded: readonly string[],
   signal: AbortSignal,
 ): PendingCall {
-  const { classification } = call;
+  const { callClass } = call;
   return {
     requestId: call.requestId,
-    service: classification.serviceId,
-    kind: classification.kind.id,
-    rank: classification.rank,
-    execution: classification.kind.execution,
+    service: callClass.service,
+    kind: callClass.kind.id,
+    rank: callClass.rank,
+    execution: callClass.execution,
     arrivedAtMs: call.arrivedAtMs,
     targetAtMs: call.targetAtMs,
     deadlineAtMs: call.deadlineAtMs,
@@ -118,8 +118,8 @@
       const pending = pendingOf(call, attempt, excluded, signal);
       const placement = await place(pending);
       if (placement.place === 'refused') {
-        const refused = { failure: placement.failure, answerStarted: false, isNotRun: true };
-        return joinResults(lastFailure, refused);
+        if (lastFailure !== undefined) return lastFailure;
+        return { failure: placement.failure, answerStarted: false, isNotRun: true };
       }
       if (signal.aborted) {
         placement.release({ result: 'cancelled', elapsedMs: 0 });
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -16,10 +16,13 @@
 import type { ControlStateSource } from '../documents/controlState.js';
 import type { ShiftStepHolder } from '../documents/shiftStepHolder.js';
 import type { MembershipTask } from '../membership/membershipTask.js';
+import type { OpenGroup } from '../consensus/groups.js';
 import type { RpcHandlers } from '../rpc/appRouter.js';
 import type { ForwardedCallHandler } from '../rpc/internalListener.js';
 import type { PeerClients } from '../rpc/peerClients.js';
+import type { ControlGroup } from '../submissions/controlGroup.js';
 import type { RequestAuth } from '../rpc/requestAuth.js';
+import type { TableHolder } from '../table/tableHolder.js';
 import type { DocumentHolder } from './documentHolder.js';
 import type { HostContext, MembershipView, RunningFeature } from './hostTypes.js';
 
@@ -40,6 +43,14 @@
   readonly finish: (intentId: string, outcome: LedgerOutcome) => ResultAsync<void, Failure>;
 }
 
+/** The shifts as the placement of calls sees them. */
+export interface ShiftHooks {
+  /** Admits a call that came from another region, or tells why the cap refuses it. */
+  readonly admitShifted: (service: string, fromRegion: string) => Failure | undefined;
+  /** Share of a zone's or region's own traffic that runs elsewhere now, in permille. */
+  readonly movedPermille: (service: string, scope: 'zone' | 'region', place: string) => number;
+}
+
 /** Finds the availability zone nearest to a caller's address. */
 export type FindCallerZone = (callerAddress: string) => string | undefined;
 
@@ -50,6 +61,10 @@
   membershipTask: MembershipTask | undefined;
   /** Committed state of the control group, on its members only; set before `documents` starts. */
   controlState: ControlStateSource | undefined;
+  /** Opens a replicated group of the settings, on members and other hosts alike. */
+  openGroup: OpenGroup;
+  /** The control group; undefined where the settings name none. */
+  control: ControlGroup | undefined;
   /** Takes the calls that other hosts forward. */
   forwardedCalls: ForwardedCallHandler;
   placeCall: PlaceCall;
@@ -57,6 +72,7 @@
   receiveAnnouncement: ReceiveAnnouncement;
   ledger: LedgerHooks;
   findCallerZone: FindCallerZone;
+  shifts: ShiftHooks;
   /** Host that owns the pool of a service in a zone; undefined where not known. */
   poolOwner: (availabilityZone: string, service: string) => string | undefined;
 }
@@ -71,6 +87,8 @@
   readonly document: DocumentHolder;
   /** Steps of shifts that this host has learned of. */
   readonly shiftSteps: ShiftStepHolder;
+  /** The document in force, compiled. */
+  readonly table: TableHolder;
   readonly peers: PeerClients;
   readonly auth: RequestAuth;
   readonly rpcHandlers: Partial<RpcHandlers>;
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -1,3 +1,4 @@
+import { callerZone } from '@buckthornlug/core/table/table.js';
 import { failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, errAsync } from 'neverthrow';
 
@@ -7,6 +8,7 @@
 import { createDocumentHolder } from './documentHolder.js';
 import type { HostParts } from './hostParts.js';
 import type { DocumentInForce, HostContext } from './hostTypes.js';
+import { createTableHolder } from '../table/tableHolder.js';
 import { createStaticMembership } from './staticMembership.js';
 
 /**
@@ -20,11 +22,13 @@
   const auth = createRequestAuth(settings);
   const notStarted = failure('BL3003', 'the host has not started yet', { retryAfterMs: 500 });
   const noLedger = failure('BL9001', 'the ledger has not started', { retryAfterMs: 1000 });
+  const documents = createDocumentHolder(document);
   const parts: HostParts = {
     provide: (owned) => {
       Object.assign(parts, owned);
     },
-    document: createDocumentHolder(document),
+    document: documents,
+    table: createTableHolder(documents),
     membership: createStaticMembership(settings, incarnation),
     membershipTask: undefined,
     controlState: undefined,
@@ -36,6 +40,10 @@
       memberAddress: (hostId) => parts.membership.find(hostId)?.internal,
     }),
     auth,
+    control: undefined,
+    openGroup: () => {
+      throw new Error('the replicated groups have not started');
+    },
     rpcHandlers: { ping: { ping: () => ({ hostId: settings.hostId, incarnation }) } },
     forwardedCalls: (_request, response) => response.writeHead(503).end(),
     placeCall: () => Promise.resolve({ place: 'refused', failure: notStarted }),
@@ -45,7 +53,11 @@
       begin: () => Promise.resolve({ decision: 'refused', failure: noLedger }),
       finish: () => errAsync(noLedger),
     },
-    findCallerZone: () => undefined,
+    findCallerZone: (callerAddress) => {
+      const table = parts.table.current();
+      return table === undefined ? undefined : callerZone(table, callerAddress);
+    },
+    shifts: { admitShifted: () => undefined, movedPermille: () => 0 },
     poolOwner: () => undefined,
     adminRoutes: [],
     running: [],
--- a/packages/testkit/src/bench/experiments.ts
+++ b/packages/testkit/src/bench/experiments.ts
@@ -1,4 +1,13 @@
 import type { Experiment } from './benchTypes.js';
+import { callOverhead } from './callOverhead.js';
+import { lookup } from './lookup.js';
+import { onceExperiment } from './once/onceExperiment.js';
+import { shiftExperiment } from './shift/shiftExperiment.js';
 
 /** The experiments of `npm run bench`. */
-export const experiments: readonly Experiment[] = [];
+export const experiments: readonly Experiment[] = [
+  callOverhead,
+  lookup,
+  onceExperiment,
+  shiftExperiment,
+];
