--- /dev/null
+++ b/packages/core/src/keys/keys.spec.ts
@@ -0,0 +1,93 @@
+import test from 'ava';
+
+import { replayWindowMs, ReplayWindow } from './replayWindow.js';
+import { signRequest, verifyRequest, type SignedRequest } from './requestSignature.js';
+import { holdsKey, isSignedBy, signText } from './signature.js';
+
+const oldKey = { id: 'k1', secret: 'first-secret-0123456789' };
+const newKey = { id: 'k2', secret: 'second-secret-0123456789' };
+const request: SignedRequest = {
+  method: 'POST',
+  path: '/rpc/membership.deliver',
+  routing: 'rank 0',
+  body: '{"a":1}',
+};
+const parts = { hostId: 'h1', sentAtMs: 1_000_000, nonce: 'n1' };
+const nowMs = parts.sentAtMs + 50;
+const field = signRequest(newKey, request, parts);
+
+test('a request is accepted with any valid key, and once only', (t) => {
+  const window = new ReplayWindow();
+  const verify = () => verifyRequest([oldKey, newKey], request, field, window, nowMs);
+  t.is(verify().unwrapOr(''), 'h1');
+  t.true(verify().isErr());
+});
+
+const refusals: {
+  fault: string;
+  keys?: (typeof oldKey)[];
+  received?: Partial<SignedRequest>;
+  given?: unknown;
+  atMs?: number;
+}[] = [
+  { fault: 'a key that was withdrawn', keys: [oldKey] },
+  {
+    fault: 'a key of the same name with another secret',
+    keys: [{ ...newKey, secret: 'x'.repeat(20) }],
+  },
+  { fault: 'another method', received: { method: 'GET' } },
+  { fault: 'another path', received: { path: '/rpc/membership.other' } },
+  { fault: 'other routing fields', received: { routing: 'rank 2' } },
+  { fault: 'another body', received: { body: '{"a":2}' } },
+  { fault: 'a body taken away', received: { body: undefined } },
+  { fault: 'another sender', given: field.replace('h1', 'h2') },
+  { fault: 'another time', given: field.replace('1000000', '1000001') },
+  { fault: 'another nonce', given: field.replace('n1', 'n2') },
+  { fault: 'no signature', given: undefined },
+  { fault: 'a cut signature', given: field.slice(0, -1) },
+  { fault: 'parts missing', given: 'h1 1000000' },
+  { fault: 'a request recorded long ago', atMs: parts.sentAtMs + replayWindowMs + 1 },
+];
+
+for (const { fault, keys = [newKey], received = {}, given = field, atMs = nowMs } of refusals) {
+  const isMissing = fault === 'no signature';
+  test(`a request is refused with BL6001 and without its secret: ${fault}`, (t) => {
+    const result = verifyRequest(
+      keys,
+      { ...request, ...received },
+      isMissing ? undefined : given,
+      new ReplayWindow(),
+      atMs,
+    );
+    const problem = result.isErr() ? result.error : undefined;
+    t.is(problem?.code, 'BL6001');
+    t.false(problem?.detail.includes(newKey.secret));
+  });
+}
+
+test('a request that was refused does not use up its place in the replay window', (t) => {
+  const window = new ReplayWindow();
+  t.true(verifyRequest([oldKey], request, field, window, nowMs).isErr());
+  t.true(verifyRequest([newKey], request, field, window, nowMs).isOk());
+});
+
+test('the replay window stays bounded in a flood and still refuses the latest requests', (t) => {
+  const window = new ReplayWindow();
+  for (let index = 0; index < 120_000; index += 1) window.accept(`h1 ${index}`, nowMs, nowMs);
+  t.false(window.accept('h1 119999', nowMs, nowMs));
+});
+
+test('a text is signed by the key that it names only', (t) => {
+  const signature = signText(oldKey, 'text');
+  t.true(isSignedBy([newKey, oldKey], 'text', signature));
+  t.false(isSignedBy([newKey], 'text', signature));
+  t.false(isSignedBy([oldKey], 'texts', signature));
+  t.false(isSignedBy([oldKey], 'text', 'k1'));
+});
+
+test('a field with a key is valid with its exact name and secret only', (t) => {
+  t.true(holdsKey([oldKey, newKey], `k2:${newKey.secret}`));
+  t.false(holdsKey([oldKey], `k2:${newKey.secret}`));
+  t.false(holdsKey([oldKey, newKey], `k1:${newKey.secret}`));
+  t.false(holdsKey([oldKey], oldKey.secret));
+});
--- /dev/null
+++ b/packages/core/src/keys/requestSignature.ts
@@ -0,0 +1,103 @@
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, ok, type Result } from 'neverthrow';
+
+import type { ReplayWindow } from './replayWindow.js';
+import { digestOf, isSignedBy, signText, type SharedKey } from './signature.js';
+
+/** The parts of a request between hosts that its signature covers. */
+export interface SignedRequest {
+  readonly method: string;
+  /** Path with query. */
+  readonly path: string;
+  /** Routing fields of a forwarded call; empty where there are none. */
+  readonly routing: string;
+  /** Whole body; undefined where the body is streamed and not covered. */
+  readonly body: string | Uint8Array | undefined;
+}
+
+/** What a signature says besides the request itself. */
+export interface SignatureParts {
+  readonly hostId: string;
+  readonly sentAtMs: number;
+  /** Not used twice by one host. */
+  readonly nonce: string;
+}
+
+/** Mark of a body that the signature does not cover. */
+const streamedBody = '-';
+const fieldSeparator = ' ';
+
+function textOf(request: SignedRequest, parts: SignatureParts): string {
+  const digest = request.body === undefined ? streamedBody : digestOf(request.body);
+  const { hostId, sentAtMs, nonce } = parts;
+  return [hostId, sentAtMs, nonce, request.method, request.path, request.routing, digest].join(
+    '\n',
+  );
+}
+
+/**
+ * Signs a request between hosts.
+ *
+ * @param key - signing key
+ * @param request - covered parts
+ * @param parts - sender, time and nonce
+ * @returns value of the signature field
+ */
+export function signRequest(key: SharedKey, request: SignedRequest, parts: SignatureParts): string {
+  const signature = signText(key, textOf(request, parts));
+  return [parts.hostId, parts.sentAtMs, parts.nonce, signature].join(fieldSeparator);
+}
+
+/** A signature field taken apart. */
+export interface ReadSignature extends SignatureParts {
+  readonly signature: string;
+}
+
+function refuse(detail: string): Result<never, Failure> {
+  return err(failure('BL6001', detail));
+}
+
+/**
+ * Takes a signature field apart.
+ *
+ * @param field - value of the field
+ * @returns its parts, or BL6001
+ */
+export function readSignature(field: unknown): Result<ReadSignature, Failure> {
+  if (typeof field !== 'string') return refuse('the request is not signed');
+  const [hostId, sentAt, nonce, signature, ...rest] = field.split(fieldSeparator);
+  const sentAtMs = Number(sentAt);
+  const isWhole = hostId !== undefined && nonce !== undefined && signature !== undefined;
+  if (!isWhole || rest.length > 0 || !Number.isFinite(sentAtMs)) {
+    return refuse('the signature has a wrong form');
+  }
+  return ok({ hostId, sentAtMs, nonce, signature });
+}
+
+/**
+ * Checks a signed request. Only a request with a valid signature enters the replay window.
+ *
+ * @param keys - valid keys
+ * @param request - covered parts as received
+ * @param field - value of the signature field
+ * @param window - requests seen so far
+ * @param nowMs - wall time
+ * @returns the sending host, or BL6001
+ */
+export function verifyRequest(
+  keys: readonly SharedKey[],
+  request: SignedRequest,
+  field: unknown,
+  window: ReplayWindow,
+  nowMs: number,
+): Result<string, Failure> {
+  return readSignature(field).andThen((read) => {
+    if (!isSignedBy(keys, textOf(request, read), read.signature)) {
+      return refuse(`the key of host "${read.hostId}" is not valid`);
+    }
+    if (!window.accept(`${read.hostId} ${read.nonce}`, read.sentAtMs, nowMs)) {
+      return refuse(`the request of host "${read.hostId}" is late or was seen before`);
+    }
+    return ok(read.hostId);
+  });
+}
--- /dev/null
+++ b/packages/core/src/keys/signature.ts
@@ -0,0 +1,68 @@
+import { createHash, createHmac, timingSafeEqual } from 'node:crypto';
+
+/** A shared secret with its name. */
+export interface SharedKey {
+  readonly id: string;
+  readonly secret: string;
+}
+
+const separator = ':';
+
+function macOf(secret: string, text: string | Uint8Array): string {
+  return createHmac('sha256', secret).update(text).digest('base64url');
+}
+
+/** Compares two texts in a time that does not depend on where they differ. */
+function equalTexts(left: string, right: string): boolean {
+  const leftBytes = Buffer.from(left);
+  const rightBytes = Buffer.from(right);
+  return leftBytes.byteLength === rightBytes.byteLength && timingSafeEqual(leftBytes, rightBytes);
+}
+
+/**
+ * Signs a text with HMAC-SHA256.
+ *
+ * @param key - signing key
+ * @param text - text to sign
+ * @returns `<key id>:<code in base64url>`
+ */
+export function signText(key: SharedKey, text: string | Uint8Array): string {
+  return `${key.id}${separator}${macOf(key.secret, text)}`;
+}
+
+/**
+ * Checks a signature against the key that it names.
+ *
+ * @param keys - valid keys; several during a rotation
+ * @param text - signed text
+ * @param signature - `<key id>:<code>`
+ */
+export function isSignedBy(
+  keys: readonly SharedKey[],
+  text: string | Uint8Array,
+  signature: string,
+): boolean {
+  const end = signature.indexOf(separator);
+  if (end < 0) return false;
+  const key = keys.find((candidate) => candidate.id === signature.slice(0, end));
+  if (key === undefined) return false;
+  return equalTexts(signature.slice(end + 1), macOf(key.secret, text));
+}
+
+/**
+ * Tells whether a `<key id>:<secret>` field holds one of the valid keys.
+ *
+ * @param keys - valid keys; several during a rotation
+ * @param field - value of the field
+ */
+export function holdsKey(keys: readonly SharedKey[], field: string): boolean {
+  const end = field.indexOf(separator);
+  if (end < 0) return false;
+  const key = keys.find((candidate) => candidate.id === field.slice(0, end));
+  return key !== undefined && equalTexts(field.slice(end + 1), key.secret);
+}
+
+/** Digest of a body, in base64url. */
+export function digestOf(body: string | Uint8Array): string {
+  return createHash('sha256').update(body).digest('base64url');
+}
--- a/packages/core/src/membership/gossipQueue.ts
+++ b/packages/core/src/membership/gossipQueue.ts
@@ -1,4 +1,4 @@
-import { maxRecordsPerMessage, retransmitFactor } from './membershipLimits.js';
+import { identityWeight, maxRecordWeight, retransmitFactor } from './membershipLimits.js';
 
 interface QueuedNews {
   readonly hostId: string;
@@ -30,8 +30,12 @@
     if (this.queue.size === 0) return [];
     const limit = Math.ceil(retransmitFactor * Math.log2(participants + 1));
     const bySent = [...this.queue.values()].sort((left, right) => left.sent - right.sent);
-    const taken = bySent.slice(0, maxRecordsPerMessage);
-    for (const news of taken) {
+    const taken: QueuedNews[] = [];
+    let weight = 0;
+    for (const news of bySent) {
+      weight += news.withIdentity ? identityWeight : 1;
+      if (weight > maxRecordWeight) break;
+      taken.push(news);
       news.sent += 1;
       if (news.sent >= limit) this.queue.delete(news.hostId);
     }
--- a/packages/core/src/membership/membershipLimits.ts
+++ b/packages/core/src/membership/membershipLimits.ts
@@ -6,8 +6,10 @@
 export const urgentFanout = 4;
 /** Hosts of a zone that exchange records with other zones. */
 export const relaysPerZone = 3;
-/** Records in one message. */
-export const maxRecordsPerMessage = 12;
+/** Sum of the weights of the records in one message, so that it fits a datagram. */
+export const maxRecordWeight = 6;
+/** Weight of a record with the identity of its host; other records weigh 1. */
+export const identityWeight = 3;
 /** Records in one page of a full exchange. */
 export const maxSyncRecords = 400;
 /** Factor on the logarithm of the number of hosts for repeats of a record. */
@@ -29,7 +31,7 @@
 /** Time for which failed and left hosts are remembered. */
 export const forgetMs = 24 * 3600 * 1000;
 /** Pause between two ticks after which timeouts of the machine itself prove nothing. */
-export const stallMs = 400;
+export const stallMs = 250;
 /** Hosts up to which every change of a document version is sent on. */
 export const gossipVersionsUpTo = 64;
 /** Hosts of another zone that must be out of reach before the whole zone counts as cut off. */
--- a/packages/host/src/calls/dispatch.ts
+++ b/packages/host/src/calls/dispatch.ts
@@ -170,9 +170,10 @@
     const forwarded = describeForwarded(context, dispatched, crossesZones, creditId);
     const plan = common(dispatched);
     const fields = endToEndFields(call.request.rawHeaders);
-    const signature = parts.auth.sign({ method: plan.method, path: plan.path });
+    const routing = JSON.stringify(forwarded);
+    const signature = parts.auth.sign({ method: plan.method, path: plan.path, routing });
     for (const [name, value] of Object.entries(signature)) fields.push(name, value);
-    fields.push(forwardedCallHeader, JSON.stringify(forwarded));
+    fields.push(forwardedCallHeader, routing);
     return runAttempt({
       ...plan,
       dispatcher: connections.toHost(endpoint),
--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -11,13 +11,14 @@
 
 /** The features of a host, in the order in which they start. */
 export const features: readonly Feature[] = [
-  membershipFeature,
-  documentsFeature,
   timelineFeature,
   metricsFeature,
+  membershipFeature,
   consensusFeature,
-  slotsFeature,
   submissionsFeature,
+  // Follows the control group, so it starts after the features of the group.
+  documentsFeature,
+  slotsFeature,
   callsFeature,
   // The administration API comes last: it mounts the routes of the features before it.
   adminFeature,
--- a/packages/host/src/membership/membershipFeature.ts
+++ b/packages/host/src/membership/membershipFeature.ts
@@ -1,52 +1,86 @@
 import type { MemberMessage } from '@buckthornlug/core/membership/membershipTypes.js';
-import { okAsync } from 'neverthrow';
 
 import type { Feature, HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
+import { openDatagrams, type Datagrams } from './datagrams.js';
 import { registerHostsRoutes } from './hostsRoutes.js';
-import { startMembershipTask, type PostMessage } from './membershipTask.js';
+import { startMembershipTask, type MembershipTask, type PostMessage } from './membershipTask.js';
 
-/** Carries messages as procedure calls; a message that gets no answer is lost. */
-function createPost(context: HostContext, parts: HostParts): PostMessage {
-  const timeoutMs = context.settings.timing.rpcTimeoutMs;
-  return async (message: MemberMessage) => {
-    const answers = await parts.peers.request(
-      message.to,
-      (client, signal) => client.membership.deliver.mutate(message, { signal }),
-      timeoutMs,
+/**
+ * Carries messages as datagrams, and as procedure calls where a message is large or its receiver is
+ * reached at another address than its own.
+ */
+function createPost(context: HostContext, parts: HostParts, datagrams: Datagrams): PostMessage {
+  const { settings, metrics } = context;
+  const sendByDatagram = async (message: MemberMessage): Promise<boolean> => {
+    if (settings.peerAddresses[message.to] !== undefined) return false;
+    const endpoint = parts.peers.addressOf(message.to);
+    return endpoint !== undefined && (await datagrams.send(endpoint, message));
+  };
+  return async (message) => {
+    if (await sendByDatagram(message)) return [];
+    metrics.count('membership_procedure_calls_total');
+    const answers = await parts.peers.request(message.to, (client, signal) =>
+      client.membership.deliver.mutate(message, { signal }),
     );
     return answers.unwrapOr([]);
   };
 }
 
+function openSocket(context: HostContext, onMessage: (message: MemberMessage) => void) {
+  const { settings, metrics } = context;
+  return openDatagrams({
+    endpoint: settings.listen.internal,
+    keys: settings.clusterKeys,
+    onMessage,
+    onKeyRefused: (sender) => {
+      metrics.count('membership_keys_refused_total');
+      context.record({ kind: 'keyRefused', code: 'BL6001', detail: { sender } });
+    },
+  });
+}
+
+/** Keeps the membership told of what this host holds of the control group's state. */
+function reportVersions(parts: HostParts, task: MembershipTask): () => void {
+  const report = () => {
+    task.setVersions({
+      documentVersion: parts.document.current()?.version ?? 0,
+      shiftRevision: parts.shiftSteps.revision(),
+    });
+  };
+  report();
+  const ends = [parts.document.onChange(report), parts.shiftSteps.onChange(report)];
+  return () => {
+    for (const end of ends) end();
+  };
+}
+
 /** Who is alive, and what version of the document each host has. */
 export const membershipFeature: Feature = {
   name: 'membership',
   wanted: () => true,
   start: (context, parts) => {
-    const task = startMembershipTask(context, createPost(context, parts));
-    parts.provide({ membership: task.view, membershipTask: task });
-    const { rpcHandlers } = parts;
-    rpcHandlers.membership = { deliver: task.deliver };
-    const report = () => {
-      task.setVersions({
-        documentVersion: parts.document.current()?.version ?? 0,
-        shiftRevision: parts.shiftSteps.revision(),
-      });
-    };
-    report();
-    const endUpdates = [parts.document.onChange(report), parts.shiftSteps.onChange(report)];
-    parts.adminRoutes.push((app) => registerHostsRoutes(app, task.view));
-    return okAsync({
-      name: 'membership',
-      stopSteps: {
-        leaveLookups: () => task.leave('leaving'),
-        closeTasks: async () => {
-          for (const end of endUpdates) end();
-          await task.leave('left');
-          task.close();
+    let task: MembershipTask | undefined;
+    return openSocket(context, (message) => task?.take(message)).map((datagrams) => {
+      const started = startMembershipTask(context, createPost(context, parts, datagrams));
+      task = started;
+      parts.provide({ membership: started.view, membershipTask: started });
+      const { rpcHandlers } = parts;
+      rpcHandlers.membership = { deliver: started.deliver };
+      const endReports = reportVersions(parts, started);
+      parts.adminRoutes.push((app) => registerHostsRoutes(app, started.view));
+      return {
+        name: 'membership',
+        stopSteps: {
+          leaveLookups: () => started.leave('leaving'),
+          closeTasks: async () => {
+            endReports();
+            await started.leave('left');
+            started.close();
+            datagrams.close();
+          },
         },
-      },
+      };
     });
   },
 };
--- a/packages/host/src/membership/membershipTask.ts
+++ b/packages/host/src/membership/membershipTask.ts
@@ -21,6 +21,8 @@
   readonly view: MembershipView;
   /** Takes a message of another host; returns the messages for it. */
   readonly deliver: (fromHostId: string, message: MemberMessage) => readonly MemberMessage[];
+  /** Takes a message of another host; answers to it are sent as messages. */
+  readonly take: (message: MemberMessage) => void;
   /** Reports what this host holds of the control group's state. */
   readonly setVersions: (held: HeldVersions) => void;
   /** Notes what another host said that it holds. */
@@ -138,6 +140,7 @@
   return {
     view: runner.view,
     deliver: (fromHostId, message) => runner.deliver(fromHostId, message),
+    take: (message) => runner.carryOut(machine.receive(message, clock.nowMs())),
     setVersions: (held) => runner.carryOut(machine.setVersions(held, clock.nowMs())),
     noteVersions: (hostId, held) => {
       machine.noteVersions(hostId, held);
--- a/packages/host/src/rpc/internalListener.ts
+++ b/packages/host/src/rpc/internalListener.ts
@@ -4,15 +4,16 @@
 import { clockHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
 import { nodeHTTPRequestHandler } from '@trpc/server/adapters/node-http';
 
+import type { Failure } from '@buckthornlug/protocol/results/failure.js';
+
 import { sendRefusal } from '../calls/refusal.js';
 import type { AppRouter } from './appRouter.js';
 import type { RequestAuth } from './requestAuth.js';
+import { readRpcBody } from './rpcBody.js';
 import { observeClockHeader } from '../timeline/clockHeader.js';
 import type { TimelineRecorder } from '../timeline/timelineRecorder.js';
 
 const rpcPrefix = '/rpc/';
-/** Largest body of a request between hosts. */
-const maxRpcBodyBytes = 64 * 1024 * 1024;
 const keepAliveTimeoutMs = 60_000;
 
 /** Takes a call that another host forwarded. */
@@ -26,6 +27,8 @@
 export interface InternalListenerParts {
   readonly router: AppRouter;
   readonly auth: RequestAuth;
+  /** Told of each request without a valid key. */
+  readonly onKeyRefused: (refusal: Failure) => void;
   readonly timeline: Pick<TimelineRecorder, 'readClock' | 'observeClock'>;
   /** Handler of forwarded calls at the moment of the request. */
   readonly forwardedCalls: () => ForwardedCallHandler;
@@ -41,6 +44,49 @@
   response.setHeader(clockHeader, formatHybridTime(timeline.readClock()));
 }
 
+/** Lets a refused request be seen on the time line. */
+function refuse(parts: InternalListenerParts, response: ServerResponse, refusal: Failure): void {
+  if (refusal.code === 'BL6001') parts.onKeyRefused(refusal);
+  sendRefusal(response, refusal);
+}
+
+async function answerProcedure(
+  parts: InternalListenerParts,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const body = await readRpcBody(request);
+  const sender = body.andThen((text) => parts.auth.authenticate(request, text));
+  if (sender.isErr()) {
+    refuse(parts, response, sender.error);
+    return;
+  }
+  exchangeClocks(parts.timeline, request, response);
+  const url = request.url ?? '/';
+  const queryAt = url.indexOf('?');
+  await nodeHTTPRequestHandler({
+    router: parts.router,
+    req: Object.assign(request, { body: body.unwrapOr('') }),
+    res: response,
+    path: url.slice(rpcPrefix.length, queryAt < 0 ? undefined : queryAt),
+    createContext: () => Promise.resolve({ fromHostId: sender.value }),
+  });
+}
+
+function answerForwardedCall(
+  parts: InternalListenerParts,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  const sender = parts.auth.authenticate(request);
+  if (sender.isErr()) {
+    refuse(parts, response, sender.error);
+    return;
+  }
+  exchangeClocks(parts.timeline, request, response);
+  parts.forwardedCalls()(request, response, sender.value);
+}
+
 /**
  * Creates the server for requests of other hosts: procedures under `/rpc`, forwarded calls elsewhere.
  *
@@ -48,26 +94,13 @@
  */
 export function createInternalServer(parts: InternalListenerParts): Server {
   const server = createServer((request, response) => {
-    const sender = parts.auth.authenticate(request);
-    if (sender.isErr()) {
-      sendRefusal(response, sender.error);
-      return;
-    }
-    exchangeClocks(parts.timeline, request, response);
-    const url = request.url ?? '/';
-    if (!url.startsWith(rpcPrefix)) {
-      parts.forwardedCalls()(request, response, sender.value);
+    if (!request.url?.startsWith(rpcPrefix)) {
+      answerForwardedCall(parts, request, response);
       return;
     }
-    const queryAt = url.indexOf('?');
-    nodeHTTPRequestHandler({
-      router: parts.router,
-      req: request,
-      res: response,
-      path: url.slice(rpcPrefix.length, queryAt < 0 ? undefined : queryAt),
-      createContext: () => Promise.resolve({ fromHostId: sender.value }),
-      maxBodySize: maxRpcBodyBytes,
-    }).catch((error: unknown) => response.destroy(error as Error));
+    answerProcedure(parts, request, response).catch((error: unknown) => {
+      response.destroy(error instanceof Error ? error : undefined);
+    });
   });
   server.keepAliveTimeout = keepAliveTimeoutMs;
   return server;
--- a/packages/host/src/rpc/peerClients.ts
+++ b/packages/host/src/rpc/peerClients.ts
@@ -79,7 +79,7 @@
 export function createPeerClients(parts: PeerClientParts): PeerClients {
   const { settings, auth, timeline, memberAddress } = parts;
   const agent = new Agent({ connections: connectionsPerHost, keepAliveTimeout: keepAliveMs });
-  const fetch = createUndiciFetch(agent, (clock) => observeClockHeader(timeline, clock));
+  const fetch = createUndiciFetch(agent, (clock) => observeClockHeader(timeline, clock), auth.sign);
   const clients = new Map<string, PeerClient>();
   const startAddresses = new Map(settings.peers.map((peer) => [peer.hostId, peer.internal]));
 
@@ -91,8 +91,7 @@
         httpLink({
           url: `${origin}/rpc`,
           fetch,
-          headers: ({ op }) => ({
-            ...auth.sign({ method: op.type === 'query' ? 'GET' : 'POST', path: `/rpc/${op.path}` }),
+          headers: () => ({
             [clockHeader]: formatHybridTime(timeline.readClock()),
           }),
         }),
--- a/packages/host/src/rpc/requestAuth.ts
+++ b/packages/host/src/rpc/requestAuth.ts
@@ -1,41 +1,48 @@
-import { timingSafeEqual } from 'node:crypto';
+import { randomBytes } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
 
-import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { ReplayWindow } from '@buckthornlug/core/keys/replayWindow.js';
+import {
+  signRequest,
+  verifyRequest,
+  type SignedRequest,
+} from '@buckthornlug/core/keys/requestSignature.js';
+import { holdsKey } from '@buckthornlug/core/keys/signature.js';
+import { forwardedCallHeader } from '@buckthornlug/protocol/calls/forwardedCallSchema.js';
+import type { Failure } from '@buckthornlug/protocol/results/failure.js';
 import type { SecretKey, Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
-import { err, ok, type Result } from 'neverthrow';
+import type { Result } from 'neverthrow';
 
 /** Authentication of requests between hosts by the cluster keys. */
 
-const hostIdHeader = 'x-buckthornlug-host';
-const clusterKeyHeader = 'x-buckthornlug-cluster-key';
+/** Field with the signature of a request between hosts. */
+export const signatureHeader = 'x-buckthornlug-signature';
 
 /** The parts of a request that its signature may cover. */
 export interface SignedParts {
   readonly method: string;
   /** Path with query. */
   readonly path: string;
+  /** Value of the routing field of a forwarded call. */
+  readonly routing?: string;
+  /** Whole body; absent where it is streamed. */
+  readonly body?: string;
 }
 
 /** Signs the requests of this host and checks those of other hosts. */
 export interface RequestAuth {
   /** Header fields that prove who sends the request. */
   readonly sign: (parts: SignedParts) => Record<string, string>;
-  /** Host that sent the request, or BL6001. */
-  readonly authenticate: (request: IncomingMessage) => Result<string, Failure>;
+  /**
+   * Finds the host that sent a request, or BL6001.
+   *
+   * @param request - request as received
+   * @param body - whole body; absent where it is streamed
+   */
+  readonly authenticate: (request: IncomingMessage, body?: string) => Result<string, Failure>;
 }
 
-/**
- * Compares two secrets in a time that does not depend on where they differ.
- *
- * @param given - secret of the request
- * @param known - valid secret
- */
-export function equalSecrets(given: string, known: string): boolean {
-  const givenBytes = Buffer.from(given);
-  const knownBytes = Buffer.from(known);
-  return givenBytes.length === knownBytes.length && timingSafeEqual(givenBytes, knownBytes);
-}
+const noncePrefixBytes = 9;
 
 /**
  * Tells whether a `<key id>:<secret>` field holds one of the valid keys.
@@ -44,35 +51,56 @@
  * @param keys - valid keys
  */
 export function holdsValidKey(field: string, keys: readonly SecretKey[]): boolean {
-  const colon = field.indexOf(':');
-  const id = field.slice(0, Math.max(0, colon));
-  const secret = field.slice(colon + 1);
-  const key = keys.find((candidate) => candidate.id === id);
-  return key !== undefined && equalSecrets(secret, key.secret);
+  return holdsKey(keys, field);
+}
+
+function coveredParts(parts: SignedParts): SignedRequest {
+  const { method, path, routing = '', body } = parts;
+  return { method, path, routing, body };
+}
+
+function receivedParts(request: IncomingMessage, body: string | undefined): SignedRequest {
+  const routing = request.headers[forwardedCallHeader];
+  return {
+    method: request.method ?? '',
+    path: request.url ?? '',
+    routing: typeof routing === 'string' ? routing : '',
+    body,
+  };
 }
 
 /**
  * Creates the authentication of a host.
  *
  * @param settings - settings with the cluster keys; the first key signs
+ * @param wallMs - wall time
  */
-export function createRequestAuth(settings: Settings): RequestAuth {
-  const [signingKey] = settings.clusterKeys;
+export function createRequestAuth(
+  settings: Settings,
+  wallMs: () => number = Date.now,
+): RequestAuth {
+  const { hostId, clusterKeys } = settings;
+  const [signingKey] = clusterKeys;
+  const noncePrefix = randomBytes(noncePrefixBytes).toString('base64url');
+  const window = new ReplayWindow();
+  let count = 0;
+  const nextNonce = () => {
+    count += 1;
+    return `${noncePrefix}.${count.toString(36)}`;
+  };
   return {
-    sign: () => ({
-      [hostIdHeader]: settings.hostId,
-      [clusterKeyHeader]: `${signingKey?.id}:${signingKey?.secret}`,
-    }),
-    authenticate: (request) => {
-      const hostId = request.headers[hostIdHeader];
-      const field = request.headers[clusterKeyHeader];
-      if (typeof hostId !== 'string' || typeof field !== 'string') {
-        return err(failure('BL6001', 'the request names no host or no key'));
-      }
-      if (!holdsValidKey(field, settings.clusterKeys)) {
-        return err(failure('BL6001', `the key of host "${hostId}" is not valid`));
-      }
-      return ok(hostId);
+    sign: (parts): Record<string, string> => {
+      if (signingKey === undefined) return {};
+      const proof = { hostId, sentAtMs: wallMs(), nonce: nextNonce() };
+      return { [signatureHeader]: signRequest(signingKey, coveredParts(parts), proof) };
     },
+    authenticate: (request, body) =>
+      verifyRequest(
+        clusterKeys,
+        receivedParts(request, body),
+        request.headers[signatureHeader],
+        window,
+        wallMs(),
+      ),
   };
 }
--- a/packages/host/src/rpc/undiciFetch.ts
+++ b/packages/host/src/rpc/undiciFetch.ts
@@ -1,6 +1,8 @@
 import { clockHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
 import { request, type Dispatcher } from 'undici';
 
+import type { RequestAuth } from './requestAuth.js';
+
 /** The part of a fetch response that the trpc client reads. */
 interface FetchedReply {
   readonly ok: boolean;
@@ -22,17 +24,23 @@
  *
  * @param dispatcher - agent that owns the connections
  * @param observeClock - takes the clock field of each reply
+ * @param sign - gives the fields that prove who sends a request
  */
 export function createUndiciFetch(
   dispatcher: Dispatcher,
   observeClock: (clock: string | string[] | undefined) => void,
+  sign: RequestAuth['sign'],
 ) {
   return async (url: string | URL | Request, options: FetchOptions = {}): Promise<FetchedReply> => {
-    const reply = await request(url instanceof Request ? url.url : url, {
+    const target = new URL(url instanceof Request ? url.url : url);
+    const method = options.method ?? 'GET';
+    const body = typeof options.body === 'string' ? options.body : '';
+    const signature = sign({ method, path: `${target.pathname}${target.search}`, body });
+    const reply = await request(target, {
       dispatcher,
-      method: options.method ?? 'GET',
-      headers: options.headers as Record<string, string>,
-      body: (options.body ?? null) as string | null,
+      method,
+      headers: { ...(options.headers as Record<string, string>), ...signature },
+      body: body === '' ? null : body,
       signal: options.signal ?? null,
     });
     observeClock(reply.headers[clockHeader]);
--- a/packages/host/src/runtime/hostRuntime.ts
+++ b/packages/host/src/runtime/hostRuntime.ts
@@ -133,6 +133,10 @@
   const internal = createInternalServer({
     router: createAppRouter(parts.rpcHandlers),
     auth: parts.auth,
+    onKeyRefused: ({ code, detail }) => {
+      context.record({ kind: 'keyRefused', code, detail: { problem: detail } });
+      context.log.warn('keyRefused', { code, detail });
+    },
     forwardedCalls: () => parts.forwardedCalls,
     timeline: context.timeline,
   });
--- a/packages/host/src/submissions/submissionsFeature.ts
+++ b/packages/host/src/submissions/submissionsFeature.ts
@@ -26,7 +26,7 @@
       ReturnType<typeof machine.apply>
     >(controlGroupId, machine);
     const control = createControlGroup(handle, machine, isMember);
-    parts.provide({ control });
+    parts.provide(isMember ? { control, controlState: control } : { control });
     parts.rpcHandlers.submissions = { read: (request) => readOnMember(control, request) };
     const others = memberHostIds.filter((hostId) => hostId !== settings.hostId);
     const read = (submissionId?: string) =>
