--- a/packages/testkit/src/bench/benchHost.ts
+++ b/packages/testkit/src/bench/benchHost.ts
@@ -14,10 +14,14 @@
 export interface BenchHost {
   /** Processor time used so far, in milliseconds. */
   readonly cpuMs: () => Promise<number>;
+  /** Ends the process at once. */
   readonly stop: () => Promise<void>;
+  /** Planned stop by SIGTERM; resolves to the exit status. */
+  readonly stopAsPlanned: () => Promise<number | null>;
 }
 
 async function endProcess(child: ChildProcess): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) return;
   const ended = once(child, 'exit');
   child.kill('SIGKILL');
   await ended;
@@ -49,6 +53,12 @@
       await endProcess(child);
       await rm(folder, { recursive: true });
     },
+    stopAsPlanned: async () => {
+      const ended = once(child, 'exit');
+      child.kill('SIGTERM');
+      const [status] = (await ended) as [number | null];
+      return status;
+    },
   };
 }
 
--- a/packages/testkit/src/fakes/fakeCaller.ts
+++ b/packages/testkit/src/fakes/fakeCaller.ts
@@ -41,7 +41,8 @@
   readonly execution?: string;
   readonly body?: string;
   readonly hostId?: string;
-  readonly attempts: number;
+  /** How each attempt ended: the result, or the code of a refusal. */
+  readonly attempts: readonly string[];
   readonly elapsedMs: number;
 }
 
@@ -124,14 +125,14 @@
     call: async (callerRequest) => {
       const startedAtMs = performance.now();
       let last: Omit<CallerResult, 'attempts' | 'elapsedMs'> = { result: 'broken' };
-      let attempts = 0;
-      while (attempts < options.attempts) {
+      const attempts: string[] = [];
+      for (let number = 0; number < options.attempts; number += 1) {
         const reply = await lookUp();
         const hosts = reply?.hosts ?? [];
-        const host = hosts[attempts % Math.max(1, hosts.length)];
-        attempts += 1;
+        const host = hosts[number % Math.max(1, hosts.length)];
         if (host === undefined) continue;
         last = { ...(await sendOnce(agent, options, host, callerRequest)), hostId: host.hostId };
+        attempts.push(last.code ?? last.result);
         if (last.result === 'answered') break;
       }
       return { ...last, attempts, elapsedMs: performance.now() - startedAtMs };
