--- a/packages/host/src/rpc/appRouter.ts
+++ b/packages/host/src/rpc/appRouter.ts
@@ -1,8 +1,13 @@
 import { rpcRouter } from '@buckthornlug/protocol/rpc/rpcContext.js';
 
 import { createConsensusRouter, type ConsensusHandlers } from '../consensus/consensusRouter.js';
+import {
+  createSubmissionsRouter,
+  type SubmissionsHandlers,
+} from '../submissions/submissionsRouter.js';
 import { lateHandlers } from './lateHandlers.js';
 import { createMetricsRouter, type MetricsHandlers } from '../metrics/metricsRouter.js';
+import { createSlotsRouter, type SlotsHandlers } from '../slots/slotsRouter.js';
 import { createTimelineRouter, type TimelineHandlers } from '../timeline/timelineRouter.js';
 import { createMembershipRouter, type MembershipHandlers } from '../membership/membershipRouter.js';
 import { createPingRouter, type PingHandlers } from './pingRouter.js';
@@ -13,6 +18,8 @@
   membership: MembershipHandlers;
   metrics: MetricsHandlers;
   ping: PingHandlers;
+  slots: SlotsHandlers;
+  submissions: SubmissionsHandlers;
   timeline: TimelineHandlers;
 }
 
@@ -26,6 +33,8 @@
     consensus: createConsensusRouter(lateHandlers(() => handlers.consensus)),
     membership: createMembershipRouter(lateHandlers(() => handlers.membership)),
     metrics: createMetricsRouter(lateHandlers(() => handlers.metrics)),
+    slots: createSlotsRouter(lateHandlers(() => handlers.slots)),
+    submissions: createSubmissionsRouter(lateHandlers(() => handlers.submissions)),
     timeline: createTimelineRouter(lateHandlers(() => handlers.timeline)),
     ping: createPingRouter(lateHandlers(() => handlers.ping)),
   });
