--- /dev/null
+++ b/packages/cli/src/api/sendSubmission.ts
@@ -0,0 +1,69 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import {
+  submissionReplySchema,
+  versionStatusSchema,
+  type Submission,
+  type SubmissionReply,
+  type VersionStatus,
+} from '@buckthornlug/protocol/submissions/submissionSchema.js';
+import { err, ok, type Result } from 'neverthrow';
+
+import type { AdminClient } from './adminClient.js';
+
+/** Failures after which the same submission is sent again. */
+const retryableCodes: readonly string[] = ['BL2008', 'BL5001', 'BL5002'];
+const maxAttempts = 20;
+const retryDelayMs = 300;
+const pollDelayMs = 200;
+
+/**
+ * Sends a submission; while its outcome is not known, the same one is sent again, which gets the
+ * first answer.
+ *
+ * @param client - administration client
+ * @param submission - signed submission
+ */
+export async function sendSubmission(
+  client: AdminClient,
+  submission: Submission,
+): Promise<Result<SubmissionReply, Failure>> {
+  let problem = failure('BL2008', 'the submission was not sent');
+  for (let attempt = 0; attempt < maxAttempts; attempt += 1) {
+    const answer = await client.post('/v1/submissions', submission);
+    if (answer.isOk()) return ok(submissionReplySchema.parse(answer.value));
+    problem = answer.error;
+    if (!retryableCodes.includes(problem.code)) return err(problem);
+    await delay(retryDelayMs);
+  }
+  return err(problem);
+}
+
+/**
+ * Waits until a version is in force on every live host.
+ *
+ * @param client - administration client
+ * @param version - accepted version
+ * @param waitMs - longest wait
+ * @returns the status, or BL2009 with the hosts that are behind
+ */
+export async function waitInForce(
+  client: AdminClient,
+  version: number,
+  waitMs: number,
+): Promise<Result<VersionStatus, Failure>> {
+  const endMs = performance.now() + waitMs;
+  for (;;) {
+    const answer = await client.get(`/v1/versions/${version}`);
+    if (answer.isOk()) {
+      const status = versionStatusSchema.parse(answer.value);
+      if (status.inForce) return ok(status);
+      if (performance.now() >= endMs) {
+        const hosts = status.behindHosts.map((host) => `${host.hostId}@${host.documentVersion}`);
+        return err(failure('BL2009', `not confirmed by ${hosts.join(', ')}`));
+      }
+    } else if (performance.now() >= endMs) return err(answer.error);
+    await delay(pollDelayMs);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/documentSubmitCommand.ts
@@ -0,0 +1,116 @@
+import { randomUUID } from 'node:crypto';
+import { readFile } from 'node:fs/promises';
+
+import { summarizeChange } from '@buckthornlug/core/changes/changes.js';
+import type { Failure } from '@buckthornlug/protocol/results/failure.js';
+import { failure } from '@buckthornlug/protocol/results/failure.js';
+import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
+import type { Submission } from '@buckthornlug/protocol/submissions/submissionSchema.js';
+import { Command, Option } from 'clipanion';
+import { err, ok, type Result } from 'neverthrow';
+
+import { buildSubmission } from '../api/buildSubmission.js';
+import { fetchDocument } from '../api/fetchDocument.js';
+import { sendSubmission, waitInForce } from '../api/sendSubmission.js';
+import { formatChange } from '../output/changeText.js';
+import { AdminCommand } from './adminCommand.js';
+import { readDocumentFile } from './documentFile.js';
+
+const defaultWaitMs = 30_000;
+
+/** Submits an edited document. */
+export class DocumentSubmitCommand extends AdminCommand {
+  static override paths = [['document', 'submit']];
+
+  static override usage = Command.Usage({
+    description: 'Submit an edited document: only the sections that differ are sent.',
+    details: `
+      The file keeps the versions it was edited from in \`base\`; a section that was changed
+      meanwhile by others is refused with BL2005. A command that lost its answer may be repeated
+      with the same --submission-id; it gets the first answer again.
+    `,
+    examples: [
+      [
+        'Submit and wait until it is in force',
+        'buckthornlugctl document submit steering.json --team platform --key platform-1 --secret-file key.txt --wait',
+      ],
+      [
+        'Only show what it will do',
+        'buckthornlugctl document submit steering.json --team platform --key platform-1 --secret-file key.txt --dry-run',
+      ],
+    ],
+  });
+
+  file = Option.String({ required: true });
+
+  team = Option.String('--team', { required: true, description: 'Team that submits.' });
+
+  keyId = Option.String('--key', { required: true, description: 'Identity of the signing key.' });
+
+  secretFile = Option.String('--secret-file', {
+    required: true,
+    description: 'File that holds the secret of the key.',
+  });
+
+  submissionId = Option.String('--submission-id', {
+    description: 'Identity of the submission; a new one where absent.',
+  });
+
+  wait = Option.Boolean('--wait', false, { description: 'Wait until it is in force everywhere.' });
+
+  waitMs = Option.String('--wait-ms', String(defaultWaitMs), {
+    description: 'Longest wait in milliseconds.',
+  });
+
+  dryRun = Option.Boolean('--dry-run', false, { description: 'Show the change, send nothing.' });
+
+  private async readSecret(): Promise<Result<string, Failure>> {
+    try {
+      return ok((await readFile(this.secretFile, 'utf8')).trim());
+    } catch {
+      return err(failure('BL1005', `the secret file "${this.secretFile}" cannot be read`));
+    }
+  }
+
+  /** The document in force; none before the first submission. */
+  private async readCurrent(): Promise<Result<SteeringDocument | undefined, Failure>> {
+    const current = await fetchDocument(this.client());
+    if (current.isErr() && current.error.code === 'BL2010') return ok(undefined);
+    return current;
+  }
+
+  private showChange(current: SteeringDocument | undefined, edited: SteeringDocument): void {
+    if (this.json) return;
+    const text =
+      current === undefined
+        ? 'The first document.'
+        : formatChange(summarizeChange(current, edited));
+    this.context.stdout.write(`${text}\n`);
+  }
+
+  private async send(submission: Submission): Promise<number> {
+    const reply = await sendSubmission(this.client(), submission);
+    if (reply.isErr()) return this.refuse(reply.error);
+    if (!this.wait) return this.finish(reply, ({ version }) => `accepted as version ${version}`);
+    const status = await waitInForce(this.client(), reply.value.version, Number(this.waitMs));
+    return this.finish(status, ({ version }) => `version ${version} is in force everywhere`);
+  }
+
+  async execute(): Promise<number> {
+    const edited = await readDocumentFile(this.file);
+    if (edited.isErr()) return this.refuse(edited.error);
+    const secret = await this.readSecret();
+    if (secret.isErr()) return this.refuse(secret.error);
+    const current = await this.readCurrent();
+    if (current.isErr()) return this.refuse(current.error);
+    this.showChange(current.value, edited.value);
+    const submission = buildSubmission(current.value, edited.value, {
+      submissionId: this.submissionId ?? randomUUID(),
+      team: this.team,
+      keyId: this.keyId,
+      secret: secret.value,
+    });
+    if (this.dryRun || Object.keys(submission.sections).length === 0) return 0;
+    return this.send(submission);
+  }
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -5,6 +5,7 @@
 import { DocumentCheckCommand } from './commands/documentCheckCommand.js';
 import { DocumentDiffCommand } from './commands/documentDiffCommand.js';
 import { DocumentGetCommand } from './commands/documentGetCommand.js';
+import { DocumentSubmitCommand } from './commands/documentSubmitCommand.js';
 import { HostsCommand } from './commands/hostsCommand.js';
 import { ShiftsCommand } from './commands/shiftsCommand.js';
 import { StatusCommand } from './commands/statusCommand.js';
@@ -21,6 +22,7 @@
   DocumentCheckCommand,
   DocumentDiffCommand,
   DocumentGetCommand,
+  DocumentSubmitCommand,
   HostsCommand,
   ShiftsCommand,
   StatusCommand,
--- /dev/null
+++ b/packages/testkit/src/scenarios/submitChange.ts
@@ -0,0 +1,82 @@
+import { createAdminClient } from '@buckthornlug/cli/api/adminClient.js';
+import { buildSubmission } from '@buckthornlug/cli/api/buildSubmission.js';
+import { checkDocument } from '@buckthornlug/protocol/document/document.js';
+import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
+import { submissionReplySchema } from '@buckthornlug/protocol/submissions/submissionSchema.js';
+
+import { deploymentKeys } from '../deployment/deployment.js';
+import { scenarioDocument, scenarioTeam } from './scenarioDocument.js';
+import type { StepOf } from './scenarioSchema.js';
+import type { ScenarioState } from './scenarioState.js';
+
+const unavailableCodes: readonly string[] = ['BL5001', 'BL2008', 'BL5002', 'BL6003'];
+const maxAttempts = 60;
+const retryDelayMs = 200;
+
+function setPath(document: SteeringDocument, path: string, value: unknown): void {
+  const parts = path.split('/');
+  const last = parts.pop() ?? '';
+  let place = document as unknown as Record<string, unknown>;
+  for (const part of parts) place = place[part] as Record<string, unknown>;
+  place[last] = value;
+}
+
+function adminAddresses(state: ScenarioState, only: string | undefined): string[] {
+  const hostIds = only === undefined ? [...state.fleet.hosts.keys()] : [only];
+  return hostIds.map((hostId) => {
+    const admin = state.fleet.settings.get(hostId)?.listen.admin;
+    return `http://${admin?.address}:${admin?.port}`;
+  });
+}
+
+async function currentDocument(
+  addresses: readonly string[],
+): Promise<SteeringDocument | undefined> {
+  const answer = await createAdminClient(addresses).get('/v1/document');
+  if (answer.isErr()) return undefined;
+  return checkDocument(answer.value)._unsafeUnwrap();
+}
+
+function pause(): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, retryDelayMs);
+  });
+}
+
+/**
+ * Submits a change of the document; the first submission brings the whole document. A submission
+ * whose outcome is not known is sent again with the same identity.
+ *
+ * @param state - running scenario
+ * @param step - what to change and what to expect
+ */
+export async function submitChange(state: ScenarioState, step: StepOf<'submit'>): Promise<void> {
+  const current = state;
+  const addresses = adminAddresses(state, step.admin);
+  const known = await currentDocument(addresses);
+  if (known !== undefined) state.bases.push(known);
+  const base = state.bases.at(-1 - step.staleBy);
+  const edited = structuredClone(base ?? scenarioDocument(state.scenario));
+  for (const [path, value] of Object.entries(step.set)) setPath(edited, path, value);
+  current.submissions += 1;
+  const key = base === undefined ? deploymentKeys.cluster : scenarioTeam.key;
+  const submission = buildSubmission(base, edited, {
+    submissionId: step.submissionId ?? `scenario-${state.scenario.seed}-${state.submissions}`,
+    team: scenarioTeam.id,
+    keyId: key.id,
+    secret: key.secret,
+  });
+  let outcome = 'not sent';
+  for (let attempt = 0; attempt < maxAttempts; attempt += 1) {
+    const answer = await createAdminClient(addresses).post('/v1/submissions', submission);
+    if (answer.isOk()) {
+      current.lastAcceptedVersion = submissionReplySchema.parse(answer.value).version;
+      outcome = 'accepted';
+      break;
+    }
+    outcome = answer.error.code;
+    if (step.expect !== 'accepted' || !unavailableCodes.includes(outcome)) break;
+    await pause();
+  }
+  if (outcome !== step.expect) throw new Error(`submission: ${outcome} in place of ${step.expect}`);
+}
