--- a/packages/testkit/src/bench/benchHost.ts
+++ b/packages/testkit/src/bench/benchHost.ts
@@ -7,6 +7,8 @@
 import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
 import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 
+import type { FakeBackendOptions } from '../fakes/fakeBackendTypes.js';
+
 const programPath = fileURLToPath(new URL('./benchHostMain.js', import.meta.url));
 const backendProgramPath = fileURLToPath(new URL('../fakes/fakeBackendMain.js', import.meta.url));
 
@@ -62,15 +64,29 @@
   };
 }
 
+/** A fake backend server that runs as a process. */
+export interface BackendProcess {
+  /** Says that it leaves, ends its calls, and stops. */
+  readonly leave: () => Promise<void>;
+  readonly kill: () => Promise<void>;
+}
+
 /**
  * Starts a fake backend server as a process; resolves when it takes calls.
  *
  * @param options - settings of the fake backend server
  */
-export async function startBackendProcess(options: unknown): Promise<() => Promise<void>> {
+export async function startBackendProcess(options: FakeBackendOptions): Promise<BackendProcess> {
   const child = fork(backendProgramPath, [JSON.stringify(options)], {
     stdio: ['ignore', 'pipe', 'inherit', 'ipc'],
   });
   if (child.stdout !== null) await once(child.stdout, 'data');
-  return () => endProcess(child);
+  return {
+    kill: () => endProcess(child),
+    leave: async () => {
+      const ended = once(child, 'exit');
+      child.kill('SIGTERM');
+      await ended;
+    },
+  };
 }
--- a/packages/testkit/src/bench/callOverhead.ts
+++ b/packages/testkit/src/bench/callOverhead.ts
@@ -87,7 +87,7 @@
   if (settings === undefined) throw new Error('no settings');
   const host = await startBenchHost(settings, createTestDocument());
   const endpoint = { address: loopbackAddress(100), port: backendPort };
-  const stopBackend = await startBackendProcess({
+  const backend = await startBackendProcess({
     backendId: 'backend-1',
     service: testService,
     availabilityZone: 'lagos-a',
@@ -114,7 +114,7 @@
       ],
     };
   } finally {
-    await stopBackend();
+    await backend.kill();
     await host.stop();
   }
 }
--- a/packages/testkit/src/fakes/fakeBackendMain.ts
+++ b/packages/testkit/src/fakes/fakeBackendMain.ts
@@ -6,6 +6,9 @@
 const options = fakeBackendOptionsSchema.parse(JSON.parse(process.argv[2] ?? '{}'));
 const backend = await startFakeBackend(options);
 process.once('SIGTERM', () => {
-  backend.leave().catch((error: unknown) => console.error(error));
+  backend
+    .leave()
+    .then(() => process.disconnect?.())
+    .catch((error: unknown) => console.error(error));
 });
 console.log(`ready ${options.backendId}`);
