feat(testkit): scenarios look at shed calls, busiest second and foreign answers

Cause: caps, slots and whole answers need figures of their own. Change: expectations and a step that makes backend servers misbehave.

--- a/packages/testkit/src/scenarios/expectations.ts
+++ b/packages/testkit/src/scenarios/expectations.ts
@@ -112,6 +112,39 @@
   };
 }
 
+function lookAtShed(state: ScenarioState, wanted: ExpectationOf<'shedOn'>): Finding {
+  let shed = 0;
+  for (const { service, backend } of state.fleet.backends) {
+    if (service === wanted.shedOn) shed += backend.counts().shed;
+  }
+  return { holds: shed <= wanted.atMost, seen: `${shed} calls shed` };
+}
+
+/** Largest number of times that fall within one window of time. */
+function busiestWindow(sortedMs: readonly number[], windowMs: number): number {
+  let most = 0;
+  let first = 0;
+  for (const [index, atMs] of sortedMs.entries()) {
+    while (atMs - (sortedMs[first] ?? atMs) >= windowMs) first += 1;
+    most = Math.max(most, index - first + 1);
+  }
+  return most;
+}
+
+function lookAtBusiestSecond(
+  state: ScenarioState,
+  wanted: ExpectationOf<'busiestSecondOn'>,
+): Finding {
+  const { service, zone } = wanted.busiestSecondOn;
+  const startedMs = state.fleet.backends
+    .filter((entry) => entry.service === service && entry.zone === zone)
+    .flatMap((entry) => entry.backend.executionLog().map((run) => run.atMs))
+    .sort((left, right) => left - right);
+  const most = busiestWindow(startedMs, 1000);
+  const holds = most <= wanted.atMost && most >= wanted.atLeast;
+  return { holds, seen: `${most} calls in the busiest second, ${startedMs.length} in all` };
+}
+
 function lookAtExit(state: ScenarioState, wanted: ExpectationOf<'exitStatus'>): Finding {
   const status = state.exitStatuses.get(wanted.host);
   return { holds: status === wanted.exitStatus, seen: `exit status ${status}` };
@@ -122,6 +155,8 @@
   if ('inForce' in wanted) return lookAtInForce(state, wanted);
   if ('event' in wanted) return lookAtEvents(state, wanted);
   if ('newCallsOn' in wanted) return lookAtNewCalls(state, wanted);
+  if ('shedOn' in wanted) return lookAtShed(state, wanted);
+  if ('busiestSecondOn' in wanted) return lookAtBusiestSecond(state, wanted);
   return lookAtExit(state, wanted);
 }
 
--- a/packages/testkit/src/scenarios/scenarioSchema.ts
+++ b/packages/testkit/src/scenarios/scenarioSchema.ts
@@ -1,6 +1,8 @@
 import { idSchema, permilleSchema } from '@buckthornlug/protocol/common/primitives.js';
 import { z } from 'zod';
 
+import { answerFaultSchema } from '../fakes/fakeBackendTypes.js';
+
 /** The language of scenarios: a deployment, a document, and steps in order. */
 
 const deploymentSchema = z.strictObject({
@@ -26,6 +28,7 @@
   set: z.record(z.string(), z.unknown()).default({}),
   admin: idSchema.optional().describe('Host that gets the submission; any live one where absent.'),
   submissionId: z.string().optional(),
+  times: z.int().min(1).max(1000).default(1).describe('Number of submissions, one after another.'),
   /** Takes the document that was fetched before this many submissions as the base. */
   staleBy: z.int().min(0).default(0),
   expect: z.string().default('accepted').describe('`accepted` or a result code.'),
@@ -60,6 +63,20 @@
   count: z.int().min(1).default(1),
 });
 
+const behaveStep = z.strictObject({
+  do: z.literal('behave'),
+  service: idSchema,
+  zone: idSchema,
+  count: z.int().min(1).default(1),
+  answerFault: answerFaultSchema.default('none'),
+  faultShare: z.number().min(0).max(1).default(1),
+  statedInFlight: z
+    .int()
+    .min(0)
+    .optional()
+    .describe('Load that is announced in place of the true one.'),
+});
+
 const linkStep = z.strictObject({
   do: z.enum(['cut', 'heal']),
   from: idSchema.describe('Zone whose requests are cut.'),
@@ -82,6 +99,7 @@
           'answered',
           'refused',
           'broken',
+          'foreign',
           'doubleRuns',
           'falseNotRun',
           'inTargetPermille',
@@ -106,6 +124,15 @@
       sinceMs: z.number().describe('Calls that started later than this after the change of state.'),
       atMost: z.int(),
     }),
+    z.strictObject({
+      shedOn: idSchema.describe('Service whose backend servers shed calls beyond their slots.'),
+      atMost: z.int(),
+    }),
+    z.strictObject({
+      busiestSecondOn: z.strictObject({ service: idSchema, zone: idSchema }),
+      atMost: z.number().describe('Calls that start within any one second.'),
+      atLeast: z.number().default(0),
+    }),
     z.strictObject({ exitStatus: z.int(), host: idSchema }),
   ]),
 });
@@ -117,6 +144,7 @@
   callStep,
   hostStep,
   backendStep,
+  behaveStep,
   linkStep,
   waitStep,
   joinStep,
--- a/packages/testkit/src/scenarios/steps.ts
+++ b/packages/testkit/src/scenarios/steps.ts
@@ -5,7 +5,7 @@
 import type { ScenarioBackend } from './scenarioFleet.js';
 import type { ScenarioStep, StepOf } from './scenarioSchema.js';
 import type { ScenarioState } from './scenarioState.js';
-import { submitChange } from './submitChange.js';
+import { submitChanges } from './submitChange.js';
 
 /** Runs one step; throws where the step cannot be done or its expectation fails. */
 type StepRunner<Name extends ScenarioStep['do']> = (
@@ -91,6 +91,20 @@
   for (const entry of fitting.slice(0, step.count)) await changeBackend(entry, step.do);
 }
 
+async function behave(state: ScenarioState, step: StepOf<'behave'>): Promise<void> {
+  const { answerFault, faultShare, statedInFlight } = step;
+  const change = {
+    answerFault,
+    faultShare,
+    ...(statedInFlight === undefined ? {} : { statedInFlight }),
+  };
+  const fitting = state.fleet.backends.filter(
+    (entry) => entry.service === step.service && entry.zone === step.zone && !entry.gone,
+  );
+  if (fitting.length < step.count) throw new Error('too few backend servers are left');
+  for (const entry of fitting.slice(0, step.count)) entry.backend.behave(change);
+}
+
 async function link(state: ScenarioState, step: StepOf<'cut' | 'heal'>): Promise<void> {
   const isCut = step.do === 'cut';
   state.fleet.setLink(step.from, step.to, isCut);
@@ -109,7 +123,7 @@
 const runners: { readonly [Name in ScenarioStep['do']]: StepRunner<Name> } = {
   start,
   announce,
-  submit: submitChange,
+  submit: submitChanges,
   call,
   kill: changeHost,
   stop: changeHost,
@@ -120,6 +134,7 @@
   drainBackend: backend,
   leaveBackend: backend,
   muteBackend: backend,
+  behave,
   cut: link,
   heal: link,
   wait: (_state, step) => delay(step.ms),
