--- a/packages/core/src/pools/pool.ts
+++ b/packages/core/src/pools/pool.ts
@@ -25,7 +25,7 @@
   /** Learned service times. */
   readonly times: ServiceTimes;
 
-  private readonly queue: PoolQueue<Call>;
+  private queue: PoolQueue<Call>;
 
   private members: BackendSlots[] = [];
 
@@ -38,7 +38,7 @@
    * @param nowMs - current time
    */
   constructor(
-    private readonly rules: PoolRules,
+    private rules: PoolRules,
     nowMs: number,
   ) {
     this.times = new ServiceTimes(rules.serviceTimeMs);
@@ -61,6 +61,25 @@
     this.members = this.members.filter((member) => member.backendId !== backendId);
   }
 
+  /**
+   * Brings new rules in force; waiting calls keep their place in line.
+   *
+   * @param rules - new rules
+   * @param nowMs - current time
+   */
+  reconfigure(rules: PoolRules, nowMs: number): void {
+    const former = this.queue;
+    this.rules = rules;
+    this.queue = new PoolQueue<Call>(rules, nowMs);
+    const lowestRank = rules.ranks.length - 1;
+    for (let entry = former.shiftAny(); entry !== undefined; entry = former.shiftAny()) {
+      const rank = Math.min(entry.call.rank, lowestRank);
+      this.queue.push(
+        rank === entry.call.rank ? entry : { ...entry, call: { ...entry.call, rank } },
+      );
+    }
+  }
+
   /** Slots that may be used now. */
   usableSlots(nowMs: number): number {
     let slots = 0;
@@ -112,6 +131,7 @@
   expectedWaitMs(rank: number, nowMs: number): number {
     if (this.queue.waitingCalls === 0 && this.freeSlots(nowMs) > 0) return 0;
     const slots = this.usableSlots(nowMs);
+    if (slots === 0) return this.expectedStartMs(nowMs);
     return this.queue.expectedWaitMs(rank, slots, this.times.overallMeanMs, nowMs);
   }
 
@@ -164,15 +184,18 @@
   }
 
   /**
-   * Takes the next call of a rank out of the queue, for a place elsewhere.
+   * Takes a waiting call of a rank out of the queue, for a place elsewhere.
    *
    * @param rank - index of the rank
+   * @param isSuited - tells whether a call may go there
    */
-  takeWaiting(rank: number): Call | undefined {
-    const entry = this.queue.shiftRank(rank);
-    if (entry === undefined) return undefined;
-    entry.waiting = false;
-    return entry.call;
+  takeWaiting(rank: number, isSuited: (call: Call) => boolean): Call | undefined {
+    for (const entry of this.queue.headsOf(rank)) {
+      if (!isSuited(entry.call)) continue;
+      this.queue.remove(entry);
+      return entry.call;
+    }
+    return undefined;
   }
 
   /**
@@ -228,6 +251,16 @@
     return this.dispatch(entry, backend, this.usableSlots(nowMs), nowMs);
   }
 
+  /** Estimates when the first lease gives slots, while none does. */
+  private expectedStartMs(nowMs: number): number {
+    let soonestMs = Number.POSITIVE_INFINITY;
+    for (const member of this.members) {
+      if (member.standing(nowMs) === 'ejected') continue;
+      soonestMs = Math.min(soonestMs, member.lease.expectedStartMs(nowMs));
+    }
+    return soonestMs;
+  }
+
   private refusal(call: Call, waitMs: number, nowMs: number): RefuseReason | undefined {
     if (nowMs >= call.deadlineAtMs) return 'deadlinePassed';
     if (!Number.isFinite(waitMs)) return 'noSlots';
--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -1,10 +1,10 @@
 import { adminFeature } from './admin/adminFeature.js';
-import { consensusFeature } from './consensus/consensusFeature.js';
-import { backendsFeature } from './backends/backendsFeature.js';
 import { callsFeature } from './calls/callsFeature.js';
+import { consensusFeature } from './consensus/consensusFeature.js';
 import { metricsFeature } from './metrics/metricsFeature.js';
 import { membershipFeature } from './membership/membershipFeature.js';
 import type { Feature } from './runtime/hostParts.js';
+import { slotsFeature } from './slots/slotsFeature.js';
 import { submissionsFeature } from './submissions/submissionsFeature.js';
 import { timelineFeature } from './timeline/timelineFeature.js';
 
@@ -14,8 +14,8 @@
   timelineFeature,
   metricsFeature,
   consensusFeature,
+  slotsFeature,
   submissionsFeature,
-  backendsFeature,
   callsFeature,
   // The administration API comes last: it mounts the routes of the features before it.
   adminFeature,
--- a/packages/host/src/rpc/appRouter.ts
+++ b/packages/host/src/rpc/appRouter.ts
@@ -7,6 +7,7 @@
 } from '../submissions/submissionsRouter.js';
 import { lateHandlers } from './lateHandlers.js';
 import { createMetricsRouter, type MetricsHandlers } from '../metrics/metricsRouter.js';
+import { createSlotsRouter, type SlotsHandlers } from '../slots/slotsRouter.js';
 import { createTimelineRouter, type TimelineHandlers } from '../timeline/timelineRouter.js';
 import { createMembershipRouter, type MembershipHandlers } from '../membership/membershipRouter.js';
 import { createPingRouter, type PingHandlers } from './pingRouter.js';
@@ -17,6 +18,7 @@
   membership: MembershipHandlers;
   metrics: MetricsHandlers;
   ping: PingHandlers;
+  slots: SlotsHandlers;
   submissions: SubmissionsHandlers;
   timeline: TimelineHandlers;
 }
@@ -31,6 +33,7 @@
     consensus: createConsensusRouter(lateHandlers(() => handlers.consensus)),
     membership: createMembershipRouter(lateHandlers(() => handlers.membership)),
     metrics: createMetricsRouter(lateHandlers(() => handlers.metrics)),
+    slots: createSlotsRouter(lateHandlers(() => handlers.slots)),
     submissions: createSubmissionsRouter(lateHandlers(() => handlers.submissions)),
     timeline: createTimelineRouter(lateHandlers(() => handlers.timeline)),
     ping: createPingRouter(lateHandlers(() => handlers.ping)),
