feat(consensus): offline storage-check, storage under damage and a full disk

Cause: an operator must see whether a data folder is whole before a host starts on it; a closed storage took writes silently.

--- a/packages/host/src/consensus/groupFiles.ts
+++ b/packages/host/src/consensus/groupFiles.ts
@@ -1,4 +1,4 @@
-import { mkdir, open, readdir, readFile, rename, rm, stat } from 'node:fs/promises';
+import { open, readdir, readFile, rename, rm, stat } from 'node:fs/promises';
 import { join } from 'node:path';
 import { crc32 } from 'node:zlib';
 
@@ -109,7 +109,6 @@
   folder: string,
 ): Promise<Result<ReplicaIdentity | undefined, Failure>> {
   const path = join(folder, identityName);
-  await mkdir(folder, { recursive: true });
   const names = await readdir(folder);
   if (!names.includes(identityName)) {
     const hasState = names.some((name) => name.endsWith('.seg') || name.endsWith('.snap'));
--- a/packages/host/src/consensus/groupStorage.ts
+++ b/packages/host/src/consensus/groupStorage.ts
@@ -1,4 +1,4 @@
-import { open, type FileHandle } from 'node:fs/promises';
+import { mkdir, open, type FileHandle } from 'node:fs/promises';
 
 import type { DurableState, PersistEffect } from '@buckthornlug/core/consensus/consensusTypes.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
@@ -36,6 +36,11 @@
   }));
 }
 
+/** Opens a segment to append batches to it. */
+export type OpenSegment = (path: string) => Promise<FileHandle>;
+
+const openForAppend: OpenSegment = (path) => open(path, 'a');
+
 /** Folder, open segment and mirror of what is written. */
 class FolderStorage {
   private segment = 0;
@@ -51,6 +56,7 @@
   constructor(
     private readonly folder: string,
     identity: ReplicaIdentity,
+    private readonly openSegment: OpenSegment,
   ) {
     this.identity = identity;
   }
@@ -60,20 +66,17 @@
     return mirror === undefined ? { identity, cutBytes } : { identity, cutBytes, durable: mirror };
   }
 
+  /** Goes on from what was read; a new synced segment leaves out a torn write at the end. */
   async resume(read: ReadState): Promise<void> {
     this.segment = read.segment;
     this.cutBytes = read.cutBytes;
     this.mirror = read.durable;
-    this.handle = await open(segmentPath(this.folder, this.segment), 'r+');
-    if (read.cutBytes > 0) await this.handle.truncate(read.validBytes);
-    await this.handle.sync();
-    await removeOld(this.folder, this.segment, read.durable.snapshot.index);
-    await this.reopen();
+    await this.rotate(read.durable);
   }
 
   private async reopen(): Promise<void> {
     await this.handle?.close();
-    this.handle = await open(segmentPath(this.folder, this.segment), 'a');
+    this.handle = await this.openSegment(segmentPath(this.folder, this.segment));
   }
 
   /** Starts a segment that holds everything. */
@@ -104,8 +107,9 @@
       await this.rotate({ ...replayBatches(this.mirror, [batch]), snapshot });
       return;
     }
-    await this.handle?.appendFile(encodeRecord(encodeBinary(batch)));
-    await this.handle?.datasync();
+    if (this.handle === undefined) throw new Error('the storage is closed');
+    await this.handle.appendFile(encodeRecord(encodeBinary(batch)));
+    await this.handle.datasync();
     this.appendToMirror(this.mirror, batch);
   }
 
@@ -131,12 +135,14 @@
 async function openFolder(
   folder: string,
   newIncarnation: () => string,
+  openSegment: OpenSegment,
 ): Promise<Result<GroupStorage, Failure>> {
+  await mkdir(folder, { recursive: true });
   const found = await readIdentity(folder);
   if (found.isErr()) return err(found.error);
   const identity = found.value ?? { incarnation: newIncarnation() };
   if (found.value === undefined) await writeIdentity(folder, identity);
-  const storage = new FolderStorage(folder, identity);
+  const storage = new FolderStorage(folder, identity, openSegment);
   if (identity.formationId !== undefined) {
     const read = await readDurable(folder);
     if (read.isErr()) return err(read.error);
@@ -157,13 +163,16 @@
  *
  * @param folder - folder of the group
  * @param newIncarnation - gives the identity of a new disk
+ * @param openSegment - opens a segment for batches
  * @returns the storage; BL5003 where a file is damaged, BL5004 where it cannot be written
  */
 export function openGroupStorage(
   folder: string,
   newIncarnation: () => string,
+  openSegment: OpenSegment = openForAppend,
 ): ResultAsync<GroupStorage, Failure> {
-  return ResultAsync.fromPromise(openFolder(folder, newIncarnation), cannotWrite).andThen(
-    (result) => result,
-  );
+  return ResultAsync.fromPromise(
+    openFolder(folder, newIncarnation, openSegment),
+    cannotWrite,
+  ).andThen((result) => result);
 }
--- /dev/null
+++ b/packages/host/src/consensus/storageCheck.ts
@@ -0,0 +1,77 @@
+import { readdir } from 'node:fs/promises';
+import { join } from 'node:path';
+
+import type { DurableState } from '@buckthornlug/core/consensus/consensusTypes.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, ok, type Result } from 'neverthrow';
+
+import { readDurable, readIdentity } from './groupFiles.js';
+
+/** Offline check of the groups in a data folder; reads only. */
+
+/** What the check found in one group folder. */
+export interface GroupCheck {
+  readonly groupId: string;
+  readonly result: Result<GroupSummary, Failure>;
+}
+
+/** A group folder in order. */
+export interface GroupSummary {
+  readonly incarnation: string;
+  readonly state: 'empty' | 'joined';
+  readonly term: number;
+  readonly snapshotIndex: number;
+  readonly lastIndex: number;
+  /** Bytes of a torn write at the end; the next start cuts them off. */
+  readonly tornBytes: number;
+}
+
+/** Finds a gap or a falling term in the log. */
+function checkOrder({ snapshot, entries }: DurableState): Result<void, Failure> {
+  let { index, term } = snapshot;
+  for (const entry of entries) {
+    if (entry.index !== index + 1 || entry.term < term) {
+      const found = `entry ${entry.index} of term ${entry.term}`;
+      return err(failure('BL5003', `${found} follows entry ${index} of term ${term}`));
+    }
+    ({ index, term } = entry);
+  }
+  return ok(undefined);
+}
+
+async function checkFolder(folder: string): Promise<Result<GroupSummary, Failure>> {
+  const identity = await readIdentity(folder);
+  if (identity.isErr()) return err(identity.error);
+  if (identity.value === undefined) return err(failure('BL5003', `${folder}: no replica is there`));
+  const { incarnation, formationId } = identity.value;
+  if (formationId === undefined) {
+    const nothing = { term: 0, snapshotIndex: 0, lastIndex: 0, tornBytes: 0 };
+    return ok({ incarnation, state: 'empty', ...nothing });
+  }
+  const read = await readDurable(folder);
+  if (read.isErr()) return err(read.error);
+  const { durable, cutBytes } = read.value;
+  return checkOrder(durable).map(() => ({
+    incarnation,
+    state: 'joined',
+    term: durable.hardState.term,
+    snapshotIndex: durable.snapshot.index,
+    lastIndex: durable.snapshot.index + durable.entries.length,
+    tornBytes: cutBytes,
+  }));
+}
+
+/**
+ * Checks every group of a data folder.
+ *
+ * @param dataFolder - data folder of a host that does not run
+ */
+export async function checkStorage(dataFolder: string): Promise<GroupCheck[]> {
+  const groups = join(dataFolder, 'groups');
+  const groupIds = await readdir(groups).catch(() => []);
+  const checks: GroupCheck[] = [];
+  for (const groupId of groupIds.sort()) {
+    checks.push({ groupId, result: await checkFolder(join(groups, groupId)) });
+  }
+  return checks;
+}
--- a/packages/host/src/main.ts
+++ b/packages/host/src/main.ts
@@ -3,6 +3,7 @@
 
 import { CheckCommand } from './commands/checkCommand.js';
 import { RunCommand } from './commands/runCommand.js';
+import { StorageCheckCommand } from './consensus/storageCheckCommand.js';
 import { badInputStatus } from './commands/settingsCommand.js';
 
 /** The program `buckthornlug`: one process per host. */
@@ -11,6 +12,7 @@
 cli.register(Builtins.HelpCommand);
 cli.register(RunCommand);
 cli.register(CheckCommand);
+cli.register(StorageCheckCommand);
 
 /** Runs the command line; wrong arguments end with BL1005. */
 async function runProgram(args: string[]): Promise<number> {
