--- a/packages/testkit/src/bench/benchHost.ts
+++ b/packages/testkit/src/bench/benchHost.ts
@@ -7,6 +7,8 @@
 import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
 import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 
+import type { FakeBackendOptions } from '../fakes/fakeBackendTypes.js';
+
 const programPath = fileURLToPath(new URL('./benchHostMain.js', import.meta.url));
 const backendProgramPath = fileURLToPath(new URL('../fakes/fakeBackendMain.js', import.meta.url));
 
@@ -14,10 +16,14 @@
 export interface BenchHost {
   /** Processor time used so far, in milliseconds. */
   readonly cpuMs: () => Promise<number>;
+  /** Ends the process at once. */
   readonly stop: () => Promise<void>;
+  /** Planned stop by SIGTERM; resolves to the exit status. */
+  readonly stopAsPlanned: () => Promise<number | null>;
 }
 
 async function endProcess(child: ChildProcess): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) return;
   const ended = once(child, 'exit');
   child.kill('SIGKILL');
   await ended;
@@ -49,18 +55,38 @@
       await endProcess(child);
       await rm(folder, { recursive: true });
     },
+    stopAsPlanned: async () => {
+      const ended = once(child, 'exit');
+      child.kill('SIGTERM');
+      const [status] = (await ended) as [number | null];
+      return status;
+    },
   };
 }
 
+/** A fake backend server that runs as a process. */
+export interface BackendProcess {
+  /** Says that it leaves, ends its calls, and stops. */
+  readonly leave: () => Promise<void>;
+  readonly kill: () => Promise<void>;
+}
+
 /**
  * Starts a fake backend server as a process; resolves when it takes calls.
  *
  * @param options - settings of the fake backend server
  */
-export async function startBackendProcess(options: unknown): Promise<() => Promise<void>> {
+export async function startBackendProcess(options: FakeBackendOptions): Promise<BackendProcess> {
   const child = fork(backendProgramPath, [JSON.stringify(options)], {
     stdio: ['ignore', 'pipe', 'inherit', 'ipc'],
   });
   if (child.stdout !== null) await once(child.stdout, 'data');
-  return () => endProcess(child);
+  return {
+    kill: () => endProcess(child),
+    leave: async () => {
+      const ended = once(child, 'exit');
+      child.kill('SIGTERM');
+      await ended;
+    },
+  };
 }
