--- /dev/null
+++ b/packages/host/src/documents/documentsFeature.ts
@@ -0,0 +1,85 @@
+import { ControlCopy } from '@buckthornlug/core/spreading/controlCopy.js';
+import { callerZone, compileTable } from '@buckthornlug/core/table/table.js';
+import type { SteeringTable } from '@buckthornlug/core/table/tableTypes.js';
+import { ResultAsync } from 'neverthrow';
+
+import type { Feature, HostParts } from '../runtime/hostParts.js';
+import type { DocumentInForce, HostContext, RunningFeature } from '../runtime/hostTypes.js';
+import { DocumentKeeper } from './documentKeeper.js';
+import { DocumentsTask } from './documentsTask.js';
+import { registerVersionsRoutes } from './versionsRoutes.js';
+
+const everything = { version: 0, shiftRevision: 0 } as const;
+
+/** Keeps the steering table compiled and answers the zone of a caller from it. */
+function keepTable(context: HostContext, parts: HostParts): () => void {
+  let table: SteeringTable | undefined;
+  const compile = (inForce: DocumentInForce) => {
+    const startMs = context.clock.nowMs();
+    table = compileTable(inForce.document, table);
+    context.metrics.observeMs('table_compile_ms', context.clock.nowMs() - startMs);
+  };
+  const inForce = parts.document.current();
+  if (inForce !== undefined) compile(inForce);
+  parts.provide({
+    findCallerZone: (address) => (table === undefined ? undefined : callerZone(table, address)),
+  });
+  return parts.document.onChange(compile);
+}
+
+/** Follows the control group once this host turns out to be one of its members. */
+function followControlGroup(parts: HostParts, task: DocumentsTask): () => void {
+  const source = parts.controlState;
+  if (source === undefined) return () => undefined;
+  task.takeCommitted();
+  return source.onChange(() => task.takeCommitted());
+}
+
+async function startDocuments(context: HostContext, parts: HostParts): Promise<RunningFeature> {
+  const { settings } = context;
+  const endTable = keepTable(context, parts);
+  const copy = new ControlCopy();
+  const keeper = new DocumentKeeper(context, settings.dataFolder, () =>
+    copy.updateSince(everything),
+  );
+  const task = new DocumentsTask(context, parts, copy, () => keeper.save());
+  const kept = await keeper.load();
+  if (kept !== undefined) task.apply(kept, 'data folder');
+  const { rpcHandlers } = parts;
+  rpcHandlers.documents = { poll: (fromHostId, poll) => task.answer(fromHostId, poll) };
+  const endMembership = parts.membership.onChange(() => task.membershipChanged());
+  const endControl = followControlGroup(parts, task);
+  parts.adminRoutes.push((app) =>
+    registerVersionsRoutes(app, {
+      membership: () => parts.membership,
+      documentVersion: () => parts.document.current()?.version ?? 0,
+      running: parts.running,
+      expectedHosts: settings.peers.map((peer) => peer.hostId),
+    }),
+  );
+  const running = task.run();
+  return {
+    name: 'documents',
+    status: () => ({ ...copy.versions() }),
+    stopSteps: {
+      closeTasks: async () => {
+        for (const end of [endTable, endMembership, endControl]) end();
+        task.stop();
+        await keeper.settle();
+        await Promise.race([
+          running,
+          new Promise((resolve) => {
+            setTimeout(resolve, settings.timing.documentPollMs).unref();
+          }),
+        ]);
+      },
+    },
+  };
+}
+
+/** The document in force and the steps of shifts, from the control group to every host. */
+export const documentsFeature: Feature = {
+  name: 'documents',
+  wanted: () => true,
+  start: (context, parts) => ResultAsync.fromSafePromise(startDocuments(context, parts)),
+};
--- /dev/null
+++ b/packages/host/src/documents/documentsTask.ts
@@ -0,0 +1,193 @@
+import type { ControlCopy } from '@buckthornlug/core/spreading/controlCopy.js';
+import { orderSources } from '@buckthornlug/core/spreading/sources.js';
+import type {
+  ControlUpdate,
+  ControlVersions,
+} from '@buckthornlug/core/spreading/spreadingTypes.js';
+
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, ok, type Result } from 'neverthrow';
+
+import type { HostParts } from '../runtime/hostParts.js';
+import type { HostContext, HostRecord } from '../runtime/hostTypes.js';
+import { controlUpdateSchema, type Poll, type VersionReport } from './documentsSchema.js';
+import { UpdatePoller } from './updatePoller.js';
+import { UpdateServer } from './updateServer.js';
+
+/** Time that a newer version known elsewhere is given to arrive by itself. */
+const nudgeAfterMs = 250;
+/** Reports of other hosts in one poll. */
+const maxReports = 500;
+const sourceOfControlGroup = 'control group';
+
+function takesPart(host: HostRecord): boolean {
+  return host.state !== 'failed' && host.state !== 'left';
+}
+
+/** Checks the answer to a poll. */
+function checkUpdate(value: unknown): Result<ControlUpdate | null, Failure> {
+  const parsed = controlUpdateSchema.nullable().safeParse(value);
+  if (parsed.success) return ok(parsed.data);
+  return err(failure('BL6003', 'the answer to a poll has a wrong form'));
+}
+
+/** The task that keeps the document and the steps of shifts of a host at the newest version. */
+export class DocumentsTask {
+  private readonly server: UpdateServer;
+
+  private readonly poller: UpdatePoller;
+
+  private readonly reports = new Map<string, VersionReport>();
+
+  private nudge: NodeJS.Timeout | undefined;
+
+  /**
+   * @param context - context of the host
+   * @param parts - parts that the task reads and the document that it puts in force
+   * @param copy - copy that the task keeps up to date
+   * @param onDocument - called after a newer version came in force
+   */
+  constructor(
+    private readonly context: HostContext,
+    private readonly parts: HostParts,
+    private readonly copy: ControlCopy,
+    private readonly onDocument: () => void,
+  ) {
+    this.server = new UpdateServer(copy);
+    this.poller = new UpdatePoller({
+      sources: () => this.sources(),
+      have: () => this.copy.versions(),
+      ask: (hostId, have, waitMs) => this.ask(hostId, have, waitMs),
+      apply: (update, source) => this.apply(update, source),
+      retryMs: () => context.settings.timing.documentPollMs * (0.5 + context.random()),
+    });
+  }
+
+  /** Runs until the task is stopped. */
+  run(): Promise<void> {
+    return this.poller.run();
+  }
+
+  stop(): void {
+    clearTimeout(this.nudge);
+    this.poller.stop();
+    this.server.stop();
+  }
+
+  /** Takes over an update; what is not newer changes nothing. */
+  apply(update: ControlUpdate, source: string): void {
+    const outcome = this.copy.apply(update);
+    if (outcome.newSteps.length > 0) {
+      this.parts.shiftSteps.put(outcome.newSteps, this.copy.shifts.all());
+    }
+    if (outcome.documentChanged) {
+      this.putInForce(source, outcome.changedSections.length);
+    }
+    if (outcome.documentChanged || outcome.newSteps.length > 0) this.server.wake();
+  }
+
+  /** Takes what the control group has committed; for its members. */
+  takeCommitted(): void {
+    const update = this.parts.controlState?.updateSince(this.copy.versions());
+    if (update !== undefined) this.apply(update, sourceOfControlGroup);
+  }
+
+  /** Answers the poll of another host, and notes what it holds. */
+  answer(fromHostId: string, poll: Poll): Promise<ControlUpdate | null> {
+    for (const report of [{ hostId: fromHostId, ...poll.have }, ...poll.reports]) {
+      this.noteReport(report);
+    }
+    if (poll.have.version > this.copy.versions().version) this.scheduleNudge();
+    return this.server.answer(poll.have, poll.waitMs);
+  }
+
+  /** Looks whether another host holds more, after the membership has changed. */
+  membershipChanged(): void {
+    this.poller.restart();
+    if (this.newestElsewhere() !== undefined) this.scheduleNudge();
+  }
+
+  private noteReport(report: VersionReport): void {
+    const { hostId, version, shiftRevision } = report;
+    const known = this.reports.get(hostId);
+    if (known === undefined && this.reports.size >= maxReports) return;
+    this.reports.set(hostId, report);
+    this.parts.membershipTask?.noteVersions(hostId, {
+      documentVersion: version,
+      shiftRevision,
+    });
+  }
+
+  private sources(): string[] {
+    const { settings } = this.context;
+    const { membership, membershipTask } = this.parts;
+    const members = settings.groups.find((group) => group.id === 'control')?.members ?? [];
+    const known = membership
+      .hosts()
+      .filter((host) => takesPart(host) && host.hostId !== settings.hostId);
+    const ordered = orderSources({
+      self: settings,
+      candidates: known,
+      controlMembers: members,
+      zoneRelays: membershipTask?.relaysOf(settings.availabilityZone) ?? [],
+    });
+    const others = known.length > 0 ? [] : settings.peers.map((peer) => peer.hostId);
+    return [...ordered, ...others];
+  }
+
+  private async ask(hostId: string, have: ControlVersions, waitMs: number) {
+    const reports = waitMs > 0 ? [...this.reports.values()] : [];
+    const timeoutMs = waitMs + this.context.settings.timing.rpcTimeoutMs;
+    const answer = await this.parts.peers.request(
+      hostId,
+      (client, signal) => client.documents.poll.mutate({ have, waitMs, reports }, { signal }),
+      timeoutMs,
+    );
+    if (answer.isOk()) this.forgetReports(reports);
+    return answer.andThen(checkUpdate);
+  }
+
+  private forgetReports(sent: readonly VersionReport[]): void {
+    for (const report of sent) {
+      if (this.reports.get(report.hostId) === report) this.reports.delete(report.hostId);
+    }
+  }
+
+  private putInForce(source: string, sections: number): void {
+    const { version } = this.copy.versions();
+    const isNewer = this.parts.document.put({
+      version,
+      sectionVersions: this.copy.sectionVersions(),
+      document: this.copy.document(),
+    });
+    if (!isNewer) return;
+    this.context.record({ kind: 'documentInForce', version, detail: { source, sections } });
+    this.context.log.info('documentInForce', { version, source, sections });
+    this.context.metrics.gauge('document_version', version);
+    this.onDocument();
+  }
+
+  private newestElsewhere(): HostRecord | undefined {
+    const have = this.copy.versions();
+    let newest: HostRecord | undefined;
+    for (const host of this.parts.membership.hosts()) {
+      if (!takesPart(host) || host.hostId === this.context.settings.hostId) continue;
+      const isNewer =
+        host.documentVersion > have.version || (host.shiftRevision ?? 0) > have.shiftRevision;
+      if (isNewer && host.documentVersion >= (newest?.documentVersion ?? 0)) newest = host;
+    }
+    return newest;
+  }
+
+  private scheduleNudge(): void {
+    if (this.nudge !== undefined) return;
+    this.nudge = setTimeout(() => {
+      this.nudge = undefined;
+      const newest = this.newestElsewhere();
+      if (newest === undefined) return;
+      this.poller.fetchFrom(newest.hostId).catch((error: unknown) => {
+        this.context.log.error('documentFetchFailed', { problem: String(error) });
+      });
+    }, nudgeAfterMs);
+  }
+}
--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -1,5 +1,6 @@
 import { adminFeature } from './admin/adminFeature.js';
 import { callsFeature } from './calls/callsFeature.js';
+import { documentsFeature } from './documents/documentsFeature.js';
 import { consensusFeature } from './consensus/consensusFeature.js';
 import { metricsFeature } from './metrics/metricsFeature.js';
 import { membershipFeature } from './membership/membershipFeature.js';
@@ -10,12 +11,14 @@
 
 /** The features of a host, in the order in which they start. */
 export const features: readonly Feature[] = [
-  membershipFeature,
   timelineFeature,
   metricsFeature,
+  membershipFeature,
   consensusFeature,
-  slotsFeature,
   submissionsFeature,
+  // Follows the control group, so it starts after the features of the group.
+  documentsFeature,
+  slotsFeature,
   callsFeature,
   // The administration API comes last: it mounts the routes of the features before it.
   adminFeature,
--- a/packages/host/src/rpc/appRouter.ts
+++ b/packages/host/src/rpc/appRouter.ts
@@ -9,11 +9,13 @@
 import { createMetricsRouter, type MetricsHandlers } from '../metrics/metricsRouter.js';
 import { createSlotsRouter, type SlotsHandlers } from '../slots/slotsRouter.js';
 import { createTimelineRouter, type TimelineHandlers } from '../timeline/timelineRouter.js';
+import { createDocumentsRouter, type DocumentsHandlers } from '../documents/documentsRouter.js';
 import { createMembershipRouter, type MembershipHandlers } from '../membership/membershipRouter.js';
 import { createPingRouter, type PingHandlers } from './pingRouter.js';
 
 /** Handlers of all procedures between hosts; each feature sets its own when it starts. */
 export interface RpcHandlers {
+  documents: DocumentsHandlers;
   consensus: ConsensusHandlers;
   membership: MembershipHandlers;
   metrics: MetricsHandlers;
@@ -30,6 +32,7 @@
  */
 export function createAppRouter(handlers: Partial<RpcHandlers>) {
   return rpcRouter({
+    documents: createDocumentsRouter(lateHandlers(() => handlers.documents)),
     consensus: createConsensusRouter(lateHandlers(() => handlers.consensus)),
     membership: createMembershipRouter(lateHandlers(() => handlers.membership)),
     metrics: createMetricsRouter(lateHandlers(() => handlers.metrics)),
