--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -13,6 +13,7 @@
 import type { Result, ResultAsync } from 'neverthrow';
 
 import type { RegisterRoutes } from '../admin/adminListener.js';
+import type { OpenGroup } from '../consensus/groups.js';
 import type { RpcHandlers } from '../rpc/appRouter.js';
 import type { ForwardedCallHandler } from '../rpc/internalListener.js';
 import type { PeerClients } from '../rpc/peerClients.js';
@@ -44,6 +45,8 @@
 /** The parts that features provide, each by its owner while it starts. */
 export interface ProvidedParts {
   membership: MembershipView;
+  /** Opens a replicated group of the settings, on members and other hosts alike. */
+  openGroup: OpenGroup;
   /** Takes the calls that other hosts forward. */
   forwardedCalls: ForwardedCallHandler;
   placeCall: PlaceCall;
