--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -2,6 +2,7 @@
 import { consensusFeature } from './consensus/consensusFeature.js';
 import { backendsFeature } from './backends/backendsFeature.js';
 import { callsFeature } from './calls/callsFeature.js';
+import { ledgerFeature } from './ledger/ledgerFeature.js';
 import { metricsFeature } from './metrics/metricsFeature.js';
 import { membershipFeature } from './membership/membershipFeature.js';
 import type { Feature } from './runtime/hostParts.js';
@@ -13,6 +14,7 @@
   timelineFeature,
   metricsFeature,
   consensusFeature,
+  ledgerFeature,
   backendsFeature,
   callsFeature,
   // The administration API comes last: it mounts the routes of the features before it.
--- /dev/null
+++ b/packages/host/src/ledger/ledgerFeature.ts
@@ -0,0 +1,68 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { retireIntervalMs } from '@buckthornlug/core/ledger/ledgerLimits.js';
+import { createLedgerMachine } from '@buckthornlug/core/ledger/ledgerMachine.js';
+import { okAsync } from 'neverthrow';
+
+import type { Feature, HostParts } from '../runtime/hostParts.js';
+import type { HostContext } from '../runtime/hostTypes.js';
+import { LedgerTask } from './ledgerTask.js';
+import type { LedgerGroup, Sleep } from './ledgerTaskTypes.js';
+
+/** Group of the settings that is no ledger. */
+const controlGroupId = 'control';
+
+const sleep: Sleep = async (durationMs, signal) => {
+  await delay(durationMs, undefined, signal === undefined ? {} : { signal }).catch(() => undefined);
+};
+
+/** Opens the ledger groups of the settings. */
+function openLedgers(context: HostContext, parts: HostParts): Map<string, LedgerGroup> {
+  const groups = new Map<string, LedgerGroup>();
+  for (const { id } of context.settings.groups) {
+    if (id !== controlGroupId) groups.set(id, parts.openGroup(id, createLedgerMachine()));
+  }
+  return groups;
+}
+
+/** The ledger of once-only work: intents before dispatch, outcomes before answers. */
+export const ledgerFeature: Feature = {
+  name: 'ledger',
+  wanted: (settings) => settings.groups.some((group) => group.id !== controlGroupId),
+  start: (context, parts) => {
+    const groups = openLedgers(context, parts);
+    const task = new LedgerTask({
+      context,
+      findGroup: (groupId) => groups.get(groupId),
+      membership: () => parts.membership,
+      sleep,
+    });
+    parts.provide({ ledger: task });
+    for (const group of groups.values()) task.loseFormerLives(group);
+    const timer = setInterval(() => {
+      for (const group of groups.values()) {
+        if (group.isLeader()) task.retire(group).catch(() => undefined);
+      }
+    }, retireIntervalMs);
+    const settle = async () => {
+      const limit = new AbortController();
+      await Promise.race([
+        task.settled(),
+        sleep(context.settings.timing.stopGraceMs, limit.signal),
+      ]);
+      limit.abort();
+    };
+    return okAsync({
+      name: 'ledger',
+      stopSteps: {
+        finishCalls: settle,
+        handOver: settle,
+        closeTasks: async () => {
+          clearInterval(timer);
+          task.stop();
+        },
+      },
+      status: () => ({ openIntents: task.openIntents(), groups: [...groups.keys()] }),
+    });
+  },
+};
--- /dev/null
+++ b/packages/testkit/src/ledger/onceCalls.spec.ts
@@ -0,0 +1,74 @@
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
+import test from 'ava';
+
+import { startCallFleet } from '../calls/callFleet.js';
+import { createTestDocument, inForce, testIdentityHeader } from '../fakes/testDocument.js';
+
+const dataFolder = await mkdtemp(join(tmpdir(), 'bl-once-'));
+const zones = ['lagos-a', 'lagos-b', 'abuja-a'];
+const fleet = await startCallFleet({
+  hosts: zones.map((availabilityZone, index) => ({
+    hostId: `host-${index}`,
+    region: availabilityZone.startsWith('lagos') ? 'lagos' : 'abuja',
+    availabilityZone,
+    roles: ['entry', 'control'] satisfies Settings['roles'],
+  })),
+  overrides: {
+    dataFolder,
+    groups: [{ id: 'ledger-a', members: ['host-0', 'host-1', 'host-2'] }],
+    timing: { electionTimeoutMs: 300, heartbeatMs: 50 },
+  },
+  document: inForce(createTestDocument({ timeLimitMs: 4000 })),
+  backendHosts: [0, 1, 2],
+});
+
+test.after.always(async () => {
+  await fleet.stop();
+  await rm(dataFolder, { recursive: true });
+});
+
+function order(host: number, identity: string, body = 'one pallet') {
+  return fleet.call(host, '/orders', {
+    method: 'POST',
+    headers: { [testIdentityHeader]: identity },
+    body,
+  });
+}
+
+function executionsOf(identity: string): number {
+  const counts = fleet.backends.map((backend) => backend.executions().get(identity) ?? 0);
+  return counts.reduce((sum, count) => sum + count, 0);
+}
+
+test.before(async () => {
+  for (;;) {
+    const reply = await order(0, 'warm-up');
+    if (reply.result === 'answered') return;
+  }
+});
+
+test('a resend through another host and region gets the same whole answer', async (t) => {
+  const first = await order(0, 'order-1');
+  t.is(first.result, 'answered');
+  for (const host of [1, 2]) t.deepEqual(await order(host, 'order-1'), first);
+  t.is(executionsOf('order-1'), 1);
+});
+
+test('resends through every host at once run the work once', async (t) => {
+  const hosts = [0, 1, 2, 0, 1, 2];
+  const replies = await Promise.all(hosts.map((host) => order(host, 'order-2')));
+  for (const reply of replies) t.is(reply.result, 'answered');
+  t.is(new Set(replies.map((reply) => reply.body)).size, 1);
+  t.is(executionsOf('order-2'), 1);
+});
+
+test('another body under the same identity is refused', async (t) => {
+  await order(0, 'order-3');
+  const other = await order(2, 'order-3', 'two pallets');
+  t.is(other.result, 'BL9004');
+  t.is(executionsOf('order-3'), 1);
+});
