--- a/packages/testkit/src/bench/once/onceExperiment.ts
+++ b/packages/testkit/src/bench/once/onceExperiment.ts
@@ -1,3 +1,4 @@
+import { runOnceProcessRounds } from '../../ledger/onceProcessRounds.js';
 import { runOnceRound, type OnceRoundResult } from '../../ledger/onceRound.js';
 import { atMost, type BenchOptions, type BenchReport, type Experiment } from '../benchTypes.js';
 
@@ -19,23 +20,30 @@
 
 async function runOnce(options: BenchOptions): Promise<BenchReport> {
   const results = await runRounds(options);
-  const figures = {
+  const inProcesses = await runOnceProcessRounds(rounds, options.seed, options.progress);
+  const inVirtualTime = {
     rounds,
     orders: sumOf(results, 'orders'),
     executions: sumOf(results, 'executions'),
-    kills: sumOf(results, 'kills'),
-    pauses: sumOf(results, 'pauses'),
     endedUnknown: sumOf(results, 'endedUnknown'),
     unknownNeverRun: sumOf(results, 'unknownNeverRun'),
+    kills: sumOf(results, 'kills'),
+    pauses: sumOf(results, 'pauses'),
   };
+  const total = (field: 'doubleRuns' | 'falseNotRun' | 'acceptedLost') =>
+    sumOf(results, field) + inProcesses[field];
   return {
     experiment: 'once',
     seed: options.seed,
-    rows: [{ condition: 'tasks and ledger in virtual time, faulty network', figures }],
+    rows: [
+      { condition: 'virtual time, network that loses and doubles', figures: inVirtualTime },
+      { condition: 'three hosts as processes', figures: { ...inProcesses } },
+    ],
     bounds: [
-      atMost('orders run twice', sumOf(results, 'doubleRuns'), 0),
-      atMost('false "not run"', sumOf(results, 'falseNotRun'), 0),
-      atMost('accepted outcomes lost', sumOf(results, 'acceptedLost'), 0),
+      atMost('orders run twice', total('doubleRuns'), 0),
+      atMost('false "not run"', total('falseNotRun'), 0),
+      atMost('accepted outcomes lost', total('acceptedLost'), 0),
+      atMost('orders not settled', inProcesses.notSettled, 0),
     ],
   };
 }
--- /dev/null
+++ b/packages/testkit/src/ledger/onceProcessRounds.ts
@@ -0,0 +1,266 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { startFakeBackend, type FakeBackend } from '../fakes/fakeBackend.js';
+import { createFleetSettings, testAnnounceKey } from '../fakes/hostSettings.js';
+import { loopbackAddress } from '../fakes/loopback.js';
+import { createTestDocument, testService } from '../fakes/testDocument.js';
+import { createDraws, type Draws } from '../random/draws.js';
+import { DeviceOrder } from './deviceOrder.js';
+import { OnceDevices } from './onceDevice.js';
+import { DocumentHostProcess } from './onceProcesses.js';
+
+/** What rounds over real processes showed. */
+export interface OnceProcessResult {
+  readonly rounds: number;
+  readonly orders: number;
+  readonly executions: number;
+  readonly doubleRuns: number;
+  readonly falseNotRun: number;
+  readonly acceptedLost: number;
+  readonly endedUnknown: number;
+  readonly unknownNeverRun: number;
+  /** Orders whose state could not be asked for at the end. */
+  readonly notSettled: number;
+  readonly kills: number;
+  readonly pauses: number;
+  readonly emptiedDisks: number;
+}
+
+const zones = ['lagos-a', 'lagos-b', 'abuja-a'];
+const ordersPerRound = 6;
+const roundMs = 600;
+const timeLimitMs = 2500;
+const deviceTimeoutMs = 3500;
+const maxTries = 5;
+/** Probability that the host of a call is killed or paused while it has the call. */
+const faultDuringCall = 0.12;
+/** Rounds between two emptied disks, so that the replica is repaired before the next one. */
+const roundsPerEmptiedDisk = 25;
+const settleTries = 40;
+const backendPort = 7100;
+const firstBackendNumber = 100;
+const timing = { electionTimeoutMs: 300, heartbeatMs: 50, rpcTimeoutMs: 500 };
+
+/** Hosts, backend servers and devices of all rounds. */
+class ProcessRounds {
+  private readonly draws: Draws;
+
+  private readonly devices = new OnceDevices(deviceTimeoutMs);
+
+  private readonly orders: DeviceOrder[] = [];
+
+  private readonly work: Promise<void>[] = [];
+
+  private hosts: DocumentHostProcess[] = [];
+
+  private backends: FakeBackend[] = [];
+
+  private kills = 0;
+
+  private pauses = 0;
+
+  private emptiedDisks = 0;
+
+  /** Orders that had run although their devices had only heard "not run", before the last resend. */
+  private falseNotRun = 0;
+
+  constructor(
+    private readonly folder: string,
+    seed: number,
+  ) {
+    this.draws = createDraws(seed);
+  }
+
+  async start(): Promise<void> {
+    const ids = zones.map((_zone, index) => `host-${index}`);
+    const groups = ['ledger-a', 'ledger-b'].map((id) => ({ id, members: ids }));
+    const documentPath = join(this.folder, 'document.json');
+    const document = createTestDocument({ timeLimitMs, ledgerGroups: ['ledger-a', 'ledger-b'] });
+    await writeFile(documentPath, JSON.stringify(document));
+    const settings = createFleetSettings(
+      zones.map((availabilityZone, index) => ({
+        hostId: `host-${index}`,
+        region: availabilityZone.startsWith('lagos') ? 'lagos' : 'abuja',
+        availabilityZone,
+        roles: ['entry', 'control'],
+      })),
+      { dataFolder: join(this.folder, 'data'), groups, timing },
+    );
+    this.hosts = settings.map((one) => {
+      const settingsPath = join(this.folder, `${one.hostId}.json`);
+      return new DocumentHostProcess(one, settingsPath, documentPath);
+    });
+    await Promise.all(this.hosts.map((host) => host.start()));
+    for (const [index, host] of this.hosts.entries()) {
+      this.backends.push(
+        await startFakeBackend({
+          backendId: `backend-${index}`,
+          service: testService,
+          availabilityZone: host.settings.availabilityZone,
+          endpoint: { address: loopbackAddress(firstBackendNumber + index), port: backendPort },
+          hosts: [host.settings.listen.callers],
+          announceKey: testAnnounceKey,
+          slots: 6,
+          renewMs: 150,
+          seed: index,
+        }),
+      );
+    }
+    await Promise.all(this.backends.map((backend) => backend.whenAnnounced()));
+  }
+
+  /** One round: orders at random moments, and faults in the middle of them. */
+  async runRound(round: number): Promise<void> {
+    for (let index = 0; index < ordersPerRound; index += 1) {
+      const order = new DeviceOrder(`order-${this.orders.length}`);
+      this.orders.push(order);
+      this.work.push(this.runDevice(order, this.draws.between(0, roundMs)));
+    }
+    const faults = this.draws.below(3);
+    for (let index = 0; index < faults; index += 1) {
+      this.work.push(this.bringAbout(this.anyHost(), this.draws.between(0, roundMs)));
+    }
+    if (round % roundsPerEmptiedDisk === 0) this.work.push(this.emptyDisk());
+    await delay(roundMs);
+  }
+
+  /** Ends all faults, then asks for each order until its state is known. */
+  async settle(): Promise<Map<string, string>> {
+    await Promise.all(this.work);
+    for (const host of this.hosts) host.resume();
+    await Promise.all(this.hosts.map((host) => host.start()));
+    await delay(timeLimitMs);
+    this.falseNotRun = this.orders.filter(
+      (order) => order.wasToldOnlyNotRun && this.countOf(order) > 0,
+    ).length;
+    const last = new Map<string, string>();
+    await Promise.all(this.orders.map((order) => this.askForState(order, last)));
+    return last;
+  }
+
+  judge(rounds: number, last: ReadonlyMap<string, string>): OnceProcessResult {
+    const countOf = (order: DeviceOrder) => this.countOf(order);
+    const isUnknown = (order: DeviceOrder) => last.get(order.identity) === 'BL9002';
+    const isLost = (order: DeviceOrder) =>
+      order.answers.some((answer) => answer !== last.get(order.identity));
+    return {
+      rounds,
+      orders: this.orders.length,
+      executions: this.orders.reduce((sum, order) => sum + countOf(order), 0),
+      doubleRuns: this.orders.filter((order) => countOf(order) > 1).length,
+      falseNotRun: this.falseNotRun,
+      acceptedLost: this.orders.filter(isLost).length,
+      endedUnknown: this.orders.filter(isUnknown).length,
+      unknownNeverRun: this.orders.filter((order) => isUnknown(order) && countOf(order) === 0)
+        .length,
+      notSettled: this.orders.filter((order) => !last.has(order.identity)).length,
+      kills: this.kills,
+      pauses: this.pauses,
+      emptiedDisks: this.emptiedDisks,
+    };
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.hosts.map((host) => host.kill()));
+    await Promise.all(this.backends.map((backend) => backend.kill()));
+    await this.devices.close();
+  }
+
+  private countOf(order: DeviceOrder): number {
+    return this.backends.reduce(
+      (sum, backend) => sum + (backend.executions().get(order.identity) ?? 0),
+      0,
+    );
+  }
+
+  private anyHost(): DocumentHostProcess {
+    const host = this.hosts[this.draws.below(this.hosts.length)];
+    if (host === undefined) throw new Error('no host was started');
+    return host;
+  }
+
+  /** A device that sends its order through any host until it has an end. */
+  private async runDevice(order: DeviceOrder, startMs: number): Promise<void> {
+    await delay(startMs);
+    for (let tries = 0; tries < maxTries && !order.isOver; tries += 1) {
+      await this.sendTo(this.anyHost(), order);
+      if (this.draws.chance(0.3)) await this.sendTo(this.anyHost(), order);
+      await delay(this.draws.between(10, 300));
+    }
+  }
+
+  private async sendTo(host: DocumentHostProcess, order: DeviceOrder): Promise<void> {
+    if (this.draws.chance(faultDuringCall)) {
+      this.work.push(this.bringAbout(host, this.draws.between(0, 80)));
+    }
+    order.replies.push(await this.devices.send(host.settings.listen.callers, order.identity));
+  }
+
+  private async bringAbout(host: DocumentHostProcess, startMs: number): Promise<void> {
+    await delay(startMs);
+    if (!host.isRunning) return;
+    const { startCount } = host;
+    if (this.draws.chance(0.5)) {
+      this.kills += 1;
+      await host.kill();
+      await delay(this.draws.between(50, 600));
+      if (host.startCount === startCount) await host.start();
+      return;
+    }
+    this.pauses += 1;
+    host.pause();
+    await delay(this.draws.between(100, 3500));
+    if (host.startCount === startCount) host.resume();
+  }
+
+  private async emptyDisk(): Promise<void> {
+    const host = this.anyHost();
+    this.emptiedDisks += 1;
+    host.resume();
+    await host.loseDisk();
+    await host.start();
+  }
+
+  private async askForState(order: DeviceOrder, last: Map<string, string>): Promise<void> {
+    for (let tries = 0; tries < settleTries; tries += 1) {
+      const host = this.hosts[tries % this.hosts.length];
+      if (host === undefined) return;
+      const reply = await this.devices.send(host.settings.listen.callers, order.identity);
+      if (reply.result === 'answered' || reply.result === 'BL9002') {
+        last.set(order.identity, reply.result === 'answered' ? reply.body : reply.result);
+        return;
+      }
+      await delay(200);
+    }
+  }
+}
+
+/**
+ * Runs rounds with hosts as processes that are killed, paused and restarted under orders.
+ *
+ * @param rounds - number of rounds
+ * @param seed - fixes the choices; their timing stays that of the machine
+ * @param progress - told of each tenth round
+ */
+export async function runOnceProcessRounds(
+  rounds: number,
+  seed: number,
+  progress: (text: string) => void,
+): Promise<OnceProcessResult> {
+  const folder = await mkdtemp(join(tmpdir(), 'bl-once-rounds-'));
+  const all = new ProcessRounds(folder, seed);
+  try {
+    await all.start();
+    for (let round = 1; round <= rounds; round += 1) {
+      await all.runRound(round);
+      if (round % 10 === 0) progress(`once: ${round} of ${rounds} rounds over processes`);
+    }
+    return all.judge(rounds, await all.settle());
+  } finally {
+    await all.stop();
+    await rm(folder, { recursive: true, force: true });
+  }
+}
