--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -17,6 +17,7 @@
 import type { RpcHandlers } from '../rpc/appRouter.js';
 import type { ForwardedCallHandler } from '../rpc/internalListener.js';
 import type { PeerClients } from '../rpc/peerClients.js';
+import type { ControlGroup } from '../submissions/controlGroup.js';
 import type { RequestAuth } from '../rpc/requestAuth.js';
 import type { TableHolder } from '../table/tableHolder.js';
 import type { DocumentHolder } from './documentHolder.js';
@@ -39,6 +40,14 @@
   readonly finish: (intentId: string, outcome: LedgerOutcome) => ResultAsync<void, Failure>;
 }
 
+/** The shifts as the placement of calls sees them. */
+export interface ShiftHooks {
+  /** Admits a call that came from another region, or tells why the cap refuses it. */
+  readonly admitShifted: (service: string, fromRegion: string) => Failure | undefined;
+  /** Share of a zone's or region's own traffic that runs elsewhere now, in permille. */
+  readonly movedPermille: (service: string, scope: 'zone' | 'region', place: string) => number;
+}
+
 /** Finds the availability zone nearest to a caller's address. */
 export type FindCallerZone = (callerAddress: string) => string | undefined;
 
@@ -47,6 +56,8 @@
   membership: MembershipView;
   /** Opens a replicated group of the settings, on members and other hosts alike. */
   openGroup: OpenGroup;
+  /** The control group; undefined where the settings name none. */
+  control: ControlGroup | undefined;
   /** Takes the calls that other hosts forward. */
   forwardedCalls: ForwardedCallHandler;
   placeCall: PlaceCall;
@@ -54,6 +65,7 @@
   receiveAnnouncement: ReceiveAnnouncement;
   ledger: LedgerHooks;
   findCallerZone: FindCallerZone;
+  shifts: ShiftHooks;
   /** Host that owns the pool of a service in a zone; undefined where not known. */
   poolOwner: (availabilityZone: string, service: string) => string | undefined;
 }
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -36,6 +36,7 @@
       memberAddress: (hostId) => parts.membership.find(hostId)?.internal,
     }),
     auth,
+    control: undefined,
     openGroup: () => {
       throw new Error('the replicated groups have not started');
     },
@@ -52,6 +53,7 @@
       const table = parts.table.current();
       return table === undefined ? undefined : callerZone(table, callerAddress);
     },
+    shifts: { admitShifted: () => undefined, movedPermille: () => 0 },
     poolOwner: () => undefined,
     adminRoutes: [],
     running: [],
