feat(shifts): shifts feature of a host, exchange of steps, test over real hosts

Change: the control leader plans, every host learns and acknowledges the steps, the pool owner enforces its part; GET /v1/shifts.

--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -5,6 +5,7 @@
 import { metricsFeature } from './metrics/metricsFeature.js';
 import { membershipFeature } from './membership/membershipFeature.js';
 import type { Feature } from './runtime/hostParts.js';
+import { shiftsFeature } from './shifts/shiftsFeature.js';
 import { slotsFeature } from './slots/slotsFeature.js';
 import { submissionsFeature } from './submissions/submissionsFeature.js';
 import { timelineFeature } from './timeline/timelineFeature.js';
@@ -18,6 +19,7 @@
   ledgerFeature,
   slotsFeature,
   submissionsFeature,
+  shiftsFeature,
   callsFeature,
   // The administration API comes last: it mounts the routes of the features before it.
   adminFeature,
--- a/packages/host/src/rpc/appRouter.ts
+++ b/packages/host/src/rpc/appRouter.ts
@@ -8,6 +8,7 @@
 import { lateHandlers } from './lateHandlers.js';
 import { createMetricsRouter, type MetricsHandlers } from '../metrics/metricsRouter.js';
 import { createSlotsRouter, type SlotsHandlers } from '../slots/slotsRouter.js';
+import { createShiftRouter, type ShiftHandlers } from '../shifts/shiftRouter.js';
 import { createTimelineRouter, type TimelineHandlers } from '../timeline/timelineRouter.js';
 import { createMembershipRouter, type MembershipHandlers } from '../membership/membershipRouter.js';
 import { createPingRouter, type PingHandlers } from './pingRouter.js';
@@ -20,6 +21,7 @@
   ping: PingHandlers;
   slots: SlotsHandlers;
   submissions: SubmissionsHandlers;
+  shifts: ShiftHandlers;
   timeline: TimelineHandlers;
 }
 
@@ -35,6 +37,7 @@
     metrics: createMetricsRouter(lateHandlers(() => handlers.metrics)),
     slots: createSlotsRouter(lateHandlers(() => handlers.slots)),
     submissions: createSubmissionsRouter(lateHandlers(() => handlers.submissions)),
+    shifts: createShiftRouter(lateHandlers(() => handlers.shifts)),
     timeline: createTimelineRouter(lateHandlers(() => handlers.timeline)),
     ping: createPingRouter(lateHandlers(() => handlers.ping)),
   });
--- /dev/null
+++ b/packages/testkit/src/shifts/shiftHosts.spec.ts
@@ -0,0 +1,97 @@
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { signSubmission } from '@buckthornlug/core/submissions/submissionSignature.js';
+import { splitSections } from '@buckthornlug/protocol/document/sections.js';
+import test from 'ava';
+import { request } from 'undici';
+
+import { startCallFleet, until } from '../calls/callFleet.js';
+import { createTestDocument, inForce, testService } from '../fakes/testDocument.js';
+
+const dataFolder = await mkdtemp(join(tmpdir(), 'bl-shifts-'));
+const document = createTestDocument();
+const traffic = document.traffic[testService]!;
+traffic.weights = { lagos: 500 };
+traffic.shiftCap = { stepPermille: 200, stepIntervalMs: 300, maxShiftedCallsPerS: 20 };
+const zones = ['lagos-a', 'lagos-b', 'abuja-a', 'abuja-a'];
+const fleet = await startCallFleet({
+  hosts: zones.map((availabilityZone, index) => ({
+    hostId: `host-${index}`,
+    region: availabilityZone.startsWith('lagos') ? 'lagos' : 'abuja',
+    availabilityZone,
+    roles: index < 3 ? ['entry', 'control'] : ['entry'],
+  })),
+  overrides: {
+    dataFolder,
+    groups: [{ id: 'control', members: ['host-0', 'host-1', 'host-2'] }],
+    timing: { electionTimeoutMs: 300, heartbeatMs: 50, documentPollMs: 100 },
+  },
+  document: inForce(document),
+  backendHosts: [],
+});
+
+test.after.always(async () => {
+  await fleet.stop();
+  await rm(dataFolder, { recursive: true });
+});
+
+/** Commits the document as the first version. */
+async function bootstrap(): Promise<void> {
+  const sections = Object.fromEntries(splitSections(document));
+  const baseVersions = Object.fromEntries(Object.keys(sections).map((name) => [name, 0]));
+  const body = { submissionId: 'bootstrap-1', team: 'platform', keyId: 'key-1' };
+  const submission = signSubmission({ ...body, baseVersions, sections }, 'team-secret-0123456789');
+  const { control } = fleet.hosts[0]!.parts;
+  const command = { type: 'submission', submission, authority: 'cluster' } as const;
+  for (;;) {
+    const outcome = await control!.submit(command, 2000);
+    if (outcome.isOk() && outcome.value.accepted) return;
+  }
+}
+
+test('a weight is reached by steps on every host, also on one that is no member', async (t) => {
+  await bootstrap();
+  const movedOn = (host: number) =>
+    fleet.hosts[host]!.parts.shifts.movedPermille(testService, 'region', 'lagos');
+  const seen = new Set<number>();
+  await until(() => {
+    seen.add(movedOn(3));
+    return zones.every((_zone, host) => movedOn(host) === 500);
+  });
+  t.deepEqual([...seen], [0, 200, 400, 500]);
+  const { admin } = fleet.settings[3]!.listen;
+  const reply = await request(`http://${admin.address}:${admin.port}/v1/shifts`);
+  t.deepEqual(await reply.body.json(), {
+    shifts: [
+      {
+        service: testService,
+        region: 'lagos',
+        movedPermille: 500,
+        targetPermille: 500,
+        step: 3,
+        held: false,
+      },
+    ],
+  });
+});
+
+test('the pool owner admits no more than its part of the cap in a second', async (t) => {
+  const owner = fleet.hosts[2]!.parts.poolOwner('abuja-a', testService);
+  const host = fleet.hosts.find((each) => each.context.settings.hostId === owner);
+  const { shifts } = (host ?? fleet.hosts[2]!).parts;
+  const admitted: number[] = [];
+  await until(() => {
+    for (let call = 0; call < 30; call += 1) {
+      const refusal = shifts.admitShifted(testService, 'lagos');
+      if (refusal === undefined) admitted.push(performance.now());
+      else t.is(refusal.code, 'BL8001');
+    }
+    return admitted.length >= 50;
+  }, 15_000);
+  for (const [index, atMs] of admitted.entries()) {
+    const next = admitted[index + 20];
+    if (next !== undefined) t.true(next - atMs > 999);
+  }
+});
