--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -1,10 +1,12 @@
 import { adminFeature } from './admin/adminFeature.js';
 import { callsFeature } from './calls/callsFeature.js';
 import { documentsFeature } from './documents/documentsFeature.js';
+import { ledgerFeature } from './ledger/ledgerFeature.js';
 import { consensusFeature } from './consensus/consensusFeature.js';
 import { metricsFeature } from './metrics/metricsFeature.js';
 import { membershipFeature } from './membership/membershipFeature.js';
 import type { Feature } from './runtime/hostParts.js';
+import { shiftsFeature } from './shifts/shiftsFeature.js';
 import { slotsFeature } from './slots/slotsFeature.js';
 import { submissionsFeature } from './submissions/submissionsFeature.js';
 import { timelineFeature } from './timeline/timelineFeature.js';
@@ -19,6 +21,10 @@
   // Follows the control group, so it starts after the features of the group.
   documentsFeature,
   slotsFeature,
+  ledgerFeature,
+  slotsFeature,
+  submissionsFeature,
+  shiftsFeature,
   callsFeature,
   // The administration API comes last: it mounts the routes of the features before it.
   adminFeature,
