feat(testkit): load generator, relay, naive hosts and fleet for load benches

Cause: the policies had no load that is open-loop, ranked and on real sockets. Conclusion: kept; experiments follow.

--- /dev/null
+++ b/packages/testkit/src/bench/load/benchWorkerMain.ts
@@ -0,0 +1,66 @@
+import { startHost } from '@buckthornlug/host/runtime/hostRuntime.js';
+
+import { startFakeBackend, type FakeBackend } from '../../fakes/fakeBackend.js';
+import { fakeBackendOptionsSchema, type FakeBackendOptions } from '../../fakes/fakeBackendTypes.js';
+import { inForce } from '../../fakes/testDocument.js';
+import { runLoad } from './loadGenerator.js';
+import type { BenchReply, BenchRequest, FakeReport } from './loadTypes.js';
+import { startNaiveHost } from './naiveHost.js';
+import { startRelay } from './relay.js';
+
+/** A process of a load bench: a host, fake backend servers, a relay or a source of load. */
+
+const fakes = new Map<
+  string,
+  { readonly options: FakeBackendOptions; readonly fake: FakeBackend }
+>();
+
+async function startFakes(options: readonly FakeBackendOptions[]): Promise<void> {
+  for (const entry of options) {
+    const fake = await startFakeBackend(entry);
+    fakes.set(entry.backendId, { options: entry, fake });
+  }
+}
+
+function reportFakes(): FakeReport[] {
+  return [...fakes.values()].map(({ options, fake }) => {
+    const { backendId, service, availabilityZone, slots } = fakeBackendOptionsSchema.parse(options);
+    return { backendId, service, availabilityZone, slots, counts: fake.counts() };
+  });
+}
+
+async function carryOut(request: BenchRequest): Promise<BenchReply> {
+  switch (request.message) {
+    case 'load':
+      return { message: 'results', results: await runLoad(request) };
+    case 'fakes':
+      await startFakes(request.fakes);
+      return { message: 'ready' };
+    case 'counts':
+      return { message: 'counts', fakes: reportFakes() };
+    case 'setState':
+      await fakes.get(request.backendId)?.fake.setState(request.state);
+      return { message: 'ready' };
+    case 'relay':
+      await startRelay(request.lines);
+      return { message: 'ready' };
+    case 'naiveHost':
+      await startNaiveHost(request);
+      return { message: 'ready' };
+    default: {
+      const started = await startHost(request.settings, { document: inForce(request.document) });
+      if (started.isErr()) throw new Error(JSON.stringify(started.error));
+      return { message: 'ready' };
+    }
+  }
+}
+
+process.on('message', (request: BenchRequest) => {
+  carryOut(request)
+    .then((reply) => process.send?.(reply))
+    .catch((error: unknown) => {
+      console.error(error);
+      process.exit(1);
+    });
+});
+process.on('disconnect', () => process.exit(0));
--- a/packages/testkit/src/bench/load/poolSimulation.ts
+++ b/packages/testkit/src/bench/load/poolSimulation.ts
@@ -3,12 +3,7 @@
 import { BackendSlots } from '@buckthornlug/core/slots/backendSlots.js';
 import { defaultOutlierLimits } from '@buckthornlug/core/slots/outliers.js';
 
-import {
-  drawInterarrivalMs,
-  drawLogNormal,
-  fakeServiceTimes,
-  seededRandom,
-} from './distributions.js';
+import { createLogNormal, createSeededRandom, exponential } from '../../fakes/seededRandom.js';
 
 /** One pool on a virtual clock, fed by Poisson arrivals; it serves to compare policies. */
 
@@ -67,6 +62,8 @@
 }
 
 const meanServiceMs = 40;
+const p99OfMean = 5;
+const drawServiceMs = createLogNormal(meanServiceMs, p99OfMean);
 const hostId = 'host-1';
 const endlessLeaseMs = 1e12;
 
@@ -111,7 +108,7 @@
   private calls = 0;
 
   constructor(private readonly plan: SimulationPlan) {
-    this.random = seededRandom(plan.seed);
+    this.random = createSeededRandom(plan.seed);
     this.pool = new Pool<SimulatedCall>(plan.rules, 0);
     for (const backend of createBackends(plan)) this.pool.add(backend);
     this.tallies = plan.rules.ranks.map(() => ({
@@ -183,7 +180,7 @@
       targetAtMs: this.nowMs + targetMs,
       deadlineAtMs: this.nowMs + 3 * targetMs,
       excluded: [],
-      serviceMs: drawLogNormal(fakeServiceTimes, this.random),
+      serviceMs: drawServiceMs(this.random),
     };
     const tally = this.tallyOf(call);
     if (tally !== undefined) {
@@ -231,7 +228,7 @@
 
   private interarrivalMs(load: RankLoad): number {
     const slots = this.plan.backends * this.plan.slotsPerBackend;
-    const callsPerS = (slots / meanServiceMs) * 1000 * load.load;
-    return drawInterarrivalMs(callsPerS, this.random);
+    const callsPerMs = (slots / meanServiceMs) * load.load;
+    return exponential(this.random, 1 / callsPerMs);
   }
 }
