--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -1,4 +1,5 @@
 import { adminFeature } from './admin/adminFeature.js';
+import { consensusFeature } from './consensus/consensusFeature.js';
 import { callsFeature } from './calls/callsFeature.js';
 import { metricsFeature } from './metrics/metricsFeature.js';
 import { membershipFeature } from './membership/membershipFeature.js';
@@ -11,6 +12,7 @@
   membershipFeature,
   timelineFeature,
   metricsFeature,
+  consensusFeature,
   slotsFeature,
   callsFeature,
   // The administration API comes last: it mounts the routes of the features before it.
--- a/packages/host/src/rpc/appRouter.ts
+++ b/packages/host/src/rpc/appRouter.ts
@@ -1,5 +1,6 @@
 import { rpcRouter } from '@buckthornlug/protocol/rpc/rpcContext.js';
 
+import { createConsensusRouter, type ConsensusHandlers } from '../consensus/consensusRouter.js';
 import { lateHandlers } from './lateHandlers.js';
 import { createMetricsRouter, type MetricsHandlers } from '../metrics/metricsRouter.js';
 import { createSlotsRouter, type SlotsHandlers } from '../slots/slotsRouter.js';
@@ -9,6 +10,7 @@
 
 /** Handlers of all procedures between hosts; each feature sets its own when it starts. */
 export interface RpcHandlers {
+  consensus: ConsensusHandlers;
   membership: MembershipHandlers;
   metrics: MetricsHandlers;
   ping: PingHandlers;
@@ -23,6 +25,7 @@
  */
 export function createAppRouter(handlers: Partial<RpcHandlers>) {
   return rpcRouter({
+    consensus: createConsensusRouter(lateHandlers(() => handlers.consensus)),
     membership: createMembershipRouter(lateHandlers(() => handlers.membership)),
     metrics: createMetricsRouter(lateHandlers(() => handlers.metrics)),
     slots: createSlotsRouter(lateHandlers(() => handlers.slots)),
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -13,10 +13,12 @@
 import type { Result, ResultAsync } from 'neverthrow';
 
 import type { RegisterRoutes } from '../admin/adminListener.js';
+import type { OpenGroup } from '../consensus/groups.js';
 import type { RpcHandlers } from '../rpc/appRouter.js';
 import type { ForwardedCallHandler } from '../rpc/internalListener.js';
 import type { PeerClients } from '../rpc/peerClients.js';
 import type { RequestAuth } from '../rpc/requestAuth.js';
+import type { TableHolder } from '../table/tableHolder.js';
 import type { DocumentHolder } from './documentHolder.js';
 import type { HostContext, MembershipView, RunningFeature } from './hostTypes.js';
 
@@ -51,6 +53,8 @@
 /** The parts that features provide, each by its owner while it starts. */
 export interface ProvidedParts {
   membership: MembershipView;
+  /** Opens a replicated group of the settings, on members and other hosts alike. */
+  openGroup: OpenGroup;
   /** Takes the calls that other hosts forward. */
   forwardedCalls: ForwardedCallHandler;
   placeCall: PlaceCall;
@@ -71,6 +75,8 @@
   /** Sets the parts that a feature owns. */
   readonly provide: (owned: Partial<ProvidedParts>) => void;
   readonly document: DocumentHolder;
+  /** The document in force, compiled. */
+  readonly table: TableHolder;
   readonly peers: PeerClients;
   readonly auth: RequestAuth;
   readonly rpcHandlers: Partial<RpcHandlers>;
--- a/packages/testkit/src/bench/experiments.ts
+++ b/packages/testkit/src/bench/experiments.ts
@@ -1,4 +1,19 @@
 import type { Experiment } from './benchTypes.js';
+import { drainExperiment } from './load/drainExperiment.js';
+import { floodExperiment } from './load/floodExperiment.js';
+import {
+  headroomExperiment,
+  latencyExperiment,
+  slotsExperiment,
+} from './load/latencyExperiment.js';
+import { policyExperiment } from './load/policyExperiment.js';
 
 /** The experiments of `npm run bench`. */
-export const experiments: readonly Experiment[] = [];
+export const experiments: readonly Experiment[] = [
+  policyExperiment,
+  headroomExperiment,
+  latencyExperiment,
+  floodExperiment,
+  drainExperiment,
+  slotsExperiment,
+];
--- a/packages/testkit/src/bench/load/loadFleet.ts
+++ b/packages/testkit/src/bench/load/loadFleet.ts
@@ -52,6 +52,8 @@
 const firstBackendNumber = 60;
 const relayPort = 7200;
 const hostsPerZone = 2;
+/** Processes that start at the same time. */
+const startsAtOnce = 4;
 
 /** Reads an example document, cut down to its first regions. */
 async function readExample(example: string, regions: number | undefined) {
@@ -133,16 +135,19 @@
   settings: readonly Settings[],
 ): Promise<Map<string, BenchProcess>> {
   const processes = new Map<string, BenchProcess>();
-  for (const host of settings) {
+  const start = async (host: Settings) => {
     const child = startBenchProcess();
     processes.set(host.hostId, child);
     if (plan.hosts === 'buckthornlug') {
       await child.ask({ message: 'host', settings: host, document });
-    } else {
-      const { hostId, listen } = host;
-      const { hosts: policy } = plan;
-      await child.ask({ message: 'naiveHost', hostId, callers: listen.callers, policy, document });
+      return;
     }
+    const { hostId, listen } = host;
+    const { hosts: policy } = plan;
+    await child.ask({ message: 'naiveHost', hostId, callers: listen.callers, policy, document });
+  };
+  for (let next = 0; next < settings.length; next += startsAtOnce) {
+    await Promise.all(settings.slice(next, next + startsAtOnce).map(start));
   }
   return processes;
 }
--- a/packages/testkit/src/bench/load/poolSimulation.ts
+++ b/packages/testkit/src/bench/load/poolSimulation.ts
@@ -36,6 +36,8 @@
   readonly ceiling: number;
   readonly waitsMs: readonly number[];
   readonly slotMs: number;
+  /** Slot time of all calls that were offered. */
+  readonly offeredSlotMs: number;
 }
 
 interface SimulatedCall extends PoolCall {
@@ -59,6 +61,7 @@
   ceiling: number;
   waitsMs: number[];
   slotMs: number;
+  offeredSlotMs: number;
 }
 
 const meanServiceMs = 40;
@@ -119,6 +122,7 @@
       ceiling: 0,
       waitsMs: [],
       slotMs: 0,
+      offeredSlotMs: 0,
     }));
     this.nextArrivalMs = plan.loads.map((load) => this.interarrivalMs(load));
   }
@@ -185,6 +189,7 @@
     const tally = this.tallyOf(call);
     if (tally !== undefined) {
       tally.offered += 1;
+      tally.offeredSlotMs += call.serviceMs;
       if (call.serviceMs <= targetMs) tally.ceiling += 1;
     }
     const offer = this.pool.offer(call, this.nowMs);
