--- a/packages/testkit/src/bench/experiments.ts
+++ b/packages/testkit/src/bench/experiments.ts
@@ -16,4 +16,15 @@
   floodExperiment,
   drainExperiment,
   slotsExperiment,
+import { callOverhead } from './callOverhead.js';
+import { lookup } from './lookup.js';
+import { onceExperiment } from './once/onceExperiment.js';
+import { shiftExperiment } from './shift/shiftExperiment.js';
+
+/** The experiments of `npm run bench`. */
+export const experiments: readonly Experiment[] = [
+  callOverhead,
+  lookup,
+  onceExperiment,
+  shiftExperiment,
 ];
--- a/packages/testkit/src/ledger/fakeLedgerGroup.ts
+++ b/packages/testkit/src/ledger/fakeLedgerGroup.ts
@@ -7,9 +7,9 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, ok, okAsync, ResultAsync, type Result } from 'neverthrow';
 
-import type { SeededRandom } from '../random/seededRandom.js';
-import type { ProcessTime } from './processTime.js';
-import type { VirtualTime } from './virtualTime.js';
+import type { Draws } from '../random/draws.js';
+import type { ProcessTime } from '../time/processTime.js';
+import type { VirtualTime } from '../time/virtualTime.js';
 
 /** How the network of a fake ledger group misbehaves, as probabilities. */
 export interface LedgerNetworkFaults {
@@ -54,7 +54,7 @@
   constructor(
     readonly groupId: string,
     private readonly time: VirtualTime,
-    private readonly random: SeededRandom,
+    private readonly random: Draws,
   ) {}
 
   /** Commits a command at once. */
