--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -1,5 +1,4 @@
 import { adminFeature } from './admin/adminFeature.js';
-import { consensusFeature } from './consensus/consensusFeature.js';
 import { callsFeature } from './calls/callsFeature.js';
 import { consensusFeature } from './consensus/consensusFeature.js';
 import { metricsFeature } from './metrics/metricsFeature.js';
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -49,7 +49,6 @@
       begin: () => Promise.resolve({ decision: 'refused', failure: noLedger }),
       finish: () => errAsync(noLedger),
     },
-    shifts: { admitShifted: () => undefined, movedPermille: () => 0 },
     findCallerZone: (callerAddress) => {
       const table = parts.table.current();
       return table === undefined ? undefined : callerZone(table, callerAddress);
--- a/packages/testkit/src/bench/experiments.ts
+++ b/packages/testkit/src/bench/experiments.ts
@@ -1,4 +1,5 @@
 import type { Experiment } from './benchTypes.js';
+import { callOverhead } from './callOverhead.js';
 import { drainExperiment } from './load/drainExperiment.js';
 import { floodExperiment } from './load/floodExperiment.js';
 import {
@@ -7,24 +8,20 @@
   slotsExperiment,
 } from './load/latencyExperiment.js';
 import { policyExperiment } from './load/policyExperiment.js';
+import { lookup } from './lookup.js';
+import { onceExperiment } from './once/onceExperiment.js';
+import { shiftExperiment } from './shift/shiftExperiment.js';
 
 /** The experiments of `npm run bench`. */
 export const experiments: readonly Experiment[] = [
+  callOverhead,
+  lookup,
   policyExperiment,
   headroomExperiment,
   latencyExperiment,
   floodExperiment,
   drainExperiment,
   slotsExperiment,
-import { callOverhead } from './callOverhead.js';
-import { lookup } from './lookup.js';
-import { onceExperiment } from './once/onceExperiment.js';
-import { shiftExperiment } from './shift/shiftExperiment.js';
-
-/** The experiments of `npm run bench`. */
-export const experiments: readonly Experiment[] = [
-  callOverhead,
-  lookup,
   onceExperiment,
   shiftExperiment,
 ];
