feat(bench): mean slot time beside the offered load

Cause: on a busy machine a call holds its slot longer than its service time, so the offered load alone misleads. Change: hosts count the time a call holds its slot (slot_ms); latency and flood report its mean.

--- a/packages/host/src/slots/poolTask.ts
+++ b/packages/host/src/slots/poolTask.ts
@@ -234,6 +234,7 @@
     const nowMs = this.context.clock.nowMs();
     const before = backend.standing(nowMs);
     this.pool.release(backend, running, outcome, nowMs);
+    this.context.metrics.observeMs('slot_ms', outcome.elapsedMs, { service: this.service });
     const isEjected = ejectOutlier(this.pool.backends, backend, defaultOutlierLimits, nowMs);
     if (isEjected) this.recordBackend('backendEjected', backend.backendId);
     if (before === 'probation' && backend.standing(nowMs) === 'in') {
--- a/packages/testkit/src/bench/experiments.ts
+++ b/packages/testkit/src/bench/experiments.ts
@@ -3,8 +3,8 @@
 import { drainExperiment } from './load/drainExperiment.js';
 import { floodExperiment } from './load/floodExperiment.js';
 import {
-  headroomExperiment,
-  latencyExperiment,
+  headroomExperiments,
+  latencyExperiments,
   slotsExperiment,
 } from './load/latencyExperiment.js';
 import { policyExperiment } from './load/policyExperiment.js';
@@ -17,8 +17,8 @@
   callOverhead,
   lookup,
   policyExperiment,
-  headroomExperiment,
-  latencyExperiment,
+  ...headroomExperiments,
+  ...latencyExperiments,
   floodExperiment,
   drainExperiment,
   slotsExperiment,
--- a/packages/testkit/src/bench/load/benchWorkerMain.ts
+++ b/packages/testkit/src/bench/load/benchWorkerMain.ts
@@ -1,15 +1,17 @@
-import { startHost } from '@buckthornlug/host/runtime/hostRuntime.js';
+import { startHost, type RunningHost } from '@buckthornlug/host/runtime/hostRuntime.js';
 
 import { startFakeBackend, type FakeBackend } from '../../fakes/fakeBackend.js';
 import { fakeBackendOptionsSchema, type FakeBackendOptions } from '../../fakes/fakeBackendTypes.js';
 import { inForce } from '../../fakes/testDocument.js';
 import { runLoad } from './loadGenerator.js';
-import type { BenchReply, BenchRequest, FakeReport } from './loadTypes.js';
+import type { BenchReply, BenchRequest, FakeReport, SlotTime } from './loadTypes.js';
 import { startNaiveHost } from './naiveHost.js';
 import { startRelay } from './relay.js';
 
 /** A process of a load bench: a host, fake backend servers, a relay or a source of load. */
 
+const usPerMs = 1000;
+let host: RunningHost | undefined;
 const fakes = new Map<
   string,
   { readonly options: FakeBackendOptions; readonly fake: FakeBackend }
@@ -29,6 +31,17 @@
   });
 }
 
+function slotTimesOf(running: RunningHost | undefined): SlotTime[] {
+  const times: SlotTime[] = [];
+  for (const series of running?.context.metrics.series() ?? []) {
+    if (series.name !== 'slot_ms' || series.type !== 'histogram') continue;
+    const { totalCount, mean } = series.histogram;
+    const totalMs = (mean * totalCount) / usPerMs;
+    times.push({ service: series.labels.service ?? '', calls: totalCount, totalMs });
+  }
+  return times;
+}
+
 async function carryOut(request: BenchRequest): Promise<BenchReply> {
   switch (request.message) {
     case 'load':
@@ -38,6 +51,8 @@
       return { message: 'ready' };
     case 'counts':
       return { message: 'counts', fakes: reportFakes() };
+    case 'slotTimes':
+      return { message: 'slotTimes', times: slotTimesOf(host) };
     case 'setState':
       await fakes.get(request.backendId)?.fake.setState(request.state);
       return { message: 'ready' };
@@ -50,6 +65,7 @@
     default: {
       const started = await startHost(request.settings, { document: inForce(request.document) });
       if (started.isErr()) throw new Error(JSON.stringify(started.error));
+      host = started.value;
       return { message: 'ready' };
     }
   }
--- a/packages/testkit/src/bench/load/floodExperiment.ts
+++ b/packages/testkit/src/bench/load/floodExperiment.ts
@@ -8,7 +8,7 @@
 } from '../benchTypes.js';
 import { trekpole } from './loadDeployments.js';
 import { startLoadFleet, type FleetPlan, type LoadFleet } from './loadFleet.js';
-import { insideShare, kindRows, overloadFigures } from './loadReport.js';
+import { insideShare, kindRows, meanSlotMs, overloadFigures } from './loadReport.js';
 import { meanServiceMs, offerLoad, summarize, type KindShare } from './loadRun.js';
 import type { StreamResult } from './loadTypes.js';
 
@@ -97,6 +97,7 @@
     await sleep(settleMs);
     for (const flood of floods) {
       options.progress(`${hosts}, flood of the ${flood.name}`);
+      const slotTimesBefore = await fleet.slotTimes();
       const results = await offerLoad(fleet, {
         seed: options.seed,
         shares: floodShares(flood.kinds),
@@ -108,7 +109,8 @@
       const condition = `${hosts} ${flood.name}`;
       rows.push(...kindRows(condition, results));
       const { shed } = await overloadFigures(fleet);
-      rows.push({ condition, figures: { shed } });
+      const slotMs = meanSlotMs(slotTimesBefore, await fleet.slotTimes());
+      rows.push({ condition, figures: { shed, meanSlotMs: slotMs } });
       bounds.push(
         ...(flood.name === 'least urgent'
           ? leastUrgentBounds(hosts, results)
--- a/packages/testkit/src/bench/load/latencyExperiment.ts
+++ b/packages/testkit/src/bench/load/latencyExperiment.ts
@@ -8,7 +8,13 @@
 } from '../benchTypes.js';
 import { atLoad, offcutMates, trekpole, type LoadDeployment } from './loadDeployments.js';
 import { startLoadFleet, type FleetPlan } from './loadFleet.js';
-import { heldShare, kindRows, overloadFigures, worstInsideShare } from './loadReport.js';
+import {
+  heldShare,
+  kindRows,
+  meanSlotMs,
+  overloadFigures,
+  worstInsideShare,
+} from './loadReport.js';
 import { offerLoad } from './loadRun.js';
 
 /** Latency and headroom of the deployments on real sockets. */
@@ -54,6 +60,7 @@
     let shedBefore = 0;
     for (const load of series.loads) {
       options.progress(`${deployment.name}, ${hosts}, load ${load}`);
+      const slotTimesBefore = await fleet.slotTimes();
       const results = await offerLoad(fleet, {
         seed: options.seed,
         shares: atLoad(deployment.shares, load),
@@ -63,9 +70,10 @@
         looksUp: hosts === 'buckthornlug',
       });
       const { shed } = await overloadFigures(fleet);
+      const slotMs = meanSlotMs(slotTimesBefore, await fleet.slotTimes());
       const condition = `${deployment.name} ${hosts} ${load}`;
       const rows = kindRows(condition, results);
-      rows.push({ condition, figures: { shed: shed - shedBefore } });
+      rows.push({ condition, figures: { shed: shed - shedBefore, meanSlotMs: slotMs } });
       measured.push({ load, rows, worstShare: worstInsideShare(results), shed: shed - shedBefore });
       shedBefore = shed;
     }
@@ -75,10 +83,13 @@
   return measured;
 }
 
-async function runLatency(options: BenchOptions): Promise<BenchReport> {
+async function runLatency(
+  deployments: readonly LoadDeployment[],
+  options: BenchOptions,
+): Promise<BenchReport> {
   const rows: ReportRow[] = [];
   const bounds: ReportBound[] = [];
-  for (const deployment of [trekpole, offcutMates]) {
+  for (const deployment of deployments) {
     const series = { deployment, hosts: 'buckthornlug' as const, loads: [0.3, 0.6, 0.9] };
     for (const measured of await measureLoads(series, options)) {
       rows.push(...measured.rows);
@@ -91,10 +102,13 @@
 const headroomLoads = [0.8, 0.85, 0.9, 0.95];
 const headroomBound = 0.9;
 
-async function runHeadroom(options: BenchOptions): Promise<BenchReport> {
+async function runHeadroom(
+  deployments: readonly LoadDeployment[],
+  options: BenchOptions,
+): Promise<BenchReport> {
   const rows: ReportRow[] = [];
   const bounds: ReportBound[] = [];
-  for (const deployment of [trekpole, offcutMates]) {
+  for (const deployment of deployments) {
     const series = { deployment, hosts: 'buckthornlug' as const, loads: headroomLoads };
     let headroom = 0;
     for (const measured of await measureLoads(series, options)) {
@@ -119,17 +133,35 @@
   return { experiment: 'slots', seed: options.seed, rows, bounds: [] };
 }
 
-export const latencyExperiment: Experiment = {
-  name: 'latency',
-  describe: 'Latency by kind of work at 30, 60 and 90% load, both deployments.',
-  run: runLatency,
-};
+const bothDeployments = [trekpole, offcutMates];
 
-export const headroomExperiment: Experiment = {
-  name: 'headroom',
-  describe: 'Highest load at which 99% of each kind of work are inside their target.',
-  run: runHeadroom,
-};
+/** Latency of both deployments, and of each alone. */
+export const latencyExperiments: readonly Experiment[] = [
+  {
+    name: 'latency',
+    describe: 'Latency by kind of work at 30, 60 and 90% load, both deployments.',
+    run: (options) => runLatency(bothDeployments, options),
+  },
+  ...bothDeployments.map((deployment) => ({
+    name: `latency-${deployment.name}`,
+    describe: `Latency by kind of work of ${deployment.name}.`,
+    run: (options: BenchOptions) => runLatency([deployment], options),
+  })),
+];
+
+/** Headroom of both deployments, and of each alone. */
+export const headroomExperiments: readonly Experiment[] = [
+  {
+    name: 'headroom',
+    describe: 'Highest load at which 99% of each kind of work are inside their target.',
+    run: (options) => runHeadroom(bothDeployments, options),
+  },
+  ...bothDeployments.map((deployment) => ({
+    name: `headroom-${deployment.name}`,
+    describe: `Headroom of ${deployment.name}.`,
+    run: (options: BenchOptions) => runHeadroom([deployment], options),
+  })),
+];
 
 export const slotsExperiment: Experiment = {
   name: 'slots',
--- a/packages/testkit/src/bench/load/loadFleet.ts
+++ b/packages/testkit/src/bench/load/loadFleet.ts
@@ -12,7 +12,7 @@
 } from '../../deployment/deployment.js';
 import type { FakeBackendOptions } from '../../fakes/fakeBackendTypes.js';
 import { startBenchProcess, type BenchProcess } from './benchProcess.js';
-import type { FakeReport, NaivePolicy, RelayLine } from './loadTypes.js';
+import type { FakeReport, NaivePolicy, RelayLine, SlotTime } from './loadTypes.js';
 
 /** Backend servers of a service in each zone of a region, in the order of zones. */
 export interface ServiceSize {
@@ -43,6 +43,8 @@
   /** Process of a host. */
   readonly hostProcess: (hostId: string) => BenchProcess | undefined;
   readonly counts: () => Promise<FakeReport[]>;
+  /** Slot time of each service over all hosts, since their start. */
+  readonly slotTimes: () => Promise<SlotTime[]>;
   /** Slots of a service over all zones. */
   readonly slotsOf: (service: string) => number;
   readonly close: () => Promise<void>;
@@ -208,6 +210,14 @@
       }
       return reports;
     },
+    slotTimes: async () => {
+      const times: SlotTime[] = [];
+      for (const child of hosts.values()) {
+        const reply = await child.ask({ message: 'slotTimes' });
+        if (reply.message === 'slotTimes') times.push(...reply.times);
+      }
+      return times;
+    },
     slotsOf: (service) => {
       let slots = 0;
       for (const fake of fakes) if (fake.service === service) slots += fake.slots ?? 0;
--- a/packages/testkit/src/bench/load/loadReport.ts
+++ b/packages/testkit/src/bench/load/loadReport.ts
@@ -1,7 +1,7 @@
 import type { Figures, ReportRow } from '../benchTypes.js';
 import type { LoadFleet } from './loadFleet.js';
 import { summarize, type RankSummary } from './loadRun.js';
-import type { StreamResult } from './loadTypes.js';
+import type { SlotTime, StreamResult } from './loadTypes.js';
 
 /** Share of the calls of a rank that must be inside their target for the target to hold. */
 export const heldShare = 0.99;
@@ -93,3 +93,18 @@
   }
   return { shed, over };
 }
+
+/** Mean time that a call held its slot between two readings, in milliseconds. */
+export function meanSlotMs(before: readonly SlotTime[], after: readonly SlotTime[]): number {
+  let calls = 0;
+  let totalMs = 0;
+  for (const time of after) {
+    calls += time.calls;
+    totalMs += time.totalMs;
+  }
+  for (const time of before) {
+    calls -= time.calls;
+    totalMs -= time.totalMs;
+  }
+  return calls === 0 ? 0 : round(totalMs / calls, 1);
+}
--- a/packages/testkit/src/bench/load/loadTypes.ts
+++ b/packages/testkit/src/bench/load/loadTypes.ts
@@ -66,6 +66,7 @@
   | LoadPlan
   | { readonly message: 'fakes'; readonly fakes: readonly FakeBackendOptions[] }
   | { readonly message: 'counts' }
+  | { readonly message: 'slotTimes' }
   | { readonly message: 'setState'; readonly backendId: string; readonly state: 'leaving' }
   | { readonly message: 'relay'; readonly lines: readonly RelayLine[] }
   | {
@@ -90,8 +91,16 @@
   readonly counts: BackendCounts;
 }
 
+/** Time that calls of a service held slots of one host, since its start. */
+export interface SlotTime {
+  readonly service: string;
+  readonly calls: number;
+  readonly totalMs: number;
+}
+
 /** Answers of the processes. */
 export type BenchReply =
   | { readonly message: 'ready' }
   | { readonly message: 'results'; readonly results: readonly StreamResult[] }
-  | { readonly message: 'counts'; readonly fakes: readonly FakeReport[] };
+  | { readonly message: 'counts'; readonly fakes: readonly FakeReport[] }
+  | { readonly message: 'slotTimes'; readonly times: readonly SlotTime[] };
