--- a/packages/testkit/src/bench/experiments.ts
+++ b/packages/testkit/src/bench/experiments.ts
@@ -1,5 +1,13 @@
 import type { Experiment } from './benchTypes.js';
 import { callOverhead } from './callOverhead.js';
+import { drainExperiment } from './load/drainExperiment.js';
+import { floodExperiment } from './load/floodExperiment.js';
+import {
+  headroomExperiments,
+  latencyExperiments,
+  slotsExperiment,
+} from './load/latencyExperiment.js';
+import { policyExperiment } from './load/policyExperiment.js';
 import { lookup } from './lookup.js';
 import { onceExperiment } from './once/onceExperiment.js';
 import { shiftExperiment } from './shift/shiftExperiment.js';
@@ -8,6 +16,12 @@
 export const experiments: readonly Experiment[] = [
   callOverhead,
   lookup,
+  policyExperiment,
+  ...headroomExperiments,
+  ...latencyExperiments,
+  floodExperiment,
+  drainExperiment,
+  slotsExperiment,
   onceExperiment,
   shiftExperiment,
 ];
