--- /dev/null
+++ b/packages/core/src/calls/headerFields.spec.ts
@@ -0,0 +1,43 @@
+import test from 'ava';
+
+import { endToEndFields, fieldValue, hasStatedEnd } from './headerFields.js';
+
+test('fields of one connection, fields named by Connection and fields of hosts do not travel', (t) => {
+  const kept = endToEndFields([
+    'Host',
+    'parts.test',
+    'Connection',
+    'close, X-Hop',
+    'X-Hop',
+    '1',
+    'Transfer-Encoding',
+    'chunked',
+    'X-Buckthornlug-Code',
+    'BL3001',
+    'Set-Cookie',
+    'a=1',
+    'Set-Cookie',
+    'b=2',
+  ]);
+  t.deepEqual(kept, ['Host', 'parts.test', 'Set-Cookie', 'a=1', 'Set-Cookie', 'b=2']);
+});
+
+test('a field is found whatever the case of its name', (t) => {
+  t.is(fieldValue(['Content-Length', '5'], 'content-length'), '5');
+  t.is(fieldValue(['Content-Length', '5'], 'content-type'), undefined);
+});
+
+const ends: readonly (readonly [string, string, number, readonly string[], boolean])[] = [
+  ['a length', 'GET', 200, ['content-length', '3'], true],
+  ['a chunked coding', 'GET', 200, ['Transfer-Encoding', 'gzip, Chunked'], true],
+  ['another coding', 'GET', 200, ['transfer-encoding', 'gzip'], false],
+  ['neither length nor coding', 'GET', 200, ['connection', 'close'], false],
+  ['a status without body', 'GET', 204, [], true],
+  ['a request for the head alone', 'HEAD', 200, [], true],
+];
+
+for (const [title, method, status, fields, expected] of ends) {
+  test(`an answer with ${title} ${expected ? 'states' : 'does not state'} its end`, (t) => {
+    t.is(hasStatedEnd(method, status, fields), expected);
+  });
+}
--- a/packages/testkit/src/bench/lookup.ts
+++ b/packages/testkit/src/bench/lookup.ts
@@ -76,8 +76,7 @@
   const random = createSeededRandom(options.seed);
   const agents = Array.from(
     { length: callerAddresses },
-    (_value, index) =>
-      new Agent({ connections: 16, connect: { localAddress: loopbackAddress(200 + index) } }),
+    (_value, index) => new Agent({ connections: 16, localAddress: loopbackAddress(200 + index) }),
   );
   await sendLookups(agents, origin, random, warmUpS, reset);
   const cpuBeforeMs = await host.cpuMs();
--- a/packages/testkit/src/fakes/fakeCaller.ts
+++ b/packages/testkit/src/fakes/fakeCaller.ts
@@ -94,8 +94,8 @@
  * @param options - hosts it knows, and its habits
  */
 export function createFakeCaller(options: FakeCallerOptions): FakeCaller {
-  const connect = options.address === undefined ? {} : { localAddress: options.address };
-  const agent = new Agent({ connections: 64, connect });
+  const source = options.address === undefined ? {} : { localAddress: options.address };
+  const agent = new Agent({ connections: 64, ...source });
   let cached: { readonly reply: LookupReply; readonly validUntilMs: number } | undefined;
 
   const lookUp = async (): Promise<LookupReply | undefined> => {
