--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -20,11 +20,9 @@
   submissionsFeature,
   // Follows the control group, so it starts after the features of the group.
   documentsFeature,
-  slotsFeature,
   ledgerFeature,
-  slotsFeature,
-  submissionsFeature,
   shiftsFeature,
+  slotsFeature,
   callsFeature,
   // The administration API comes last: it mounts the routes of the features before it.
   adminFeature,
