--- a/packages/host/src/consensus/consensusRouter.ts
+++ b/packages/host/src/consensus/consensusRouter.ts
@@ -5,6 +5,7 @@
   describeSchema,
   joinSchema,
   submitSchema,
+  type DeliverReply,
   type DeliverRequest,
   type DescribeRequest,
   type GroupDescription,
@@ -15,7 +16,7 @@
 
 /** What the replicated groups answer to other hosts. */
 export interface ConsensusHandlers {
-  readonly deliver: (request: DeliverRequest) => { readonly taken: boolean };
+  readonly deliver: (fromHostId: string, request: DeliverRequest) => Promise<DeliverReply>;
   readonly submit: (request: SubmitRequest) => Promise<LeaderReply>;
   readonly describe: (request: DescribeRequest) => GroupDescription;
   readonly join: (request: JoinRequest) => LeaderReply;
@@ -28,7 +29,9 @@
  */
 export function createConsensusRouter(handlers: ConsensusHandlers) {
   return rpcRouter({
-    deliver: rpcProcedure.input(deliverSchema).mutation(({ input }) => handlers.deliver(input)),
+    deliver: rpcProcedure
+      .input(deliverSchema)
+      .mutation(({ ctx, input }) => handlers.deliver(ctx.fromHostId, input)),
     submit: rpcProcedure.input(submitSchema).mutation(({ input }) => handlers.submit(input)),
     describe: rpcProcedure.input(describeSchema).query(({ input }) => handlers.describe(input)),
     join: rpcProcedure.input(joinSchema).mutation(({ input }) => handlers.join(input)),
--- a/packages/host/src/consensus/consensusSchema.ts
+++ b/packages/host/src/consensus/consensusSchema.ts
@@ -28,6 +28,11 @@
 export type DescribeRequest = z.infer<typeof describeSchema>;
 export type JoinRequest = z.infer<typeof joinSchema>;
 
+/** Messages back to the sender that were ready at once, CBOR in base64. */
+export interface DeliverReply {
+  readonly answers: string | null;
+}
+
 /** Outcome of a request that only the leader can serve. */
 export type LeaderReply =
   | { readonly ok: true; readonly reply: string }
--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -1,6 +1,7 @@
 import type {
   ConsensusEffect,
   ConsensusInput,
+  ConsensusMessage,
   ConsensusOptions,
   LogEntry,
   PersistEffect,
@@ -26,9 +27,8 @@
 const storageRetryMs = 5000;
 const barrierRetryMs = 20;
 const handOverPollMs = 10;
-/** A snapshot is taken when the log since the last one has grown by both bounds. */
-const snapshotEveryEntries = 1000;
-const snapshotEveryBytes = 1024 * 1024;
+/** A snapshot is taken when the log since the last one is as large as it, and at least this. */
+const snapshotEveryBytes = 64 * 1024;
 
 function consensusOptions(electionTimeoutMs: number, heartbeatMs: number): ConsensusOptions {
   return {
@@ -77,8 +77,6 @@
 
   private snapshotBytes = 0;
 
-  private snapshotIndex = 0;
-
   private nextReadId = 1;
 
   constructor(private readonly parts: GroupTaskParts<Command, Reply>) {
@@ -159,7 +157,6 @@
 
   private restoreMachine(snapshot: Snapshot): void {
     this.appliedIndex = snapshot.index;
-    this.snapshotIndex = snapshot.index;
     this.snapshotBytes = snapshot.data.byteLength;
     this.logBytes = 0;
     if (snapshot.data.byteLength > 0) this.parts.machine.restore(decodeBinary(snapshot.data));
@@ -184,10 +181,8 @@
   }
 
   private snapshotIfDue(): void {
-    if (this.appliedIndex - this.snapshotIndex < snapshotEveryEntries) return;
     if (this.logBytes < Math.max(snapshotEveryBytes, this.snapshotBytes)) return;
     const data = encodeBinary(this.parts.machine.snapshot());
-    this.snapshotIndex = this.appliedIndex;
     this.snapshotBytes = data.byteLength;
     this.logBytes = 0;
     this.take({ kind: 'compact', index: this.appliedIndex, data });
@@ -197,19 +192,24 @@
   private writeNext(): void {
     if (this.isWriting || this.unwritten.length === 0 || this.isStopped) return;
     this.isWriting = true;
-    setImmediate(() => {
-      if (this.isStopped) return;
-      const batch = this.unwritten;
-      this.unwritten = [];
-      this.writing = this.parts.storage.write(batch).match(
-        () => {
-          this.isWriting = false;
-          this.take({ kind: 'synced', sequence: batch.at(-1)?.sequence ?? 0 });
-          this.writeNext();
-        },
-        (problem) => this.failStorage(problem, batch),
-      );
+    this.writing = this.writeBatch();
+  }
+
+  private async writeBatch(): Promise<void> {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
     });
+    if (this.isStopped) return;
+    const batch = this.unwritten;
+    this.unwritten = [];
+    const written = await this.parts.storage.write(batch);
+    if (written.isErr()) {
+      this.failStorage(written.error, batch);
+      return;
+    }
+    this.isWriting = false;
+    this.take({ kind: 'synced', sequence: batch.at(-1)?.sequence ?? 0 });
+    this.writeNext();
   }
 
   /** Stops taking part until the whole state can be written anew. */
@@ -239,6 +239,22 @@
     );
   }
 
+  /** Resolves when the batch that is being written, if any, is synced. */
+  written(): Promise<void> {
+    return this.isWriting ? this.writing : Promise.resolve();
+  }
+
+  /** Takes messages of one host and gives back what can be answered at once. */
+  async exchange(
+    hostId: string,
+    messages: readonly ConsensusMessage[],
+  ): Promise<ConsensusMessage[]> {
+    const collected = this.outbox.collect(hostId);
+    for (const message of messages) this.take({ kind: 'message', message });
+    await this.written();
+    return collected.end();
+  }
+
   propose(command: Command, timeoutMs: number): ProposalResult<Reply> {
     if (this.state.role !== 'leader' || this.storageFailure !== undefined || this.isStopped) {
       return new ResultAsync(Promise.resolve(err(this.notLeading())));
@@ -379,6 +395,7 @@
   const task = new ReplicaTask(parts);
   return {
     replicaId: task.replicaId,
+    exchange: (hostId, messages) => task.exchange(hostId, messages),
     deliver: (messages) => {
       for (const message of messages) task.take({ kind: 'message', message });
     },
--- a/packages/host/src/consensus/groupTaskTypes.ts
+++ b/packages/host/src/consensus/groupTaskTypes.ts
@@ -23,6 +23,11 @@
 /** The task of one replica: owns its state, storage and timers. */
 export interface GroupTask<Command, Reply> {
   readonly replicaId: string;
+  /** Takes messages of one host; resolves with the answers once what they wrote is synced. */
+  readonly exchange: (
+    hostId: string,
+    messages: readonly ConsensusMessage[],
+  ) => Promise<readonly ConsensusMessage[]>;
   readonly deliver: (messages: readonly ConsensusMessage[]) => void;
   /** Proposes on this replica; BL5001 where it does not lead. */
   readonly propose: (command: Command, timeoutMs: number) => ProposalResult<Reply>;
--- a/packages/host/src/consensus/groups.ts
+++ b/packages/host/src/consensus/groups.ts
@@ -9,6 +9,8 @@
 import { decodeText, encodeText } from './binaryCodec.js';
 import type { ConsensusHandlers } from './consensusRouter.js';
 import type {
+  DeliverReply,
+  DeliverRequest,
   GroupDescription,
   JoinRequest,
   LeaderReply,
@@ -98,6 +100,14 @@
     };
   };
 
+  private async deliver(fromHostId: string, request: DeliverRequest): Promise<DeliverReply> {
+    const { groupId, formationId, messages } = request;
+    const batch = decodeText(messages) as ConsensusMessage[];
+    const replica = this.replicas.get(groupId);
+    const answers = (await replica?.exchange(fromHostId, formationId, batch)) ?? [];
+    return { answers: answers.length === 0 ? null : encodeText(answers) };
+  }
+
   private async submit(request: SubmitRequest): Promise<LeaderReply> {
     const replica = this.replicas.get(request.groupId);
     const { task } = replica ?? {};
@@ -125,10 +135,7 @@
   /** Answers to other hosts. */
   handlers(): ConsensusHandlers {
     return {
-      deliver: ({ groupId, formationId, messages }) => {
-        const batch = decodeText(messages) as ConsensusMessage[];
-        return { taken: this.replicas.get(groupId)?.deliver(formationId, batch) ?? false };
-      },
+      deliver: (fromHostId, request) => this.deliver(fromHostId, request),
       submit: (request) => this.submit(request),
       describe: ({ groupId }) => this.describe(groupId),
       join: (request) => this.join(request),
--- a/packages/host/src/consensus/memberReplica.ts
+++ b/packages/host/src/consensus/memberReplica.ts
@@ -8,7 +8,7 @@
 
 import type { PeerClients } from '../rpc/peerClients.js';
 import type { HostContext } from '../runtime/hostTypes.js';
-import { encodeText } from './binaryCodec.js';
+import { decodeText, encodeText } from './binaryCodec.js';
 import type { GroupDescription } from './consensusSchema.js';
 import { firstState, nextFormationStep } from './formation.js';
 import { openGroupStorage } from './groupStorage.js';
@@ -154,9 +154,11 @@
   ): Promise<void> {
     const { peers, groupId } = this.parts;
     const batch = { groupId, formationId, messages: encodeText(messages) };
-    await peers.request(hostId, (client, signal) =>
+    const sent = await peers.request(hostId, (client, signal) =>
       client.consensus.deliver.mutate(batch, { signal }),
     );
+    if (sent.isErr() || sent.value.answers === null) return;
+    this.task?.deliver(decodeText(sent.value.answers) as ConsensusMessage[]);
   }
 
   private pollJoin(): void {
@@ -218,11 +220,13 @@
   }
 
   /** Takes messages of other replicas of the same start of the group. */
-  deliver(formationId: string, messages: readonly ConsensusMessage[]): boolean {
-    if (this.storage?.stored().identity.formationId !== formationId) return false;
-    if (this.task === undefined) return false;
-    this.task.deliver(messages);
-    return true;
+  async exchange(
+    fromHostId: string,
+    formationId: string,
+    messages: readonly ConsensusMessage[],
+  ): Promise<readonly ConsensusMessage[]> {
+    if (this.storage?.stored().identity.formationId !== formationId) return [];
+    return (await this.task?.exchange(fromHostId, messages)) ?? [];
   }
 
   async stop(): Promise<void> {
--- a/packages/host/src/consensus/messageOutbox.ts
+++ b/packages/host/src/consensus/messageOutbox.ts
@@ -13,9 +13,17 @@
 /** Sends one batch; resolves when it was taken or lost. */
 export type SendBatch = (hostId: string, messages: readonly ConsensusMessage[]) => Promise<void>;
 
+/** Messages to one host that travel with the answer to its request. */
+export interface CollectedMessages {
+  /** Ends the collection and gives what was collected. */
+  readonly end: () => ConsensusMessage[];
+}
+
 /** Messages of one replica to the others. */
 export interface MessageOutbox {
   readonly post: (message: ConsensusMessage) => void;
+  /** Collects messages to a host instead of sending them, until its end. */
+  readonly collect: (hostId: string) => CollectedMessages;
   readonly close: () => void;
 }
 
@@ -23,6 +31,7 @@
   waiting: ConsensusMessage[];
   inFlight: number;
   isScheduled: boolean;
+  readonly collections: Set<ConsensusMessage[]>;
 }
 
 /**
@@ -37,7 +46,12 @@
   const queueOf = (hostId: string): HostQueue => {
     const known = queues.get(hostId);
     if (known !== undefined) return known;
-    const created = { waiting: [], inFlight: 0, isScheduled: false };
+    const created = {
+      waiting: [],
+      inFlight: 0,
+      isScheduled: false,
+      collections: new Set<ConsensusMessage[]>(),
+    };
     queues.set(hostId, created);
     return created;
   };
@@ -59,12 +73,28 @@
     post: (message) => {
       const hostId = hostIdOf(message.to);
       const queue = queueOf(hostId);
+      const [collection] = queue.collections;
+      if (collection !== undefined) {
+        collection.push(message);
+        return;
+      }
       queue.waiting.push(message);
       if (queue.waiting.length > maxWaitingMessages) queue.waiting.shift();
       if (queue.isScheduled || isClosed) return;
       queue.isScheduled = true;
       queueMicrotask(() => flush(hostId, queue));
     },
+    collect: (hostId) => {
+      const { collections } = queueOf(hostId);
+      const collection: ConsensusMessage[] = [];
+      collections.add(collection);
+      return {
+        end: () => {
+          collections.delete(collection);
+          return collection;
+        },
+      };
+    },
     close: () => {
       isClosed = true;
       queues.clear();
