--- a/packages/testkit/src/control/controlFaults.spec.ts
+++ b/packages/testkit/src/control/controlFaults.spec.ts
@@ -5,6 +5,7 @@
 import test, { type ExecutionContext } from 'ava';
 
 import { loopbackNetwork } from '../deployment/deployment.js';
+import { startRelays, stopRelays, throughRelays, type ControlRelays } from './controlRelays.js';
 import {
   blocksSubmission,
   createControlFleet,
@@ -21,24 +22,40 @@
 /** A fleet with a document in it, and what its operators were told. */
 interface Trial {
   readonly fleet: ControlFleet;
+  readonly relays: ControlRelays;
   readonly document: SteeringDocument;
   readonly workFolder: string;
   /** Accepted version by the section that the submission added. */
   readonly accepted: Map<string, number>;
 }
 
-async function startTrial(t: ExecutionContext, offset: number): Promise<Trial> {
+async function startTrial(t: ExecutionContext, offset: number, isRelayed = false): Promise<Trial> {
   const workFolder = await mkdtemp(`${tmpdir()}/bl-control-`);
-  const fleet = createControlFleet(loopbackNetwork(process.pid, offset), workFolder, timing);
+  const network = loopbackNetwork(process.pid, offset);
+  const fleet = createControlFleet(network, workFolder, timing, (settings) =>
+    isRelayed ? throughRelays(settings, network) : settings,
+  );
+  const relays: ControlRelays = isRelayed
+    ? await startRelays(fleet.allSettings(), network)
+    : new Map();
   t.teardown(async () => {
     await fleet.kill();
+    await stopRelays(relays);
     await rm(workFolder, { recursive: true });
   });
   await fleet.start();
   const document = await exampleDocument();
   const { status, body } = await fleet.ask(outsider, '/v1/submissions', firstSubmission(document));
   t.is(status, 200, JSON.stringify(body));
-  return { fleet, document, workFolder, accepted: new Map() };
+  return { fleet, relays, document, workFolder, accepted: new Map() };
+}
+
+/** Silently drops everything that a host sends, while it hears the others. */
+function muteHost(trial: Trial, hostId: string): void {
+  for (const [way, relay] of trial.relays) {
+    if (way.startsWith(`${hostId}>`)) relay.stall('forth');
+    if (way.endsWith(`>${hostId}`)) relay.stall('back');
+  }
 }
 
 /** Submits a new section, and again until the outcome is known. */
@@ -193,3 +210,19 @@
     t.deepEqual(again, answers);
   },
 );
+
+test.serial(
+  'a leader that is heard by nobody is replaced, and nothing is reverted after the cut',
+  async (t) => {
+    const trial = await startTrial(t, 5, true);
+    const { fleet } = trial;
+    await submitSection(trial, 'before-cut');
+    const muted = await fleet.leader();
+    muteHost(trial, muted);
+    await submitSection(trial, 'while-cut');
+    for (const relay of trial.relays.values()) relay.heal();
+    await assertKept(t, trial, [muted, outsider]);
+    await submitSection(trial, 'after-cut', muted);
+    await assertKept(t, trial, fleet.hostIds());
+  },
+);
