--- a/packages/testkit/src/calls/callFleet.ts
+++ b/packages/testkit/src/calls/callFleet.ts
@@ -1,4 +1,5 @@
 import { callsFeature } from '@buckthornlug/host/calls/callsFeature.js';
+import type { Feature } from '@buckthornlug/host/runtime/hostParts.js';
 import { startHost, type RunningHost } from '@buckthornlug/host/runtime/hostRuntime.js';
 import type { DocumentInForce } from '@buckthornlug/host/runtime/hostTypes.js';
 import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
@@ -55,6 +56,8 @@
   readonly backendHosts: readonly number[];
   /** Slots of each backend server. */
   readonly slots?: number;
+  /** Features of the hosts; the path alone where absent. */
+  readonly features?: readonly Feature[];
 }
 
 async function readReply(reply: Dispatcher.ResponseData): Promise<TestReply> {
@@ -80,7 +83,7 @@
   const agent = new Agent({ connections: 64 });
   const hosts: RunningHost[] = [];
   const { document } = options;
-  const features = [turnPlacement, callsFeature];
+  const features = options.features ?? [turnPlacement, callsFeature];
   for (const hostSettings of settings) {
     hosts.push(valueOf(await startHost(hostSettings, { document, features })));
   }
--- a/packages/testkit/src/ledger/onceCalls.spec.ts
+++ b/packages/testkit/src/ledger/onceCalls.spec.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 
 import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
+import { features } from '@buckthornlug/host/features.js';
 import test from 'ava';
 
 import { startCallFleet } from '../calls/callFleet.js';
@@ -22,6 +23,7 @@
     groups: [{ id: 'ledger-a', members: ['host-0', 'host-1', 'host-2'] }],
     timing: { electionTimeoutMs: 300, heartbeatMs: 50 },
   },
+  features,
   document: inForce(createTestDocument({ timeLimitMs: 4000 })),
   backendHosts: [0, 1, 2],
 });
@@ -45,10 +47,14 @@
 }
 
 test.before(async () => {
-  for (;;) {
+  for (let tries = 0; tries < 50; tries += 1) {
     const reply = await order(0, 'warm-up');
     if (reply.result === 'answered') return;
+    await new Promise((resolve) => {
+      setTimeout(resolve, 100);
+    });
   }
+  throw new Error('the hosts answer no order');
 });
 
 test('a resend through another host and region gets the same whole answer', async (t) => {
--- a/packages/testkit/src/shifts/shiftHosts.spec.ts
+++ b/packages/testkit/src/shifts/shiftHosts.spec.ts
@@ -4,6 +4,7 @@
 
 import { signSubmission } from '@buckthornlug/core/submissions/submissionSignature.js';
 import { splitSections } from '@buckthornlug/protocol/document/sections.js';
+import { features } from '@buckthornlug/host/features.js';
 import test from 'ava';
 import { request } from 'undici';
 
@@ -28,6 +29,7 @@
     groups: [{ id: 'control', members: ['host-0', 'host-1', 'host-2'] }],
     timing: { electionTimeoutMs: 300, heartbeatMs: 50, documentPollMs: 100 },
   },
+  features,
   document: inForce(document),
   backendHosts: [],
 });
@@ -45,10 +47,11 @@
   const submission = signSubmission({ ...body, baseVersions, sections }, 'team-secret-0123456789');
   const { control } = fleet.hosts[0]!.parts;
   const command = { type: 'submission', submission, authority: 'cluster' } as const;
-  for (;;) {
+  for (let tries = 0; tries < 10; tries += 1) {
     const outcome = await control!.submit(command, 2000);
     if (outcome.isOk() && outcome.value.accepted) return;
   }
+  throw new Error('the first document was not accepted');
 }
 
 test('a weight is reached by steps on every host, also on one that is no member', async (t) => {
@@ -59,7 +62,7 @@
   await until(() => {
     seen.add(movedOn(3));
     return zones.every((_zone, host) => movedOn(host) === 500);
-  });
+  }, 15_000);
   t.deepEqual([...seen], [0, 200, 400, 500]);
   const { admin } = fleet.settings[3]!.listen;
   const reply = await request(`http://${admin.address}:${admin.port}/v1/shifts`);
