fix(membership): calmer joins, and time for answers while the own process is late

Cause: twelve hosts started at once in one process did not have the first document within 5 s (documents.spec.ts, run beside other specs): each join was told on at once by everyone, and late answers raised suspicions. Change: only who meets a new process tells it at once; three seeds are asked at a time; digests that differ are exchanged both ways; answers are given twice the lag of the own ticks more. Measured: membershipSchedules.spec.ts and documents.spec.ts green, run side by side.

--- a/packages/core/src/membership/memberProbes.ts
+++ b/packages/core/src/membership/memberProbes.ts
@@ -1,9 +1,12 @@
 import {
   digestIntervalMs,
   joinMs,
+  lagDecay,
+  maxLagMs,
   probeHelpers,
   reconnectMs,
   ringProbes,
+  seedsAtOnce,
   suspectProbeMs,
   verifiedPerInterval,
   youngDigestIntervalMs,
@@ -29,6 +32,8 @@
 
   private nextSuspectMs = 0;
 
+  private lagMs = 0;
+
   private nextReconnectMs: number;
 
   private nextDigestMs: number;
@@ -58,6 +63,11 @@
     if (nowMs >= this.nextDigestMs) this.compareDigest(nowMs);
   }
 
+  /** Notes by how much the last tick came late; answers are given that much more time. */
+  noteLag(lateMs: number): void {
+    this.lagMs = Math.min(maxLagMs, Math.max(this.lagMs * lagDecay, 2 * lateMs, 0));
+  }
+
   /** Drops probes whose answers may have come while this process stood still. */
   forgetPending(): void {
     this.book.clear();
@@ -107,6 +117,11 @@
     this.outbox.sendToSeed(seed.hostId, seed.internal, body);
   }
 
+  sendDigest(target: MemberEntry, isAnswer: boolean, nowMs: number): void {
+    const body = { kind: 'digest' as const, zones: this.table.digests(), isAnswer };
+    this.outbox.send(target, body, nowMs);
+  }
+
   private sendProbe(
     target: MemberEntry,
     nowMs: number,
@@ -149,7 +164,7 @@
   }
 
   private checkPending(nowMs: number): void {
-    const { directTimeoutMs } = this.config;
+    const directTimeoutMs = this.config.directTimeoutMs + this.lagMs;
     for (const probe of this.book.all()) {
       const waitedMs = nowMs - probe.sentAtMs;
       if (waitedMs >= directTimeoutMs && !probe.helpersAsked) {
@@ -226,7 +241,7 @@
       if (seed.hostId === this.self.identity.hostId) return false;
       return this.table.find(seed.hostId) === undefined;
     });
-    const count = participants === 1 ? unknown.length : 1;
+    const count = participants === 1 ? seedsAtOnce : 1;
     for (const seed of sample(unknown, count, this.random)) this.syncWithSeed(seed);
   }
 
@@ -236,7 +251,7 @@
     const { zonePeers, foreignRelays } = this.table.views();
     const pool = this.table.selfIsRelay() ? [...zonePeers, ...foreignRelays] : zonePeers;
     for (const target of sample(pool, 1, this.random)) {
-      this.outbox.send(target, { kind: 'digest', zones: this.table.digests() }, nowMs);
+      this.sendDigest(target, false, nowMs);
     }
   }
 }
--- a/packages/core/src/membership/memberStates.ts
+++ b/packages/core/src/membership/memberStates.ts
@@ -131,7 +131,9 @@
     this.table.add(entry);
     if (takesPart(entry.state)) {
       this.outbox.emit('memberAlive', entry);
-      this.passOn(entry, true, source, nowMs);
+      // Who meets a new process tells others at once; they tell theirs with the messages to come.
+      if (source === 'gossip') this.outbox.queue(entry, true);
+      else this.passOn(entry, true, source, nowMs);
     } else if (known !== undefined && takesPart(known.state)) {
       this.outbox.emit(entry.state === 'left' ? 'memberLeft' : 'memberFailed', entry);
       this.passOn(entry, true, source, nowMs);
@@ -159,7 +161,7 @@
     source: RecordSource,
     nowMs: number,
   ): void {
-    if (source === 'gossip') {
+    if (source !== 'sync') {
       this.outbox.spread(entry, withIdentity, nowMs);
       return;
     }
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -104,6 +104,7 @@
   tick(nowMs: number): MembershipEffect[] {
     const gapMs = nowMs - this.lastTickMs;
     this.lastTickMs = nowMs;
+    this.probes.noteLag(gapMs - this.config.tickMs);
     if (gapMs > stallMs) {
       this.probes.forgetPending();
       this.states.postponeSuspicions(gapMs);
@@ -159,7 +160,7 @@
     const own = message.kind === 'sync' || message.kind === 'probe' ? message.identity : undefined;
     const identity = own ?? listed?.identity;
     const record = { ...message.from, ageMs: 0, ...(identity === undefined ? {} : { identity }) };
-    this.merge(record, 'gossip', message.from.hostId, nowMs);
+    this.merge(record, 'direct', message.from.hostId, nowMs);
   }
 
   private mergeRecords(message: MemberMessage, nowMs: number): void {
@@ -257,7 +258,7 @@
     if (message.kind === 'probeRequest') {
       this.probes.probeFor(sender, message.target, message.sequence, nowMs);
     }
-    if (message.kind === 'digest') this.compareDigests(sender, message.zones, nowMs);
+    if (message.kind === 'digest') this.compareDigests(sender, message, nowMs);
     if (message.kind === 'sync') this.replyToSync(sender, message.after, message.zones, nowMs);
     if (message.kind === 'syncReply' && message.continueAfter !== undefined) {
       this.probes.sendSync(sender, message.continueAfter, nowMs, message.zones);
@@ -266,11 +267,13 @@
 
   private compareDigests(
     sender: MemberEntry,
-    digests: Readonly<Record<string, number>>,
+    message: Extract<MemberMessage, { readonly kind: 'digest' }>,
     nowMs: number,
   ): void {
-    const zones = this.table.differingZones(digests).slice(0, maxSyncZones);
-    if (zones.length > 0) this.probes.sendSync(sender, '', nowMs, zones);
+    const zones = this.table.differingZones(message.zones).slice(0, maxSyncZones);
+    if (zones.length === 0) return;
+    this.probes.sendSync(sender, '', nowMs, zones);
+    if (!message.isAnswer) this.probes.sendDigest(sender, true, nowMs);
   }
 
   private replyToSync(
--- a/packages/core/src/membership/membershipLimits.ts
+++ b/packages/core/src/membership/membershipLimits.ts
@@ -18,6 +18,12 @@
 export const confirmMs = 500;
 /** Age from which a suspicion or failure heard of is checked by a probe and not adopted. */
 export const staleAccusationMs = 5000;
+/** Longest extension of the time for an answer while this process itself is late. */
+export const maxLagMs = 400;
+/** Share of a lag that is left after one tick. */
+export const lagDecay = 0.9;
+/** Seeds asked at once by a host that knows no other. */
+export const seedsAtOnce = 3;
 /** Interval between probes of a suspected host by the host that suspects it. */
 export const suspectProbeMs = 250;
 /** Interval between attempts to reach a failed host or a seed. */
--- a/packages/core/src/membership/membershipTypes.ts
+++ b/packages/core/src/membership/membershipTypes.ts
@@ -66,6 +66,8 @@
       readonly kind: 'digest';
       /** Digest of the hosts of each zone. */
       readonly zones: Readonly<Record<string, number>>;
+      /** Whether the message answers a digest that differed. */
+      readonly isAnswer: boolean;
     })
   | (MessageBase & {
       readonly kind: 'sync';
@@ -128,6 +130,8 @@
 
 /** Parameters of the machine. */
 export interface MembershipConfig {
+  /** Interval between ticks. */
+  readonly tickMs: number;
   readonly probeIntervalMs: number;
   /** Time for a direct answer; helpers get twice this time on top. */
   readonly directTimeoutMs: number;
--- a/packages/core/src/membership/recordMerge.ts
+++ b/packages/core/src/membership/recordMerge.ts
@@ -15,8 +15,8 @@
   /** The accusation is old: a probe from here decides. */
   | { readonly decision: 'verify' };
 
-/** How a record came. */
-export type RecordSource = 'gossip' | 'sync';
+/** How a record came: from its host, as news of another host, or in a full exchange. */
+export type RecordSource = 'direct' | 'gossip' | 'sync';
 
 const ignore: MergeDecision = { decision: 'ignore' };
 
--- a/packages/host/src/membership/membershipSchema.ts
+++ b/packages/host/src/membership/membershipSchema.ts
@@ -52,7 +52,11 @@
     target: idSchema,
   }),
   baseSchema.extend({ kind: z.literal('gossip') }),
-  baseSchema.extend({ kind: z.literal('digest'), zones: z.record(idSchema, z.number()) }),
+  baseSchema.extend({
+    kind: z.literal('digest'),
+    zones: z.record(idSchema, z.number()),
+    isAnswer: z.boolean(),
+  }),
   baseSchema.extend({
     kind: z.literal('sync'),
     identity: identitySchema,
--- a/packages/host/src/membership/membershipTask.ts
+++ b/packages/host/src/membership/membershipTask.ts
@@ -41,6 +41,7 @@
     { hostId, region, availabilityZone, roles, ...listen },
     incarnation,
     {
+      tickMs,
       probeIntervalMs: timing.probeIntervalMs,
       directTimeoutMs: timing.probeTimeoutMs / 2,
       suspicionMs: timing.suspicionMs,
--- a/packages/testkit/src/membership/virtualMembers.ts
+++ b/packages/testkit/src/membership/virtualMembers.ts
@@ -40,7 +40,12 @@
 
 const tickMs = 100;
 
-const defaultConfig = { probeIntervalMs: 500, directTimeoutMs: 200, suspicionMs: 1200 } as const;
+const defaultConfig = {
+  tickMs,
+  probeIntervalMs: 500,
+  directTimeoutMs: 200,
+  suspicionMs: 1200,
+} as const;
 
 /**
  * Identity of the member with an index; consecutive members share a zone.
