--- a/packages/core/src/pools/poolQueue.ts
+++ b/packages/core/src/pools/poolQueue.ts
@@ -6,6 +6,8 @@
 
 /** Time over which unused floor time and debts are kept. */
 const floorBurstMs = 500;
+/** Factor on the floors that makes up for calls that end late or are given up. */
+const floorMargin = 1.02;
 /** Time constant of the load averages. */
 const loadWindowMs = 400;
 
@@ -29,7 +31,7 @@
   ) {
     this.ranks = rules.ranks.map((rule) => ({
       queue: new RankQueue<Call>(),
-      floor: new SlotTimeBucket(rule.floorPermille / 1000, floorBurstMs, nowMs),
+      floor: new SlotTimeBucket((rule.floorPermille * floorMargin) / 1000, floorBurstMs, nowMs),
       dispatched: new DecayingRate(loadWindowMs),
     }));
   }
