fix(slots): keep the slot of a cancelled call until its backend server has heard of it

Change: the slot of a cancelled call is given back 20 ms later; the fake gives its slot back when the connection closes, as backend servers accept cancellation. A call may always wait for 30% of its target in place of 10%, so that a noisy estimate of service times does not close a rank.

--- a/packages/core/src/pools/pool.ts
+++ b/packages/core/src/pools/pool.ts
@@ -16,7 +16,7 @@
 /** Standard deviations up to which a service time counts as usual. */
 const usualDeviations = 2.3;
 /** Least part of its target that a call may always wait. */
-const minWaitShare = 0.1;
+const minWaitShare = 0.3;
 /** Largest part of its target that a call may be expected to wait. */
 const maxWaitShare = 0.85;
 
--- a/packages/host/src/slots/poolTask.ts
+++ b/packages/host/src/slots/poolTask.ts
@@ -20,6 +20,8 @@
 import { HomelessCalls } from './homelessCalls.js';
 import type { CallReach, KnownBackend, WaitingCall } from './slotsTypes.js';
 
+/** Time in which a backend server learns that a call is cancelled and its slot free. */
+const cancelSettleMs = 20;
 const minRetryAfterMs = 50;
 const maxRetryAfterMs = 30_000;
 
@@ -215,7 +217,10 @@
     const release = (outcome: CallOutcome) => {
       if (isReleased) return;
       isReleased = true;
-      this.release(effect.backend, effect.running, outcome);
+      const giveBack = () => this.release(effect.backend, effect.running, outcome);
+      const isCut = outcome.result === 'cancelled' || outcome.result === 'timedOut';
+      if (isCut && outcome.elapsedMs > 0) setTimeout(giveBack, cancelSettleMs);
+      else giveBack();
     };
     if (call.isSettled()) {
       release({ result: 'cancelled', elapsedMs: 0 });
--- a/packages/testkit/src/fakes/fakeBackend.ts
+++ b/packages/testkit/src/fakes/fakeBackend.ts
@@ -73,6 +73,17 @@
   return bodyBytes;
 }
 
+/** Sleeps, but not beyond the end of the connection: a cancelled call gives its slot back. */
+function sleepUnlessClosed(response: ServerResponse, timeMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(resolve, timeMs);
+    response.once('close', () => {
+      clearTimeout(timer);
+      resolve();
+    });
+  });
+}
+
 /**
  * Starts a fake backend server in this process.
  *
@@ -119,7 +130,7 @@
       const bodyBytes = await receiveBody(request);
       const workMs = options.meanMs === 0 ? 0 : serviceTimeMs(random);
       const lateMs = fault === 'isLate' ? behaviour.lateMs : 0;
-      if (workMs + lateMs > 0) await sleep(workMs + lateMs);
+      if (workMs + lateMs > 0) await sleepUnlessClosed(response, workMs + lateMs);
       if (response.destroyed) {
         counts.cancelled += 1;
         return;
