--- a/packages/testkit/src/bench/experiments.ts
+++ b/packages/testkit/src/bench/experiments.ts
@@ -8,6 +8,7 @@
   slotsExperiment,
 } from './load/latencyExperiment.js';
 import { policyExperiment } from './load/policyExperiment.js';
+import { controlExperiment } from './control/controlExperiment.js';
 import { lookup } from './lookup.js';
 import { onceExperiment } from './once/onceExperiment.js';
 import { shiftExperiment } from './shift/shiftExperiment.js';
@@ -22,6 +23,7 @@
   floodExperiment,
   drainExperiment,
   slotsExperiment,
+  controlExperiment,
   onceExperiment,
   shiftExperiment,
 ];
