fix(ledger): keep identities that began before the first movement of its clock

Ruled out: leader change (one leader in term 1), membership (no host failed), forwarding (the first run ended normally). Change: the first movement of the clock counts the retention of all records from that time. Measured: the new test in ledger.spec.ts fails before and passes after.

--- a/packages/core/src/ledger/ledger.spec.ts
+++ b/packages/core/src/ledger/ledger.spec.ts
@@ -140,3 +140,14 @@
   machine.apply(retire(1000 + 10 * defaultLedgerLimits.identityRetentionMs), 4);
   t.is(machine.apply(begin('y'), 5).reply, 'replay');
 });
+
+test('identities that began before the ledger knew the time are kept for their whole retention', (t) => {
+  const machine = createLedgerMachine();
+  const startMs = 1_796_000_000_000;
+  const times = { atMs: startMs, deadlineAtMs: startMs + 5000 };
+  t.is(machine.apply(begin('x', times), 1).reply, 'run');
+  t.like(machine.apply(retire(startMs + 10), 2), { reply: 'retired', identities: 0 });
+  t.is(machine.apply(begin('y', times), 3).reply, 'running');
+  t.is(machine.apply(finish('x', 'answered'), 4).reply, 'recorded');
+  t.is(machine.apply(begin('z', times), 5).reply, 'replay');
+});
--- a/packages/core/src/ledger/ledgerStore.ts
+++ b/packages/core/src/ledger/ledgerStore.ts
@@ -111,6 +111,7 @@
 
   /** Moves the clock forward, never back, by a bounded step. */
   advance(nowMs: number): void {
+    if (this.clockMs === 0) this.retainAllFrom(nowMs);
     const highestMs = this.clockMs === 0 ? nowMs : this.clockMs + this.limits.maxClockStepMs;
     this.clockMs = Math.max(this.clockMs, Math.min(nowMs, highestMs));
   }
@@ -169,6 +170,13 @@
     this.restoreAnswerOrder(snapshot.records);
   }
 
+  /** Counts the retention of the records that were opened before the clock was known. */
+  private retainAllFrom(nowMs: number): void {
+    for (const [id, record] of this.records) {
+      this.records.set(id, { ...record, retainFromMs: nowMs });
+    }
+  }
+
   private restoreAnswerOrder(records: readonly LedgerRecord[]): void {
     const kept = records.filter((record) => record.answer?.bodyBase64 !== undefined);
     kept.sort((left, right) => (left.answeredIndex ?? 0) - (right.answeredIndex ?? 0));
