--- a/packages/testkit/src/bench/experiments.ts
+++ b/packages/testkit/src/bench/experiments.ts
@@ -10,6 +10,9 @@
 import { policyExperiment } from './load/policyExperiment.js';
 import { controlExperiment } from './control/controlExperiment.js';
 import { lookup } from './lookup.js';
+import { membersExperiment } from './members/membersExperiment.js';
+import { recompileExperiment } from './members/recompileExperiment.js';
+import { spreadingExperiment } from './members/spreadingExperiment.js';
 import { onceExperiment } from './once/onceExperiment.js';
 import { shiftExperiment } from './shift/shiftExperiment.js';
 
@@ -26,4 +29,7 @@
   controlExperiment,
   onceExperiment,
   shiftExperiment,
+  recompileExperiment,
+  membersExperiment,
+  spreadingExperiment,
 ];
--- a/packages/testkit/src/membership/membershipSchedules.spec.ts
+++ b/packages/testkit/src/membership/membershipSchedules.spec.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 
-import { seededRandom } from './seededRandom.js';
+import { createSeededRandom as seededRandom } from '../fakes/seededRandom.js';
 import { VirtualMembers } from './virtualMembers.js';
 
 /** Bound on the time in which a failure is found. */
