feat(calls): bound the memory for bodies and the time in which a body arrives

Cause: each body was bounded, but not all together, and a body that dripped in was waited for beyond the time limit of its call. Change: limits.maxBufferedBytes over all calls (BL3002 beyond it); the deadline ends the wait for a body (BL3009, not run).

--- a/packages/host/src/announce/announceEndpoint.ts
+++ b/packages/host/src/announce/announceEndpoint.ts
@@ -17,6 +17,8 @@
 
 /** Largest body of an announcement. */
 const maxAnnouncementBytes = 16_384;
+/** Time in which an announcement must arrive. */
+const receiveTimeoutMs = 2000;
 
 const parseJson = Result.fromThrowable(
   (text: string): unknown => JSON.parse(text),
@@ -77,7 +79,7 @@
   const receive = async (request: IncomingMessage) => {
     const key = checkKey(request);
     if (key.isErr()) return err(key.error);
-    const body = await receiveBody(request, limits, true);
+    const body = await receiveBody(request, limits, true, AbortSignal.timeout(receiveTimeoutMs));
     return body
       .andThen((received) => {
         const bytes = received.form === 'whole' ? received.bytes : null;
--- a/packages/host/src/calls/callServer.ts
+++ b/packages/host/src/calls/callServer.ts
@@ -10,7 +10,10 @@
 import type { AcceptedCall } from './callTypes.js';
 import { identityOf, runOnce } from './onceWork.js';
 import { sendRefusal } from './refusal.js';
-import { receiveBody } from './requestBody.js';
+import { createBodyBudget } from './bodyBudget.js';
+import { bytesToKeep, receiveBody } from './requestBody.js';
+
+const bodiesFullRetryAfterMs = 500;
 
 /** Serves accepted calls to their end. */
 export interface CallServer {
@@ -43,9 +46,12 @@
   let inFlight = 0;
   const idleWaiters = new Set<() => void>();
 
-  const runAccepted = async (call: AcceptedCall, abort: CallAbort): Promise<ServedCall> => {
-    const identity = call.origin === 'caller' ? identityOf(call) : undefined;
-    const received = await receiveBody(call.request, limits, identity !== undefined);
+  const runWithBody = async (
+    call: AcceptedCall,
+    identity: string | undefined,
+    abort: CallAbort,
+  ): Promise<ServedCall> => {
+    const received = await receiveBody(call.request, limits, identity !== undefined, abort.signal);
     if (received.isErr()) return { failure: received.error };
     const body = received.value;
     const extraFields = [requestIdHeader, call.requestId];
@@ -57,6 +63,22 @@
     return runCall(call, body, sink, abort.signal);
   };
 
+  const bodies = createBodyBudget(limits.maxBufferedBytes);
+
+  const runAccepted = async (call: AcceptedCall, abort: CallAbort): Promise<ServedCall> => {
+    const identity = call.origin === 'caller' ? identityOf(call) : undefined;
+    const keptBytes = bytesToKeep(call.request, limits, identity !== undefined);
+    if (!bodies.take(keptBytes)) {
+      const more = { retryAfterMs: bodiesFullRetryAfterMs };
+      return { failure: failure('BL3002', 'the host holds too many bodies', more) };
+    }
+    try {
+      return await runWithBody(call, identity, abort);
+    } finally {
+      bodies.giveBack(keptBytes);
+    }
+  };
+
   const recordEnd = (call: AcceptedCall, served: ServedCall) => {
     const { service, kind, rank } = call.callClass;
     const labels = { service, kind: kind.id, rank: String(rank) };
--- a/packages/host/src/calls/requestBody.ts
+++ b/packages/host/src/calls/requestBody.ts
@@ -45,6 +45,7 @@
     private readonly request: IncomingMessage,
     private readonly keepBytes: number,
     private readonly limits: BodyLimits,
+    private readonly signal: AbortSignal,
     private readonly done: (received: Received) => void,
   ) {
     this.idleTimer = setTimeout(
@@ -58,6 +59,7 @@
     this.request.on('data', this.onData);
     this.request.once('end', this.onEnd);
     this.request.once('close', this.onClose);
+    this.signal.addEventListener('abort', this.onAbort);
   }
 
   private readonly onData = (chunk: Buffer): void => {
@@ -81,16 +83,36 @@
     this.finish(err(failure('BL3017', 'the caller hung up inside the body')));
   };
 
+  private readonly onAbort = (): void => {
+    this.finish(err(failure('BL3009', 'the body took longer than the call may')));
+  };
+
   private finish(received: Received): void {
     clearTimeout(this.idleTimer);
     this.request.off('data', this.onData);
     this.request.off('end', this.onEnd);
     this.request.off('close', this.onClose);
+    this.signal.removeEventListener('abort', this.onAbort);
     this.request.pause();
     this.done(received);
   }
 }
 
+/**
+ * Finds how much memory the kept part of a body may take.
+ *
+ * @param request - request whose head has arrived
+ * @param limits - bounds of the body
+ * @param whole - whether the body must be kept whole up to its largest size
+ */
+export function bytesToKeep(request: IncomingMessage, limits: BodyLimits, whole: boolean): number {
+  if (!hasBody(request)) return 0;
+  const keepBytes = whole ? limits.maxBodyBytes : limits.replayBodyBytes;
+  const lengthBytes = statedLength(request);
+  if (lengthBytes === undefined) return keepBytes;
+  return lengthBytes > keepBytes ? 0 : lengthBytes;
+}
+
 /**
  * Receives the body of a call. A body up to `replayBodyBytes` is kept whole, so that it can be sent
  * again; a larger one is streamed once.
@@ -98,12 +120,14 @@
  * @param request - request whose head has arrived
  * @param limits - bounds of the body
  * @param whole - whether the body must be kept whole up to its largest size
+ * @param signal - aborted when the body is no longer waited for
  * @returns the body; BL3007 too large, BL3009 too slow, BL3017 broken off
  */
 export function receiveBody(
   request: IncomingMessage,
   limits: BodyLimits,
   whole: boolean,
+  signal: AbortSignal,
 ): Promise<Received> | Received {
   if (!hasBody(request)) return ok({ form: 'whole', bytes: null });
   const lengthBytes = statedLength(request);
@@ -113,6 +137,6 @@
     return ok({ form: 'stream', open: () => new BodyGuard(request, limits) });
   }
   return new Promise((resolve) => {
-    new BodyReader(request, keepBytes, limits, resolve).start();
+    new BodyReader(request, keepBytes, limits, signal, resolve).start();
   });
 }
--- a/packages/protocol/src/settings/settingsSchema.ts
+++ b/packages/protocol/src/settings/settingsSchema.ts
@@ -35,6 +35,11 @@
   idleBodyTimeoutMs: z.number().positive().default(5000).describe('Longest pause inside a body.'),
   maxQueuedCalls: z.int().min(1).default(4096).describe('Calls that wait on one host.'),
   replayBodyBytes: z.int().min(0).default(65_536).describe('Largest body kept for a retry.'),
+  maxBufferedBytes: z
+    .int()
+    .min(1)
+    .default(134_217_728)
+    .describe('Memory for bodies that are kept whole.'),
   maxTimelineEvents: z.int().min(16).default(20_000).describe('Events kept in memory.'),
 });
 
