--- a/packages/host/src/rpc/appRouter.ts
+++ b/packages/host/src/rpc/appRouter.ts
@@ -8,18 +8,22 @@
 import { lateHandlers } from './lateHandlers.js';
 import { createMetricsRouter, type MetricsHandlers } from '../metrics/metricsRouter.js';
 import { createSlotsRouter, type SlotsHandlers } from '../slots/slotsRouter.js';
+import { createShiftRouter, type ShiftHandlers } from '../shifts/shiftRouter.js';
 import { createTimelineRouter, type TimelineHandlers } from '../timeline/timelineRouter.js';
+import { createDocumentsRouter, type DocumentsHandlers } from '../documents/documentsRouter.js';
 import { createMembershipRouter, type MembershipHandlers } from '../membership/membershipRouter.js';
 import { createPingRouter, type PingHandlers } from './pingRouter.js';
 
 /** Handlers of all procedures between hosts; each feature sets its own when it starts. */
 export interface RpcHandlers {
+  documents: DocumentsHandlers;
   consensus: ConsensusHandlers;
   membership: MembershipHandlers;
   metrics: MetricsHandlers;
   ping: PingHandlers;
   slots: SlotsHandlers;
   submissions: SubmissionsHandlers;
+  shifts: ShiftHandlers;
   timeline: TimelineHandlers;
 }
 
@@ -30,11 +34,13 @@
  */
 export function createAppRouter(handlers: Partial<RpcHandlers>) {
   return rpcRouter({
+    documents: createDocumentsRouter(lateHandlers(() => handlers.documents)),
     consensus: createConsensusRouter(lateHandlers(() => handlers.consensus)),
     membership: createMembershipRouter(lateHandlers(() => handlers.membership)),
     metrics: createMetricsRouter(lateHandlers(() => handlers.metrics)),
     slots: createSlotsRouter(lateHandlers(() => handlers.slots)),
     submissions: createSubmissionsRouter(lateHandlers(() => handlers.submissions)),
+    shifts: createShiftRouter(lateHandlers(() => handlers.shifts)),
     timeline: createTimelineRouter(lateHandlers(() => handlers.timeline)),
     ping: createPingRouter(lateHandlers(() => handlers.ping)),
   });
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -13,6 +13,9 @@
 import type { Result, ResultAsync } from 'neverthrow';
 
 import type { RegisterRoutes } from '../admin/adminListener.js';
+import type { ControlStateSource } from '../documents/controlState.js';
+import type { ShiftStepHolder } from '../documents/shiftStepHolder.js';
+import type { MembershipTask } from '../membership/membershipTask.js';
 import type { OpenGroup } from '../consensus/groups.js';
 import type { RpcHandlers } from '../rpc/appRouter.js';
 import type { ForwardedCallHandler } from '../rpc/internalListener.js';
@@ -54,6 +57,10 @@
 /** The parts that features provide, each by its owner while it starts. */
 export interface ProvidedParts {
   membership: MembershipView;
+  /** Relays and reports of the membership; absent until its feature has started. */
+  membershipTask: MembershipTask | undefined;
+  /** Committed state of the control group, on its members only; set before `documents` starts. */
+  controlState: ControlStateSource | undefined;
   /** Opens a replicated group of the settings, on members and other hosts alike. */
   openGroup: OpenGroup;
   /** The control group; undefined where the settings name none. */
@@ -78,6 +85,8 @@
   /** Sets the parts that a feature owns. */
   readonly provide: (owned: Partial<ProvidedParts>) => void;
   readonly document: DocumentHolder;
+  /** Steps of shifts that this host has learned of. */
+  readonly shiftSteps: ShiftStepHolder;
   /** The document in force, compiled. */
   readonly table: TableHolder;
   readonly peers: PeerClients;
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -2,6 +2,7 @@
 import { failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, errAsync } from 'neverthrow';
 
+import { createShiftStepHolder } from '../documents/shiftStepHolder.js';
 import { createPeerClients } from '../rpc/peerClients.js';
 import { createRequestAuth } from '../rpc/requestAuth.js';
 import { createDocumentHolder } from './documentHolder.js';
@@ -29,6 +30,9 @@
     document: documents,
     table: createTableHolder(documents),
     membership: createStaticMembership(settings, incarnation),
+    membershipTask: undefined,
+    controlState: undefined,
+    shiftSteps: createShiftStepHolder(),
     peers: createPeerClients({
       settings,
       auth,
--- a/packages/testkit/src/bench/load/poolSimulation.ts
+++ b/packages/testkit/src/bench/load/poolSimulation.ts
@@ -3,12 +3,7 @@
 import { BackendSlots } from '@buckthornlug/core/slots/backendSlots.js';
 import { defaultOutlierLimits } from '@buckthornlug/core/slots/outliers.js';
 
-import {
-  drawInterarrivalMs,
-  drawLogNormal,
-  fakeServiceTimes,
-  seededRandom,
-} from './distributions.js';
+import { createLogNormal, createSeededRandom, exponential } from '../../fakes/seededRandom.js';
 
 /** One pool on a virtual clock, fed by Poisson arrivals; it serves to compare policies. */
 
@@ -41,6 +36,8 @@
   readonly ceiling: number;
   readonly waitsMs: readonly number[];
   readonly slotMs: number;
+  /** Slot time of all calls that were offered. */
+  readonly offeredSlotMs: number;
 }
 
 interface SimulatedCall extends PoolCall {
@@ -64,9 +61,12 @@
   ceiling: number;
   waitsMs: number[];
   slotMs: number;
+  offeredSlotMs: number;
 }
 
 const meanServiceMs = 40;
+const p99OfMean = 5;
+const drawServiceMs = createLogNormal(meanServiceMs, p99OfMean);
 const hostId = 'host-1';
 const endlessLeaseMs = 1e12;
 
@@ -111,7 +111,7 @@
   private calls = 0;
 
   constructor(private readonly plan: SimulationPlan) {
-    this.random = seededRandom(plan.seed);
+    this.random = createSeededRandom(plan.seed);
     this.pool = new Pool<SimulatedCall>(plan.rules, 0);
     for (const backend of createBackends(plan)) this.pool.add(backend);
     this.tallies = plan.rules.ranks.map(() => ({
@@ -122,6 +122,7 @@
       ceiling: 0,
       waitsMs: [],
       slotMs: 0,
+      offeredSlotMs: 0,
     }));
     this.nextArrivalMs = plan.loads.map((load) => this.interarrivalMs(load));
   }
@@ -183,11 +184,12 @@
       targetAtMs: this.nowMs + targetMs,
       deadlineAtMs: this.nowMs + 3 * targetMs,
       excluded: [],
-      serviceMs: drawLogNormal(fakeServiceTimes, this.random),
+      serviceMs: drawServiceMs(this.random),
     };
     const tally = this.tallyOf(call);
     if (tally !== undefined) {
       tally.offered += 1;
+      tally.offeredSlotMs += call.serviceMs;
       if (call.serviceMs <= targetMs) tally.ceiling += 1;
     }
     const offer = this.pool.offer(call, this.nowMs);
@@ -231,7 +233,7 @@
 
   private interarrivalMs(load: RankLoad): number {
     const slots = this.plan.backends * this.plan.slotsPerBackend;
-    const callsPerS = (slots / meanServiceMs) * 1000 * load.load;
-    return drawInterarrivalMs(callsPerS, this.random);
+    const callsPerMs = (slots / meanServiceMs) * load.load;
+    return exponential(this.random, 1 / callsPerMs);
   }
 }
