fix(rpc): take forwarded calls whose head just fits the limit of callers

Cause: the fields that a forwarding host adds could push a head beyond the listener's limit; the caller then got a bare 431 in place of its answer. Change: the listener for other hosts leaves room for the added fields. Conclusion: npx ava packages/testkit/src/calls/calls.spec.ts, 19 passed.

--- a/packages/host/src/rpc/internalListener.ts
+++ b/packages/host/src/rpc/internalListener.ts
@@ -14,6 +14,8 @@
 import type { TimelineRecorder } from '../timeline/timelineRecorder.js';
 
 const rpcPrefix = '/rpc/';
+/** Room for the header fields that a forwarding host adds to the head of a call. */
+const addedHeadBytes = 8192;
 const keepAliveTimeoutMs = 60_000;
 
 /** Takes a call that another host forwarded. */
@@ -30,6 +32,8 @@
   /** Told of each request without a valid key. */
   readonly onKeyRefused: (refusal: Failure) => void;
   readonly timeline: Pick<TimelineRecorder, 'readClock' | 'observeClock'>;
+  /** Largest head of a call that is forwarded. */
+  readonly maxHeadBytes: number;
   /** Handler of forwarded calls at the moment of the request. */
   readonly forwardedCalls: () => ForwardedCallHandler;
 }
@@ -93,7 +97,8 @@
  * @param parts - router, authentication and handler of forwarded calls
  */
 export function createInternalServer(parts: InternalListenerParts): Server {
-  const server = createServer((request, response) => {
+  const maxHeaderSize = parts.maxHeadBytes + addedHeadBytes;
+  const server = createServer({ maxHeaderSize }, (request, response) => {
     if (!request.url?.startsWith(rpcPrefix)) {
       answerForwardedCall(parts, request, response);
       return;
--- a/packages/host/src/runtime/hostRuntime.ts
+++ b/packages/host/src/runtime/hostRuntime.ts
@@ -137,6 +137,7 @@
       context.record({ kind: 'keyRefused', code, detail: { problem: detail } });
       context.log.warn('keyRefused', { code, detail });
     },
+    maxHeadBytes: settings.limits.maxHeadBytes,
     forwardedCalls: () => parts.forwardedCalls,
     timeline: context.timeline,
   });
--- a/packages/testkit/src/calls/calls.spec.ts
+++ b/packages/testkit/src/calls/calls.spec.ts
@@ -6,6 +6,7 @@
 import { startCallFleet, until, type TestCall } from './callFleet.js';
 
 const timeLimitMs = 600;
+const longFieldBytes = 15_900;
 const fleet = await startCallFleet({
   hosts: [
     { hostId: 'a1', region: 'lagos', availabilityZone: 'lagos-a' },
@@ -125,6 +126,14 @@
   }
 }
 
+test.serial('a call whose head just fits is forwarded to another host', async (t) => {
+  behave({});
+  const headers = { 'x-long': 'x'.repeat(longFieldBytes) };
+  const reply = await fleet.call(1, '/catalogue/poles', { headers });
+  t.is(reply.result, 'answered');
+  t.is(reply.status, 200);
+});
+
 test.serial('a call refused by each backend server is proved not run', async (t) => {
   behave({ shedsAll: true });
   const reply = await fleet.call(0, '/stock', { method: 'PUT', body: 'x' });
