--- a/packages/core/src/pools/pool.ts
+++ b/packages/core/src/pools/pool.ts
@@ -241,16 +241,6 @@
     if (outcome.result === 'answered') this.times.note(running.kind, outcome.elapsedMs);
   }
 
-  /** Takes a free slot for a call that does not queue, such as a hedge. */
-  takeIdle(call: Call, nowMs: number): PoolEffect<Call, BackendSlots> | undefined {
-    if (this.queue.waitingCalls > 0) return undefined;
-    const backend = this.pickBackend(call, nowMs);
-    if (backend === undefined) return undefined;
-    const costMs = this.times.meanMs(call.kind);
-    const entry: QueuedCall<Call> = { call, enqueuedAtMs: nowMs, costMs, waiting: true };
-    return this.dispatch(entry, backend, this.usableSlots(nowMs), nowMs);
-  }
-
   /** Estimates when the first lease gives slots, while none does. */
   private expectedStartMs(nowMs: number): number {
     let soonestMs = Number.POSITIVE_INFINITY;
