--- a/packages/testkit/src/slots/slots.spec.ts
+++ b/packages/testkit/src/slots/slots.spec.ts
@@ -134,3 +134,28 @@
   t.true(backends[0]!.counts().received - before <= 1, 'at most one probe');
   backends[0]!.behave({ answerFault: 'none' });
 });
+
+test.serial('a planned stop of a pool owner hands its slots over without overload', async (t) => {
+  await untilAnswered(0);
+  const ownerId = fleet.hosts[0]!.parts.poolOwner('lagos-a', testService);
+  const owner = ownerId === 'a1' ? 0 : 1;
+  const other = 1 - owner;
+  const shedBefore = backends.map((backend) => backend.counts().shed);
+  let isStopped = false;
+  const stopped = fleet.hosts[owner]!.stop().then(() => {
+    isStopped = true;
+  });
+  const results: Record<string, number> = {};
+  while (!isStopped) {
+    const result = await fleet.call(other);
+    results[result] = (results[result] ?? 0) + 1;
+  }
+  await stopped;
+  await untilAnswered(other);
+  t.is(fleet.hosts[other]!.parts.poolOwner('lagos-a', testService), other === 0 ? 'a1' : 'a2');
+  t.deepEqual(
+    backends.map((backend) => backend.counts().shed),
+    shedBefore,
+  );
+  t.deepEqual(Object.keys(results), ['answered'], JSON.stringify(results));
+});
