--- a/ava.config.js
+++ b/ava.config.js
@@ -12,5 +12,6 @@
   },
   nodeArguments: ['--enable-source-maps'],
   workerThreads: false,
+  concurrency: 4,
   timeout: '3m',
 };
--- /dev/null
+++ b/packages/protocol/src/settings/settings.spec.ts
@@ -0,0 +1,47 @@
+import test from 'ava';
+
+import { checkSettings } from './settings.js';
+
+function sample(): Record<string, unknown> {
+  return {
+    hostId: 'north-1',
+    region: 'north',
+    availabilityZone: 'north-a',
+    roles: ['entry'],
+    listen: {
+      callers: { address: '127.0.0.1', port: 7001 },
+      internal: { address: '127.0.0.1', port: 7002 },
+      admin: { address: '127.0.0.1', port: 7003 },
+    },
+    clusterKeys: [{ id: 'cluster-1', secret: '0123456789abcdef' }],
+    announceKeys: [{ id: 'announce-1', secret: '0123456789abcdef' }],
+  };
+}
+
+/** Each row: change of the settings, and the path of the fault. */
+const faults: readonly (readonly [Record<string, unknown>, string])[] = [
+  [{ hostId: 'North 1' }, 'hostId'],
+  [{ roles: [] }, 'roles'],
+  [{ roles: ['control'] }, 'dataFolder'],
+  [{ clusterKeys: [{ id: 'cluster-1', secret: 'short' }] }, 'clusterKeys/0/secret'],
+  [{ groups: [{ id: 'control', members: ['elsewhere'] }] }, 'groups/0/members/0'],
+  [{ timing: { heartbeatMs: 0 } }, 'timing/heartbeatMs'],
+  [{ listen: { callers: { address: 'localhost', port: 7001 } } }, 'listen/callers/address'],
+];
+
+for (const [change, path] of faults) {
+  test(`settings with ${JSON.stringify(change)} are refused at ${path}`, (t) => {
+    const checked = checkSettings({ ...sample(), ...change });
+    t.true(checked.isErr());
+    if (checked.isOk()) return;
+    t.is(checked.error.code, 'BL1003');
+    t.true(checked.error.faults?.some((fault) => fault.path === path));
+  });
+}
+
+test('settings get their defaults', (t) => {
+  const settings = checkSettings(sample())._unsafeUnwrap();
+  t.is(settings.timing.heartbeatMs, 150);
+  t.is(settings.logLevel, 'info');
+  t.deepEqual(settings.peers, []);
+});
