--- /dev/null
+++ b/packages/host/src/consensus/consensusOptions.ts
@@ -0,0 +1,20 @@
+import type { ConsensusOptions } from '@buckthornlug/core/consensus/consensusTypes.js';
+
+/**
+ * Sizes and timing of every group of a host.
+ *
+ * @param electionTimeoutMs - shortest election timeout
+ * @param heartbeatMs - heartbeat interval of a leader
+ */
+export function consensusOptions(electionTimeoutMs: number, heartbeatMs: number): ConsensusOptions {
+  return {
+    electionTimeoutMs,
+    heartbeatMs,
+    maxAppendBytes: 512 * 1024,
+    maxAppendEntries: 512,
+    maxInFlightEntries: 4096,
+    snapshotChunkBytes: 512 * 1024,
+    retainedEntries: 256,
+    maxUncommittedEntries: 16_384,
+  };
+}
--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -2,7 +2,6 @@
   ConsensusEffect,
   ConsensusInput,
   ConsensusMessage,
-  ConsensusOptions,
   LogEntry,
   PersistEffect,
   Proposal,
@@ -16,10 +15,12 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 
 import { decodeBinary, encodeBinary } from './binaryCodec.js';
+import { consensusOptions } from './consensusOptions.js';
 import type { GroupDescription, ReplicaStatus } from './consensusSchema.js';
 import type { GroupTask, GroupTaskParts, ProposalResult } from './groupTaskTypes.js';
 import { createMessageOutbox } from './messageOutbox.js';
 import { PendingReplies } from './pendingReplies.js';
+import { SnapshotPolicy } from './snapshotPolicy.js';
 
 /** The task of one replica: carries out the effects of its step machine. */
 
@@ -27,25 +28,6 @@
 const storageRetryMs = 5000;
 const barrierRetryMs = 20;
 const handOverPollMs = 10;
-/** A snapshot is taken when the log since the last one is as large as it, and at least this. */
-const snapshotEveryBytes = 64 * 1024;
-/** A small state is saved after so many entries at the latest, so that a start replays few. */
-const snapshotEveryEntries = 256;
-const smallSnapshotBytes = 4 * 1024 * 1024;
-
-function consensusOptions(electionTimeoutMs: number, heartbeatMs: number): ConsensusOptions {
-  return {
-    electionTimeoutMs,
-    heartbeatMs,
-    maxAppendBytes: 512 * 1024,
-    maxAppendEntries: 512,
-    maxInFlightEntries: 4096,
-    snapshotChunkBytes: 512 * 1024,
-    retainedEntries: 256,
-    maxUncommittedEntries: 16_384,
-  };
-}
-
 /** State, queues and timers of one replica. */
 class ReplicaTask<Command, Reply> {
   readonly replicaId: string;
@@ -76,11 +58,7 @@
 
   private appliedIndex = 0;
 
-  private logBytes = 0;
-
-  private snapshotBytes = 0;
-
-  private snapshotIndex = 0;
+  private readonly snapshots = new SnapshotPolicy();
 
   private nextReadId = 1;
 
@@ -162,9 +140,7 @@
 
   private restoreMachine(snapshot: Snapshot): void {
     this.appliedIndex = snapshot.index;
-    this.snapshotIndex = snapshot.index;
-    this.snapshotBytes = snapshot.data.byteLength;
-    this.logBytes = 0;
+    this.snapshots.noteSnapshot(snapshot.data.byteLength);
     if (snapshot.data.byteLength > 0) this.parts.machine.restore(decodeBinary(snapshot.data));
   }
 
@@ -173,7 +149,7 @@
       let reply: Reply | undefined;
       if (body.kind === 'command') {
         reply = this.parts.machine.apply(decodeBinary(body.data) as Command, index);
-        this.logBytes += body.data.byteLength;
+        this.snapshots.noteApplied(body.data.byteLength);
       }
       this.appliedIndex = index;
       this.pending.applied(index, term, reply as Reply);
@@ -186,18 +162,10 @@
     for (const listener of this.listeners) listener(this.appliedIndex);
   }
 
-  private isSnapshotDue(): boolean {
-    const entries = this.appliedIndex - this.snapshotIndex;
-    if (this.snapshotBytes <= smallSnapshotBytes && entries >= snapshotEveryEntries) return true;
-    return this.logBytes >= Math.max(snapshotEveryBytes, this.snapshotBytes);
-  }
-
   private snapshotIfDue(): void {
-    if (!this.isSnapshotDue()) return;
+    if (!this.snapshots.isDue()) return;
     const data = encodeBinary(this.parts.machine.snapshot());
-    this.snapshotBytes = data.byteLength;
-    this.snapshotIndex = this.appliedIndex;
-    this.logBytes = 0;
+    this.snapshots.noteSnapshot(data.byteLength);
     this.take({ kind: 'compact', index: this.appliedIndex, data });
   }
 
