feat(demo): keep the deployment running for a newcomer to look round

Cause: the README asks a newcomer to drain a region by hand. Measured: started, printed, interrupted after 12 s, all processes ended.

--- a/packages/testkit/src/demo/demoMain.ts
+++ b/packages/testkit/src/demo/demoMain.ts
@@ -164,6 +164,10 @@
     await waitForAnswers(caller);
     title('A caller asks which hosts to use');
     await showLookup(caller);
+    if (isKept) {
+      await keepRunning(fleet);
+      return;
+    }
     title('Calls of each kind');
     await showKinds(fleet, caller);
     title('A planned stop of the first host, under calls');
@@ -175,6 +179,17 @@
   }
 }
 
+/** Leaves the deployment running, with callers that go on, until the process is interrupted. */
+async function keepRunning(fleet: DemoFleet): Promise<void> {
+  title('Running until Ctrl-C');
+  say(`   export BUCKTHORNLUG_ADMIN=${adminAddresses(fleet).join(',')}`);
+  await new Promise<void>((resolve) => {
+    process.once('SIGINT', () => resolve());
+    process.once('SIGTERM', () => resolve());
+  });
+}
+
+const isKept = process.argv.includes('--keep');
 const workFolder = await mkdtemp(`${tmpdir()}/buckthornlug-demo-`);
 title('Starting six hosts in three zones');
 const fleet = await startDemoHosts(workFolder);
