--- a/packages/host/src/ledger/ledgerTask.ts
+++ b/packages/host/src/ledger/ledgerTask.ts
@@ -123,7 +123,10 @@
       );
       if (reply.isOk()) {
         const decision = decisionOf(reply.value, intentId, group.groupId);
-        if (decision !== undefined) return decision;
+        if (decision !== undefined) {
+          if (mayExist && decision.decision !== 'run') this.cancelInBackground(intent);
+          return decision;
+        }
         isWaiting = true;
         await this.loseHolder(group, reply.value);
       } else {
@@ -159,8 +162,8 @@
 
   /** Cancels an intent that may have been recorded; tells whether that is proved. */
   private async cancel(intent: OpenIntent): Promise<boolean> {
-    const { group, intentId } = intent;
-    const command: LedgerCommand = { type: 'cancel', intentId, beganAtMs: this.wallMs() };
+    const { group } = intent;
+    const command = this.cancelCommand(intent);
     const leftMs = Math.max(minEndMs, intent.deadlineAtMs - this.nowMs());
     const reply = await this.submitUntil(group, command, this.nowMs() + leftMs);
     if (reply.isOk()) return reply.value.reply === 'cancelled';
@@ -168,6 +171,15 @@
     return false;
   }
 
+  /** Frees the identity of an intent that another host had declared unknown before its dispatch. */
+  private cancelInBackground(intent: OpenIntent): void {
+    this.inBackground(intent.group, this.cancelCommand(intent), () => undefined);
+  }
+
+  private cancelCommand({ intentId }: OpenIntent): LedgerCommand {
+    return { type: 'cancel', intentId, beganAtMs: this.wallMs() };
+  }
+
   private async tryFinish(
     intentId: string,
     outcome: LedgerOutcome,
