test(shifts): read the clock before and after each admission

Cause: the test read the clock only after an admission, so a delay of its own between the two made two admissions look closer than 1000 ms; it failed once in three runs beside other files. Change: the reading before the first and after the last of 21 admissions must lie more than 1000 ms apart (999 ms before), which the limit guarantees.

--- a/packages/testkit/src/shifts/shiftHosts.spec.ts
+++ b/packages/testkit/src/shifts/shiftHosts.spec.ts
@@ -84,17 +84,19 @@
   const owner = fleet.hosts[2]!.parts.poolOwner('abuja-a', testService);
   const host = fleet.hosts.find((each) => each.context.settings.hostId === owner);
   const { shifts } = (host ?? fleet.hosts[2]!).parts;
-  const admitted: number[] = [];
+  const admitted: { beforeMs: number; afterMs: number }[] = [];
   await until(() => {
     for (let call = 0; call < 30; call += 1) {
+      const beforeMs = performance.now();
       const refusal = shifts.admitShifted(testService, 'lagos');
-      if (refusal === undefined) admitted.push(performance.now());
+      const afterMs = performance.now();
+      if (refusal === undefined) admitted.push({ beforeMs, afterMs });
       else t.is(refusal.code, 'BL8001');
     }
     return admitted.length >= 50;
   }, 15_000);
-  for (const [index, atMs] of admitted.entries()) {
+  for (const [index, { beforeMs }] of admitted.entries()) {
     const next = admitted[index + 20];
-    if (next !== undefined) t.true(next - atMs > 999);
+    if (next !== undefined) t.true(next.afterMs - beforeMs > 1000);
   }
 });
