--- a/packages/testkit/src/demo/demoMain.ts
+++ b/packages/testkit/src/demo/demoMain.ts
@@ -147,6 +147,17 @@
   say(indent(timeline.output));
 }
 
+/** Leaves the deployment running, with callers that go on, until the process is interrupted. */
+async function keepRunning(fleet: DemoFleet): Promise<void> {
+  title('Running until Ctrl-C');
+  say(`   export BUCKTHORNLUG_ADMIN=${adminAddresses(fleet).join(',')}`);
+  await new Promise<void>((resolve) => {
+    process.once('SIGINT', () => resolve());
+    process.once('SIGTERM', () => resolve());
+  });
+}
+
+const isKept = process.argv.includes('--keep');
 async function runDemo(fleet: DemoFleet, workFolder: string): Promise<void> {
   title(`Submitting ${demoDocumentPath}`);
   await submitDocument(fleet, workFolder);
@@ -179,17 +190,6 @@
   }
 }
 
-/** Leaves the deployment running, with callers that go on, until the process is interrupted. */
-async function keepRunning(fleet: DemoFleet): Promise<void> {
-  title('Running until Ctrl-C');
-  say(`   export BUCKTHORNLUG_ADMIN=${adminAddresses(fleet).join(',')}`);
-  await new Promise<void>((resolve) => {
-    process.once('SIGINT', () => resolve());
-    process.once('SIGTERM', () => resolve());
-  });
-}
-
-const isKept = process.argv.includes('--keep');
 const workFolder = await mkdtemp(`${tmpdir()}/buckthornlug-demo-`);
 title('Starting six hosts in three zones');
 const fleet = await startDemoHosts(workFolder);
