--- a/packages/core/src/credits/creditDemand.ts
+++ b/packages/core/src/credits/creditDemand.ts
@@ -15,7 +15,7 @@
   /** Calls that wait for a slot at home. */
   readonly waitingCalls: number;
   /** Calls that can only be answered elsewhere. */
-  readonly homelessCalls: number;
+  readonly callsWithoutSlot: number;
   /** Expected wait of a new call at home. */
   readonly expectedWaitMs: number;
   /** Credits held or asked for. */
@@ -45,7 +45,7 @@
   const untilCreditMs = roundTripMs + answers.expectedWaitMs;
   if (untilCreditMs > pressure.longestWaitMs) return 0;
   const gainMs = pressure.expectedWaitMs - untilCreditMs - roundTripMs;
-  let want = pressure.homelessCalls;
+  let want = pressure.callsWithoutSlot;
   if (gainMs > minGainMs && Number.isFinite(gainMs)) {
     want += Math.ceil(pressure.waitingCalls * (gainMs / pressure.expectedWaitMs));
   }
--- a/packages/core/src/credits/credits.spec.ts
+++ b/packages/core/src/credits/credits.spec.ts
@@ -3,7 +3,7 @@
 
 import { CreditDemand, type RankPressure } from './creditDemand.js';
 import { CreditIssuer, type PoolReserve } from './creditIssuer.js';
-import { CreditPurse } from './creditPurse.js';
+import { HeldCredits } from './heldCredits.js';
 import { LinkBudget } from './linkBudget.js';
 import { listRemoteZones } from './remoteZones.js';
 
@@ -75,8 +75,8 @@
   t.notThrows(() => fc.assert(property, { seed: 4 }));
 });
 
-test('a purse gives each credit once, for its rank, and in time', (t) => {
-  const purse = new CreditPurse();
+test('held credits are used once each, for their rank, and in time', (t) => {
+  const heldCredits = new HeldCredits();
   const credit = (creditId: string, rank: number, useBeforeMs: number) => ({
     creditId,
     hostId: `host-${creditId}`,
@@ -84,9 +84,9 @@
     rank,
     useBeforeMs,
   });
-  purse.add([credit('a', 0, 100), credit('b', 0, 200), credit('c', 1, 200)]);
+  heldCredits.add([credit('a', 0, 100), credit('b', 0, 200), credit('c', 1, 200)]);
   const take = (rank: number, nowMs: number, excluded = '') =>
-    purse.take(rank, nowMs, (hostId) => hostId === excluded)?.creditId;
+    heldCredits.take(rank, nowMs, (hostId) => hostId === excluded)?.creditId;
   t.deepEqual(
     [take(0, 100), take(0, 100), take(1, 150, 'host-c'), take(1, 150)],
     ['b', undefined, undefined, 'c'],
@@ -145,7 +145,7 @@
 const pressure: RankPressure = {
   rank: 0,
   waitingCalls: 10,
-  homelessCalls: 0,
+  callsWithoutSlot: 0,
   expectedWaitMs: 40,
   creditsAtHand: 0,
   longestWaitMs: 200,
@@ -160,7 +160,7 @@
   { title: 'a pool under pressure asks its own region', pressure: {}, asked: [['lagos-b', 7]] },
   {
     title: 'a call without a place at home asks too',
-    pressure: { waitingCalls: 0, expectedWaitMs: 0, homelessCalls: 2 },
+    pressure: { waitingCalls: 0, expectedWaitMs: 0, callsWithoutSlot: 2 },
     asked: [['lagos-b', 2]],
   },
   { title: 'credits at hand lower the demand', pressure: { creditsAtHand: 7 }, asked: [] },
@@ -185,10 +185,10 @@
 test('a zone that grants nothing is asked less and less often, and the next one instead', (t) => {
   const demand = new CreditDemand();
   const zones = listRemoteZones(network, 'lagos', 'lagos-a', () => true);
-  const homeless = { ...pressure, homelessCalls: 5 };
+  const withoutSlot = { ...pressure, callsWithoutSlot: 5 };
   const asked: string[] = [];
   for (let nowMs = 0; nowMs < 500; nowMs += 5) {
-    for (const ask of demand.next([homeless], zones, nowMs)) {
+    for (const ask of demand.next([withoutSlot], zones, nowMs)) {
       asked.push(`${nowMs} ${ask.zone.availabilityZone}`);
       demand.noteAnswer(ask, 0, 0, nowMs);
     }
--- a/packages/core/src/credits/creditPurse.ts
+++ b/packages/core/src/credits/heldCredits.ts
@@ -9,7 +9,7 @@
 }
 
 /** Credits held by a pool owner, by rank. */
-export class CreditPurse {
+export class HeldCredits {
   private held: HeldCredit[] = [];
 
   /** Adds credits. */
--- a/packages/host/src/slots/homelessCalls.ts
+++ b/packages/host/src/slots/creditQueue.ts
@@ -5,15 +5,15 @@
 /** Calls that may wait for credits at the same time. */
 const maxCalls = 256;
 
-interface HomelessEntry {
+interface CreditQueueEntry {
   readonly call: WaitingCall;
   readonly untilMs: number;
   readonly refusal: Failure;
 }
 
 /** Calls that get no slot at home and wait shortly for a credit of another zone. */
-export class HomelessCalls {
-  private entries: HomelessEntry[] = [];
+export class CreditQueue {
+  private entries: CreditQueueEntry[] = [];
 
   /** Calls that wait. */
   get size(): number {
--- a/packages/host/src/slots/creditTask.ts
+++ b/packages/host/src/slots/creditTask.ts
@@ -4,7 +4,7 @@
   type RankPressure,
 } from '@buckthornlug/core/credits/creditDemand.js';
 import { CreditIssuer } from '@buckthornlug/core/credits/creditIssuer.js';
-import { CreditPurse, type HeldCredit } from '@buckthornlug/core/credits/creditPurse.js';
+import { HeldCredits, type HeldCredit } from '@buckthornlug/core/credits/heldCredits.js';
 import type { RemoteZone } from '@buckthornlug/core/credits/remoteZones.js';
 
 import type { HostParts } from '../runtime/hostParts.js';
@@ -25,7 +25,7 @@
 export class CreditTask {
   private readonly issuer = new CreditIssuer();
 
-  private readonly purse = new CreditPurse();
+  private readonly heldCredits = new HeldCredits();
 
   private readonly demand = new CreditDemand();
 
@@ -80,7 +80,7 @@
   /** Sends a call to another zone, if a credit for it is at hand. */
   tryCredit(call: WaitingCall): boolean {
     const nowMs = this.context.clock.nowMs();
-    const credit = this.purse.take(call.rank, nowMs, (hostId) => !this.mayGo(call, hostId));
+    const credit = this.heldCredits.take(call.rank, nowMs, (hostId) => !this.mayGo(call, hostId));
     if (credit === undefined) return false;
     return this.send(call, credit);
   }
@@ -111,14 +111,14 @@
   }
 
   private pressures(nowMs: number): RankPressure[] {
-    const { pool, homeless } = this.task;
+    const { pool, creditQueue } = this.task;
     const ranks = this.parts.document.current()?.document.ranks ?? [];
     return ranks.map((rule, rank) => ({
       rank,
       waitingCalls: pool.waitingCallsOf(rank),
-      homelessCalls: homeless.countOf(rank),
+      callsWithoutSlot: creditQueue.countOf(rank),
       expectedWaitMs: pool.expectedWaitMs(rank, nowMs),
-      creditsAtHand: this.purse.count(rank, nowMs),
+      creditsAtHand: this.heldCredits.count(rank, nowMs),
       longestWaitMs: rule.targetMs * longestWaitShare,
     }));
   }
@@ -160,14 +160,14 @@
       if (call === undefined) unused.push(credit);
       else this.send(call, credit);
     }
-    this.purse.add(unused);
+    this.heldCredits.add(unused);
   }
 
   private send(call: WaitingCall, credit: HeldCredit): boolean {
     const { hostId, creditId } = credit;
     const zone = this.zoneOf(credit.availabilityZone);
     if (zone !== undefined && !this.links.spend(zone.region)) {
-      this.purse.add([credit]);
+      this.heldCredits.add([credit]);
       this.task.pool.enqueue(call, this.context.clock.nowMs());
       return true;
     }
--- a/packages/host/src/slots/poolTask.ts
+++ b/packages/host/src/slots/poolTask.ts
@@ -17,7 +17,7 @@
 } from '@buckthornlug/protocol/steering/placementTypes.js';
 
 import type { HostContext } from '../runtime/hostTypes.js';
-import { HomelessCalls } from './homelessCalls.js';
+import { CreditQueue } from './creditQueue.js';
 import type { CallReach, KnownBackend, WaitingCall } from './slotsTypes.js';
 
 /** Time in which a backend server learns that a call is cancelled and its slot free. */
@@ -38,7 +38,7 @@
 /** The pool of one service in the zone of this host: owns its queue and its backend servers. */
 export class PoolTask {
   /** Calls that can only be answered by other zones. */
-  readonly homeless = new HomelessCalls();
+  readonly creditQueue = new CreditQueue();
 
   /** Decisions of the pool. */
   readonly pool: Pool<WaitingCall>;
@@ -87,7 +87,7 @@
 
   /** Whether calls wait, so that time matters. */
   get isBusy(): boolean {
-    return this.pool.waitingCalls > 0 || this.homeless.size > 0;
+    return this.pool.waitingCalls > 0 || this.creditQueue.size > 0;
   }
 
   /**
@@ -126,14 +126,14 @@
   /** Gives free slots to waiting calls. */
   pump(): void {
     const nowMs = this.context.clock.nowMs();
-    this.homeless.expire(nowMs);
+    this.creditQueue.expire(nowMs);
     for (const effect of this.pool.pump(nowMs)) this.carryOut(effect);
   }
 
   /** Takes the call that should use a credit of its rank. */
   takeForCredit(rank: number, mayGo: (call: WaitingCall) => boolean): WaitingCall | undefined {
-    const homeless = this.homeless.take(rank, mayGo);
-    if (homeless !== undefined) return homeless;
+    const withoutSlot = this.creditQueue.take(rank, mayGo);
+    if (withoutSlot !== undefined) return withoutSlot;
     return this.pool.takeWaiting(rank, (call) => call.reach === 'anywhere' && mayGo(call));
   }
 
@@ -169,7 +169,7 @@
       const onAbort = () => {
         if (entry !== undefined) this.pool.cancel(entry);
         if (call === undefined) return;
-        this.homeless.remove(call);
+        this.creditQueue.remove(call);
         call.resolve({ place: 'refused', failure: failure('BL3017', 'the caller hung up') });
       };
       const isRepeated = pending.attempt > 0;
@@ -202,7 +202,7 @@
   ): void {
     if (tryCredit(call)) return;
     const untilMs = Math.min(call.deadlineAtMs, this.context.clock.nowMs() + creditWaitMs);
-    if (creditWaitMs > 0 && this.homeless.add(call, untilMs, refusal)) return;
+    if (creditWaitMs > 0 && this.creditQueue.add(call, untilMs, refusal)) return;
     call.resolve({ place: 'refused', failure: refusal });
   }
 
--- a/packages/host/src/slots/slotsFeature.ts
+++ b/packages/host/src/slots/slotsFeature.ts
@@ -106,7 +106,7 @@
         ticker.stop();
         clearInterval(sweepTimer);
         const refusal = failure('BL3016', 'the host is stopping');
-        for (const { task } of pools.values()) task.homeless.refuseAll(refusal);
+        for (const { task } of pools.values()) task.creditQueue.refuseAll(refusal);
       },
     },
     status: () => ({
