--- a/packages/host/src/slots/poolTask.ts
+++ b/packages/host/src/slots/poolTask.ts
@@ -21,7 +21,7 @@
 import type { CallReach, KnownBackend, WaitingCall } from './slotsTypes.js';
 
 /** Time in which a backend server learns that a call is cancelled and its slot free. */
-const cancelSettleMs = 20;
+const cancelSettleMs = 100;
 const minRetryAfterMs = 50;
 const maxRetryAfterMs = 30_000;
 
