fix(membership): new processes are told on with the messages to come

Cause: documents.spec.ts failed again beside other specs: twelve hosts that start in one process spent seconds on messages about each other. Change: a new process is queued for the next messages instead of being told to eight hosts at once.

--- a/packages/core/src/membership/memberStates.ts
+++ b/packages/core/src/membership/memberStates.ts
@@ -131,8 +131,7 @@
     this.table.add(entry);
     if (takesPart(entry.state)) {
       this.outbox.emit('memberAlive', entry);
-      // Who meets a new process tells others at once; they tell theirs with the messages to come.
-      if (source === 'gossip') this.outbox.queue(entry, true);
+      if (source !== 'sync') this.outbox.queue(entry, true);
       else this.passOn(entry, true, source, nowMs);
     } else if (known !== undefined && takesPart(known.state)) {
       this.outbox.emit(entry.state === 'left' ? 'memberLeft' : 'memberFailed', entry);
