test(keys): removal of the data folder waits for files that are still closed

Cause: wrongKeys.spec.ts ended once with ENOTEMPTY on groups/control: files of the group still change when stop() has resolved. Change: the removal is repeated; what the test asserts is as before.

--- a/packages/testkit/src/keys/wrongKeys.spec.ts
+++ b/packages/testkit/src/keys/wrongKeys.spec.ts
@@ -100,7 +100,7 @@
     const host = valueOf(await startHost(settings!, { features, writeLogLine }));
     t.teardown(async () => {
       await host.stop();
-      await rm(dataFolder, { recursive: true });
+      await rm(dataFolder, { recursive: true, maxRetries: 10 });
     });
     t.is(await send(host), code);
     const refused = () =>
