fix(consensus): a stop during the formation of a group leaves no replica running

Also the cause of ENOTEMPTY when its folder was removed. Change: a stop waits for the attempt to enter the group; no task starts after it. Calls of callers from another region count against the cap on shifted traffic, as forwarded ones do.

--- a/packages/host/src/consensus/memberReplica.ts
+++ b/packages/host/src/consensus/memberReplica.ts
@@ -54,6 +54,9 @@
 
   private isStopped = false;
 
+  /** Attempt to enter the group that is under way; never rejects. */
+  private forming: Promise<void> = Promise.resolve();
+
   private readonly listeners = new Set<(logIndex: number) => void>();
 
   task: GroupTask<Command, Reply> | undefined;
@@ -101,7 +104,7 @@
   }
 
   private pollFormation(): void {
-    this.runFormation().then(
+    this.forming = this.runFormation().then(
       (isDone) => {
         if (isDone || this.isStopped) return;
         this.timer = setTimeout(() => this.pollFormation(), formationPollMs);
@@ -126,7 +129,7 @@
       return false;
     }
     this.problem = undefined;
-    this.startTask(storage);
+    if (!this.isStopped) this.startTask(storage);
     return true;
   }
 
@@ -165,6 +168,7 @@
     const { task } = this;
     if (task === undefined || this.isStopped || !task.wantsToJoin()) return;
     this.requestJoin(task.replicaId).finally(() => {
+      if (this.isStopped) return;
       this.timer = setTimeout(() => this.pollJoin(), joinPollMs);
     });
   }
@@ -232,6 +236,7 @@
   async stop(): Promise<void> {
     this.isStopped = true;
     clearTimeout(this.timer);
+    await this.forming;
     if (this.task === undefined) await this.storage?.close();
     else await this.task.stop();
   }
--- a/packages/host/src/slots/placement.ts
+++ b/packages/host/src/slots/placement.ts
@@ -68,15 +68,26 @@
     return own.task.place(call, reach, creditWaitMs, (waiting) => own.credits.tryCredit(waiting));
   };
 
+  /** Why a call of another region may not run here, whichever way it came. */
+  const overShiftCap = (call: PendingCall) => {
+    if (call.originRegion === settings.region) return undefined;
+    return parts.shifts.admitShifted(call.service, call.originRegion);
+  };
+
+  /** Places a call of this zone, or one whose caller came here from another region. */
+  const placeFromCaller = (call: PendingCall, own: OwnPool): Promise<Placement> => {
+    const overCap = overShiftCap(call);
+    if (overCap !== undefined) return Promise.resolve(refused(overCap));
+    return placeHere(call, own, reachOf(call.service));
+  };
+
   const fromOtherZone = (call: PendingCall, own: OwnPool): Promise<Placement> => {
     if (!own.credits.spendGranted(call.creditId)) {
       const more = { retryAfterMs };
       return Promise.resolve(refused(failure('BL3012', 'the credit is not valid here', more)));
     }
-    if (call.originRegion !== settings.region) {
-      const overCap = parts.shifts.admitShifted(call.service, call.originRegion);
-      if (overCap !== undefined) return Promise.resolve(refused(overCap));
-    }
+    const overCap = overShiftCap(call);
+    if (overCap !== undefined) return Promise.resolve(refused(overCap));
     const linkMs = 2 * links.delayToRegionMs(call.originRegion);
     return placeHere({ ...call, targetAtMs: call.targetAtMs + linkMs }, own, 'homeOnly');
   };
@@ -95,7 +106,7 @@
     if (call.origin === 'caller') placementParts.noteCall(call);
     const owner = owners.localOwner(call.service, call.excluded);
     const isOwner = owner === undefined || owner === settings.hostId;
-    if (isOwner || own.task.holdsSlots()) return placeHere(call, own, reachOf(call.service));
+    if (isOwner || own.task.holdsSlots()) return placeFromCaller(call, own);
     if (call.origin === 'caller') return toOwner(call, owner);
     const detail = `host "${owner}" owns the pool`;
     return Promise.resolve(refused(failure('BL3003', detail, { retryAfterMs })));
--- a/packages/testkit/src/scenarios/callGroup.ts
+++ b/packages/testkit/src/scenarios/callGroup.ts
@@ -110,11 +110,13 @@
  *
  * @param step - kind, rate and duration
  * @param hosts - callers listeners, the ones of the callers' zone first
+ * @param localAddress - address that the callers use
  * @param seed - seed of the arrivals
  */
 export function startCallGroup(
   step: CallStep,
   hosts: readonly Endpoint[],
+  localAddress: string,
   seed: number,
 ): CallGroup {
   const figures: CallFigures = {
@@ -128,7 +130,7 @@
     answeredIdentities: new Set(),
     codes: new Map(),
   };
-  const agent = new Agent({ connections: 64, pipelining: 1 });
+  const agent = new Agent({ connections: 64, pipelining: 1, connect: { localAddress } });
   const state: GroupState = { step, figures, agent, hosts };
   const random = createSeededRandom(seed);
 
--- a/packages/testkit/src/scenarios/expectations.ts
+++ b/packages/testkit/src/scenarios/expectations.ts
@@ -135,9 +135,9 @@
   state: ScenarioState,
   wanted: ExpectationOf<'busiestSecondOn'>,
 ): Finding {
-  const { service, zone } = wanted.busiestSecondOn;
+  const { service, zones } = wanted.busiestSecondOn;
   const startedMs = state.fleet.backends
-    .filter((entry) => entry.service === service && entry.zone === zone)
+    .filter((entry) => entry.service === service && zones.includes(entry.zone))
     .flatMap((entry) => entry.backend.executionLog().map((run) => run.atMs))
     .sort((left, right) => left - right);
   const most = busiestWindow(startedMs, 1000);
--- a/packages/testkit/src/scenarios/scenarioDocument.ts
+++ b/packages/testkit/src/scenarios/scenarioDocument.ts
@@ -22,6 +22,32 @@
   report: { method: 'POST', path: '/reports', targetMs: 3000 },
 } as const;
 
+/** Client block of each zone, by the order of the zones. */
+function clientBlockNumber(scenario: Scenario, zone: string): number {
+  const firstNumber = 221;
+  return firstNumber + Object.values(scenario.deployment.regions).flat().indexOf(zone);
+}
+
+/**
+ * Address of the callers of a zone.
+ *
+ * @param scenario - checked scenario
+ * @param zone - zone whose client block holds the address
+ */
+export function callerAddress(scenario: Scenario, zone: string): string {
+  return `127.${clientBlockNumber(scenario, zone)}.0.1`;
+}
+
+function clientBlocksOf(scenario: Scenario): unknown {
+  const blocks = Object.values(scenario.deployment.regions)
+    .flat()
+    .map((zone) => ({
+      block: `127.${clientBlockNumber(scenario, zone)}.0.0/16`,
+      availabilityZone: zone,
+    }));
+  return { callers: blocks };
+}
+
 function kindsOf(ledgerGroups: readonly string[]): unknown[] {
   const reserve = {
     id: 'reserve',
@@ -87,6 +113,7 @@
       { id: 'normal', targetMs: 600, floorPermille: floors.normal, worth: 3 },
       { id: 'bulk', targetMs: 3000, floorPermille: floors.bulk, worth: 1 },
     ],
+    clientBlocks: clientBlocksOf(scenario),
     services: Object.fromEntries(
       Object.entries(scenarioServices).map(([id, hostName]) => [
         id,
--- a/packages/testkit/src/scenarios/scenarioSchema.ts
+++ b/packages/testkit/src/scenarios/scenarioSchema.ts
@@ -47,6 +47,9 @@
     .min(1)
     .optional()
     .describe('Number of identities; one for each call where absent.'),
+  callersOf: idSchema
+    .optional()
+    .describe('Zone whose client block the callers are in; they call hosts of `zone`.'),
   resend: z.boolean().default(false).describe('Resend through another host until an answer comes.'),
 });
 
@@ -129,7 +132,7 @@
       atMost: z.int(),
     }),
     z.strictObject({
-      busiestSecondOn: z.strictObject({ service: idSchema, zone: idSchema }),
+      busiestSecondOn: z.strictObject({ service: idSchema, zones: z.array(idSchema).min(1) }),
       atMost: z.number().describe('Calls that start within any one second.'),
       atLeast: z.number().default(0),
     }),
--- a/packages/testkit/src/scenarios/steps.ts
+++ b/packages/testkit/src/scenarios/steps.ts
@@ -1,5 +1,6 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
+import { callerAddress } from './scenarioDocument.js';
 import { startCallGroup } from './callGroup.js';
 import { awaitExpectation } from './expectations.js';
 import type { ScenarioBackend } from './scenarioFleet.js';
@@ -34,7 +35,11 @@
   const [near = [], far = []] = callerHosts(state, step.zone);
   const hosts = step.resend ? [...near, ...far] : near;
   const endpoints = hosts.map((host) => host.listen.callers);
-  state.callGroups.set(step.name, startCallGroup(step, endpoints, state.scenario.seed));
+  const localAddress = callerAddress(state.scenario, step.callersOf ?? step.zone);
+  state.callGroups.set(
+    step.name,
+    startCallGroup(step, endpoints, localAddress, state.scenario.seed),
+  );
 }
 
 async function changeHost(
