test(scenarios): callers use the address of their client block

Cause: the callers of a scenario passed localAddress inside connect, where undici overwrites it with its own option, so every caller came from 127.0.0.1 and counted as one of the host's region; the cap on callers of another region was never asked. Ruled out: the client blocks, findCallerZone and ShiftAdmission; all three were right as they stood. Change: localAddress is an option of the agent itself, as in the other fakes.

--- a/packages/testkit/src/scenarios/callGroup.ts
+++ b/packages/testkit/src/scenarios/callGroup.ts
@@ -130,7 +130,7 @@
     answeredIdentities: new Set(),
     codes: new Map(),
   };
-  const agent = new Agent({ connections: 64, pipelining: 1, connect: { localAddress } });
+  const agent = new Agent({ connections: 64, pipelining: 1, localAddress });
   const state: GroupState = { step, figures, agent, hosts };
   const random = createSeededRandom(seed);
 
