fix(consensus): a group that has not formed yet answers BL5001, not BL5005

Cause: a member whose replica was still on its way into its group answered BL5005 (404, no member), and a client whose time ran out returned the last answer it got, so an operator's first submission on a slow cold start ended with 404 although the answer is to try again. The submitter also gave up at once, since it repeats only BL5001. Change: such a member answers BL5001, and a client that found no leader in time always ends with BL5001.

--- a/packages/host/src/consensus/groups.ts
+++ b/packages/host/src/consensus/groups.ts
@@ -36,9 +36,13 @@
 
 /** Refusal that names the leader, where it is known. */
 function notLeader(replica: AnyReplica | undefined, groupId: string): LeaderReply {
-  if (replica?.task === undefined) {
+  if (replica === undefined) {
     return { ok: false, failure: failure('BL5005', `no replica of "${groupId}" runs here`) };
   }
+  if (replica.task === undefined) {
+    const detail = `the replica of "${groupId}" has not entered its group yet`;
+    return { ok: false, failure: failure('BL5001', detail) };
+  }
   const leaderId = replica.task.leaderId();
   const problem = failure('BL5001', 'this host does not lead the group');
   return { ok: false, failure: problem, ...(leaderId === undefined ? {} : { leaderId }) };
--- a/packages/host/src/consensus/leaderClient.ts
+++ b/packages/host/src/consensus/leaderClient.ts
@@ -102,7 +102,7 @@
     let text: string | undefined;
     for (;;) {
       const restMs = Math.ceil(untilMs - clock.nowMs());
-      if (restMs <= 0) return err(problem);
+      if (restMs <= 0) return err(failure('BL5001', problem.detail));
       const task = localTask();
       const isLocal = task !== undefined && task.leaderId() === this.parts.hostId;
       const target = isLocal ? undefined : this.target();
