test(partitions): wait for led groups before the cut, elections slow enough for a busy machine

Cause: traces of two failed runs (load average 22 to 28) show that no election came from the returning host: in one the ledger group had not formed before the cut (no leader recorded, then term 1 after the heal), in the other the two connected hosts elected anew 0.7 s before the heal, since a 500 ms election timeout ran out on a busy machine. Ruled out: a vote or term of the returning host; its log names no election while it was cut off. Change: the test waits till the hosts agree on the leader of every group, before the cut and before the heal, and runs with elections of 2 s and heartbeats of 200 ms; the silence is still three election timeouts and the watch after the heal two. Leader and term must still be the very same.

--- a/packages/testkit/src/partitions/partitionFleet.ts
+++ b/packages/testkit/src/partitions/partitionFleet.ts
@@ -1,4 +1,5 @@
 import { lookupPath } from '@buckthornlug/protocol/calls/callHeaders.js';
+import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 import type { Dispatcher } from 'undici';
 import { request } from 'undici';
 
@@ -17,6 +18,7 @@
 const firstBackendNumber = 200;
 const requestTimeoutMs = 8000;
 const members = ['lagos-a-1', 'lagos-b-1', 'abuja-a-1'];
+const shortElections = { electionTimeoutMs: 500, heartbeatMs: 80 };
 
 /** What a caller got. */
 export interface CallerReply {
@@ -25,6 +27,13 @@
   readonly execution: string | undefined;
 }
 
+/** Who leads a group, as far as a host knows. */
+export interface GroupLead {
+  readonly groupId: string;
+  readonly leaderId?: string | undefined;
+  readonly term?: number | undefined;
+}
+
 /** Host processes in three zones, joined by relays, with a backend server in some zones. */
 export class PartitionFleet {
   private constructor(
@@ -39,8 +48,13 @@
    *
    * @param workFolder - folder for settings and data
    * @param offset - distinguishes several fleets of one process
+   * @param timing - timing of the groups
    */
-  static async start(workFolder: string, offset: number): Promise<PartitionFleet> {
+  static async start(
+    workFolder: string,
+    offset: number,
+    timing: Partial<Settings['timing']> = shortElections,
+  ): Promise<PartitionFleet> {
     const network = loopbackNetwork(process.pid, offset);
     const settings = deploymentSettings({
       regions: { lagos: ['lagos-a', 'lagos-b'], abuja: ['abuja-a'] },
@@ -48,7 +62,7 @@
       groups: { control: members, 'ledger-1': members },
       dataRoot: `${workFolder}/data`,
       network,
-      timing: { electionTimeoutMs: 500, heartbeatMs: 80 },
+      timing,
     });
     const relays = await startRelays(settings, network);
     const fleet = new ControlFleet(throughRelays(settings, network), workFolder);
@@ -128,6 +142,13 @@
     return hosts.find((host) => host.hostId === of)?.state ?? 'unknown';
   }
 
+  /** Leader and term of each group as a host sees them. */
+  async leadersSeen(by: string): Promise<readonly GroupLead[]> {
+    const { body } = await this.fleet.ask(by, '/v1/groups');
+    const { groups = [] } = (body ?? {}) as { groups?: GroupLead[] };
+    return groups.map(({ groupId, leaderId, term }) => ({ groupId, leaderId, term }));
+  }
+
   /** Version of the document in force on a host. */
   async versionOn(hostId: string): Promise<number> {
     const { body } = await this.fleet.ask(hostId, '/v1/status');
--- a/packages/testkit/src/partitions/partitions.spec.ts
+++ b/packages/testkit/src/partitions/partitions.spec.ts
@@ -1,6 +1,7 @@
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 
+import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 import test, { type ExecutionContext } from 'ava';
 
 import { blocksSubmission, firstSubmission } from '../control/controlFleet.js';
@@ -13,10 +14,15 @@
 const everyone = [...connected, cutOff];
 const detectionBoundMs = 3000;
 const waitLimitMs = 15_000;
+const longElections = { electionTimeoutMs: 2000, heartbeatMs: 200 };
 
-async function startFleet(t: ExecutionContext, offset: number): Promise<PartitionFleet> {
+async function startFleet(
+  t: ExecutionContext,
+  offset: number,
+  timing?: Partial<Settings['timing']>,
+): Promise<PartitionFleet> {
   const workFolder = await mkdtemp(`${tmpdir()}/bl-partition-`);
-  const fleet = await PartitionFleet.start(workFolder, offset);
+  const fleet = await PartitionFleet.start(workFolder, offset, timing);
   t.teardown(async () => {
     await fleet.stop();
     await rm(workFolder, { recursive: true });
@@ -47,6 +53,14 @@
   return versions.every((one) => one === version);
 }
 
+/** Whether the given hosts agree on a leader among them for every group. */
+async function allLed(fleet: PartitionFleet, hosts: readonly string[]): Promise<boolean> {
+  const views = await Promise.all(hosts.map((host) => fleet.leadersSeen(host)));
+  const first = views[0] ?? [];
+  if (!first.every(({ leaderId }) => hosts.includes(leaderId ?? ''))) return false;
+  return views.every((view) => JSON.stringify(view) === JSON.stringify(first));
+}
+
 test.serial(
   'a zone cut off goes on with its own backend servers and catches up after the heal',
   async (t) => {
@@ -98,8 +112,9 @@
 test.serial(
   'a control host that was silent for long comes back without disturbing the rest',
   async (t) => {
-    const fleet = await startFleet(t, 2);
+    const fleet = await startFleet(t, 2, longElections);
     t.true((await timeUntil(() => allAt(fleet, everyone, 1))) < waitLimitMs);
+    t.true((await timeUntil(() => allLed(fleet, everyone))) < waitLimitMs);
     fleet.isolate(cutOff);
     await timeUntil(async () => (await fleet.stateSeen(connected[0]!, cutOff)) === 'failed');
     for (let version = 2; version <= 6; version += 1) {
@@ -108,19 +123,13 @@
       t.is(status, 200, JSON.stringify(body));
     }
     // Several election timeouts pass on the far side.
-    await timeUntil(() => Promise.resolve(false), 4000);
-    const leaderOf = async () => {
-      const { body } = await fleet.fleet.ask(connected[0]!, '/v1/groups');
-      const groups =
-        (body as { groups?: { groupId?: string; leaderId?: string; term?: number }[] }).groups ??
-        [];
-      return groups.map(({ groupId, leaderId, term }) => ({ groupId, leaderId, term }));
-    };
-    const before = await leaderOf();
+    await timeUntil(() => Promise.resolve(false), 3 * longElections.electionTimeoutMs);
+    t.true((await timeUntil(() => allLed(fleet, connected))) < waitLimitMs);
+    const before = await fleet.leadersSeen(connected[0]!);
     fleet.heal();
     t.true((await timeUntil(() => allAt(fleet, everyone, 6))) < waitLimitMs);
-    await timeUntil(() => Promise.resolve(false), 2000);
-    t.deepEqual(await leaderOf(), before);
+    await timeUntil(() => Promise.resolve(false), 2 * longElections.electionTimeoutMs);
+    t.deepEqual(await fleet.leadersSeen(connected[0]!), before);
     t.true(await allAt(fleet, everyone, 6));
   },
 );
