refactor(shifts): steps travel with the documents only

Cause: committed steps reached hosts in two ways, by shifts.exchange (each host asks the leader each 500 ms) and by the polls of the documents; a host had two tables of steps, and placement used the first, the membership told the second. Change: the exchange and its follower are gone. The polls carry the steps into the one table of a host, the leader takes acknowledgements from the revisions in the membership records, and a lower revision of a restarted host counts. Each answer to a poll tells how long ago its source was in contact with a group that has a leader; a host holds its steps (shiftHeld, noContact) after 8 s without. A poll of a host with newer steps makes its source fetch them, as with versions. By the numbers of the design the exchange would be 13,200 requests a second to one host at 6,600 hosts.

--- a/packages/core/src/shifts/shiftAcknowledgements.ts
+++ b/packages/core/src/shifts/shiftAcknowledgements.ts
@@ -1,8 +1,8 @@
 import type { CommittedStep } from '@buckthornlug/protocol/shifts/shiftSchema.js';
 
 /**
- * What a leader has heard of the steps that hosts hold. Kept only while the host leads: a new
- * leader asks again, so a step never counts as acknowledged sooner than it was.
+ * What a leader knows of the steps that hosts hold. Kept only while the host leads: the interval of
+ * a new leader starts anew, so a step never counts as acknowledged sooner than it was.
  */
 export class ShiftAcknowledgements {
   private readonly revisions = new Map<string, number>();
@@ -10,9 +10,9 @@
   /** Time by revision at which every living host held it. */
   private readonly acknowledged = new Map<number, number>();
 
-  /** Notes the revision that a host holds. */
+  /** Notes the revision that a host holds; lower than before where its process is a new one. */
   note(hostId: string, revision: number): void {
-    this.revisions.set(hostId, Math.max(revision, this.revisions.get(hostId) ?? 0));
+    this.revisions.set(hostId, revision);
   }
 
   /**
--- a/packages/core/src/spreading/controlCopy.ts
+++ b/packages/core/src/spreading/controlCopy.ts
@@ -14,12 +14,13 @@
  * of shifts. Neither ever goes back to an earlier version.
  */
 export class ControlCopy {
-  readonly shifts = new ShiftTable();
-
   private version = 0;
 
   private readonly sections = new Map<SectionName, VersionedSection>();
 
+  /** @param shifts - table that takes the steps */
+  constructor(readonly shifts = new ShiftTable()) {}
+
   versions(): ControlVersions {
     return { version: this.version, shiftRevision: this.shifts.revision };
   }
--- a/packages/host/src/documents/controlState.ts
+++ b/packages/host/src/documents/controlState.ts
@@ -7,6 +7,8 @@
 export interface ControlStateSource {
   /** Everything that a host lacks which has come as far as stated. */
   readonly updateSince: (have: ControlVersions) => ControlUpdate;
+  /** Whether this member knows a leader of the group. */
+  readonly hasLeader: () => boolean;
   /** Calls back after a commit; returns a function that ends it. */
   readonly onChange: (listener: () => void) => () => void;
 }
--- a/packages/host/src/documents/documentsFeature.ts
+++ b/packages/host/src/documents/documentsFeature.ts
@@ -38,13 +38,14 @@
 async function startDocuments(context: HostContext, parts: HostParts): Promise<RunningFeature> {
   const { settings } = context;
   const endTable = keepTable(context, parts);
-  const copy = new ControlCopy();
+  const copy = new ControlCopy(parts.shiftSteps.table);
   const keeper = new DocumentKeeper(context, settings.dataFolder, () =>
     copy.updateSince(everything),
   );
   const task = new DocumentsTask(context, parts, copy, () => keeper.save());
   const kept = await keeper.load();
   if (kept !== undefined) task.apply(kept, 'data folder');
+  parts.provide({ controlSilentMs: () => task.controlSilentMs() });
   const { rpcHandlers } = parts;
   rpcHandlers.documents = { poll: (fromHostId, poll) => task.answer(fromHostId, poll) };
   const endMembership = parts.membership.onChange(() => task.membershipChanged());
--- a/packages/host/src/documents/documentsSchema.ts
+++ b/packages/host/src/documents/documentsSchema.ts
@@ -37,5 +37,14 @@
   shiftSteps: z.array(committedStepSchema).readonly(),
 });
 
+/** Answer to a poll. */
+export const pollReplySchema = z.object({
+  /** What the asking host lacks; null where it lacks nothing. */
+  update: controlUpdateSchema.nullable(),
+  /** Time since the answering host was in contact with the control group. */
+  silentMs: z.number().min(0),
+});
+
 export type Poll = z.infer<typeof pollSchema>;
+export type PollReply = z.infer<typeof pollReplySchema>;
 export type VersionReport = z.infer<typeof versionReportSchema>;
--- a/packages/host/src/documents/documentsTask.ts
+++ b/packages/host/src/documents/documentsTask.ts
@@ -1,3 +1,4 @@
+import { ControlContact } from '@buckthornlug/core/spreading/controlContact.js';
 import type { ControlCopy } from '@buckthornlug/core/spreading/controlCopy.js';
 import { orderSources } from '@buckthornlug/core/spreading/sources.js';
 import type {
@@ -10,7 +11,12 @@
 
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext, HostRecord } from '../runtime/hostTypes.js';
-import { controlUpdateSchema, type Poll, type VersionReport } from './documentsSchema.js';
+import {
+  pollReplySchema,
+  type Poll,
+  type PollReply,
+  type VersionReport,
+} from './documentsSchema.js';
 import { UpdatePoller } from './updatePoller.js';
 import { UpdateServer } from './updateServer.js';
 
@@ -25,8 +31,8 @@
 }
 
 /** Checks the answer to a poll. */
-function checkUpdate(value: unknown): Result<ControlUpdate | null, Failure> {
-  const parsed = controlUpdateSchema.nullable().safeParse(value);
+function checkReply(value: unknown): Result<PollReply, Failure> {
+  const parsed = pollReplySchema.safeParse(value);
   if (parsed.success) return ok(parsed.data);
   return err(failure('BL6003', 'the answer to a poll has a wrong form'));
 }
@@ -37,6 +43,8 @@
 
   private readonly poller: UpdatePoller;
 
+  private readonly contact: ControlContact;
+
   private readonly reports = new Map<string, VersionReport>();
 
   private nudge: NodeJS.Timeout | undefined;
@@ -53,6 +61,7 @@
     private readonly copy: ControlCopy,
     private readonly onDocument: () => void,
   ) {
+    this.contact = new ControlContact(context.clock.nowMs());
     this.server = new UpdateServer(copy);
     this.poller = new UpdatePoller({
       sources: () => this.sources(),
@@ -78,7 +87,7 @@
   apply(update: ControlUpdate, source: string): void {
     const outcome = this.copy.apply(update);
     if (outcome.newSteps.length > 0) {
-      this.parts.shiftSteps.put(outcome.newSteps, this.copy.shifts.all());
+      this.parts.shiftSteps.changed();
     }
     if (outcome.documentChanged) {
       this.putInForce(source, outcome.changedSections.length);
@@ -93,12 +102,22 @@
   }
 
   /** Answers the poll of another host, and notes what it holds. */
-  answer(fromHostId: string, poll: Poll): Promise<ControlUpdate | null> {
+  async answer(fromHostId: string, poll: Poll): Promise<PollReply> {
     for (const report of [{ hostId: fromHostId, ...poll.have }, ...poll.reports]) {
       this.noteReport(report);
     }
-    if (poll.have.version > this.copy.versions().version) this.scheduleNudge();
-    return this.server.answer(poll.have, poll.waitMs);
+    const own = this.copy.versions();
+    const isBehind = poll.have.version > own.version || poll.have.shiftRevision > own.shiftRevision;
+    if (isBehind) this.scheduleNudge();
+    const update = await this.server.answer(poll.have, poll.waitMs);
+    return { update, silentMs: this.controlSilentMs() };
+  }
+
+  /** Time since the control group was last known to have a leader, in milliseconds. */
+  controlSilentMs(): number {
+    const nowMs = this.context.clock.nowMs();
+    if (this.parts.controlState?.hasLeader()) this.contact.heard(0, nowMs);
+    return this.contact.silentMs(nowMs);
   }
 
   /** Looks whether another host holds more, after the membership has changed. */
@@ -144,7 +163,10 @@
       timeoutMs,
     );
     if (answer.isOk()) this.forgetReports(reports);
-    return answer.andThen(checkUpdate);
+    return answer.andThen(checkReply).map(({ update, silentMs }) => {
+      this.contact.heard(silentMs, this.context.clock.nowMs());
+      return update;
+    });
   }
 
   private forgetReports(sent: readonly VersionReport[]): void {
--- a/packages/host/src/documents/shiftStepHolder.ts
+++ b/packages/host/src/documents/shiftStepHolder.ts
@@ -1,31 +1,26 @@
-import type { CommittedStep } from '@buckthornlug/protocol/shifts/shiftSchema.js';
+import { ShiftTable } from '@buckthornlug/core/shifts/shiftTable.js';
 
-/** Steps of shifts as a host learns of them. */
+/** Steps of shifts that a host has learned of. */
 export interface ShiftStepHolder {
-  /** Revision of the last step learned. */
-  readonly revision: () => number;
   /** The last step of each unit. */
-  readonly steps: () => readonly CommittedStep[];
-  /** Calls back with the steps that are new; returns a function that ends it. */
-  readonly onChange: (listener: (steps: readonly CommittedStep[]) => void) => () => void;
-  /** Tells of steps; for the feature that receives them. */
-  readonly put: (steps: readonly CommittedStep[], all: readonly CommittedStep[]) => void;
+  readonly table: ShiftTable;
+  /** Calls back after new steps; returns a function that ends it. */
+  readonly onChange: (listener: () => void) => () => void;
+  /** Tells of new steps in the table; for the feature that receives them. */
+  readonly changed: () => void;
 }
 
 /** Creates a holder without steps. */
 export function createShiftStepHolder(): ShiftStepHolder {
-  const listeners = new Set<(steps: readonly CommittedStep[]) => void>();
-  let held: readonly CommittedStep[] = [];
+  const listeners = new Set<() => void>();
   return {
-    revision: () => held.reduce((highest, step) => Math.max(highest, step.revision), 0),
-    steps: () => held,
+    table: new ShiftTable(),
     onChange: (listener) => {
       listeners.add(listener);
       return () => listeners.delete(listener);
     },
-    put: (steps, all) => {
-      held = all;
-      for (const listener of listeners) listener(steps);
+    changed: () => {
+      for (const listener of listeners) listener();
     },
   };
 }
--- a/packages/host/src/membership/membershipFeature.ts
+++ b/packages/host/src/membership/membershipFeature.ts
@@ -45,7 +45,7 @@
   const report = () => {
     task.setVersions({
       documentVersion: parts.document.current()?.version ?? 0,
-      shiftRevision: parts.shiftSteps.revision(),
+      shiftRevision: parts.shiftSteps.table.revision,
     });
   };
   report();
--- a/packages/host/src/rpc/appRouter.ts
+++ b/packages/host/src/rpc/appRouter.ts
@@ -8,7 +8,6 @@
 import { lateHandlers } from './lateHandlers.js';
 import { createMetricsRouter, type MetricsHandlers } from '../metrics/metricsRouter.js';
 import { createSlotsRouter, type SlotsHandlers } from '../slots/slotsRouter.js';
-import { createShiftRouter, type ShiftHandlers } from '../shifts/shiftRouter.js';
 import { createTimelineRouter, type TimelineHandlers } from '../timeline/timelineRouter.js';
 import { createDocumentsRouter, type DocumentsHandlers } from '../documents/documentsRouter.js';
 import { createMembershipRouter, type MembershipHandlers } from '../membership/membershipRouter.js';
@@ -23,7 +22,6 @@
   ping: PingHandlers;
   slots: SlotsHandlers;
   submissions: SubmissionsHandlers;
-  shifts: ShiftHandlers;
   timeline: TimelineHandlers;
 }
 
@@ -40,7 +38,6 @@
     metrics: createMetricsRouter(lateHandlers(() => handlers.metrics)),
     slots: createSlotsRouter(lateHandlers(() => handlers.slots)),
     submissions: createSubmissionsRouter(lateHandlers(() => handlers.submissions)),
-    shifts: createShiftRouter(lateHandlers(() => handlers.shifts)),
     timeline: createTimelineRouter(lateHandlers(() => handlers.timeline)),
     ping: createPingRouter(lateHandlers(() => handlers.ping)),
   });
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -61,6 +61,8 @@
   membershipTask: MembershipTask | undefined;
   /** Committed state of the control group, on its members only; set before `documents` starts. */
   controlState: ControlStateSource | undefined;
+  /** Time since the control group was last known to have a leader, in milliseconds. */
+  controlSilentMs: () => number;
   /** Opens a replicated group of the settings, on members and other hosts alike. */
   openGroup: OpenGroup;
   /** The control group; undefined where the settings name none. */
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -32,6 +32,7 @@
     membership: createStaticMembership(settings, incarnation),
     membershipTask: undefined,
     controlState: undefined,
+    controlSilentMs: () => 0,
     shiftSteps: createShiftStepHolder(),
     peers: createPeerClients({
       settings,
--- a/packages/host/src/shifts/shiftLeader.ts
+++ b/packages/host/src/shifts/shiftLeader.ts
@@ -4,7 +4,6 @@
 import type { CommittedStep, ShiftUnit } from '@buckthornlug/protocol/shifts/shiftSchema.js';
 
 import type { DocumentInForce, HostContext, MembershipView } from '../runtime/hostTypes.js';
-import type { ShiftExchange, ShiftExchangeReply } from './shiftExchangeSchema.js';
 import type { ShiftControl } from './shiftTaskTypes.js';
 
 const livingStates: ReadonlySet<string> = new Set(['alive', 'suspected', 'leaving']);
@@ -32,19 +31,6 @@
 
   constructor(private readonly parts: ShiftLeaderParts) {}
 
-  /** Answers a host: the steps it lacks, and where the leader is. */
-  exchange(fromHostId: string, request: ShiftExchange): ShiftExchangeReply {
-    const { control } = this.parts;
-    const isLeader = control.isLeader();
-    if (isLeader) this.acknowledgements.note(fromHostId, request.revision);
-    const leaderId = control.leaderId();
-    return {
-      isLeader,
-      ...(leaderId === undefined ? {} : { leaderId }),
-      steps: control.table.since(request.revision),
-    };
-  }
-
   /** Commits what may be moved now; to be called regularly. */
   async tick(): Promise<void> {
     const isLeader = this.parts.control.isLeader();
@@ -67,7 +53,9 @@
     const hosts = membership().hosts();
     const living = hosts.filter((host) => livingStates.has(host.state));
     const hostIds = living.map((host) => host.hostId);
-    this.acknowledgements.note(context.settings.hostId, table.revision);
+    for (const { hostId, shiftRevision = 0 } of living) {
+      this.acknowledgements.note(hostId, shiftRevision);
+    }
     this.acknowledgements.prune(table.all());
     const plan = planShifts({
       document: inForce.document,
--- a/packages/host/src/shifts/shiftRoutes.ts
+++ b/packages/host/src/shifts/shiftRoutes.ts
@@ -8,7 +8,7 @@
 /** What the routes of the shifts read. */
 export interface ShiftRoutesParts {
   readonly document: Pick<DocumentView, 'current'>;
-  readonly table: () => ShiftTable;
+  readonly table: ShiftTable;
   readonly failedRegions: () => ReadonlySet<string>;
   readonly isHeld: () => boolean;
 }
@@ -17,7 +17,7 @@
 function listShifts(parts: ShiftRoutesParts): ShiftStatus[] {
   const inForce = parts.document.current();
   if (inForce === undefined) return [];
-  const table = parts.table();
+  const { table } = parts;
   const held = parts.isHeld();
   const shifts: ShiftStatus[] = [];
   for (const target of shiftTargets(inForce.document, parts.failedRegions())) {
--- a/packages/host/src/shifts/shiftTaskTypes.ts
+++ b/packages/host/src/shifts/shiftTaskTypes.ts
@@ -12,7 +12,6 @@
   /** The accepted document, as this member knows it. */
   readonly document: () => DocumentInForce | undefined;
   readonly isLeader: () => boolean;
-  readonly leaderId: () => string | undefined;
   /** Commits a step; BL8002 for a step of an older plan. */
   readonly submitStep: (step: ShiftStep, timeoutMs: number) => ResultAsync<CommittedStep, Failure>;
 }
--- a/packages/host/src/shifts/shiftsFeature.ts
+++ b/packages/host/src/shifts/shiftsFeature.ts
@@ -3,29 +3,15 @@
 import type { Feature, HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
 import { ShiftAdmission } from './shiftAdmission.js';
-import { ShiftFollower } from './shiftFollower.js';
+import { ShiftHold } from './shiftHold.js';
 import { ShiftLeader } from './shiftLeader.js';
 import { registerShiftRoutes } from './shiftRoutes.js';
 
-const controlGroupId = 'control';
 /** Interval at which the receiver's limits follow the document and the pool owners. */
 const observeMs = 50;
 /** Interval at which a leader plans. */
 const planMs = 200;
 
-function createFollower(context: HostContext, parts: HostParts): ShiftFollower {
-  const { groups } = context.settings;
-  const members = groups.find((group) => group.id === controlGroupId)?.members ?? [];
-  return new ShiftFollower({
-    context,
-    controlHosts: () => members,
-    exchange: (hostId, request) =>
-      parts.peers.request(hostId, (client, signal) =>
-        client.shifts.exchange.query(request, { signal }),
-      ),
-  });
-}
-
 function createLeader(context: HostContext, parts: HostParts): ShiftLeader | undefined {
   const { control } = parts;
   if (control === undefined || !control.isMember) return undefined;
@@ -38,7 +24,12 @@
   wanted: () => true,
   start: (context, parts) => {
     const { log } = context;
-    const follower = createFollower(context, parts);
+    const { table } = parts.shiftSteps;
+    const hold = new ShiftHold({
+      context,
+      revision: () => table.revision,
+      controlSilentMs: () => parts.controlSilentMs(),
+    });
     const leader = createLeader(context, parts);
     const admission = new ShiftAdmission({
       context,
@@ -48,25 +39,21 @@
     parts.provide({
       shifts: {
         admitShifted: admission.admitShifted,
-        movedPermille: (service, scope, place) =>
-          follower.table.movedPermille({ service, scope, place }),
+        movedPermille: (service, scope, place) => table.movedPermille({ service, scope, place }),
       },
     });
-    if (leader !== undefined) {
-      parts.rpcHandlers.shifts = { exchange: (from, request) => leader.exchange(from, request) };
-    }
     parts.adminRoutes.push((app) =>
       registerShiftRoutes(app, {
         document: parts.document,
-        table: () => follower.table,
+        table,
         failedRegions: () => new Set(),
-        isHeld: () => follower.isHeld,
+        isHeld: () => hold.isHeld,
       }),
     );
     const report = (error: unknown) => log.error('shiftTickFailed', { problem: String(error) });
     const timers = [
       setInterval(() => admission.observe(), observeMs),
-      setInterval(() => follower.tick().catch(report), context.settings.timing.documentPollMs),
+      setInterval(() => hold.observe(), observeMs),
       setInterval(() => leader?.tick().catch(report), planMs),
     ];
     return okAsync({
@@ -76,7 +63,7 @@
           for (const timer of timers) clearInterval(timer);
         },
       },
-      status: () => ({ revision: follower.table.revision, held: follower.isHeld }),
+      status: () => ({ revision: table.revision, held: hold.isHeld }),
     });
   },
 };
--- a/packages/host/src/submissions/controlGroup.ts
+++ b/packages/host/src/submissions/controlGroup.ts
@@ -33,6 +33,7 @@
   readonly document: () => DocumentInForce | undefined;
   readonly isLeader: () => boolean;
   readonly leaderId: () => string | undefined;
+  readonly hasLeader: () => boolean;
   readonly submit: (
     command: SubmissionCommand,
     timeoutMs: number,
@@ -71,6 +72,7 @@
     document: () => documents.current(),
     isLeader: handle.isLeader,
     leaderId: handle.leaderId,
+    hasLeader: () => handle.leaderId() !== undefined,
     submit: (command, timeoutMs) =>
       handle
         .submit(command, timeoutMs)
--- a/packages/testkit/src/documents/documents.spec.ts
+++ b/packages/testkit/src/documents/documents.spec.ts
@@ -143,7 +143,9 @@
     await hosts[index]!.stop();
     const controlHosts = hosts.filter((host) => host.context.settings.roles.includes('control'));
     for (const host of controlHosts.slice(0, 2)) {
-      host.parts.rpcHandlers.documents = { poll: () => Promise.resolve(stale) };
+      host.parts.rpcHandlers.documents = {
+        poll: () => Promise.resolve({ update: stale, silentMs: 0 }),
+      };
     }
     const again = await start(t, settings[index]!);
     const seen: number[] = [];
@@ -204,7 +206,9 @@
       startLimitMs,
   );
   // The member of the group now answers like a host that knows only the first version.
-  hosts[0]!.parts.rpcHandlers.documents = { poll: () => Promise.resolve(older) };
+  hosts[0]!.parts.rpcHandlers.documents = {
+    poll: () => Promise.resolve({ update: older, silentMs: 0 }),
+  };
   await new Promise((resolve) => {
     setTimeout(resolve, 300);
   });
--- a/packages/testkit/src/documents/fakeControlState.ts
+++ b/packages/testkit/src/documents/fakeControlState.ts
@@ -6,8 +6,12 @@
 import { splitSections } from '@buckthornlug/protocol/document/sections.js';
 import { okAsync } from 'neverthrow';
 
+const alwaysLed = () => true;
+
 /** A control group of one, in memory: every commit succeeds. */
 export class FakeControlState implements ControlStateSource {
+  readonly hasLeader = alwaysLed;
+
   private readonly copy = new ControlCopy();
 
   private readonly listeners = new Set<() => void>();
--- a/packages/testkit/src/shifts/fakeShiftControl.ts
+++ b/packages/testkit/src/shifts/fakeShiftControl.ts
@@ -50,7 +50,6 @@
       table: this.table,
       document: this.document,
       isLeader: () => view() === hostId,
-      leaderId: view,
       submitStep: (step, timeoutMs) =>
         new ResultAsync(
           new Promise<Result<CommittedStep, Failure>>((resolve) => {
--- a/packages/testkit/src/shifts/shiftHost.ts
+++ b/packages/testkit/src/shifts/shiftHost.ts
@@ -1,17 +1,11 @@
+import { ShiftTable } from '@buckthornlug/core/shifts/shiftTable.js';
 import { ShiftAdmission } from '@buckthornlug/host/shifts/shiftAdmission.js';
-import { ShiftFollower } from '@buckthornlug/host/shifts/shiftFollower.js';
 import { ShiftLeader } from '@buckthornlug/host/shifts/shiftLeader.js';
 import type { ShiftControl } from '@buckthornlug/host/shifts/shiftTaskTypes.js';
-import type {
-  ShiftExchange,
-  ShiftExchangeReply,
-} from '@buckthornlug/host/shifts/shiftExchangeSchema.js';
 import type { DocumentInForce, HostRecord } from '@buckthornlug/host/runtime/hostTypes.js';
 import { createMetrics } from '@buckthornlug/host/metrics/metrics.js';
 import { checkSettings } from '@buckthornlug/protocol/settings/settings.js';
 import type { EventInput } from '@buckthornlug/protocol/events/eventSchema.js';
-import type { Failure } from '@buckthornlug/protocol/results/failure.js';
-import type { ResultAsync } from 'neverthrow';
 
 import { ProcessTime } from '../time/processTime.js';
 import type { VirtualTime } from '../time/virtualTime.js';
@@ -30,14 +24,9 @@
   readonly document: () => DocumentInForce;
   readonly hosts: () => readonly HostRecord[];
   readonly poolOwner: (zone: string) => string | undefined;
-  readonly controlHosts: readonly string[];
   readonly memberFor?: (processTime: ProcessTime) => ShiftControl;
-  readonly exchange: (
-    fromHostId: string,
-    hostId: string,
-    request: ShiftExchange,
-    processTime: ProcessTime,
-  ) => ResultAsync<ShiftExchangeReply, Failure>;
+  /** Asks another host for the steps that this one lacks. */
+  readonly poll: (host: ShiftHost) => void;
   readonly record: (event: EventInput) => void;
 }
 
@@ -71,7 +60,8 @@
 export class ShiftHost {
   readonly processTime: ProcessTime;
 
-  readonly follower: ShiftFollower;
+  /** Steps that the process has learned. */
+  readonly table = new ShiftTable();
 
   readonly admission: ShiftAdmission;
 
@@ -84,12 +74,6 @@
     const clock = { nowMs: () => time.nowMs, wallMs: () => time.nowMs };
     const { record } = parts;
     const context = { settings, clock, record, metrics: createMetrics(), log: silentLog };
-    this.follower = new ShiftFollower({
-      context,
-      controlHosts: () => parts.controlHosts,
-      exchange: (hostId, request) =>
-        parts.exchange(place.hostId, hostId, request, this.processTime),
-    });
     this.admission = new ShiftAdmission({
       context,
       document: { current: () => parts.document() },
@@ -100,7 +84,7 @@
     this.leader =
       control === undefined ? undefined : new ShiftLeader({ context, control, membership });
     this.repeat(observeMs, () => this.admission.observe());
-    this.repeat(settings.timing.documentPollMs, () => this.follower.tick());
+    this.repeat(settings.timing.documentPollMs, () => parts.poll(this));
     if (this.leader !== undefined) this.repeat(planMs, () => this.leader?.tick());
   }
 
--- a/packages/testkit/src/shifts/shiftHosts.spec.ts
+++ b/packages/testkit/src/shifts/shiftHosts.spec.ts
@@ -54,33 +54,36 @@
   throw new Error('the first document was not accepted');
 }
 
-test('a weight is reached by steps on every host, also on one that is no member', async (t) => {
-  await bootstrap();
-  const movedOn = (host: number) =>
-    fleet.hosts[host]!.parts.shifts.movedPermille(testService, 'region', 'lagos');
-  const seen = new Set<number>();
-  await until(() => {
-    seen.add(movedOn(3));
-    return zones.every((_zone, host) => movedOn(host) === 500);
-  }, 15_000);
-  t.deepEqual([...seen], [0, 200, 400, 500]);
-  const { admin } = fleet.settings[3]!.listen;
-  const reply = await request(`http://${admin.address}:${admin.port}/v1/shifts`);
-  t.deepEqual(await reply.body.json(), {
-    shifts: [
-      {
-        service: testService,
-        region: 'lagos',
-        movedPermille: 500,
-        targetPermille: 500,
-        step: 3,
-        held: false,
-      },
-    ],
-  });
-});
+test.serial(
+  'a weight is reached by steps on every host, also on one that is no member',
+  async (t) => {
+    await bootstrap();
+    const movedOn = (host: number) =>
+      fleet.hosts[host]!.parts.shifts.movedPermille(testService, 'region', 'lagos');
+    const seen = new Set<number>();
+    await until(() => {
+      seen.add(movedOn(3));
+      return zones.every((_zone, host) => movedOn(host) === 500);
+    }, 15_000);
+    t.deepEqual([...seen], [0, 200, 400, 500]);
+    const { admin } = fleet.settings[3]!.listen;
+    const reply = await request(`http://${admin.address}:${admin.port}/v1/shifts`);
+    t.deepEqual(await reply.body.json(), {
+      shifts: [
+        {
+          service: testService,
+          region: 'lagos',
+          movedPermille: 500,
+          targetPermille: 500,
+          step: 3,
+          held: false,
+        },
+      ],
+    });
+  },
+);
 
-test('the pool owner admits no more than its part of the cap in a second', async (t) => {
+test.serial('the pool owner admits no more than its part of the cap in a second', async (t) => {
   const owner = fleet.hosts[2]!.parts.poolOwner('abuja-a', testService);
   const host = fleet.hosts.find((each) => each.context.settings.hostId === owner);
   const { shifts } = (host ?? fleet.hosts[2]!).parts;
@@ -100,3 +103,25 @@
     if (next !== undefined) t.true(next.afterMs - beforeMs > 1000);
   }
 });
+
+test.serial(
+  'a host whose sources have lost the control group holds its steps and says so',
+  async (t) => {
+    const [first, ...lost] = fleet.hosts;
+    await Promise.all(lost.slice(0, 2).map((host) => host.stop()));
+    const cutOff = fleet.hosts[3]!;
+    const heldReasons = (host = cutOff) =>
+      host.context.timeline
+        .read(-1)
+        .filter((event) => event.kind === 'shiftHeld')
+        .map((event) => event.detail?.reason);
+    await until(
+      () => heldReasons().includes('noContact') && heldReasons(first).includes('noContact'),
+      30_000,
+    );
+    t.is(cutOff.parts.shifts.movedPermille(testService, 'region', 'lagos'), 500);
+    const { admin } = fleet.settings[3]!.listen;
+    const reply = await request(`http://${admin.address}:${admin.port}/v1/shifts`);
+    t.like(await reply.body.json(), { shifts: [{ movedPermille: 500, held: true }] });
+  },
+);
--- a/packages/testkit/src/shifts/shiftRound.ts
+++ b/packages/testkit/src/shifts/shiftRound.ts
@@ -1,16 +1,11 @@
 import { checkDocument } from '@buckthornlug/protocol/document/document.js';
 import type { DocumentInForce, HostRecord } from '@buckthornlug/host/runtime/hostTypes.js';
-import type {
-  ShiftExchange,
-  ShiftExchangeReply,
-} from '@buckthornlug/host/shifts/shiftExchangeSchema.js';
-import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
-import { err, ok, ResultAsync, type Result } from 'neverthrow';
 
 import { createDraws, type Draws } from '../random/draws.js';
 import type { ProcessTime } from '../time/processTime.js';
 import { VirtualTime } from '../time/virtualTime.js';
 import { FakeShiftControl } from './fakeShiftControl.js';
+import { FakeStepSpreading } from './fakeStepSpreading.js';
 import { ShiftHost, type ShiftHostPlace } from './shiftHost.js';
 
 /** What one seeded round of faults showed. */
@@ -107,6 +102,8 @@
 
   private readonly control: FakeShiftControl;
 
+  private readonly spreading: FakeStepSpreading;
+
   private readonly hosts = new Map<string, ShiftHost>();
 
   private readonly documents = new Map<string, DocumentInForce>();
@@ -132,6 +129,8 @@
   constructor(private readonly seed: number) {
     this.random = createDraws(seed);
     this.control = new FakeShiftControl(this.time, this.random, () => this.accepted);
+    const { time, random, control, controlHosts, hosts } = this;
+    this.spreading = new FakeStepSpreading({ time, random, control, controlHosts, hosts });
     [this.control.leaderId] = this.controlHosts;
     for (const place of places()) this.start(place);
   }
@@ -172,18 +171,19 @@
       document: () => this.documents.get(hostId) ?? this.accepted,
       hosts: () => this.records(),
       poolOwner: (zone) => this.poolOwner(hostId, zone),
-      controlHosts: this.controlHosts,
-      exchange: (from, to, request, processTime) => this.exchange(from, to, request, processTime),
+      poll: (asking) => this.spreading.poll(asking),
       record: () => undefined,
       ...(isMember ? member : {}),
     });
     this.hosts.set(hostId, host);
+    this.spreading.report(host);
   }
 
   private records(): HostRecord[] {
     return [...this.hosts.values()].map(({ place }) => {
       const state = this.isDetected(place.hostId) ? 'failed' : 'alive';
-      return { ...place, state } as HostRecord;
+      const shiftRevision = this.spreading.recordedRevision(place.hostId);
+      return { ...place, state, shiftRevision } as HostRecord;
     });
   }
 
@@ -200,25 +200,6 @@
     return own.find((place) => !this.isDetected(place.hostId))?.hostId;
   }
 
-  private exchange(
-    from: string,
-    to: string,
-    request: ShiftExchange,
-    processTime: ProcessTime,
-  ): ResultAsync<ShiftExchangeReply, Failure> {
-    const answer = new Promise<Result<ShiftExchangeReply, Failure>>((resolve) => {
-      processTime.schedule(1000, () => resolve(err(failure('BL6003', 'no reply in time'))));
-      this.time.schedule(this.random.between(1, 60), () => {
-        const leader = this.hosts.get(to)?.leader;
-        const isAnswering = this.hosts.get(to)?.processTime.isRunning ?? false;
-        if (leader === undefined || !isAnswering || this.random.chance(0.05)) return;
-        const reply = leader.exchange(from, request);
-        processTime.schedule(this.random.between(1, 60), () => resolve(ok(reply)));
-      });
-    });
-    return new ResultAsync(answer);
-  }
-
   /** Brings a new version in force on each host within the time in which documents spread. */
   private change(change: Change): void {
     this.accepted = buildDocument(this.accepted.version + 1, change);
@@ -300,7 +281,7 @@
     const own = [...this.hosts.values()].filter((host) => host.place.region === region);
     const living = own.filter((host) => host.processTime.isRunning);
     const host = living[this.random.below(Math.max(1, living.length))];
-    const share = host?.follower.table.movedPermille({ service, scope: 'region', place: region });
+    const share = host?.table.movedPermille({ service, scope: 'region', place: region });
     const isShifted = host === undefined || this.random.chance((share ?? 0) / 1000);
     if (!isShifted) return;
     const others = regions.filter((each) => each !== region);
