fix(shifts): the cap holds where calls start, not only where they arrive

Cause: the limiter admitted calls on arrival at the pool owner; the queue behind it and the varying delay to the backend servers drew admitted calls together, so a second at the backend servers held more than the cap (scenario of a failed region, busy machine: 46, 42, 41, 41 and 43 starts against 40). Change: the window is asked again when a call takes its slot, and lasts 100 ms longer than a second, so that delays that differ by up to 100 ms cannot bring two windows together. What it refuses then has not run (BL8001).

--- a/packages/core/src/shifts/shiftLimiter.spec.ts
+++ b/packages/core/src/shifts/shiftLimiter.spec.ts
@@ -39,6 +39,21 @@
   t.is(admittedAt(62_001), 5);
 });
 
+for (const guardMs of [0, 100]) {
+  const bound = guardMs > 0 ? 'stay within' : 'may pass';
+  test(`with a guard of ${guardMs} ms calls delayed by 0 to 100 ms ${bound} the cap`, (t) => {
+    const limiter = new ShiftLimiter({ maxCalls: 5, windowMs: 1000 }, 0, 0, guardMs);
+    const arrivals: number[] = [];
+    for (let nowMs = 0; nowMs < 30_000; nowMs += 10) {
+      limiter.observe(nowMs);
+      const delayMs = nowMs % 2000 < 1000 ? 100 : 0;
+      if (limiter.admit(nowMs)) arrivals.push(nowMs + delayMs);
+    }
+    t.is(largestWindow(arrivals) <= 5, guardMs > 0);
+    t.true(arrivals.length > 100);
+  });
+}
+
 test('a smaller part holds at once and a larger one later', (t) => {
   const limiter = new ShiftLimiter({ maxCalls: 5, windowMs: 1000 }, 0);
   const admittedAt = (nowMs: number) => [...Array(20)].filter(() => limiter.admit(nowMs)).length;
--- a/packages/core/src/shifts/shiftLimiter.ts
+++ b/packages/core/src/shifts/shiftLimiter.ts
@@ -28,11 +28,14 @@
    * @param part - calls and window
    * @param nowMs - monotonic time
    * @param closedMs - shortest time for which it stays closed at the start and after a pause
+   * @param guardMs - largest difference between the delays of two calls on their way; calls that
+   * are admitted further apart than the window stay apart when they arrive
    */
   constructor(
     private part: ShiftPart,
     nowMs: number,
     private readonly closedMs = 0,
+    private readonly guardMs = 0,
   ) {
     this.closedUntilMs = nowMs + this.closedForMs();
     this.observedAtMs = nowMs;
@@ -65,7 +68,7 @@
   admit(nowMs: number): boolean {
     this.observe(nowMs);
     if (nowMs <= this.closedUntilMs) return false;
-    this.dropOutside(nowMs - this.part.windowMs);
+    this.dropOutside(nowMs - this.part.windowMs - this.guardMs);
     if (this.admitted.length - this.firstInside >= this.part.maxCalls) return false;
     this.admitted.push(nowMs);
     return true;
@@ -74,12 +77,12 @@
   /** Time after which a call may be admitted again, in milliseconds. */
   retryAfterMs(nowMs: number): number {
     const oldest = this.admitted[this.firstInside];
-    const freeAtMs = oldest === undefined ? nowMs : oldest + this.part.windowMs;
+    const freeAtMs = oldest === undefined ? nowMs : oldest + this.part.windowMs + this.guardMs;
     return Math.max(1, Math.ceil(Math.max(freeAtMs, this.closedUntilMs) - nowMs));
   }
 
   private closedForMs(): number {
-    return Math.max(this.closedMs, this.part.windowMs);
+    return Math.max(this.closedMs, this.part.windowMs + this.guardMs);
   }
 
   private dropOutside(oldestMs: number): void {
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -47,6 +47,8 @@
 export interface ShiftHooks {
   /** Admits a call that came from another region, or tells why the cap refuses it. */
   readonly admitShifted: (service: string, fromRegion: string) => Failure | undefined;
+  /** The same for a call that is about to go to a backend server after its time in a queue. */
+  readonly dispatchShifted: (service: string, fromRegion: string) => Failure | undefined;
   /** Share of a zone's or region's own traffic that runs elsewhere now, in permille. */
   readonly movedPermille: (service: string, scope: 'zone' | 'region', place: string) => number;
 }
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -58,7 +58,11 @@
       const table = parts.table.current();
       return table === undefined ? undefined : callerZone(table, callerAddress);
     },
-    shifts: { admitShifted: () => undefined, movedPermille: () => 0 },
+    shifts: {
+      admitShifted: () => undefined,
+      dispatchShifted: () => undefined,
+      movedPermille: () => 0,
+    },
     poolOwner: () => undefined,
     adminRoutes: [],
     running: [],
--- a/packages/host/src/shifts/shiftAdmission.ts
+++ b/packages/host/src/shifts/shiftAdmission.ts
@@ -6,6 +6,14 @@
 
 /** Time beyond the slot lease for which a new pool owner admits no shifted call. */
 const takeOverMs = 1000;
+/** Largest difference between the delays of two calls on their way to a backend server. */
+const delayVariationMs = 100;
+
+/** Limiters of a service: on arrival, so that the queue stays short, and on dispatch. */
+interface ServiceLimiters {
+  readonly arrivals: ShiftLimiter;
+  readonly dispatches: ShiftLimiter;
+}
 
 /** What the admission of shifted calls is given. */
 export interface ShiftAdmissionParts {
@@ -20,36 +28,42 @@
  * is fixed, so that the zones together stay below the cap whatever the senders believe.
  */
 export class ShiftAdmission {
-  private readonly limiters = new Map<string, ShiftLimiter>();
+  private readonly limiters = new Map<string, ServiceLimiters>();
 
   constructor(private readonly parts: ShiftAdmissionParts) {}
 
   /** Follows the document and the owners of pools; to be called more often than each 250 ms. */
   observe(): void {
     const services = this.parts.document.current()?.document.services ?? {};
-    for (const service of Object.keys(services)) this.limiterOf(service);
+    for (const service of Object.keys(services)) this.limitersOf(service);
     for (const service of this.limiters.keys()) {
       if (services[service] === undefined) this.limiters.delete(service);
     }
   }
 
-  /** Admits a call, or tells why it is refused as not run. */
+  /** Admits a call to the queue, or tells why it is refused as not run. */
   readonly admitShifted = (service: string, fromRegion: string): Failure | undefined => {
-    const { context } = this.parts;
-    const limiter = this.limiterOf(service);
-    const nowMs = context.clock.nowMs();
-    const isAdmitted = limiter?.admit(nowMs) ?? false;
-    const labels = { service, fromRegion, admitted: String(isAdmitted) };
-    context.metrics.count('shifted_calls_total', labels);
-    if (isAdmitted) return undefined;
+    const failed = this.pass(this.limitersOf(service)?.arrivals, fromRegion);
+    const labels = { service, fromRegion, admitted: String(failed === undefined) };
+    this.parts.context.metrics.count('shifted_calls_total', labels);
+    return failed;
+  };
+
+  /** Admits a call to the backend server that it is about to go to, after any time in a queue. */
+  readonly dispatchShifted = (service: string, fromRegion: string): Failure | undefined =>
+    this.pass(this.limitersOf(service)?.dispatches, fromRegion);
+
+  private pass(limiter: ShiftLimiter | undefined, fromRegion: string): Failure | undefined {
+    const nowMs = this.parts.context.clock.nowMs();
+    if (limiter?.admit(nowMs)) return undefined;
     const retryAfterMs = limiter?.retryAfterMs(nowMs) ?? takeOverMs;
     return failure('BL8001', `region "${fromRegion}" sends too much`, { retryAfterMs });
-  };
+  }
 
-  /** The limiter of a service; none where another host owns the pool. */
-  private limiterOf(service: string): ShiftLimiter | undefined {
+  /** The limiters of a service; none where another host owns the pool. */
+  private limitersOf(service: string): ServiceLimiters | undefined {
     const { context, poolOwner } = this.parts;
-    const { hostId, availabilityZone, timing } = context.settings;
+    const { hostId, availabilityZone } = context.settings;
     const owner = poolOwner(availabilityZone, service);
     const part = this.partOf(service);
     if (part === undefined || (owner !== undefined && owner !== hostId)) {
@@ -57,17 +71,22 @@
       return undefined;
     }
     const nowMs = context.clock.nowMs();
-    const known = this.limiters.get(service);
-    if (known === undefined) {
-      const created = new ShiftLimiter(part, nowMs, timing.slotLeaseMs + takeOverMs);
-      this.limiters.set(service, created);
-      return created;
+    const known = this.limiters.get(service) ?? this.addLimiters(service, part, nowMs);
+    for (const limiter of [known.arrivals, known.dispatches]) {
+      limiter.observe(nowMs);
+      limiter.change(part, nowMs);
     }
-    known.observe(nowMs);
-    known.change(part, nowMs);
     return known;
   }
 
+  private addLimiters(service: string, part: ShiftPart, nowMs: number): ServiceLimiters {
+    const closedMs = this.parts.context.settings.timing.slotLeaseMs + takeOverMs;
+    const create = () => new ShiftLimiter(part, nowMs, closedMs, delayVariationMs);
+    const created = { arrivals: create(), dispatches: create() };
+    this.limiters.set(service, created);
+    return created;
+  }
+
   private partOf(service: string): ShiftPart | undefined {
     const { region, availabilityZone } = this.parts.context.settings;
     const document = this.parts.document.current()?.document;
--- a/packages/host/src/shifts/shiftsFeature.ts
+++ b/packages/host/src/shifts/shiftsFeature.ts
@@ -39,6 +39,7 @@
     parts.provide({
       shifts: {
         admitShifted: admission.admitShifted,
+        dispatchShifted: admission.dispatchShifted,
         movedPermille: (service, scope, place) => table.movedPermille({ service, scope, place }),
       },
     });
--- a/packages/host/src/slots/placement.ts
+++ b/packages/host/src/slots/placement.ts
@@ -68,28 +68,35 @@
     return own.task.place(call, reach, creditWaitMs, (waiting) => own.credits.tryCredit(waiting));
   };
 
-  /** Why a call of another region may not run here, whichever way it came. */
-  const overShiftCap = (call: PendingCall) => {
-    if (call.originRegion === settings.region) return undefined;
-    return parts.shifts.admitShifted(call.service, call.originRegion);
+  /** Places a call under the cap on shifted traffic, where its caller is of another region. */
+  const placeUnderCap = async (
+    call: PendingCall,
+    own: OwnPool,
+    reach: CallReach,
+  ): Promise<Placement> => {
+    const { service, originRegion } = call;
+    if (originRegion === settings.region) return placeHere(call, own, reach);
+    const overCap = parts.shifts.admitShifted(service, originRegion);
+    if (overCap !== undefined) return refused(overCap);
+    const placement = await placeHere(call, own, reach);
+    if (placement.place !== 'backend') return placement;
+    const overCapAtLast = parts.shifts.dispatchShifted(service, originRegion);
+    if (overCapAtLast === undefined) return placement;
+    placement.release({ result: 'notRun', elapsedMs: 0 });
+    return refused(overCapAtLast);
   };
 
   /** Places a call of this zone, or one whose caller came here from another region. */
-  const placeFromCaller = (call: PendingCall, own: OwnPool): Promise<Placement> => {
-    const overCap = overShiftCap(call);
-    if (overCap !== undefined) return Promise.resolve(refused(overCap));
-    return placeHere(call, own, reachOf(call.service));
-  };
+  const placeFromCaller = (call: PendingCall, own: OwnPool): Promise<Placement> =>
+    placeUnderCap(call, own, reachOf(call.service));
 
   const fromOtherZone = (call: PendingCall, own: OwnPool): Promise<Placement> => {
     if (!own.credits.spendGranted(call.creditId)) {
       const more = { retryAfterMs };
       return Promise.resolve(refused(failure('BL3012', 'the credit is not valid here', more)));
     }
-    const overCap = overShiftCap(call);
-    if (overCap !== undefined) return Promise.resolve(refused(overCap));
     const linkMs = 2 * links.delayToRegionMs(call.originRegion);
-    return placeHere({ ...call, targetAtMs: call.targetAtMs + linkMs }, own, 'homeOnly');
+    return placeUnderCap({ ...call, targetAtMs: call.targetAtMs + linkMs }, own, 'homeOnly');
   };
 
   const toOwner = (call: PendingCall, hostId: string): Promise<Placement> => {
