fix(keys): a signed request names the host that it is for

Cause: the signature of a request between hosts covered the sender, but not the receiver; each host has a replay window of its own, so a recorded request was taken by every other host within two minutes. Change: the receiver is a field of the signature and signed. A host refuses a request for another host with BL6001 before it computes the code. Clients are kept by host and address, so the name is always known; the request to an address without a name had no user and is gone. Hosts with the former signature and hosts with this one refuse each other, so a fleet of the former kind is stopped as a whole for this update.

--- a/packages/core/src/keys/keys.spec.ts
+++ b/packages/core/src/keys/keys.spec.ts
@@ -12,13 +12,14 @@
   routing: 'rank 0',
   body: '{"a":1}',
 };
-const parts = { hostId: 'h1', sentAtMs: 1_000_000, nonce: 'n1' };
+const parts = { hostId: 'h1', toHostId: 'h9', sentAtMs: 1_000_000, nonce: 'n1' };
 const nowMs = parts.sentAtMs + 50;
+const hostId = parts.toHostId;
 const field = signRequest(newKey, request, parts);
 
 test('a request is accepted with any valid key, and once only', (t) => {
-  const window = new ReplayWindow();
-  const verify = () => verifyRequest([oldKey, newKey], request, field, window, nowMs);
+  const verifier = { hostId, keys: [oldKey, newKey], window: new ReplayWindow() };
+  const verify = () => verifyRequest(verifier, request, field, nowMs);
   t.is(verify().unwrapOr(''), 'h1');
   t.true(verify().isErr());
 });
@@ -26,6 +27,7 @@
 const refusals: {
   fault: string;
   keys?: (typeof oldKey)[];
+  receiver?: string;
   received?: Partial<SignedRequest>;
   given?: unknown;
   atMs?: number;
@@ -41,6 +43,8 @@
   { fault: 'another body', received: { body: '{"a":2}' } },
   { fault: 'a body taken away', received: { body: undefined } },
   { fault: 'another sender', given: field.replace('h1', 'h2') },
+  { fault: 'another receiver', receiver: 'h8' },
+  { fault: 'a receiver put in place of another', receiver: 'h8', given: field.replace('h9', 'h8') },
   { fault: 'another time', given: field.replace('1000000', '1000001') },
   { fault: 'another nonce', given: field.replace('n1', 'n2') },
   { fault: 'no signature', given: undefined },
@@ -49,15 +53,15 @@
   { fault: 'a request recorded long ago', atMs: parts.sentAtMs + replayWindowMs + 1 },
 ];
 
-for (const { fault, keys = [newKey], received = {}, given = field, atMs = nowMs } of refusals) {
+for (const refusal of refusals) {
+  const { fault, keys = [newKey], receiver = hostId, received = {}, given = field } = refusal;
   const isMissing = fault === 'no signature';
   test(`a request is refused with BL6001 and without its secret: ${fault}`, (t) => {
     const result = verifyRequest(
-      keys,
+      { hostId: receiver, keys, window: new ReplayWindow() },
       { ...request, ...received },
       isMissing ? undefined : given,
-      new ReplayWindow(),
-      atMs,
+      refusal.atMs ?? nowMs,
     );
     const problem = result.isErr() ? result.error : undefined;
     t.is(problem?.code, 'BL6001');
@@ -67,8 +71,8 @@
 
 test('a request that was refused does not use up its place in the replay window', (t) => {
   const window = new ReplayWindow();
-  t.true(verifyRequest([oldKey], request, field, window, nowMs).isErr());
-  t.true(verifyRequest([newKey], request, field, window, nowMs).isOk());
+  t.true(verifyRequest({ hostId, keys: [oldKey], window }, request, field, nowMs).isErr());
+  t.true(verifyRequest({ hostId, keys: [newKey], window }, request, field, nowMs).isOk());
 });
 
 test('the replay window stays bounded in a flood and still refuses the latest requests', (t) => {
--- a/packages/core/src/keys/requestSignature.ts
+++ b/packages/core/src/keys/requestSignature.ts
@@ -17,7 +17,10 @@
 
 /** What a signature says besides the request itself. */
 export interface SignatureParts {
+  /** Host that sends the request. */
   readonly hostId: string;
+  /** Host that the request is for. */
+  readonly toHostId: string;
   readonly sentAtMs: number;
   /** Not used twice by one host. */
   readonly nonce: string;
@@ -29,10 +32,9 @@
 
 function textOf(request: SignedRequest, parts: SignatureParts): string {
   const digest = request.body === undefined ? streamedBody : digestOf(request.body);
-  const { hostId, sentAtMs, nonce } = parts;
-  return [hostId, sentAtMs, nonce, request.method, request.path, request.routing, digest].join(
-    '\n',
-  );
+  const { hostId, toHostId, sentAtMs, nonce } = parts;
+  const { method, path, routing } = request;
+  return [hostId, toHostId, sentAtMs, nonce, method, path, routing, digest].join('\n');
 }
 
 /**
@@ -40,12 +42,13 @@
  *
  * @param key - signing key
  * @param request - covered parts
- * @param parts - sender, time and nonce
+ * @param parts - sender, receiver, time and nonce
  * @returns value of the signature field
  */
 export function signRequest(key: SharedKey, request: SignedRequest, parts: SignatureParts): string {
   const signature = signText(key, textOf(request, parts));
-  return [parts.hostId, parts.sentAtMs, parts.nonce, signature].join(fieldSeparator);
+  const { hostId, toHostId, sentAtMs, nonce } = parts;
+  return [hostId, toHostId, sentAtMs, nonce, signature].join(fieldSeparator);
 }
 
 /** A signature field taken apart. */
@@ -65,33 +68,47 @@
  */
 export function readSignature(field: unknown): Result<ReadSignature, Failure> {
   if (typeof field !== 'string') return refuse('the request is not signed');
-  const [hostId, sentAt, nonce, signature, ...rest] = field.split(fieldSeparator);
+  const [hostId, toHostId, sentAt, nonce, signature, ...rest] = field.split(fieldSeparator);
   const sentAtMs = Number(sentAt);
-  const isWhole = hostId !== undefined && nonce !== undefined && signature !== undefined;
+  const isNamed = hostId !== undefined && toHostId !== undefined;
+  const isWhole = isNamed && nonce !== undefined && signature !== undefined;
   if (!isWhole || rest.length > 0 || !Number.isFinite(sentAtMs)) {
     return refuse('the signature has a wrong form');
   }
-  return ok({ hostId, sentAtMs, nonce, signature });
+  return ok({ hostId, toHostId, sentAtMs, nonce, signature });
+}
+
+/** What a host checks requests by. */
+export interface RequestVerifier {
+  /** The host itself. */
+  readonly hostId: string;
+  /** Valid keys; several during a rotation. */
+  readonly keys: readonly SharedKey[];
+  /** Requests seen so far. */
+  readonly window: ReplayWindow;
 }
 
 /**
- * Checks a signed request. Only a request with a valid signature enters the replay window.
+ * Checks a signed request. Only a request for this host with a valid signature enters the replay
+ * window.
  *
- * @param keys - valid keys
+ * @param verifier - own name, keys and requests seen so far
  * @param request - covered parts as received
  * @param field - value of the signature field
- * @param window - requests seen so far
  * @param nowMs - wall time
  * @returns the sending host, or BL6001
  */
 export function verifyRequest(
-  keys: readonly SharedKey[],
+  verifier: RequestVerifier,
   request: SignedRequest,
   field: unknown,
-  window: ReplayWindow,
   nowMs: number,
 ): Result<string, Failure> {
+  const { hostId, keys, window } = verifier;
   return readSignature(field).andThen((read) => {
+    if (read.toHostId !== hostId) {
+      return refuse(`the request of host "${read.hostId}" is for another host`);
+    }
     if (!isSignedBy(keys, textOf(request, read), read.signature)) {
       return refuse(`the key of host "${read.hostId}" is not valid`);
     }
--- a/packages/host/src/calls/dispatch.ts
+++ b/packages/host/src/calls/dispatch.ts
@@ -171,7 +171,12 @@
     const plan = common(dispatched);
     const fields = endToEndFields(call.request.rawHeaders);
     const routing = JSON.stringify(forwarded);
-    const signature = parts.auth.sign({ method: plan.method, path: plan.path, routing });
+    const signature = parts.auth.sign({
+      toHostId: hostId,
+      method: plan.method,
+      path: plan.path,
+      routing,
+    });
     for (const [name, value] of Object.entries(signature)) fields.push(name, value);
     fields.push(forwardedCallHeader, routing);
     return runAttempt({
--- a/packages/host/src/rpc/peerClients.ts
+++ b/packages/host/src/rpc/peerClients.ts
@@ -40,12 +40,6 @@
     send: PeerRequest<Reply>,
     timeoutMs?: number,
   ) => ResultAsync<Reply, Failure>;
-  /** Sends a request to an address whose host is not known yet. */
-  readonly requestAt: <Reply>(
-    endpoint: Endpoint,
-    send: PeerRequest<Reply>,
-    timeoutMs?: number,
-  ) => ResultAsync<Reply, Failure>;
   readonly close: () => Promise<void>;
 }
 
@@ -79,49 +73,46 @@
 export function createPeerClients(parts: PeerClientParts): PeerClients {
   const { settings, auth, timeline, memberAddress } = parts;
   const agent = new Agent({ connections: connectionsPerHost, keepAliveTimeout: keepAliveMs });
-  const fetch = createUndiciFetch(agent, (clock) => observeClockHeader(timeline, clock), auth.sign);
+  const observeClock = (clock: string | string[] | undefined) =>
+    observeClockHeader(timeline, clock);
   const clients = new Map<string, PeerClient>();
   const startAddresses = new Map(settings.peers.map((peer) => [peer.hostId, peer.internal]));
 
-  const clientAt = (origin: string): PeerClient => {
-    const known = clients.get(origin);
+  const clientOf = (hostId: string, origin: string): PeerClient => {
+    const key = `${hostId} ${origin}`;
+    const known = clients.get(key);
     if (known !== undefined) return known;
     const client = createTRPCClient<AppRouter>({
       links: [
         httpLink({
           url: `${origin}/rpc`,
-          fetch,
+          fetch: createUndiciFetch(agent, observeClock, auth.sign, hostId),
           headers: () => ({
             [clockHeader]: formatHybridTime(timeline.readClock()),
           }),
         }),
       ],
     });
-    clients.set(origin, client);
+    clients.set(key, client);
     return client;
   };
 
   const addressOf: PeerClients['addressOf'] = (hostId) =>
     settings.peerAddresses[hostId] ?? memberAddress(hostId) ?? startAddresses.get(hostId);
 
-  const requestAt: PeerClients['requestAt'] = (endpoint, send, timeoutMs) => {
-    const signal = AbortSignal.timeout(timeoutMs ?? settings.timing.rpcTimeoutMs);
-    const origin = originOf(endpoint);
-    return ResultAsync.fromPromise(send(clientAt(origin), signal), (error) => {
-      const problem = error instanceof Error ? error.message : String(error);
-      return failure('BL6003', `${origin}: ${problem}`);
-    });
-  };
-
   return {
     addressOf,
-    requestAt,
     request: (hostId, send, timeoutMs) => {
       const endpoint = addressOf(hostId);
       if (endpoint === undefined) {
         return errAsync(failure('BL6003', `no address of host "${hostId}" is known`));
       }
-      return requestAt(endpoint, send, timeoutMs);
+      const signal = AbortSignal.timeout(timeoutMs ?? settings.timing.rpcTimeoutMs);
+      const origin = originOf(endpoint);
+      return ResultAsync.fromPromise(send(clientOf(hostId, origin), signal), (error) => {
+        const problem = error instanceof Error ? error.message : String(error);
+        return failure('BL6003', `${origin}: ${problem}`);
+      });
     },
     close: () => agent.destroy(),
   };
--- a/packages/host/src/rpc/requestAuth.ts
+++ b/packages/host/src/rpc/requestAuth.ts
@@ -20,6 +20,8 @@
 
 /** The parts of a request that its signature may cover. */
 export interface SignedParts {
+  /** Host that the request is for. */
+  readonly toHostId: string;
   readonly method: string;
   /** Path with query. */
   readonly path: string;
@@ -82,7 +84,7 @@
   const { hostId, clusterKeys } = settings;
   const [signingKey] = clusterKeys;
   const noncePrefix = randomBytes(noncePrefixBytes).toString('base64url');
-  const window = new ReplayWindow();
+  const verifier = { hostId, keys: clusterKeys, window: new ReplayWindow() };
   let count = 0;
   const nextNonce = () => {
     count += 1;
@@ -91,15 +93,15 @@
   return {
     sign: (parts): Record<string, string> => {
       if (signingKey === undefined) return {};
-      const proof = { hostId, sentAtMs: wallMs(), nonce: nextNonce() };
+      const { toHostId } = parts;
+      const proof = { hostId, toHostId, sentAtMs: wallMs(), nonce: nextNonce() };
       return { [signatureHeader]: signRequest(signingKey, coveredParts(parts), proof) };
     },
     authenticate: (request, body) =>
       verifyRequest(
-        clusterKeys,
+        verifier,
         receivedParts(request, body),
         request.headers[signatureHeader],
-        window,
         wallMs(),
       ),
   };
--- a/packages/host/src/rpc/undiciFetch.ts
+++ b/packages/host/src/rpc/undiciFetch.ts
@@ -25,17 +25,20 @@
  * @param dispatcher - agent that owns the connections
  * @param observeClock - takes the clock field of each reply
  * @param sign - gives the fields that prove who sends a request
+ * @param toHostId - host that the requests are for
  */
 export function createUndiciFetch(
   dispatcher: Dispatcher,
   observeClock: (clock: string | string[] | undefined) => void,
   sign: RequestAuth['sign'],
+  toHostId: string,
 ) {
   return async (url: string | URL | Request, options: FetchOptions = {}): Promise<FetchedReply> => {
     const target = new URL(url instanceof Request ? url.url : url);
     const method = options.method ?? 'GET';
     const body = typeof options.body === 'string' ? options.body : '';
-    const signature = sign({ method, path: `${target.pathname}${target.search}`, body });
+    const path = `${target.pathname}${target.search}`;
+    const signature = sign({ toHostId, method, path, body });
     const reply = await request(target, {
       dispatcher,
       method,
--- a/packages/testkit/src/keys/wrongKeys.spec.ts
+++ b/packages/testkit/src/keys/wrongKeys.spec.ts
@@ -35,7 +35,7 @@
     send: async ({ context }: RunningHost) => {
       const path = '/rpc/ping.ping';
       const request = { method: 'GET', path, routing: '', body: '' };
-      const parts = { hostId: 'b1', sentAtMs: Date.now(), nonce: 'n1' };
+      const parts = { hostId: 'b1', toHostId: 'a1', sentAtMs: Date.now(), nonce: 'n1' };
       const signature = signRequest(wrongKey, request, parts);
       const url = `${originOf(context.settings.listen.internal)}${path}`;
       return refusalCode(await fetch(url, { headers: { 'x-buckthornlug-signature': signature } }));
