fix(shifts): a short pause of a host closes the limit for one window, not for a takeover

Cause: every gap of more than 250 ms in the event loop closed the limit of a pool owner for three seconds, the time that guards against a former owner. Ruled out: a lower cap in the document, a wrong part of the zone; the parts were 20 and 20. Change: a pause under one second, in which no other host can have been elected and opened its own limit, closes for one window and the guard; a longer one as before.

--- a/packages/core/src/shifts/shiftLimiter.spec.ts
+++ b/packages/core/src/shifts/shiftLimiter.spec.ts
@@ -54,6 +54,24 @@
   });
 }
 
+for (const [pauseMs, closedMs] of [
+  [200, 0],
+  [300, 1000],
+  [900, 1000],
+  [1100, 3000],
+  [60_000, 3000],
+] as const) {
+  test(`a pause of ${pauseMs} ms closes the limiter for ${closedMs} ms`, (t) => {
+    const limiter = new ShiftLimiter({ maxCalls: 5, windowMs: 1000 }, 0, 3000);
+    for (let nowMs = 0; nowMs <= 10_000; nowMs += 100) limiter.observe(nowMs);
+    const wokenMs = 10_000 + pauseMs;
+    let nowMs = wokenMs;
+    for (; !limiter.admit(nowMs); nowMs += 50) t.true(nowMs < wokenMs + 10_000);
+    t.true(nowMs - wokenMs >= closedMs);
+    t.true(nowMs - wokenMs <= closedMs + 50);
+  });
+}
+
 test('a smaller part holds at once and a larger one later', (t) => {
   const limiter = new ShiftLimiter({ maxCalls: 5, windowMs: 1000 }, 0);
   const admittedAt = (nowMs: number) => [...Array(20)].filter(() => limiter.admit(nowMs)).length;
--- a/packages/core/src/shifts/shiftLimiter.ts
+++ b/packages/core/src/shifts/shiftLimiter.ts
@@ -2,6 +2,8 @@
 
 /** A gap between two observations that counts as a pause of the process. */
 const maxGapMs = 250;
+/** Shortest pause in which another host can have taken the pool over. */
+const takeOverGapMs = 1000;
 /** Time for which a larger part waits, so that other zones have taken up their smaller ones. */
 const growthDelayMs = 10_000;
 /** Old times that are kept before the list is shortened. */
@@ -27,7 +29,8 @@
   /**
    * @param part - calls and window
    * @param nowMs - monotonic time
-   * @param closedMs - shortest time for which it stays closed at the start and after a pause
+   * @param closedMs - shortest time for which it stays closed at the start and after a pause in which
+   * another host can have taken the pool over
    * @param guardMs - largest difference between the delays of two calls on their way; calls that
    * are admitted further apart than the window stay apart when they arrive
    */
@@ -43,7 +46,9 @@
 
   /** Tells the limiter that the process runs; to be called more often than each 250 ms. */
   observe(nowMs: number): void {
-    if (nowMs - this.observedAtMs > maxGapMs) this.closedUntilMs = nowMs + this.closedForMs();
+    const gapMs = nowMs - this.observedAtMs;
+    if (gapMs >= takeOverGapMs) this.closeFor(nowMs, this.closedForMs());
+    else if (gapMs > maxGapMs) this.closeFor(nowMs, this.part.windowMs + this.guardMs);
     this.observedAtMs = nowMs;
     if (this.pending === undefined || nowMs < this.pending.atMs) return;
     this.part = this.pending.part;
@@ -81,6 +86,10 @@
     return Math.max(1, Math.ceil(Math.max(freeAtMs, this.closedUntilMs) - nowMs));
   }
 
+  private closeFor(nowMs: number, timeMs: number): void {
+    this.closedUntilMs = Math.max(this.closedUntilMs, nowMs + timeMs);
+  }
+
   private closedForMs(): number {
     return Math.max(this.closedMs, this.part.windowMs + this.guardMs);
   }
