feat(demo): the kept demo has callers in each zone and prints what its operator needs

Cause: followed by hand, the README's steps stopped at the submission: team, key and secret file were not told, buckthornlugctl backends failed since GET /v1/backends does not exist, and no caller went on that a drain could move. Measured (npx ava packages/testkit/src/demo/demo.spec.ts): fails at buckthornlugctl backends until the route is there; the demo itself passes.

--- a/packages/testkit/src/demo/demoMain.ts
+++ b/packages/testkit/src/demo/demoMain.ts
@@ -5,6 +5,7 @@
 
 import { deploymentKeys } from '../deployment/deployment.js';
 import { createFakeCaller, type CallerRequest, type FakeCaller } from '../fakes/fakeCaller.js';
+import { keepRunning } from './demoKeep.js';
 import {
   demoDocumentPath,
   demoHostName,
@@ -147,17 +148,8 @@
   say(indent(timeline.output));
 }
 
-/** Leaves the deployment running, with callers that go on, until the process is interrupted. */
-async function keepRunning(fleet: DemoFleet): Promise<void> {
-  title('Running until Ctrl-C');
-  say(`   export BUCKTHORNLUG_ADMIN=${adminAddresses(fleet).join(',')}`);
-  await new Promise<void>((resolve) => {
-    process.once('SIGINT', () => resolve());
-    process.once('SIGTERM', () => resolve());
-  });
-}
-
 const isKept = process.argv.includes('--keep');
+
 async function runDemo(fleet: DemoFleet, workFolder: string): Promise<void> {
   title(`Submitting ${demoDocumentPath}`);
   await submitDocument(fleet, workFolder);
@@ -176,7 +168,8 @@
     title('A caller asks which hosts to use');
     await showLookup(caller);
     if (isKept) {
-      await keepRunning(fleet);
+      title('Running until Ctrl-C');
+      await keepRunning(fleet, adminAddresses(fleet), workFolder, say);
       return;
     }
     title('Calls of each kind');
