fix(submissions): identities of once-only work stay put, also of a service that comes back

Cause: the control machine compared only the ledger groups of kinds present in both versions. The full check (ledgerMoveFaults) existed with a test and was called by nobody, so a kind could be removed, made idempotent or given another identity; and a removed service came back under another ledger unnoticed. Change: submissions run ledgerMoveFaults over the services that changed, and removed services with once-only work are kept in the replicated state and compared when they come back. Measured (npx ava packages/core/src/submissions/controlMachine.spec.ts): 7 of the 8 new cases failed before (accepted as version 2 or 3 in place of BL2011), none after.

--- a/packages/core/src/ledger/ledgerMoveFaults.ts
+++ b/packages/core/src/ledger/ledgerMoveFaults.ts
@@ -63,8 +63,15 @@
   return faults;
 }
 
-/** Faults of one service that has once-only kinds before the change. */
-function serviceFaults(serviceId: string, before: Service, after: Service): Fault[] {
+/**
+ * Faults of one service that has once-only kinds before the change.
+ *
+ * @param serviceId - service
+ * @param before - service before the change
+ * @param after - service after it
+ * @returns each fault with its path, for BL2011
+ */
+export function serviceFaults(serviceId: string, before: Service, after: Service): Fault[] {
   const path = `services/${serviceId}`;
   const faults: Fault[] = [];
   for (const kind of before.kinds) {
@@ -83,10 +90,14 @@
 }
 
 /** Host names of a service with once-only work that move to another service. */
-function hostNameFaults(serviceId: string, before: Service, after: SteeringDocument): Fault[] {
+function hostNameFaults(
+  serviceId: string,
+  before: Service,
+  changed: readonly (readonly [string, Service])[],
+): Fault[] {
   if (!before.kinds.some((kind) => kind.execution === 'once')) return [];
   const faults: Fault[] = [];
-  for (const [otherId, other] of Object.entries(after.services)) {
+  for (const [otherId, other] of changed) {
     if (otherId === serviceId) continue;
     for (const [index, name] of other.hostNames.entries()) {
       if (!before.hostNames.includes(name)) continue;
@@ -107,10 +118,16 @@
  */
 export function ledgerMoveFaults(before: SteeringDocument, after: SteeringDocument): Fault[] {
   const faults: Fault[] = [];
+  const changed = Object.entries(after.services).filter(
+    ([serviceId, service]) => before.services[serviceId] !== service,
+  );
+  if (changed.length === 0) return faults;
   for (const [serviceId, service] of Object.entries(before.services)) {
     const kept = after.services[serviceId];
-    if (kept !== undefined) faults.push(...serviceFaults(serviceId, service, kept));
-    faults.push(...hostNameFaults(serviceId, service, after));
+    if (kept !== undefined && kept !== service) {
+      faults.push(...serviceFaults(serviceId, service, kept));
+    }
+    faults.push(...hostNameFaults(serviceId, service, changed));
   }
   return faults;
 }
--- a/packages/core/src/submissions/controlMachine.spec.ts
+++ b/packages/core/src/submissions/controlMachine.spec.ts
@@ -176,6 +176,68 @@
   t.is(restored.documents.currentVersion(), 2);
 });
 
+const withKinds = (change: (kind: Record<string, unknown>) => Record<string, unknown>[]) => {
+  const shop = structuredClone(sampleSections()['services/shop']) as {
+    kinds: Record<string, unknown>[];
+  };
+  shop.kinds = shop.kinds.flatMap(change);
+  return shop;
+};
+const other = { id: 'browse', match: {}, rank: 'urgent', execution: 'idempotent', timeLimitMs: 9 };
+
+/** Content of the service after each change; null where it is removed. */
+const kindChanges: [what: string, contents: (object | null)[], last: string][] = [
+  ['removed alone', [withKinds(() => [other])], 'BL2011'],
+  [
+    'made idempotent',
+    [withKinds((kind) => [{ ...kind, execution: 'idempotent', ledgerGroups: [] }])],
+    'BL2011',
+  ],
+  [
+    'given another identity',
+    [withKinds((kind) => [{ ...kind, identity: { header: 'x-else' } }])],
+    'BL2011',
+  ],
+  ['preceded by a kind that takes its calls', [withKinds((kind) => [other, kind])], 'BL2011'],
+  ['removed with its service, and back in another ledger', [null, withLedger(['l-2'])], 'BL2011'],
+  [
+    'removed with its service, and back under another identity',
+    [null, withKinds((kind) => [{ ...kind, identity: { header: 'x-else' } }])],
+    'BL2011',
+  ],
+  [
+    'removed with its service, and back by way of a service without it',
+    [null, withKinds(() => [other])],
+    'BL2011',
+  ],
+  [
+    'removed with its service, and back as it was',
+    [null, withKinds((kind) => [kind])],
+    'version 3',
+  ],
+];
+
+for (const [what, contents, last] of kindChanges) {
+  test(`a kind that runs at most once is ${what}: ${last}`, (t) => {
+    let machine = startedMachine();
+    const answers = contents.map((content, index) => {
+      const restored = createControlMachine(verifySubmission);
+      restored.restore(structuredClone(machine.snapshot()));
+      machine = restored;
+      const base = contents[index - 1] === null ? 0 : 1;
+      const gone = content === null ? null : traffic(300);
+      return codeOf(
+        submit(machine, {
+          id: `kind-change-${index}`,
+          base: { 'services/shop': base, 'traffic/shop': base },
+          sections: { 'services/shop': content, 'traffic/shop': gone },
+        }),
+      );
+    });
+    t.is(answers.at(-1), last);
+  });
+}
+
 test('a step of a shift counts only for the version in force and within its cap', (t) => {
   const machine = startedMachine();
   const step = (documentVersion: number, movedPermille: number) => {
--- a/packages/core/src/submissions/documentStore.ts
+++ b/packages/core/src/submissions/documentStore.ts
@@ -9,6 +9,7 @@
 import type { Submission } from '@buckthornlug/protocol/submissions/submissionSchema.js';
 import { err, ok, type Result } from 'neverthrow';
 
+import { RetiredServices } from './retiredServices.js';
 import {
   checkBaseVersions,
   checkJoined,
@@ -35,6 +36,8 @@
 
   private answers = new Map<string, KeptAnswer>();
 
+  private readonly retired = new RetiredServices();
+
   private joinedDocument: SteeringDocument | undefined;
 
   private accepted: AcceptedDocument | undefined;
@@ -74,7 +77,9 @@
 
   private decide(submission: Submission): SubmissionOutcome {
     const result = checkBaseVersions(submission, this.version, (name) => this.versionOf(name))
-      .andThen(() => checkJoined(submission, this.joined(submission), this.document()))
+      .andThen(() =>
+        checkJoined(submission, this.joined(submission), this.document(), this.retired),
+      )
       .map((document) => this.take(submission, document));
     if (result.isErr()) return { accepted: false, failure: result.error };
     return { accepted: true, reply: result.value };
@@ -96,6 +101,7 @@
   }
 
   private take(submission: Submission, document: SteeringDocument) {
+    this.retired.note(this.document(), document);
     this.version += 1;
     const { version } = this;
     for (const name of Object.keys(submission.sections)) {
@@ -167,13 +173,15 @@
 
   snapshot(): DocumentsSnapshot {
     const sections = [...this.sections.values()];
-    return { version: this.version, sections, answers: [...this.answers.values()] };
+    const answers = [...this.answers.values()];
+    return { version: this.version, sections, answers, retired: this.retired.snapshot() };
   }
 
-  restore({ version, sections, answers }: DocumentsSnapshot): void {
+  restore({ version, sections, answers, retired }: DocumentsSnapshot): void {
     this.version = version;
     this.sections = new Map(sections.map((section) => [section.name, section]));
     this.answers = new Map(answers.map((answer) => [answer.submissionId, answer]));
+    this.retired.restore(retired ?? []);
     this.joinedDocument = undefined;
     this.accepted = undefined;
   }
--- a/packages/core/src/submissions/submissionChecks.ts
+++ b/packages/core/src/submissions/submissionChecks.ts
@@ -13,7 +13,9 @@
 import type { Submission } from '@buckthornlug/protocol/submissions/submissionSchema.js';
 import { err, ok, type Result } from 'neverthrow';
 
+import { ledgerMoveFaults } from '../ledger/ledgerMoveFaults.js';
 import { checkChangedSections } from './changedSectionCheck.js';
+import type { RetiredServices } from './retiredServices.js';
 import type { VerifySubmission } from './submissionSignature.js';
 
 /** Checks of a submission against the accepted document. Each reports every fault. */
@@ -67,18 +69,13 @@
   return err(failure('BL2005', `the document is at version ${version}`, { faults }));
 }
 
-/** Checks that kinds of at-most-once work keep their ledger groups. */
-function checkLedgers(before: SteeringDocument, after: SteeringDocument): Result<void, Failure> {
-  const faults: Fault[] = [];
-  for (const [serviceId, service] of Object.entries(after.services)) {
-    for (const [index, kind] of service.kinds.entries()) {
-      const old = before.services[serviceId]?.kinds.find(({ id }) => id === kind.id);
-      if (old?.execution !== 'once' || kind.execution !== 'once') continue;
-      if (old.ledgerGroups.join(' ') === kind.ledgerGroups.join(' ')) continue;
-      const path = `services/${serviceId}/kinds/${index}/ledgerGroups`;
-      faults.push({ path, problem: `must stay ${old.ledgerGroups.join(', ')}` });
-    }
-  }
+/** Checks that identities of once-only work stay where they are. */
+function checkLedgers(
+  before: SteeringDocument,
+  after: SteeringDocument,
+  retired: RetiredServices,
+): Result<void, Failure> {
+  const faults = [...ledgerMoveFaults(before, after), ...retired.faults(after)];
   if (faults.length === 0) return ok(undefined);
   return err(failure('BL2011', 'identities would move to another ledger', { faults }));
 }
@@ -89,12 +86,14 @@
  * @param submission - submission
  * @param sections - sections of the document after the change
  * @param before - accepted document, if any
+ * @param retired - services removed earlier
  * @returns the document with its defaults; BL2002, BL2003 or BL2011 with every fault
  */
 export function checkJoined(
   submission: Submission,
   sections: ReadonlyMap<SectionName, unknown>,
   before: SteeringDocument | undefined,
+  retired: RetiredServices,
 ): Result<SteeringDocument, Failure> {
   const faults: Fault[] = [];
   for (const name of Object.keys(submission.sections)) {
@@ -105,5 +104,5 @@
   if (before === undefined) return checkDocument(joinSections(sections));
   const quick = checkChangedSections(submission.sections, sections);
   const checked = quick === undefined ? checkDocument(joinSections(sections)) : ok(quick);
-  return checked.andThen((document) => checkLedgers(before, document).map(() => document));
+  return checked.andThen((document) => checkLedgers(before, document, retired).map(() => document));
 }
--- a/packages/core/src/submissions/submissionTypes.ts
+++ b/packages/core/src/submissions/submissionTypes.ts
@@ -8,6 +8,8 @@
   SubmissionReply,
 } from '@buckthornlug/protocol/submissions/submissionSchema.js';
 
+import type { RetiredService } from './retiredServices.js';
+
 /** Who vouches for a submission: its team, or a cluster key on the first one of all. */
 export type SubmissionAuthority = 'team' | 'cluster';
 
@@ -35,6 +37,8 @@
   readonly version: number;
   readonly sections: readonly VersionedSection[];
   readonly answers: readonly KeptAnswer[];
+  /** Absent in snapshots of earlier releases. */
+  readonly retired?: readonly RetiredService[];
 }
 
 /** The accepted document with its versions. */
