feat(consensus): heartbeats as signed datagrams

Cause: each heartbeat and its answer was a procedure call over HTTP, 13 a second at a leader of three; a profile of an idle leader spent most of its time in undici, node:http and trpc. Change: appends without entries and their answers travel as datagrams with receiver, time and nonce under the cluster key; after two without an answer procedure calls are used, with a trial every 5 s. The socket of the membership carries both, by channel.

--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -71,7 +71,7 @@
     const options = consensusOptions(timing.electionTimeoutMs, timing.heartbeatMs);
     this.restoreMachine(durable.snapshot);
     this.state = createReplica(this.replicaId, durable, options, context.clock.nowMs());
-    this.outbox = createMessageOutbox(parts.sendBatch);
+    this.outbox = createMessageOutbox(parts.sendBatch, parts.sendHeartbeats);
     this.ticker = setInterval(
       () => this.take({ kind: 'tick' }),
       timing.heartbeatMs / ticksPerHeartbeat,
--- a/packages/host/src/consensus/groupTaskTypes.ts
+++ b/packages/host/src/consensus/groupTaskTypes.ts
@@ -5,7 +5,7 @@
 
 import type { HostContext } from '../runtime/hostTypes.js';
 import type { GroupDescription } from './consensusSchema.js';
-import type { SendBatch } from './messageOutbox.js';
+import type { SendBatch, SendHeartbeats } from './messageOutbox.js';
 import type { GroupStorage } from './storageTypes.js';
 
 /** What the task of one replica is given. */
@@ -15,6 +15,7 @@
   readonly machine: ReplicatedMachine<Command, Reply>;
   readonly storage: GroupStorage;
   readonly sendBatch: SendBatch;
+  readonly sendHeartbeats: SendHeartbeats;
 }
 
 /** Outcome of a proposal. */
--- a/packages/host/src/consensus/groups.ts
+++ b/packages/host/src/consensus/groups.ts
@@ -4,6 +4,7 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 
+import type { Datagrams } from '../rpc/datagrams.js';
 import type { PeerClients } from '../rpc/peerClients.js';
 import type { HostContext } from '../runtime/hostTypes.js';
 import { decodeText, encodeText } from './binaryCodec.js';
@@ -17,6 +18,7 @@
   SubmitRequest,
 } from './consensusSchema.js';
 import type { GroupHandle } from './groupTypes.js';
+import { HeartbeatLink, type HeartbeatBatch } from './heartbeatLink.js';
 import { LeaderClient } from './leaderClient.js';
 import { MemberReplica } from './memberReplica.js';
 
@@ -50,10 +52,29 @@
 
   private readonly starts: Promise<void>[] = [];
 
+  private readonly heartbeats: HeartbeatLink | undefined;
+
   constructor(
     private readonly context: HostContext,
     private readonly peers: PeerClients,
-  ) {}
+    datagrams?: Datagrams,
+  ) {
+    const { settings, incarnation, clock } = context;
+    if (datagrams === undefined) return;
+    this.heartbeats = new HeartbeatLink({
+      hostId: settings.hostId,
+      incarnation,
+      datagrams,
+      addressOf: (hostId) =>
+        settings.peerAddresses[hostId] === undefined ? peers.addressOf(hostId) : undefined,
+      clock,
+      onBatch: (batch) => this.takeHeartbeats(batch),
+    });
+  }
+
+  private takeHeartbeats({ groupId, formationId, messages }: HeartbeatBatch): void {
+    this.replicas.get(groupId)?.deliver(formationId, messages);
+  }
 
   private memberHostIds(groupId: string): readonly string[] {
     const group = this.context.settings.groups.find(({ id }) => id === groupId);
@@ -76,8 +97,16 @@
     let replica: MemberReplica<Command, Reply> | undefined;
     if (memberHostIds.includes(settings.hostId) && settings.dataFolder !== undefined) {
       const { dataFolder } = settings;
-      const { context, peers } = this;
-      replica = new MemberReplica({ context, peers, groupId, memberHostIds, machine, dataFolder });
+      const { context, peers, heartbeats } = this;
+      replica = new MemberReplica({
+        context,
+        peers,
+        heartbeats,
+        groupId,
+        memberHostIds,
+        machine,
+        dataFolder,
+      });
       this.replicas.set(groupId, replica as unknown as AnyReplica);
       this.starts.push(replica.start());
     }
--- a/packages/host/src/consensus/memberReplica.ts
+++ b/packages/host/src/consensus/memberReplica.ts
@@ -14,6 +14,7 @@
 import { openGroupStorage } from './groupStorage.js';
 import { startGroupTask } from './groupTask.js';
 import type { GroupTask } from './groupTaskTypes.js';
+import type { HeartbeatLink } from './heartbeatLink.js';
 import type { GroupStorage } from './storageTypes.js';
 
 /** The replica of a member host: opens its folder, forms or joins the group, runs its task. */
@@ -27,6 +28,8 @@
 export interface MemberReplicaParts<Command, Reply> {
   readonly context: HostContext;
   readonly peers: Pick<PeerClients, 'request'>;
+  /** Link for heartbeats; procedure calls carry them where absent. */
+  readonly heartbeats: Pick<HeartbeatLink, 'send'> | undefined;
   readonly groupId: string;
   /** Hosts that start the group. */
   readonly memberHostIds: readonly string[];
@@ -134,7 +137,7 @@
   }
 
   private startTask(storage: GroupStorage): void {
-    const { context, groupId, machine } = this.parts;
+    const { context, groupId, machine, heartbeats } = this.parts;
     const formationId = storage.stored().identity.formationId ?? '';
     this.task = startGroupTask({
       context,
@@ -142,6 +145,8 @@
       machine,
       storage,
       sendBatch: (hostId, messages) => this.sendBatch(hostId, formationId, messages),
+      sendHeartbeats: (hostId, messages) =>
+        heartbeats?.send(hostId, groupId, formationId, messages) ?? false,
     });
     this.task.onApplied((logIndex) => {
       for (const listener of this.listeners) listener(logIndex);
@@ -233,6 +238,11 @@
     return (await this.task?.exchange(fromHostId, messages)) ?? [];
   }
 
+  /** Takes messages that need no answer at once; other starts of the group are ignored. */
+  deliver(formationId: string, messages: readonly ConsensusMessage[]): void {
+    if (this.storage?.stored().identity.formationId === formationId) this.task?.deliver(messages);
+  }
+
   async stop(): Promise<void> {
     this.isStopped = true;
     clearTimeout(this.timer);
--- a/packages/host/src/consensus/messageOutbox.ts
+++ b/packages/host/src/consensus/messageOutbox.ts
@@ -13,6 +13,9 @@
 /** Sends one batch; resolves when it was taken or lost. */
 export type SendBatch = (hostId: string, messages: readonly ConsensusMessage[]) => Promise<void>;
 
+/** Sends messages by datagram where that will do; tells whether it did. */
+export type SendHeartbeats = (hostId: string, messages: readonly ConsensusMessage[]) => boolean;
+
 /** Messages to one host that travel with the answer to its request. */
 export interface CollectedMessages {
   /** Ends the collection and gives what was collected. */
@@ -38,8 +41,12 @@
  * Creates an outbox.
  *
  * @param sendBatch - sends one batch
+ * @param sendHeartbeats - sends messages whose loss does no harm, when no batch is under way
  */
-export function createMessageOutbox(sendBatch: SendBatch): MessageOutbox {
+export function createMessageOutbox(
+  sendBatch: SendBatch,
+  sendHeartbeats: SendHeartbeats,
+): MessageOutbox {
   const queues = new Map<string, HostQueue>();
   let isClosed = false;
 
@@ -60,6 +67,7 @@
     queue.isScheduled = false;
     while (!isClosed && queue.waiting.length > 0 && queue.inFlight < maxRequestsInFlight) {
       const batch = queue.waiting.splice(0, maxBatchMessages);
+      if (queue.inFlight === 0 && sendHeartbeats(hostId, batch)) continue;
       queue.inFlight += 1;
       const done = () => {
         queue.inFlight -= 1;
--- a/packages/host/src/membership/membershipFeature.ts
+++ b/packages/host/src/membership/membershipFeature.ts
@@ -1,24 +1,33 @@
 import type { MemberMessage } from '@buckthornlug/core/membership/membershipTypes.js';
 
+import { Result } from 'neverthrow';
+
 import type { Feature, HostParts } from '../runtime/hostParts.js';
+import { openDatagrams, type Datagrams } from '../rpc/datagrams.js';
 import type { HostContext } from '../runtime/hostTypes.js';
-import { openDatagrams, type Datagrams } from './datagrams.js';
 import { registerHostsRoutes } from './hostsRoutes.js';
+import { memberMessageSchema } from './membershipSchema.js';
 import { startMembershipTask, type MembershipTask, type PostMessage } from './membershipTask.js';
 
+const parseJson = Result.fromThrowable(
+  (text: string): unknown => JSON.parse(text),
+  () => 'no JSON',
+);
+
 /**
  * Carries messages as datagrams, and as procedure calls where a message is large or its receiver is
  * reached at another address than its own.
  */
 function createPost(context: HostContext, parts: HostParts, datagrams: Datagrams): PostMessage {
   const { settings, metrics } = context;
-  const sendByDatagram = async (message: MemberMessage): Promise<boolean> => {
+  const sendByDatagram = (message: MemberMessage): boolean => {
     if (settings.peerAddresses[message.to] !== undefined) return false;
     const endpoint = parts.peers.addressOf(message.to);
-    return endpoint !== undefined && (await datagrams.send(endpoint, message));
+    if (endpoint === undefined) return false;
+    return datagrams.send(endpoint, 'membership', JSON.stringify(message));
   };
   return async (message) => {
-    if (await sendByDatagram(message)) return [];
+    if (sendByDatagram(message)) return [];
     metrics.count('membership_procedure_calls_total');
     const answers = await parts.peers.request(message.to, (client, signal) =>
       client.membership.deliver.mutate(message, { signal }),
@@ -27,12 +36,11 @@
   };
 }
 
-function openSocket(context: HostContext, onMessage: (message: MemberMessage) => void) {
+function openSocket(context: HostContext) {
   const { settings, metrics } = context;
   return openDatagrams({
     endpoint: settings.listen.internal,
     keys: settings.clusterKeys,
-    onMessage,
     onKeyRefused: (sender) => {
       metrics.count('membership_keys_refused_total');
       context.record({ kind: 'keyRefused', code: 'BL6001', detail: { sender } });
@@ -40,6 +48,14 @@
   });
 }
 
+/** Gives the messages that come as datagrams to the task. */
+function takeDatagrams(datagrams: Datagrams, task: MembershipTask): void {
+  datagrams.receive('membership', (content) => {
+    const message = memberMessageSchema.safeParse(parseJson(content).unwrapOr(undefined));
+    if (message.success) task.take(message.data);
+  });
+}
+
 /** Keeps the membership told of what this host holds of the control group's state. */
 function reportVersions(parts: HostParts, task: MembershipTask): () => void {
   const report = () => {
@@ -59,12 +75,11 @@
 export const membershipFeature: Feature = {
   name: 'membership',
   wanted: () => true,
-  start: (context, parts) => {
-    let task: MembershipTask | undefined;
-    return openSocket(context, (message) => task?.take(message)).map((datagrams) => {
+  start: (context, parts) =>
+    openSocket(context).map((datagrams) => {
       const started = startMembershipTask(context, createPost(context, parts, datagrams));
-      task = started;
-      parts.provide({ membership: started.view, membershipTask: started });
+      takeDatagrams(datagrams, started);
+      parts.provide({ membership: started.view, membershipTask: started, datagrams });
       const { rpcHandlers } = parts;
       rpcHandlers.membership = { deliver: started.deliver };
       const endReports = reportVersions(parts, started);
@@ -81,6 +96,5 @@
           },
         },
       };
-    });
-  },
+    }),
 };
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -18,6 +18,7 @@
 import type { MembershipTask } from '../membership/membershipTask.js';
 import type { OpenGroup } from '../consensus/groups.js';
 import type { RpcHandlers } from '../rpc/appRouter.js';
+import type { Datagrams } from '../rpc/datagrams.js';
 import type { ForwardedCallHandler } from '../rpc/internalListener.js';
 import type { PeerClients } from '../rpc/peerClients.js';
 import type { ControlGroup } from '../submissions/controlGroup.js';
@@ -59,6 +60,8 @@
   membership: MembershipView;
   /** Relays and reports of the membership; absent until its feature has started. */
   membershipTask: MembershipTask | undefined;
+  /** Socket for small messages; absent until the membership has started. */
+  datagrams: Datagrams | undefined;
   /** Committed state of the control group, on its members only; set before `documents` starts. */
   controlState: ControlStateSource | undefined;
   /** Opens a replicated group of the settings, on members and other hosts alike. */
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -31,6 +31,7 @@
     table: createTableHolder(documents),
     membership: createStaticMembership(settings, incarnation),
     membershipTask: undefined,
+    datagrams: undefined,
     controlState: undefined,
     shiftSteps: createShiftStepHolder(),
     peers: createPeerClients({
