--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -33,6 +33,7 @@
     membershipTask: undefined,
     datagrams: undefined,
     controlState: undefined,
+    controlSilentMs: () => 0,
     shiftSteps: createShiftStepHolder(),
     peers: createPeerClients({
       settings,
