fix(documents): a killed host does not come back with an older document

Cause: a new version came in force before it was written to documents/last.json, so a host killed in between started with the version before; and a host that had been away put its old document in force before it asked anyone.

--- a/packages/host/src/documents/documentKeeper.ts
+++ b/packages/host/src/documents/documentKeeper.ts
@@ -7,7 +7,8 @@
 export class DocumentKeeper {
   private writing: Promise<void> | undefined;
 
-  private isDue = false;
+  /** Told when the next write has ended. */
+  private waiting: (() => void)[] = [];
 
   /**
    * @param context - context of the host
@@ -29,12 +30,19 @@
     return undefined;
   }
 
-  /** Has the newest state written soon. */
-  save(): void {
-    if (this.dataFolder === undefined) return;
-    this.isDue = true;
-    this.writing ??= this.writeAll(this.dataFolder).finally(() => {
-      this.writing = undefined;
+  /**
+   * Has the newest state written.
+   *
+   * @returns resolves when it is synced or could not be written; undefined where nothing is kept
+   */
+  save(): Promise<void> | undefined {
+    const { dataFolder } = this;
+    if (dataFolder === undefined) return undefined;
+    return new Promise((resolve) => {
+      this.waiting.push(resolve);
+      this.writing ??= this.writeAll(dataFolder).finally(() => {
+        this.writing = undefined;
+      });
     });
   }
 
@@ -44,10 +52,12 @@
   }
 
   private async writeAll(dataFolder: string): Promise<void> {
-    while (this.isDue) {
-      this.isDue = false;
+    while (this.waiting.length > 0) {
+      const { waiting } = this;
+      this.waiting = [];
       const written = await writeDocumentFile(dataFolder, this.read());
       if (written.isErr()) this.report(written.error.code, written.error.detail);
+      for (const resolve of waiting) resolve();
     }
   }
 
--- a/packages/host/src/documents/documentsFeature.ts
+++ b/packages/host/src/documents/documentsFeature.ts
@@ -25,10 +25,10 @@
   );
   const task = new DocumentsTask(context, parts, copy, () => keeper.save());
   const kept = await keeper.load();
-  if (kept !== undefined) task.apply(kept, 'data folder');
   parts.provide({ controlSilentMs: () => task.controlSilentMs() });
   const { rpcHandlers } = parts;
   rpcHandlers.documents = { poll: (fromHostId, poll) => task.answer(fromHostId, poll) };
+  if (kept !== undefined) await task.restore(kept);
   const endMembership = parts.membership.onChange(() => task.membershipChanged());
   const endControl = followControlGroup(parts, task);
   parts.adminRoutes.push((app) =>
--- a/packages/host/src/documents/documentsTask.ts
+++ b/packages/host/src/documents/documentsTask.ts
@@ -10,7 +10,7 @@
 import { err, ok, type Result } from 'neverthrow';
 
 import type { HostParts } from '../runtime/hostParts.js';
-import type { HostContext, HostRecord } from '../runtime/hostTypes.js';
+import type { DocumentInForce, HostContext, HostRecord } from '../runtime/hostTypes.js';
 import {
   pollReplySchema,
   type Poll,
@@ -25,6 +25,17 @@
 /** Reports of other hosts in one poll. */
 const maxReports = 500;
 const sourceOfControlGroup = 'control group';
+const sourceOfDataFolder = 'data folder';
+/** Longest wait for other hosts before the document of the data folder is put in force. */
+const restoreWaitMs = 500;
+/** Longest wait for the disk before a newer version is put in force without being kept. */
+const maxKeepMs = 1000;
+
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs).unref();
+  });
+}
 
 function takesPart(host: HostRecord): boolean {
   return host.state !== 'failed' && host.state !== 'left';
@@ -49,17 +60,19 @@
 
   private nudge: NodeJS.Timeout | undefined;
 
+  private isRestoring = false;
+
   /**
    * @param context - context of the host
    * @param parts - parts that the task reads and the document that it puts in force
    * @param copy - copy that the task keeps up to date
-   * @param onDocument - called after a newer version came in force
+   * @param keep - keeps the newest version; resolves when it is synced
    */
   constructor(
     private readonly context: HostContext,
     private readonly parts: HostParts,
     private readonly copy: ControlCopy,
-    private readonly onDocument: () => void,
+    private readonly keep: () => Promise<void> | undefined,
   ) {
     this.contact = new ControlContact(context.clock.nowMs());
     this.server = new UpdateServer(copy);
@@ -90,7 +103,7 @@
       this.parts.shiftSteps.changed();
     }
     if (outcome.documentChanged) {
-      this.putInForce(source, outcome.changedSections.length);
+      this.bringInForce(source, outcome.changedSections.length);
     }
     if (outcome.documentChanged || outcome.newSteps.length > 0) this.server.wake();
   }
@@ -175,18 +188,47 @@
     }
   }
 
-  private putInForce(source: string, sections: number): void {
-    const { version } = this.copy.versions();
-    const isNewer = this.parts.document.put({
-      version,
+  /**
+   * Takes over the document of the data folder. Other hosts are asked first, so that a host that was
+   * away does not put an old version in force while a newer one can be had.
+   */
+  async restore(kept: ControlUpdate): Promise<void> {
+    this.isRestoring = true;
+    this.apply(kept, sourceOfDataFolder);
+    await Promise.race([this.poller.askSeveral(), pause(restoreWaitMs)]);
+    this.isRestoring = false;
+    this.putInForce(this.newest(), sourceOfDataFolder, kept.sections.length);
+  }
+
+  private newest(): DocumentInForce {
+    return {
+      version: this.copy.versions().version,
       sectionVersions: this.copy.sectionVersions(),
       document: this.copy.document(),
-    });
-    if (!isNewer) return;
+    };
+  }
+
+  /** Puts the newest version in force once it is kept, so that a restart does not go back. */
+  private bringInForce(source: string, sections: number): void {
+    if (this.isRestoring) return;
+    const newest = this.newest();
+    const kept = this.keep();
+    if (kept === undefined) {
+      this.putInForce(newest, source, sections);
+      return;
+    }
+    Promise.race([kept, pause(maxKeepMs)]).then(
+      () => this.putInForce(newest, source, sections),
+      () => undefined,
+    );
+  }
+
+  private putInForce(inForce: DocumentInForce, source: string, sections: number): void {
+    const { version } = inForce;
+    if (!this.parts.document.put(inForce)) return;
     this.context.record({ kind: 'documentInForce', version, detail: { source, sections } });
     this.context.log.info('documentInForce', { version, source, sections });
     this.context.metrics.gauge('document_version', version);
-    this.onDocument();
   }
 
   private newestElsewhere(): HostRecord | undefined {
--- a/packages/host/src/documents/updatePoller.ts
+++ b/packages/host/src/documents/updatePoller.ts
@@ -65,7 +65,7 @@
   }
 
   /** Asks several hosts and takes the highest version, so that a stale source alone cannot decide. */
-  private async askSeveral(): Promise<void> {
+  async askSeveral(): Promise<void> {
     const have = this.parts.have();
     const asked = this.parts.sources().slice(0, firstSources);
     const answers = await Promise.all(
--- a/packages/testkit/src/control/controlFleet.ts
+++ b/packages/testkit/src/control/controlFleet.ts
@@ -27,7 +27,7 @@
   private readonly running = new Map<string, HostProcess>();
 
   constructor(
-    private readonly settings: readonly Settings[],
+    private settings: readonly Settings[],
     private readonly workFolder: string,
   ) {}
 
@@ -69,6 +69,15 @@
     for (const hostId of hostIds) this.running.delete(hostId);
   }
 
+  /** Kills a host and starts it with changed settings. */
+  async restartWith(hostId: string, changed: Partial<Settings>): Promise<void> {
+    await this.kill([hostId]);
+    this.settings = this.settings.map((one) =>
+      one.hostId === hostId ? { ...one, ...changed } : one,
+    );
+    await this.start([hostId]);
+  }
+
   async stop(hostId: string): Promise<number | null> {
     const status = await this.process(hostId).stop();
     this.running.delete(hostId);
@@ -160,7 +169,9 @@
     sections.some((pattern) => pattern === '*' || pattern === 'clientBlocks/*'),
   );
   const [key] = team?.keys ?? [];
-  if (team === undefined || key === undefined) throw new Error('no team owns the client blocks');
+  if (team === undefined || key?.secret === undefined) {
+    throw new Error('no team owns the client blocks');
+  }
   const [region] = document.network.regions;
   const content = [{ block: '127.99.0.0/16', availabilityZone: region?.availabilityZones[0] }];
   const body = {
