--- a/packages/core/src/submissions/documentStore.ts
+++ b/packages/core/src/submissions/documentStore.ts
@@ -10,6 +10,7 @@
 import { err, ok, type Result } from 'neverthrow';
 
 import { RetiredServices } from './retiredServices.js';
+import { withKeptSecrets } from './teamSecrets.js';
 import {
   checkBaseVersions,
   checkJoined,
@@ -65,7 +66,7 @@
 
   /** Whether the submission may change the sections that it names; not kept as an answer. */
   private authorize({ submission, authority }: SubmissionCommand): Result<void, Failure> {
-    const teams = this.sections.get('teams')?.content as Teams | undefined;
+    const teams = this.teams();
     if (this.version === 0 || teams === undefined) {
       if (authority === 'cluster') return ok(undefined);
       return err(failure('BL2006', 'the first submission is signed with a cluster key'));
@@ -75,7 +76,8 @@
     );
   }
 
-  private decide(submission: Submission): SubmissionOutcome {
+  private decide(submitted: Submission): SubmissionOutcome {
+    const submission = withKeptSecrets(submitted, this.teams());
     const result = checkBaseVersions(submission, this.version, (name) => this.versionOf(name))
       .andThen(() =>
         checkJoined(submission, this.joined(submission), this.document(), this.retired),
@@ -85,6 +87,10 @@
     return { accepted: true, reply: result.value };
   }
 
+  private teams(): Teams | undefined {
+    return this.sections.get('teams')?.content as Teams | undefined;
+  }
+
   private versionOf(name: SectionName): number {
     const section = this.sections.get(name);
     return section === undefined || section.content === null ? 0 : section.version;
--- a/packages/core/src/submissions/submissionChecks.ts
+++ b/packages/core/src/submissions/submissionChecks.ts
@@ -16,6 +16,7 @@
 import { ledgerMoveFaults } from '../ledger/ledgerMoveFaults.js';
 import { checkChangedSections } from './changedSectionCheck.js';
 import type { RetiredServices } from './retiredServices.js';
+import { missingSecretFaults } from './teamSecrets.js';
 import type { VerifySubmission } from './submissionSignature.js';
 
 /** Checks of a submission against the accepted document. Each reports every fault. */
@@ -28,7 +29,7 @@
 ): Result<Teams[number], Failure> {
   const team = teams.find(({ id }) => id === submission.team);
   const key = team?.keys.find(({ id }) => id === submission.keyId);
-  if (team === undefined || key === undefined || !verify(submission, key.secret)) {
+  if (team === undefined || key?.secret === undefined || !verify(submission, key.secret)) {
     return err(failure('BL2006', `no valid signature of team "${submission.team}"`));
   }
   return ok(team);
@@ -69,6 +70,13 @@
   return err(failure('BL2005', `the document is at version ${version}`, { faults }));
 }
 
+/** Checks that every key of a team has a secret. */
+function checkSecrets(document: SteeringDocument): Result<SteeringDocument, Failure> {
+  const faults = missingSecretFaults(document.teams);
+  if (faults.length === 0) return ok(document);
+  return err(failure('BL2002', 'the document is not valid', { faults }));
+}
+
 /** Checks that identities of once-only work stay where they are. */
 function checkLedgers(
   before: SteeringDocument,
@@ -101,8 +109,10 @@
     faults.push({ path: name, problem: 'no such section can exist' });
   }
   if (faults.length > 0) return err(failure('BL2002', 'the document is not valid', { faults }));
-  if (before === undefined) return checkDocument(joinSections(sections));
+  if (before === undefined) return checkDocument(joinSections(sections)).andThen(checkSecrets);
   const quick = checkChangedSections(submission.sections, sections);
   const checked = quick === undefined ? checkDocument(joinSections(sections)) : ok(quick);
-  return checked.andThen((document) => checkLedgers(before, document, retired).map(() => document));
+  return checked
+    .andThen(checkSecrets)
+    .andThen((document) => checkLedgers(before, document, retired).map(() => document));
 }
--- a/packages/host/src/submissions/submissionRoutes.ts
+++ b/packages/host/src/submissions/submissionRoutes.ts
@@ -1,4 +1,5 @@
 import { summarizeChange } from '@buckthornlug/core/changes/changes.js';
+import { withoutSecrets } from '@buckthornlug/core/submissions/teamSecrets.js';
 import type {
   AcceptedDocument,
   SubmissionOutcome,
@@ -40,7 +41,10 @@
     return failureResponse(failure('BL2010', 'no document has been submitted yet'));
   }
   const { version, sectionVersions, document } = read.value;
-  return Response.json({ ...document, base: { version, sections: sectionVersions } });
+  return Response.json({
+    ...withoutSecrets(document),
+    base: { version, sections: sectionVersions },
+  });
 }
 
 async function answerCheck(parts: SubmissionRouteParts, request: Context): Promise<Response> {
@@ -51,7 +55,10 @@
   const current = await parts.readDocument();
   const before = current.isOk() ? current.value?.document : undefined;
   if (before === undefined) return Response.json({ valid: true });
-  return Response.json({ valid: true, changes: summarizeChange(before, checked.value) });
+  return Response.json({
+    valid: true,
+    changes: summarizeChange(withoutSecrets(before), checked.value),
+  });
 }
 
 async function answerSubmission(parts: SubmissionRouteParts, request: Context): Promise<Response> {
--- a/packages/protocol/src/document/documentSchema.ts
+++ b/packages/protocol/src/document/documentSchema.ts
@@ -116,7 +116,11 @@
 
 const teamKeySchema = z.strictObject({
   id: idSchema,
-  secret: z.string().min(16).describe('Shared secret that signs submissions.'),
+  secret: z
+    .string()
+    .min(16)
+    .optional()
+    .describe('Shared secret that signs submissions; a key keeps its secret where absent.'),
 });
 
 const teamSchema = z.strictObject({
