--- a/packages/core/src/submissions/documentStore.ts
+++ b/packages/core/src/submissions/documentStore.ts
@@ -9,6 +9,8 @@
 import type { Submission } from '@buckthornlug/protocol/submissions/submissionSchema.js';
 import { err, ok, type Result } from 'neverthrow';
 
+import { RetiredServices } from './retiredServices.js';
+import { withKeptSecrets } from './teamSecrets.js';
 import {
   checkBaseVersions,
   checkJoined,
@@ -35,6 +37,8 @@
 
   private answers = new Map<string, KeptAnswer>();
 
+  private readonly retired = new RetiredServices();
+
   private joinedDocument: SteeringDocument | undefined;
 
   private accepted: AcceptedDocument | undefined;
@@ -62,7 +66,7 @@
 
   /** Whether the submission may change the sections that it names; not kept as an answer. */
   private authorize({ submission, authority }: SubmissionCommand): Result<void, Failure> {
-    const teams = this.sections.get('teams')?.content as Teams | undefined;
+    const teams = this.teams();
     if (this.version === 0 || teams === undefined) {
       if (authority === 'cluster') return ok(undefined);
       return err(failure('BL2006', 'the first submission is signed with a cluster key'));
@@ -72,14 +76,21 @@
     );
   }
 
-  private decide(submission: Submission): SubmissionOutcome {
+  private decide(submitted: Submission): SubmissionOutcome {
+    const submission = withKeptSecrets(submitted, this.teams());
     const result = checkBaseVersions(submission, this.version, (name) => this.versionOf(name))
-      .andThen(() => checkJoined(submission, this.joined(submission), this.document()))
+      .andThen(() =>
+        checkJoined(submission, this.joined(submission), this.document(), this.retired),
+      )
       .map((document) => this.take(submission, document));
     if (result.isErr()) return { accepted: false, failure: result.error };
     return { accepted: true, reply: result.value };
   }
 
+  private teams(): Teams | undefined {
+    return this.sections.get('teams')?.content as Teams | undefined;
+  }
+
   private versionOf(name: SectionName): number {
     const section = this.sections.get(name);
     return section === undefined || section.content === null ? 0 : section.version;
@@ -96,6 +107,7 @@
   }
 
   private take(submission: Submission, document: SteeringDocument) {
+    this.retired.note(this.document(), document);
     this.version += 1;
     const { version } = this;
     for (const name of Object.keys(submission.sections)) {
@@ -167,13 +179,15 @@
 
   snapshot(): DocumentsSnapshot {
     const sections = [...this.sections.values()];
-    return { version: this.version, sections, answers: [...this.answers.values()] };
+    const answers = [...this.answers.values()];
+    return { version: this.version, sections, answers, retired: this.retired.snapshot() };
   }
 
-  restore({ version, sections, answers }: DocumentsSnapshot): void {
+  restore({ version, sections, answers, retired }: DocumentsSnapshot): void {
     this.version = version;
     this.sections = new Map(sections.map((section) => [section.name, section]));
     this.answers = new Map(answers.map((answer) => [answer.submissionId, answer]));
+    this.retired.restore(retired ?? []);
     this.joinedDocument = undefined;
     this.accepted = undefined;
   }
