feat(calls): hedge late idempotent work on idle slots

Cause: `hedge: true` of a kind had no effect; a call whose backend server was slow or hung waited to its end. The first to start an answer has the caller, the other one is cancelled as `outpaced`. The path of a call uses a light abort signal in place of an AbortController, since a hedged call needs one for each attempt.

--- a/packages/core/src/pools/pool.spec.ts
+++ b/packages/core/src/pools/pool.spec.ts
@@ -184,6 +184,31 @@
   t.deepEqual(late, ['deadlinePassed', 'targetMissed']);
 });
 
+const hedges: readonly {
+  readonly title: string;
+  readonly waitingRanks: readonly number[];
+  readonly promisedSlots: number;
+  readonly mayHedge: boolean;
+}[] = [
+  { title: 'on a free slot', waitingRanks: [], promisedSlots: 0, mayHedge: true },
+  { title: 'on a promised slot', waitingRanks: [], promisedSlots: 1, mayHedge: false },
+  { title: 'before less urgent calls', waitingRanks: [0, 2], promisedSlots: 0, mayHedge: true },
+  { title: 'beside calls of its rank', waitingRanks: [0, 1], promisedSlots: 0, mayHedge: false },
+  { title: 'before more urgent calls', waitingRanks: [0, 0], promisedSlots: 0, mayHedge: false },
+  { title: 'on busy slots', waitingRanks: [0], promisedSlots: 0, mayHedge: false },
+];
+
+for (const { title, waitingRanks, promisedSlots, mayHedge } of hedges) {
+  test(`a second attempt ${mayHedge ? 'may' : 'may not'} start ${title}`, (t) => {
+    const pool = poolOf([1]);
+    for (const rank of waitingRanks) {
+      pool.enqueue(call(rank, 0), 0);
+      pool.pump(0);
+    }
+    t.is(pool.mayHedge(1, promisedSlots, 0), mayHedge);
+  });
+}
+
 test('a call whose caller hung up gets no slot', (t) => {
   const pool = poolOf([1]);
   const offer = pool.offer(call(0, 0), 0);
--- a/packages/core/src/pools/pool.ts
+++ b/packages/core/src/pools/pool.ts
@@ -170,6 +170,22 @@
     return { offer: 'queued', entry: this.enqueue(call, nowMs) };
   }
 
+  /**
+   * Tells whether a second attempt of a call may take a slot: one is free beyond those promised, or
+   * only less urgent calls wait for the next one.
+   *
+   * @param rank - index of the rank of the call
+   * @param promisedSlots - slots promised to other availability zones
+   * @param nowMs - current time
+   */
+  mayHedge(rank: number, promisedSlots: number, nowMs: number): boolean {
+    for (let index = 0; index <= rank; index += 1) {
+      if (this.queue.waitingCallsOf(index) > 0) return false;
+    }
+    if (this.queue.waitingCalls > 0) return true;
+    return this.freeSlots(nowMs) > promisedSlots;
+  }
+
   /** Takes a call into the queue without a check of its wait. */
   enqueue(call: Call, nowMs: number): QueuedCall<Call> {
     const costMs = this.times.meanMs(call.kind);
@@ -238,7 +254,8 @@
     backend.giveBack(outcome);
     this.countRunning(running.rank, -1);
     this.queue.settle(running, outcome.elapsedMs, this.usableSlots(nowMs));
-    if (outcome.result === 'answered') this.times.note(running.kind, outcome.elapsedMs);
+    const isTimed = outcome.result === 'answered' || outcome.result === 'outpaced';
+    if (isTimed) this.times.note(running.kind, outcome.elapsedMs);
   }
 
   /** Estimates when the first lease gives slots, while none does. */
--- a/packages/core/src/retries/retryBudget.spec.ts
+++ b/packages/core/src/retries/retryBudget.spec.ts
@@ -49,6 +49,7 @@
   },
   { title: 'answered work', result: 'answered', repeatable: false },
   { title: 'work whose caller hung up', result: 'cancelled', repeatable: false },
+  { title: 'work that another attempt answered', result: 'outpaced', repeatable: false },
   {
     title: 'work that cannot end before its deadline',
     result: 'broken',
@@ -79,8 +80,18 @@
       budget.noteCall();
       calls += 1;
       if (asks && budget.spend()) retries += 1;
+      if (!asks && budget.spendOnHedge()) retries += 1;
     }
     return retries <= 10 + calls / 10;
   });
   t.notThrows(() => fc.assert(property, { seed: 4 }));
 });
+
+test('hedges leave half of the saved budget to retries', (t) => {
+  const budget = new RetryBudget(100, 10);
+  let hedges = 0;
+  while (budget.spendOnHedge()) hedges += 1;
+  let retries = 0;
+  while (budget.spend()) retries += 1;
+  t.deepEqual([hedges, retries], [5, 5]);
+});
--- a/packages/core/src/retries/retryBudget.ts
+++ b/packages/core/src/retries/retryBudget.ts
@@ -6,6 +6,8 @@
 const defaultRetryPermille = 100;
 /** Retries that may be saved up. */
 const defaultBurst = 10;
+/** Part of the burst that hedges leave to retries of failed calls. */
+const keptFromHedges = 0.5;
 
 /** A budget that is filled by calls and spent by repeated dispatches. */
 export class RetryBudget {
@@ -33,6 +35,17 @@
     this.tokens -= 1;
     return true;
   }
+
+  /** Takes one hedge out of the budget; hedges leave half of the burst to retries. */
+  spendOnHedge(): boolean {
+    if (this.tokens < 1 + this.burst * keptFromHedges) return false;
+    return this.spend();
+  }
+
+  /** Gives back what was taken for a dispatch that did not happen. */
+  giveBack(): void {
+    this.tokens = Math.min(this.burst, this.tokens + 1);
+  }
 }
 
 /**
@@ -50,7 +63,8 @@
   usualMs: number,
 ): boolean {
   if (call.origin !== 'caller' || call.signal.aborted) return false;
-  if (outcome.result === 'answered' || outcome.result === 'cancelled') return false;
+  const { result } = outcome;
+  if (result === 'answered' || result === 'cancelled' || result === 'outpaced') return false;
   if (nowMs + usualMs > call.deadlineAtMs) return false;
   return call.execution === 'idempotent' || outcome.result === 'notRun';
 }
--- a/packages/core/src/slots/outliers.spec.ts
+++ b/packages/core/src/slots/outliers.spec.ts
@@ -100,9 +100,11 @@
   answer(suspect, { result: 'broken', elapsedMs: 1 }, 1);
   ejectOutlier(pool, suspect, defaultOutlierLimits, 2000);
   standings.push(suspect.standing(5999), suspect.standing(6000));
+  answer(suspect, { result: 'outpaced', elapsedMs: 200 }, 3);
+  standings.push(suspect.standing(6000));
   answer(suspect, good, 3);
   standings.push(suspect.standing(6001));
-  t.deepEqual(standings, ['ejected', 'probation', 'ejected', 'probation', 'in']);
+  t.deepEqual(standings, ['ejected', 'probation', 'ejected', 'probation', 'probation', 'in']);
 });
 
 test('a pool moves only when its owner goes', (t) => {
--- a/packages/core/src/slots/outliers.ts
+++ b/packages/core/src/slots/outliers.ts
@@ -74,7 +74,8 @@
     this.failureAverage += this.limits.averageWeight * (Number(failed) - this.failureAverage);
     this.answers += 1;
     if (!failed) this.noteElapsed(outcome.elapsedMs);
-    if (this.current === 'probation') this.goodProbes = failed ? 0 : this.goodProbes + 1;
+    const isGood = !failed && outcome.result === 'answered';
+    if (this.current === 'probation') this.goodProbes = isGood ? this.goodProbes + 1 : 0;
   }
 
   /**
--- a/packages/host/src/calls/attempt.ts
+++ b/packages/host/src/calls/attempt.ts
@@ -1,5 +1,6 @@
 import { endToEndFields, hasStatedEnd } from '@buckthornlug/core/calls/headerFields.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import type { CallSignal } from '@buckthornlug/protocol/steering/callSignal.js';
 import type { CallOutcome } from '@buckthornlug/protocol/steering/placementTypes.js';
 import type { Dispatcher } from 'undici';
 
@@ -29,7 +30,7 @@
   readonly judge: JudgeHead;
   /** Failure to report where the other side breaks off: BL3006 or BL3014. */
   readonly brokenCode: 'BL3006' | 'BL3014';
-  readonly signal: AbortSignal;
+  readonly signal: CallSignal;
   readonly nowMs: () => number;
 }
 
@@ -138,6 +139,10 @@
       this.finish('cancelled', failure('BL3017', 'the caller hung up'));
       return;
     }
+    if (reason.result === 'outpaced') {
+      this.finish('outpaced', failure('BL3017', 'another attempt answered first'));
+      return;
+    }
     const code = this.requestStarted ? 'BL3005' : 'BL3004';
     this.finish('timedOut', failure(code, 'the deadline passed'));
   }
--- /dev/null
+++ b/packages/host/src/calls/attemptAbort.ts
@@ -0,0 +1,31 @@
+import type { CallSignal } from '@buckthornlug/protocol/steering/callSignal.js';
+
+import { CallAborted } from './callAborted.js';
+import { CallController } from './callController.js';
+
+/** Abort of one attempt, which follows that of the call. */
+export class AttemptAbort {
+  private readonly controller = new CallController();
+
+  /** Aborted with the call, or when another attempt answers. */
+  readonly signal: CallSignal = this.controller;
+
+  constructor(private readonly callSignal: CallSignal) {
+    if (callSignal.aborted) this.follow();
+    else callSignal.addEventListener('abort', this.follow);
+  }
+
+  /** Ends the attempt since another one answers. */
+  outpace(): void {
+    this.controller.abort(new CallAborted('outpaced'));
+  }
+
+  /** Stops following the call. */
+  dispose(): void {
+    this.callSignal.removeEventListener('abort', this.follow);
+  }
+
+  private readonly follow = (): void => {
+    this.controller.abort(this.callSignal.reason as CallAborted);
+  };
+}
--- a/packages/host/src/calls/callAbort.ts
+++ b/packages/host/src/calls/callAbort.ts
@@ -1,10 +1,13 @@
 import type { ServerResponse } from 'node:http';
 
+import type { CallSignal } from '@buckthornlug/protocol/steering/callSignal.js';
+
 import { CallAborted } from './callAborted.js';
+import { CallController } from './callController.js';
 
 /** Ends the work on a call when its caller hangs up or its deadline passes. */
 export interface CallAbort {
-  readonly signal: AbortSignal;
+  readonly signal: CallSignal;
   /** Stops watching; to be called when the call has ended. */
   readonly dispose: () => void;
 }
@@ -21,7 +24,7 @@
   timeLeftMs: number,
   endsWithCaller: boolean,
 ): CallAbort {
-  const controller = new AbortController();
+  const controller = new CallController();
   const onClose = () => {
     if (!response.writableFinished) controller.abort(new CallAborted('cancelled'));
   };
@@ -31,7 +34,7 @@
   );
   if (endsWithCaller) response.once('close', onClose);
   return {
-    signal: controller.signal,
+    signal: controller,
     dispose: () => {
       clearTimeout(timer);
       response.off('close', onClose);
--- a/packages/host/src/calls/callAborted.ts
+++ b/packages/host/src/calls/callAborted.ts
@@ -1,8 +1,11 @@
-/** A call was aborted: its caller hung up, or its deadline passed. */
+/**
+ * A call was aborted: its caller hung up, or its deadline passed. An attempt is `outpaced` when another
+ * attempt of its call answered first.
+ */
 export class CallAborted extends Error {
-  readonly result: 'cancelled' | 'timedOut';
+  readonly result: 'cancelled' | 'timedOut' | 'outpaced';
 
-  constructor(result: 'cancelled' | 'timedOut') {
+  constructor(result: CallAborted['result']) {
     super(result);
     this.result = result;
   }
--- a/packages/host/src/calls/callRunner.ts
+++ b/packages/host/src/calls/callRunner.ts
@@ -1,11 +1,13 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import type { CallSignal } from '@buckthornlug/protocol/steering/callSignal.js';
 import type { PendingCall, Placement } from '@buckthornlug/protocol/steering/placementTypes.js';
 
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
 import { CallAborted } from './callAborted.js';
 import type { AcceptedCall, AnswerSink, AttemptResult } from './callTypes.js';
-import type { Dispatch } from './dispatch.js';
+import type { Dispatch, DispatchedCall } from './dispatch.js';
+import { dispatchHedged, type HedgeParts } from './hedgedDispatch.js';
 import type { RequestBody } from './requestBody.js';
 
 /** How a call ended after all its attempts. */
@@ -24,16 +26,27 @@
   call: AcceptedCall,
   body: RequestBody,
   sink: AnswerSink,
-  signal: AbortSignal,
+  signal: CallSignal,
 ) => Promise<RunResult>;
 
 const queueFullRetryAfterMs = 500;
 
+/** A place that a call can be sent to. */
+type Place = Exclude<Placement, { readonly place: 'refused' }>;
+
+/** How one dispatch ended, with its second attempt where it had one. */
+interface DispatchEnd {
+  readonly result: AttemptResult;
+  /** Backend servers and hosts that were tried. */
+  readonly places: readonly string[];
+  readonly attempts: number;
+}
+
 function pendingOf(
   call: AcceptedCall,
   attempt: number,
   excluded: readonly string[],
-  signal: AbortSignal,
+  signal: CallSignal,
 ): PendingCall {
   const { callClass } = call;
   return {
@@ -55,7 +68,7 @@
 }
 
 /** Why a call whose placement came back after its abort is not dispatched. */
-function abortedBeforeDispatch(signal: AbortSignal): Failure {
+function abortedBeforeDispatch(signal: CallSignal): Failure {
   const reason: unknown = signal.reason;
   if (reason instanceof CallAborted && reason.result === 'timedOut')
     return failure('BL3004', 'the deadline passed');
@@ -75,10 +88,7 @@
   return result.outcome.result === 'broken' && pending.execution === 'idempotent';
 }
 
-function failedPlaces(
-  placement: Exclude<Placement, { readonly place: 'refused' }>,
-  result: AttemptResult,
-): string[] {
+function failedPlaces(placement: Place, result: AttemptResult): readonly string[] {
   if (placement.place === 'backend') return [placement.backendId];
   return result.failedBackendId === undefined ? [placement.hostId] : [result.failedBackendId];
 }
@@ -111,10 +121,41 @@
     }
   };
 
+  const hedgeParts = ({ pending }: DispatchedCall): HedgeParts => {
+    const labels = { service: pending.service };
+    return {
+      dispatch,
+      place: parts.hedging.place,
+      onHedged: () => {
+        const { requestId, service } = pending;
+        context.record({ kind: 'callHedged', requestId, service });
+        context.metrics.count('calls_hedged_total', labels);
+      },
+      onHedgeWon: () => context.metrics.count('hedges_won_total', labels),
+    };
+  };
+
+  /** Sends a call to its place, and late work that may be hedged to a second one. */
+  const send = async (dispatched: DispatchedCall, placement: Place): Promise<DispatchEnd> => {
+    const { call, pending, body } = dispatched;
+    if (placement.place === 'backend' && call.callClass.kind.hedge && body.form === 'whole') {
+      const delayMs = parts.hedging.delayMs(pending);
+      if (delayMs !== undefined) {
+        const hedge = hedgeParts(dispatched);
+        const { result, backendIds } = await dispatchHedged(hedge, dispatched, placement, delayMs);
+        return { result, places: backendIds, attempts: backendIds.length };
+      }
+    }
+    const result = await dispatch(dispatched, placement);
+    placement.release(result.outcome);
+    return { result, places: failedPlaces(placement, result), attempts: 1 };
+  };
+
   return async (call, body, sink, signal) => {
     const excluded = [...call.excluded];
     let lastFailure: RunResult | undefined;
-    for (let attempt = 0; ; attempt += 1) {
+    let attempt = 0;
+    for (;;) {
       const pending = pendingOf(call, attempt, excluded, signal);
       const placement = await place(pending);
       if (placement.place === 'refused') {
@@ -130,8 +171,7 @@
           isNotRun: true,
         });
       }
-      const result = await dispatch({ call, pending, body, sink }, placement);
-      placement.release(result.outcome);
+      const { result, places, attempts } = await send({ call, pending, body, sink }, placement);
       if (result.failure === undefined) return { answerStarted: true, isNotRun: false };
       lastFailure = joinResults(lastFailure, {
         failure: result.failure,
@@ -141,7 +181,8 @@
       });
       const mayRepeat = isRepeatable(pending, body, result) && call.origin === 'caller';
       if (!mayRepeat || !parts.mayRetry(pending, result.outcome)) return lastFailure;
-      excluded.push(...failedPlaces(placement, result));
+      attempt += attempts;
+      excluded.push(...places);
       context.record({
         kind: 'callRetried',
         requestId: call.requestId,
--- a/packages/host/src/calls/dispatch.ts
+++ b/packages/host/src/calls/dispatch.ts
@@ -28,6 +28,8 @@
   readonly pending: PendingCall;
   readonly body: RequestBody;
   readonly sink: AnswerSink;
+  /** Whether another attempt of the call runs, so that an error answer of this one is turned down. */
+  readonly isHedge?: boolean;
 }
 
 /** Sends calls to the places that were found for them. */
@@ -37,6 +39,7 @@
 ) => Promise<AttemptResult>;
 
 const shedRetryAfterMs = 500;
+const leastErrorStatus = 500;
 
 function isResultCode(code: string): code is ResultCode {
   return Object.hasOwn(resultCodes, code);
@@ -77,6 +80,13 @@
   return { failure: shed, result: 'notRun', failedBackendId: backendId };
 }
 
+/** Turns down an error answer of a second attempt, so that it does not outpace the first. */
+function refusalOfHedge(backendId: string, status: number): HeadRefusal | undefined {
+  if (status < leastErrorStatus) return undefined;
+  const problem = failure('BL3006', `backend server "${backendId}" answered ${status}`);
+  return { failure: problem, result: 'broken', failedBackendId: backendId };
+}
+
 function timeLeftMs(context: HostContext, pending: PendingCall): number {
   return Math.max(0, Math.round(pending.deadlineAtMs - context.clock.nowMs()));
 }
@@ -146,7 +156,11 @@
       ...common(dispatched),
       dispatcher: connections.toBackend(placement.endpoint),
       fields,
-      judge: (status) => refusalOfBackend(call, placement.backendId, status),
+      judge: (status) => {
+        const shed = refusalOfBackend(call, placement.backendId, status);
+        if (shed !== undefined || dispatched.isHedge !== true) return shed;
+        return refusalOfHedge(placement.backendId, status);
+      },
       brokenCode: 'BL3006',
     });
   };
--- /dev/null
+++ b/packages/host/src/calls/hedgedDispatch.ts
@@ -0,0 +1,138 @@
+import type { Hedging, Placement } from '@buckthornlug/protocol/steering/placementTypes.js';
+
+import { AttemptAbort } from './attemptAbort.js';
+import type { AnswerSink, AttemptResult } from './callTypes.js';
+import type { Dispatch, DispatchedCall } from './dispatch.js';
+import { createSinkRace } from './sinkRace.js';
+
+/** A slot of a backend server. */
+export type BackendPlacement = Extract<Placement, { readonly place: 'backend' }>;
+
+/** What a hedged dispatch is given. */
+export interface HedgeParts {
+  readonly dispatch: Dispatch;
+  readonly place: Hedging['place'];
+  /** Told when a second attempt starts. */
+  readonly onHedged: () => void;
+  /** Told when the second attempt answered the call. */
+  readonly onHedgeWon: () => void;
+}
+
+/** How the attempts of a hedged dispatch ended. */
+export interface HedgedResult {
+  /** The answer, or the failure that proves least. */
+  readonly result: AttemptResult;
+  /** Backend servers that were tried. */
+  readonly backendIds: readonly string[];
+}
+
+function isProvedNotRun(result: AttemptResult): boolean {
+  return result.outcome.result === 'notRun' || !result.requestStarted;
+}
+
+/** Chooses the attempt that speaks for the call. */
+function choose(first: AttemptResult, second: AttemptResult | undefined): AttemptResult {
+  if (second === undefined || first.answerStarted) return first;
+  if (second.answerStarted || isProvedNotRun(first)) return second;
+  return first;
+}
+
+/** A call whose first attempt is followed by a second one where it is late. */
+class HedgedCall {
+  private readonly race;
+
+  private readonly firstAbort;
+
+  private readonly secondAbort;
+
+  private readonly backendIds: string[];
+
+  constructor(
+    private readonly parts: HedgeParts,
+    private readonly dispatched: DispatchedCall,
+    private readonly placement: BackendPlacement,
+  ) {
+    const { signal } = dispatched.pending;
+    this.race = createSinkRace(dispatched.sink);
+    this.firstAbort = new AttemptAbort(signal);
+    this.secondAbort = new AttemptAbort(signal);
+    this.backendIds = [placement.backendId];
+  }
+
+  async run(delayMs: number): Promise<HedgedResult> {
+    let second: Promise<AttemptResult | undefined> = Promise.resolve(undefined);
+    const timer = setTimeout(() => {
+      second = this.hedge();
+    }, delayMs);
+    const first = await this.attempt(
+      this.placement,
+      this.firstAbort,
+      this.race.enter(() => this.secondAbort.outpace()),
+      false,
+    );
+    clearTimeout(timer);
+    if (this.backendIds.length === 1) this.secondAbort.outpace();
+    const result = choose(first, await second);
+    this.firstAbort.dispose();
+    this.secondAbort.dispose();
+    return { result, backendIds: this.backendIds };
+  }
+
+  /** Starts the second attempt, if a slot is idle; resolves to undefined where none was started. */
+  private async hedge(): Promise<AttemptResult | undefined> {
+    const { pending } = this.dispatched;
+    const { signal } = this.secondAbort;
+    if (this.race.isWon() || signal.aborted) return undefined;
+    const placement = await this.parts.place({
+      ...pending,
+      attempt: pending.attempt + 1,
+      excluded: [...pending.excluded, this.placement.backendId],
+      signal,
+    });
+    if (placement.place !== 'backend') return undefined;
+    if (signal.aborted) {
+      placement.release({ result: 'cancelled', elapsedMs: 0 });
+      return undefined;
+    }
+    this.backendIds.push(placement.backendId);
+    this.parts.onHedged();
+    const sink = this.race.enter(() => {
+      this.firstAbort.outpace();
+      this.parts.onHedgeWon();
+    });
+    return this.attempt(placement, this.secondAbort, sink, true);
+  }
+
+  private async attempt(
+    placement: BackendPlacement,
+    abort: AttemptAbort,
+    sink: AnswerSink,
+    isHedge: boolean,
+  ): Promise<AttemptResult> {
+    const pending = { ...this.dispatched.pending, signal: abort.signal };
+    const result = await this.parts.dispatch(
+      { ...this.dispatched, pending, sink, isHedge },
+      placement,
+    );
+    placement.release(result.outcome);
+    return result;
+  }
+}
+
+/**
+ * Dispatches idempotent work, and once more on an idle slot of another backend server where the answer
+ * is late. The first attempt to answer has the caller; the other one is cancelled.
+ *
+ * @param parts - dispatch and places
+ * @param dispatched - the call; its body is kept whole
+ * @param placement - slot of the first attempt; given back here
+ * @param delayMs - time after which the answer is late
+ */
+export function dispatchHedged(
+  parts: HedgeParts,
+  dispatched: DispatchedCall,
+  placement: BackendPlacement,
+  delayMs: number,
+): Promise<HedgedResult> {
+  return new HedgedCall(parts, dispatched, placement).run(delayMs);
+}
--- a/packages/host/src/calls/onceWork.ts
+++ b/packages/host/src/calls/onceWork.ts
@@ -1,6 +1,7 @@
 import { createHash } from 'node:crypto';
 
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import type { CallSignal } from '@buckthornlug/protocol/steering/callSignal.js';
 import type { LedgerKey } from '@buckthornlug/protocol/steering/ledgerTypes.js';
 
 import type { HostParts } from '../runtime/hostParts.js';
@@ -89,7 +90,7 @@
   call: AcceptedCall,
   identity: string,
   body: WholeBody,
-  signal: AbortSignal,
+  signal: CallSignal,
   extraFields: readonly string[],
 ): Promise<Failure | undefined> {
   const { ledger } = work.parts;
--- a/packages/host/src/calls/requestBody.ts
+++ b/packages/host/src/calls/requestBody.ts
@@ -2,6 +2,7 @@
 import type { Readable } from 'node:stream';
 
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import type { CallSignal } from '@buckthornlug/protocol/steering/callSignal.js';
 import { err, ok, type Result } from 'neverthrow';
 
 import { BodyGuard, type BodyLimits } from './bodyGuard.js';
@@ -45,7 +46,7 @@
     private readonly request: IncomingMessage,
     private readonly keepBytes: number,
     private readonly limits: BodyLimits,
-    private readonly signal: AbortSignal,
+    private readonly signal: CallSignal,
     private readonly done: (received: Received) => void,
   ) {
     this.idleTimer = setTimeout(
@@ -127,7 +128,7 @@
   request: IncomingMessage,
   limits: BodyLimits,
   whole: boolean,
-  signal: AbortSignal,
+  signal: CallSignal,
 ): Promise<Received> | Received {
   if (!hasBody(request)) return ok({ form: 'whole', bytes: null });
   const lengthBytes = statedLength(request);
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -9,7 +9,11 @@
   LedgerKey,
   LedgerOutcome,
 } from '@buckthornlug/protocol/steering/ledgerTypes.js';
-import type { MayRetry, PlaceCall } from '@buckthornlug/protocol/steering/placementTypes.js';
+import type {
+  Hedging,
+  MayRetry,
+  PlaceCall,
+} from '@buckthornlug/protocol/steering/placementTypes.js';
 import type { Result, ResultAsync } from 'neverthrow';
 
 import type { RegisterRoutes } from '../admin/adminListener.js';
@@ -69,6 +73,7 @@
   forwardedCalls: ForwardedCallHandler;
   placeCall: PlaceCall;
   mayRetry: MayRetry;
+  hedging: Hedging;
   receiveAnnouncement: ReceiveAnnouncement;
   ledger: LedgerHooks;
   findCallerZone: FindCallerZone;
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -48,6 +48,10 @@
     forwardedCalls: (_request, response) => response.writeHead(503).end(),
     placeCall: () => Promise.resolve({ place: 'refused', failure: notStarted }),
     mayRetry: () => false,
+    hedging: {
+      delayMs: () => undefined,
+      place: () => Promise.resolve({ place: 'refused', failure: notStarted }),
+    },
     receiveAnnouncement: () => err(notStarted),
     ledger: {
       begin: () => Promise.resolve({ decision: 'refused', failure: noLedger }),
--- a/packages/host/src/slots/creditTask.ts
+++ b/packages/host/src/slots/creditTask.ts
@@ -71,6 +71,11 @@
     return { creditIds, ttlMs, expectedWaitMs };
   }
 
+  /** Slots promised to other zones. */
+  promisedSlots(): number {
+    return this.issuer.outstanding(this.context.clock.nowMs());
+  }
+
   /** Spends a credit that this host granted. */
   spendGranted(creditId: string | undefined): boolean {
     if (creditId === undefined) return false;
--- a/packages/host/src/slots/poolTask.ts
+++ b/packages/host/src/slots/poolTask.ts
@@ -22,6 +22,12 @@
 
 /** Time in which a backend server learns that a call is cancelled and its slot free. */
 const cancelSettleMs = 100;
+/** Outcomes of calls that the host broke off while they ran. */
+const cutResults: ReadonlySet<CallOutcome['result']> = new Set([
+  'cancelled',
+  'timedOut',
+  'outpaced',
+]);
 const minRetryAfterMs = 50;
 const maxRetryAfterMs = 30_000;
 
@@ -43,6 +49,8 @@
   /** Decisions of the pool. */
   readonly pool: Pool<WaitingCall>;
 
+  private readonly labels;
+
   private readonly backends = new Map<string, KnownBackend>();
 
   /**
@@ -56,6 +64,7 @@
     rules: PoolRules,
   ) {
     this.pool = new Pool(rules, context.clock.nowMs());
+    this.labels = { service };
   }
 
   /** Backend servers that announced themselves here. */
@@ -218,7 +227,7 @@
       if (isReleased) return;
       isReleased = true;
       const giveBack = () => this.release(effect.backend, effect.running, outcome);
-      const isCut = outcome.result === 'cancelled' || outcome.result === 'timedOut';
+      const isCut = cutResults.has(outcome.result);
       if (isCut && outcome.elapsedMs > 0) setTimeout(giveBack, cancelSettleMs);
       else giveBack();
     };
@@ -239,7 +248,7 @@
     const nowMs = this.context.clock.nowMs();
     const before = backend.standing(nowMs);
     this.pool.release(backend, running, outcome, nowMs);
-    this.context.metrics.observeMs('slot_ms', outcome.elapsedMs, { service: this.service });
+    this.context.metrics.observeMs('slot_ms', outcome.elapsedMs, this.labels);
     const isEjected = ejectOutlier(this.pool.backends, backend, defaultOutlierLimits, nowMs);
     if (isEjected) this.recordBackend('backendEjected', backend.backendId);
     if (before === 'probation' && backend.standing(nowMs) === 'in') {
--- a/packages/host/src/slots/retries.ts
+++ b/packages/host/src/slots/retries.ts
@@ -1,10 +1,11 @@
 import { isRepeatable, RetryBudget } from '@buckthornlug/core/retries/retryBudget.js';
+import type { CallSignal } from '@buckthornlug/protocol/steering/callSignal.js';
 import type { MayRetry, PendingCall } from '@buckthornlug/protocol/steering/placementTypes.js';
 
 import type { HostContext } from '../runtime/hostTypes.js';
 
 /** Dispatches of one call at most. */
-const maxDispatches = 3;
+export const maxDispatches = 3;
 
 /** Decides on repeated dispatches of the calls that this host took from callers. */
 export interface Retries {
@@ -12,6 +13,10 @@
   readonly noteCall: (call: PendingCall) => void;
   /** Notes that the pool owner decides on the call. */
   readonly noteForwarded: (call: PendingCall) => void;
+  /** Takes one hedge out of the budget. */
+  readonly spendOnHedge: () => boolean;
+  /** Gives back what was taken for a hedge that got no slot. */
+  readonly giveBackHedge: () => void;
 }
 
 /**
@@ -25,13 +30,15 @@
   usualMs: (service: string, kind: string) => number,
 ): Retries {
   const budget = new RetryBudget();
-  const decidedByOwner = new WeakSet<AbortSignal>();
+  const decidedByOwner = new WeakSet<CallSignal>();
   return {
     noteCall: (call) => {
       if (call.attempt === 0) budget.noteCall();
       decidedByOwner.delete(call.signal);
     },
     noteForwarded: (call) => decidedByOwner.add(call.signal),
+    spendOnHedge: () => budget.spendOnHedge(),
+    giveBackHedge: () => budget.giveBack(),
     mayRetry: (call, outcome) => {
       if (call.attempt + 1 >= maxDispatches) return false;
       const nowMs = context.clock.nowMs();
--- a/packages/host/src/slots/slotsFeature.ts
+++ b/packages/host/src/slots/slotsFeature.ts
@@ -5,6 +5,7 @@
 import type { HostContext } from '../runtime/hostTypes.js';
 import { createAnnouncements } from './announcements.js';
 import { CreditTask } from './creditTask.js';
+import { createHedging } from './hedging.js';
 import { createPlacement, type OwnPool } from './placement.js';
 import { createPoolOwners } from './poolOwners.js';
 import { poolRulesOf } from './poolRules.js';
@@ -48,6 +49,7 @@
   const usualMs = (service: string, kind: string) =>
     pools.get(service)?.task.pool.times.usualMs(kind, 0) ?? 0;
   const retries = createRetries(context, usualMs);
+  const hedging = createHedging(context, poolOf, retries);
   const announcements = createAnnouncements(
     context,
     parts,
@@ -85,6 +87,14 @@
       return placed;
     },
     mayRetry: retries.mayRetry,
+    hedging: {
+      delayMs: hedging.delayMs,
+      place: (call) => {
+        const placement = hedging.place(call);
+        ticker.wake();
+        return placement;
+      },
+    },
     receiveAnnouncement: announcements.receive,
     poolOwner: owners.ownerOf,
   });
--- a/packages/protocol/src/steering/placementTypes.ts
+++ b/packages/protocol/src/steering/placementTypes.ts
@@ -1,6 +1,7 @@
 import type { Execution } from '../document/documentTypes.js';
 import type { Failure } from '../results/failure.js';
 import type { Endpoint } from '../common/primitives.js';
+import type { CallSignal } from './callSignal.js';
 
 /** A call that asks for a place to run. Times are monotonic milliseconds of this process. */
 export interface PendingCall {
@@ -26,12 +27,15 @@
   /** Credit spent by a call from another zone. */
   readonly creditId?: string;
   /** Aborted when the caller hangs up. */
-  readonly signal: AbortSignal;
+  readonly signal: CallSignal;
 }
 
-/** How a dispatched call ended, as told to the task that gave the place. */
+/**
+ * How a dispatched call ended, as told to the task that gave the place. An attempt is `outpaced` when
+ * another attempt of the same call answered first and this one was cancelled.
+ */
 export interface CallOutcome {
-  readonly result: 'answered' | 'notRun' | 'broken' | 'timedOut' | 'cancelled';
+  readonly result: 'answered' | 'notRun' | 'broken' | 'timedOut' | 'cancelled' | 'outpaced';
   /** HTTP status of the answer, if one came. */
   readonly status?: number;
   /** Time from dispatch to the end of the answer. */
@@ -60,3 +64,18 @@
 
 /** Tells whether a call whose attempt failed may be dispatched again. */
 export type MayRetry = (call: PendingCall, outcome: CallOutcome) => boolean;
+
+/** Decides on second attempts of calls whose first attempt is late. */
+export interface Hedging {
+  /**
+   * Time after the dispatch at which a second attempt may start, in milliseconds; undefined for calls
+   * that are never hedged.
+   */
+  readonly delayMs: (call: PendingCall) => number | undefined;
+  /**
+   * Finds a place for a second attempt on an idle slot, within the retry budget.
+   *
+   * @param call - the call, with the backend servers in use among those excluded
+   */
+  readonly place: PlaceCall;
+}
--- a/packages/testkit/src/fakes/testDocument.ts
+++ b/packages/testkit/src/fakes/testDocument.ts
@@ -15,6 +15,8 @@
 export interface TestDocumentOptions {
   readonly lookupTtlMs?: number;
   readonly timeLimitMs?: number;
+  /** Whether `GET /catalogue` may be hedged. */
+  readonly hedge?: boolean;
   readonly ledgerGroups?: readonly string[];
   readonly clientBlocks?: SteeringDocument['clientBlocks'];
 }
@@ -60,6 +62,7 @@
             match: { methods: ['GET', 'HEAD'], pathPrefix: '/catalogue' },
             rank: 'urgent',
             execution: 'idempotent',
+            hedge: options.hedge ?? false,
             timeLimitMs,
           },
           {
--- a/packages/testkit/src/slots/slotsFleet.ts
+++ b/packages/testkit/src/slots/slotsFleet.ts
@@ -6,7 +6,12 @@
 
 import { createFleetSettings, type FleetHost } from '../fakes/hostSettings.js';
 import { valueOf } from '../fakes/results.js';
-import { createTestDocument, inForce, testHostName } from '../fakes/testDocument.js';
+import {
+  createTestDocument,
+  inForce,
+  testHostName,
+  type TestDocumentOptions,
+} from '../fakes/testDocument.js';
 
 /** Hosts with membership, slots and the path of calls, in this process. */
 export interface SlotsFleet {
@@ -22,11 +27,15 @@
  * Starts hosts.
  *
  * @param places - places of the hosts
+ * @param documentOptions - fields of the document to change
  */
-export async function startSlotsFleet(places: readonly FleetHost[]): Promise<SlotsFleet> {
+export async function startSlotsFleet(
+  places: readonly FleetHost[],
+  documentOptions: TestDocumentOptions = {},
+): Promise<SlotsFleet> {
   const agent = new Agent({ connections: 256 });
   const hosts: RunningHost[] = [];
-  const document = inForce(createTestDocument());
+  const document = inForce(createTestDocument(documentOptions));
   for (const settings of createFleetSettings(places)) {
     hosts.push(valueOf(await startHost(settings, { document, features })));
   }
