refactor(metrics): find series by the very object of their labels

Cause: a CPU profile of a host under calls alone (22 us of 367 us a call): each call built the text keys of three series and two objects of labels. Change: labels are kept for each class of calls, and the registry keeps what it found for each object of labels. A forwarded call keeps the class of the table where its rank is the same.

--- a/packages/host/src/calls/acceptCall.ts
+++ b/packages/host/src/calls/acceptCall.ts
@@ -50,6 +50,11 @@
   return queryAt < 0 ? url : url.slice(0, queryAt);
 }
 
+/** Takes the rank that the forwarding host found; it may know another version of the document. */
+function withRank(callClass: CallClass, rank: number): CallClass {
+  return callClass.rank === rank ? callClass : { ...callClass, rank };
+}
+
 function sectionOf(table: SteeringTable, callClass: CallClass | undefined) {
   if (callClass === undefined) return undefined;
   return table.services.get(callClass.service)?.section;
@@ -123,7 +128,7 @@
           requestId: forwarded.requestId,
           request,
           response,
-          callClass: { ...rule.callClass, rank: forwarded.rank },
+          callClass: withRank(rule.callClass, forwarded.rank),
           section: entry.section,
           arrivedAtMs,
           targetAtMs: arrivedAtMs + forwarded.targetLeftMs,
--- a/packages/host/src/calls/callServer.ts
+++ b/packages/host/src/calls/callServer.ts
@@ -6,6 +6,7 @@
 import type { HostContext } from '../runtime/hostTypes.js';
 import { createStreamingSink } from './answerSinks.js';
 import { watchCall, type CallAbort } from './callAbort.js';
+import { createCallLabels } from './callLabels.js';
 import type { RunCall } from './callRunner.js';
 import type { AcceptedCall } from './callTypes.js';
 import { identityOf, runOnce } from './onceWork.js';
@@ -79,12 +80,14 @@
     }
   };
 
+  const labelsOf = createCallLabels();
+
   const recordEnd = (call: AcceptedCall, served: ServedCall) => {
-    const { service, kind, rank } = call.callClass;
-    const labels = { service, kind: kind.id, rank: String(rank) };
+    const { service } = call.callClass;
+    const { labels, withResult } = labelsOf(call.callClass);
     const result = served.failure?.code ?? 'answered';
     const elapsedMs = context.clock.nowMs() - call.arrivedAtMs;
-    context.metrics.count('calls_total', { ...labels, result });
+    context.metrics.count('calls_total', withResult(result));
     if (served.failure === undefined) context.metrics.observeMs('call_ms', elapsedMs, labels);
     if (served.failure === undefined || served.failure.code === 'BL3017') return;
     context.record({
--- a/packages/host/src/metrics/metrics.ts
+++ b/packages/host/src/metrics/metrics.ts
@@ -46,6 +46,25 @@
   });
 }
 
+const noLabels: Labels = {};
+
+/** Keeps what was found for each very object of labels, so that its key is built only once. */
+function memoize<Found>(find: (name: string, labels: Labels) => Found) {
+  const byLabels = new WeakMap<Labels, Map<string, Found>>();
+  return (name: string, labels: Labels): Found => {
+    let ofLabels = byLabels.get(labels);
+    if (ofLabels === undefined) {
+      ofLabels = new Map();
+      byLabels.set(labels, ofLabels);
+    }
+    const known = ofLabels.get(name);
+    if (known !== undefined) return known;
+    const found = find(name, labels);
+    ofLabels.set(name, found);
+    return found;
+  };
+}
+
 /** Creates an empty registry. */
 export function createMetrics(): MetricsRegistry {
   const numbers = new Map<
@@ -63,7 +82,7 @@
     return created;
   };
 
-  const histogramOf = (name: string, labels: Labels): Histogram => {
+  const findHistogram = (name: string, labels: Labels): Histogram => {
     const key = seriesKey(name, labels);
     const known = histograms.get(key);
     if (known !== undefined) return known.histogram;
@@ -72,14 +91,18 @@
     return histogram;
   };
 
+  const counterOf = memoize((name, labels) => number('counter', name, labels));
+  const gaugeOf = memoize((name, labels) => number('gauge', name, labels));
+  const histogramOf = memoize(findHistogram);
+
   return {
-    count: (name, labels = {}, by = 1) => {
-      number('counter', name, labels).value += by;
+    count: (name, labels = noLabels, by = 1) => {
+      counterOf(name, labels).value += by;
     },
-    gauge: (name, value, labels = {}) => {
-      number('gauge', name, labels).value = value;
+    gauge: (name, value, labels = noLabels) => {
+      gaugeOf(name, labels).value = value;
     },
-    observeMs: (name, durationMs, labels = {}) => {
+    observeMs: (name, durationMs, labels = noLabels) => {
       const durationUs = Math.min(highestTrackableUs, Math.max(1, Math.round(durationMs * 1000)));
       histogramOf(name, labels).recordValue(durationUs);
     },
