--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -51,6 +51,8 @@
 export interface ShiftHooks {
   /** Admits a call that came from another region, or tells why the cap refuses it. */
   readonly admitShifted: (service: string, fromRegion: string) => Failure | undefined;
+  /** The same for a call that is about to go to a backend server after its time in a queue. */
+  readonly dispatchShifted: (service: string, fromRegion: string) => Failure | undefined;
   /** Share of a zone's or region's own traffic that runs elsewhere now, in permille. */
   readonly movedPermille: (service: string, scope: 'zone' | 'region', place: string) => number;
 }
@@ -65,6 +67,8 @@
   membershipTask: MembershipTask | undefined;
   /** Committed state of the control group, on its members only; set before `documents` starts. */
   controlState: ControlStateSource | undefined;
+  /** Time since the control group was last known to have a leader, in milliseconds. */
+  controlSilentMs: () => number;
   /** Opens a replicated group of the settings, on members and other hosts alike. */
   openGroup: OpenGroup;
   /** The control group; undefined where the settings name none. */
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -32,6 +32,7 @@
     membership: createStaticMembership(settings, incarnation),
     membershipTask: undefined,
     controlState: undefined,
+    controlSilentMs: () => 0,
     shiftSteps: createShiftStepHolder(),
     peers: createPeerClients({
       settings,
@@ -61,7 +62,11 @@
       const table = parts.table.current();
       return table === undefined ? undefined : callerZone(table, callerAddress);
     },
-    shifts: { admitShifted: () => undefined, movedPermille: () => 0 },
+    shifts: {
+      admitShifted: () => undefined,
+      dispatchShifted: () => undefined,
+      movedPermille: () => 0,
+    },
     poolOwner: () => undefined,
     adminRoutes: [],
     running: [],
