fix(slots): no call goes out after its lease, or before a stalled backend server noticed the end of another

Cause: a request went out though the lease ended between the placement and the connection. Change: the lease is asked for when the request is handed to its connection; where it has ended the call is proved not run. A cancelled call keeps its slot until its backend server was heard of since, for 1 s at most.

--- a/packages/host/src/calls/attempt.ts
+++ b/packages/host/src/calls/attempt.ts
@@ -31,6 +31,8 @@
   /** Failure to report where the other side breaks off: BL3006 or BL3014. */
   readonly brokenCode: 'BL3006' | 'BL3014';
   readonly signal: CallSignal;
+  /** Whether the place is still held when the request can be sent; else it is not sent. */
+  readonly mayStart: () => boolean;
   readonly nowMs: () => number;
 }
 
@@ -70,6 +72,10 @@
       controller.abort(this.plan.signal.reason as Error);
       return;
     }
+    if (!this.plan.mayStart()) {
+      controller.abort(new Error('the slot is no longer held'));
+      return;
+    }
     this.requestStarted = true;
   }
 
--- a/packages/host/src/calls/dispatch.ts
+++ b/packages/host/src/calls/dispatch.ts
@@ -155,6 +155,7 @@
     return runAttempt({
       ...common(dispatched),
       dispatcher: connections.toBackend(placement.endpoint),
+      mayStart: placement.mayStart,
       fields,
       judge: (status) => {
         const shed = refusalOfBackend(call, placement.backendId, status);
@@ -196,6 +197,7 @@
     return runAttempt({
       ...plan,
       dispatcher: connections.toHost(endpoint),
+      mayStart: () => true,
       fields,
       judge: (_status, answerFields) => refusalOfHost(hostId, answerFields),
       brokenCode: 'BL3014',
--- a/packages/host/src/slots/announcements.ts
+++ b/packages/host/src/slots/announcements.ts
@@ -75,6 +75,7 @@
       slots: new BackendSlots(backendId, settings.hostId, timing, defaultOutlierLimits),
       announcement,
       lastSeenAtMs: clock.nowMs(),
+      lastAnswerAtMs: Number.NEGATIVE_INFINITY,
       isHeld: false,
       redirects: 0,
       redirectsSinceMs: clock.nowMs(),
--- a/packages/host/src/slots/poolTask.ts
+++ b/packages/host/src/slots/poolTask.ts
@@ -22,6 +22,9 @@
 
 /** Time in which a backend server learns that a call is cancelled and its slot free. */
 const cancelSettleMs = 100;
+/** Longest time for which a slot waits for a sign of life of its backend server. */
+const longestSettleMs = 1000;
+const settleCheckMs = 20;
 /** Outcomes of calls that the host broke off while they ran. */
 const cutResults: ReadonlySet<CallOutcome['result']> = new Set([
   'cancelled',
@@ -227,8 +230,11 @@
       if (isReleased) return;
       isReleased = true;
       const giveBack = () => this.release(effect.backend, effect.running, outcome);
+      if (outcome.result === 'answered' && backend !== undefined) {
+        backend.lastAnswerAtMs = this.context.clock.nowMs();
+      }
       const isCut = cutResults.has(outcome.result);
-      if (isCut && outcome.elapsedMs > 0) setTimeout(giveBack, cancelSettleMs);
+      if (isCut && outcome.elapsedMs > 0 && backend !== undefined) this.settle(backend, giveBack);
       else giveBack();
     };
     if (call.isSettled()) {
@@ -241,7 +247,26 @@
       return;
     }
     const { backendId, endpoint } = backend.announcement;
-    call.resolve({ place: 'backend', backendId, endpoint, release });
+    const { lease } = effect.backend;
+    const mayStart = () => lease.isHeld(this.context.clock.nowMs());
+    call.resolve({ place: 'backend', backendId, endpoint, mayStart, release });
+  }
+
+  /**
+   * Gives a slot back when its backend server has had time to learn that the call was broken off, and
+   * was heard of since: one that stalls learns nothing.
+   */
+  private settle(backend: KnownBackend, giveBack: () => void): void {
+    const { clock } = this.context;
+    const brokenOffAtMs = clock.nowMs();
+    const check = () => {
+      const heardAtMs = Math.max(backend.lastSeenAtMs, backend.lastAnswerAtMs);
+      const isSettled =
+        heardAtMs > brokenOffAtMs || clock.nowMs() - brokenOffAtMs > longestSettleMs;
+      if (isSettled) giveBack();
+      else setTimeout(check, settleCheckMs);
+    };
+    setTimeout(check, cancelSettleMs);
   }
 
   private release(backend: BackendSlots, running: RunningCall, outcome: CallOutcome): void {
--- a/packages/host/src/slots/slotsTypes.ts
+++ b/packages/host/src/slots/slotsTypes.ts
@@ -20,7 +20,10 @@
 export interface KnownBackend {
   readonly slots: BackendSlots;
   announcement: Announcement;
+  /** Time of the last announcement. */
   lastSeenAtMs: number;
+  /** Time of the last whole answer to a call of this host. */
+  lastAnswerAtMs: number;
   /** Whether this host was seen to hold the lease. */
   isHeld: boolean;
   /** Redirections to another host since `redirectsSinceMs`. */
--- a/packages/protocol/src/steering/placementTypes.ts
+++ b/packages/protocol/src/steering/placementTypes.ts
@@ -48,6 +48,8 @@
       readonly place: 'backend';
       readonly backendId: string;
       readonly endpoint: Endpoint;
+      /** Whether the slot is still held; asked when the request is handed to a connection. */
+      readonly mayStart: () => boolean;
       /** Gives the slot back; must be called exactly once. */
       readonly release: (outcome: CallOutcome) => void;
     }
--- a/packages/testkit/src/calls/calls.spec.ts
+++ b/packages/testkit/src/calls/calls.spec.ts
@@ -173,6 +173,30 @@
   );
 });
 
+test.serial(
+  'a call whose slot was lost before its request could go is proved not run',
+  async (t) => {
+    behave({});
+    const { parts } = fleet.hosts[0]!;
+    const { placeCall } = parts;
+    const loseFirst: PlaceCall = async (pending) => {
+      const placement = await placeCall(pending);
+      if (placement.place !== 'backend' || pending.attempt > 0) return placement;
+      return { ...placement, mayStart: () => false };
+    };
+    const received = () => fleet.backends.reduce((sum, { counts }) => sum + counts().received, 0);
+    const before = received();
+    parts.provide({ placeCall: loseFirst });
+    const repeated = await fleet.call(0, kinds.single.path, kinds.single.call);
+    parts.provide({ placeCall: async (pending) => loseFirst({ ...pending, attempt: 0 }) });
+    const refused = await fleet.call(0, kinds.single.path, kinds.single.call);
+    parts.provide({ placeCall });
+    t.like(repeated, { result: 'answered' });
+    t.like(refused, { result: 'BL3003', execution: 'notRun' });
+    t.is(received() - before, 1);
+  },
+);
+
 test.serial('a call is never forwarded across zones twice', async (t) => {
   behave({});
   fleet.hosts[0]!.parts.provide({
--- a/packages/testkit/src/fakes/turnPlacement.ts
+++ b/packages/testkit/src/fakes/turnPlacement.ts
@@ -48,6 +48,7 @@
       place: 'backend',
       backendId: chosen.announcement.backendId,
       endpoint: chosen.announcement.endpoint,
+      mayStart: () => true,
       release: () => {
         chosen.inFlight -= 1;
       },
