feat(consensus): a group that lost every disk is not formed anew by itself

Cause: the first member formed a group whenever every member answered with an empty disk, so empty disks of a lost group looked like a fresh deployment. Failing first: formation.spec, a ledger group of three whose folders were emptied one after another answered `run` to an identity whose outcome it had recorded; a control group emptied the same way took reads at version 0 beside a host that held version 1. Ruled out by reading: a learner that counts too early (quorums hold voters only, a learner is promoted by a committed change), adoption (every host that holds the formation persists it before it answers), two disks of three lost (the group stands still, it does not form). Change: the first member claims the formation before it writes. A ledger group is registered with the control group, first come, first served; the same empty disks may resume. The control group is formed only while no peer that answers holds a document. BL5007 and `formationRefused` tell of a refusal, `buckthornlugctl group form-anew` lifts it (BL5008 while a replica runs). Without a control group in the settings nothing is registered.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -6,6 +6,7 @@
 import { DocumentDiffCommand } from './commands/documentDiffCommand.js';
 import { DocumentGetCommand } from './commands/documentGetCommand.js';
 import { DocumentSubmitCommand } from './commands/documentSubmitCommand.js';
+import { GroupFormAnewCommand } from './commands/groupFormAnewCommand.js';
 import { HostsCommand } from './commands/hostsCommand.js';
 import { ShiftsCommand } from './commands/shiftsCommand.js';
 import { StatusCommand } from './commands/statusCommand.js';
@@ -23,6 +24,7 @@
   DocumentDiffCommand,
   DocumentGetCommand,
   DocumentSubmitCommand,
+  GroupFormAnewCommand,
   HostsCommand,
   ShiftsCommand,
   StatusCommand,
--- a/packages/core/src/submissions/controlMachine.ts
+++ b/packages/core/src/submissions/controlMachine.ts
@@ -8,6 +8,13 @@
 import type { ReplicatedMachine } from '../consensus/replicatedMachineTypes.js';
 import { ShiftTable } from '../shifts/shiftTable.js';
 import { DocumentStore } from './documentStore.js';
+import {
+  FormationRegistry,
+  type Formation,
+  type FormationReply,
+  type ForgetFormationCommand,
+  type RegisterFormationCommand,
+} from './formationRegistry.js';
 import type { VerifySubmission } from './submissionSignature.js';
 import type { DocumentsSnapshot, SubmissionCommand, SubmissionOutcome } from './submissionTypes.js';
 
@@ -22,10 +29,13 @@
 export interface ControlReplies {
   readonly submission: SubmissionOutcome;
   readonly shiftStep: ShiftStepOutcome;
+  readonly registerFormation: FormationReply;
+  readonly forgetFormation: FormationReply;
 }
 
 /** A command of the control group. */
-export type ControlCommand = SubmissionCommand | ShiftStepCommand;
+export type ControlCommand =
+  SubmissionCommand | ShiftStepCommand | RegisterFormationCommand | ForgetFormationCommand;
 
 /** A reply of the control group. */
 export type ControlReply = ControlReplies[keyof ControlReplies];
@@ -33,6 +43,8 @@
 interface ControlSnapshot {
   readonly documents: DocumentsSnapshot;
   readonly shifts: ShiftSnapshot;
+  /** Absent in snapshots of versions without the registry. */
+  readonly formations?: readonly Formation[];
 }
 
 /** The machine of the control group, with read access to its parts. */
@@ -66,21 +78,26 @@
 export function createControlMachine(verify: VerifySubmission): ControlMachine {
   const documents = new DocumentStore(verify);
   const shifts = new ShiftTable();
+  const formations = new FormationRegistry();
   return {
     documents,
     shifts,
     apply: (command) => {
       if (command.type === 'submission') return documents.submit(command);
-      return commitStep(documents, shifts, command);
+      if (command.type === 'shiftStep') return commitStep(documents, shifts, command);
+      if (command.type === 'forgetFormation') return formations.forget(command.groupId);
+      return formations.register(command.formation);
     },
     snapshot: (): ControlSnapshot => ({
       documents: documents.snapshot(),
       shifts: shifts.snapshot(),
+      formations: formations.snapshot(),
     }),
     restore: (snapshot) => {
       const restored = snapshot as ControlSnapshot;
       documents.restore(restored.documents);
       shifts.restore(restored.shifts);
+      formations.restore(restored.formations ?? []);
     },
   };
 }
--- a/packages/host/src/consensus/consensusFeature.ts
+++ b/packages/host/src/consensus/consensusFeature.ts
@@ -9,7 +9,7 @@
   name: 'consensus',
   wanted: () => true,
   start: (context, parts) => {
-    const groups = new HostGroups(context, parts.peers);
+    const groups = new HostGroups(context, parts);
     parts.provide({ openGroup: groups.open });
     parts.rpcHandlers.consensus = groups.handlers();
     parts.adminRoutes.push((app) => registerGroupRoutes(app, groups));
--- a/packages/host/src/consensus/consensusSchema.ts
+++ b/packages/host/src/consensus/consensusSchema.ts
@@ -21,6 +21,9 @@
 export const describeSchema = z.strictObject({ groupId: idSchema });
 
 /** A replica that asks to be added. */
+/** Consent of an operator to a group without its former state. */
+export const formAnewSchema = z.strictObject({ acceptLoss: z.literal(true) });
+
 export const joinSchema = z.strictObject({ groupId: idSchema, replicaId: z.string() });
 
 export type DeliverRequest = z.infer<typeof deliverSchema>;
@@ -61,4 +64,6 @@
   readonly commitIndex?: number;
   readonly replicas?: readonly ReplicaStatus[];
   readonly failure?: Failure;
+  /** Version of the document on the host that answers; 0 where it has none. */
+  readonly documentVersion?: number;
 }
--- a/packages/host/src/consensus/groups.ts
+++ b/packages/host/src/consensus/groups.ts
@@ -2,9 +2,10 @@
 import { hostIdOf } from '@buckthornlug/core/consensus/membership.js';
 import type { ReplicatedMachine } from '@buckthornlug/core/consensus/replicatedMachineTypes.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
-import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+import { err, errAsync, okAsync, ResultAsync } from 'neverthrow';
 
 import type { PeerClients } from '../rpc/peerClients.js';
+import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
 import { decodeText, encodeText } from './binaryCodec.js';
 import type { ConsensusHandlers } from './consensusRouter.js';
@@ -16,6 +17,8 @@
   LeaderReply,
   SubmitRequest,
 } from './consensusSchema.js';
+import { controlGroupId } from './controlGroupId.js';
+import { FormationGuard } from './formationGuard.js';
 import type { GroupHandle } from './groupTypes.js';
 import { LeaderClient } from './leaderClient.js';
 import { MemberReplica } from './memberReplica.js';
@@ -50,10 +53,17 @@
 
   private readonly starts: Promise<void>[] = [];
 
+  private readonly peers: PeerClients;
+
+  private readonly guard: FormationGuard;
+
   constructor(
     private readonly context: HostContext,
-    private readonly peers: PeerClients,
-  ) {}
+    private readonly parts: HostParts,
+  ) {
+    this.peers = parts.peers;
+    this.guard = new FormationGuard(context, parts);
+  }
 
   private memberHostIds(groupId: string): readonly string[] {
     const group = this.context.settings.groups.find(({ id }) => id === groupId);
@@ -76,8 +86,9 @@
     let replica: MemberReplica<Command, Reply> | undefined;
     if (memberHostIds.includes(settings.hostId) && settings.dataFolder !== undefined) {
       const { dataFolder } = settings;
-      const { context, peers } = this;
-      replica = new MemberReplica({ context, peers, groupId, memberHostIds, machine, dataFolder });
+      const { context, peers, guard } = this;
+      const shared = { context, peers, guard, machine, dataFolder };
+      replica = new MemberReplica({ ...shared, groupId, memberHostIds });
       this.replicas.set(groupId, replica as unknown as AnyReplica);
       this.starts.push(replica.start());
     }
@@ -137,11 +148,35 @@
     return {
       deliver: (fromHostId, request) => this.deliver(fromHostId, request),
       submit: (request) => this.submit(request),
-      describe: ({ groupId }) => this.describe(groupId),
+      describe: ({ groupId }) => ({ ...this.describe(groupId), documentVersion: this.version() }),
       join: (request) => this.join(request),
     };
   }
 
+  private version(): number {
+    return this.parts.document.current()?.version ?? 0;
+  }
+
+  /**
+   * Lets a group be formed anew without its former state.
+   *
+   * @param groupId - group whose disks are all empty
+   * @returns BL5005 where another host has to be asked, BL5008 where a replica runs
+   */
+  acceptLoss(groupId: string): ResultAsync<void, Failure> {
+    const [former] = [...this.memberHostIds(groupId)].sort();
+    if (former === undefined) return errAsync(failure('BL5005', `no group "${groupId}" is set up`));
+    const isHere = former === this.context.settings.hostId;
+    if (groupId === controlGroupId && !isHere) {
+      return errAsync(failure('BL5005', `"${groupId}" is formed by host "${former}"; ask it`));
+    }
+    return this.describeAnywhere(groupId).andThen(({ state, replicaId }) => {
+      if (state === 'running') return err(failure('BL5008', `replica "${replicaId}" runs`));
+      this.context.log.warn('lossAccepted', { groupId });
+      return this.guard.acceptLoss(groupId);
+    });
+  }
+
   /** Groups of the settings. */
   groupIds(): string[] {
     return this.context.settings.groups.map(({ id }) => id);
--- a/packages/host/src/consensus/memberReplica.ts
+++ b/packages/host/src/consensus/memberReplica.ts
@@ -2,6 +2,7 @@
 import { join } from 'node:path';
 
 import type { ConsensusMessage } from '@buckthornlug/core/consensus/consensusTypes.js';
+import type { Formation } from '@buckthornlug/core/submissions/formationRegistry.js';
 import type { ReplicatedMachine } from '@buckthornlug/core/consensus/replicatedMachineTypes.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, ResultAsync, type Result } from 'neverthrow';
@@ -10,6 +11,7 @@
 import type { HostContext } from '../runtime/hostTypes.js';
 import { decodeText, encodeText } from './binaryCodec.js';
 import type { GroupDescription } from './consensusSchema.js';
+import type { FormationGuard } from './formationGuard.js';
 import { firstState, nextFormationStep } from './formation.js';
 import { openGroupStorage } from './groupStorage.js';
 import { startGroupTask } from './groupTask.js';
@@ -27,6 +29,7 @@
 export interface MemberReplicaParts<Command, Reply> {
   readonly context: HostContext;
   readonly peers: Pick<PeerClients, 'request'>;
+  readonly guard: Pick<FormationGuard, 'claim'>;
   readonly groupId: string;
   /** Hosts that start the group. */
   readonly memberHostIds: readonly string[];
@@ -122,8 +125,9 @@
     const answers = await this.askMembers();
     const next = nextFormationStep(this.replicaId(storage), this.parts.memberHostIds, answers);
     if (next.step === 'wait' || this.isStopped) return false;
-    const formationId = next.step === 'form' ? randomUUID() : next.formationId;
-    const joined = await storage.join(formationId, firstState(next.voters));
+    const entered = next.step === 'form' ? await this.claim(next.voters) : next;
+    if (entered === undefined || this.isStopped) return false;
+    const joined = await storage.join(entered.formationId, firstState(entered.voters));
     if (joined.isErr()) {
       this.problem = joined.error;
       return false;
@@ -133,6 +137,22 @@
     return true;
   }
 
+  /** Claims the formation of the group; undefined while it must not be formed. */
+  private async claim(voters: readonly string[]): Promise<Formation | undefined> {
+    const { guard, groupId, context } = this.parts;
+    const claimed = await guard.claim({ groupId, formationId: randomUUID(), voters });
+    if (claimed.isOk()) return claimed.value;
+    const { code, detail } = claimed.error;
+    const isNew = this.problem?.code !== code;
+    if (code !== 'BL5007') return undefined;
+    this.problem = claimed.error;
+    if (isNew) {
+      context.log.error('formationRefused', { groupId, code, detail });
+      context.record({ kind: 'formationRefused', code, detail: { groupId, detail } });
+    }
+    return undefined;
+  }
+
   private startTask(storage: GroupStorage): void {
     const { context, groupId, machine } = this.parts;
     const formationId = storage.stored().identity.formationId ?? '';
--- a/packages/host/src/ledger/ledgerFeature.ts
+++ b/packages/host/src/ledger/ledgerFeature.ts
@@ -4,14 +4,12 @@
 import { createLedgerMachine } from '@buckthornlug/core/ledger/ledgerMachine.js';
 import { okAsync } from 'neverthrow';
 
+import { controlGroupId } from '../consensus/controlGroupId.js';
 import type { Feature, HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
 import { LedgerTask } from './ledgerTask.js';
 import type { LedgerGroup, Sleep } from './ledgerTaskTypes.js';
 
-/** Group of the settings that is no ledger. */
-const controlGroupId = 'control';
-
 const sleep: Sleep = async (durationMs, signal) => {
   await delay(durationMs, undefined, signal === undefined ? {} : { signal }).catch(() => undefined);
 };
--- a/packages/host/src/submissions/controlGroup.ts
+++ b/packages/host/src/submissions/controlGroup.ts
@@ -3,6 +3,12 @@
   ControlMachine,
   ControlReply,
 } from '@buckthornlug/core/submissions/controlMachine.js';
+import type {
+  ForgetFormationCommand,
+  Formation,
+  FormationReply,
+  RegisterFormationCommand,
+} from '@buckthornlug/core/submissions/formationRegistry.js';
 import type { ShiftTable } from '@buckthornlug/core/shifts/shiftTable.js';
 import type {
   SubmissionCommand,
@@ -11,7 +17,7 @@
 import type { VersionedSection } from '@buckthornlug/protocol/document/documentTypes.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import type { CommittedStep, ShiftStep } from '@buckthornlug/protocol/shifts/shiftSchema.js';
-import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
+import { err, errAsync, ok, okAsync, type Result, type ResultAsync } from 'neverthrow';
 
 import type { GroupHandle } from '../consensus/groupTypes.js';
 import type { DocumentInForce } from '../runtime/hostTypes.js';
@@ -39,6 +45,13 @@
   ) => ResultAsync<SubmissionOutcome, Failure>;
   /** Commits a step; BL8002 for a step of an older plan. */
   readonly submitStep: (step: ShiftStep, timeoutMs: number) => ResultAsync<CommittedStep, Failure>;
+  /** Registers the first formation of a ledger group; returns the one that is registered. */
+  readonly registerFormation: (
+    formation: Formation,
+    timeoutMs: number,
+  ) => ResultAsync<Formation, Failure>;
+  /** Allows a ledger group to be formed anew, without its former state. */
+  readonly forgetFormation: (groupId: string, timeoutMs: number) => ResultAsync<void, Failure>;
   readonly readBarrier: (timeoutMs: number) => ResultAsync<void, Failure>;
   /** Everything that a host lacks which has come as far as stated. */
   readonly updateSince: (have: CommittedVersions) => CommittedVersions & {
@@ -64,6 +77,15 @@
 ): ControlGroup {
   const { documents, shifts } = machine;
   const otherReply = failure('BL5002', 'the reply is of another command');
+  const submitFormation = (
+    command: RegisterFormationCommand | ForgetFormationCommand,
+    timeoutMs: number,
+  ) =>
+    handle
+      .submit(command, timeoutMs)
+      .andThen((reply): Result<FormationReply, Failure> =>
+        'formation' in reply ? ok(reply) : err(otherReply),
+      );
   return {
     isMember,
     machine,
@@ -80,6 +102,12 @@
         if (!('committed' in reply)) return errAsync(otherReply);
         return reply.committed ? okAsync(reply.step) : errAsync(reply.failure);
       }),
+    registerFormation: (formation, timeoutMs) =>
+      submitFormation({ type: 'registerFormation', formation }, timeoutMs).andThen((reply) =>
+        reply.formation === undefined ? err(otherReply) : ok(reply.formation),
+      ),
+    forgetFormation: (groupId, timeoutMs) =>
+      submitFormation({ type: 'forgetFormation', groupId }, timeoutMs).map(() => undefined),
     readBarrier: handle.readBarrier,
     updateSince: (have) => ({
       version: documents.currentVersion(),
--- a/packages/host/src/submissions/submissionsFeature.ts
+++ b/packages/host/src/submissions/submissionsFeature.ts
@@ -2,13 +2,13 @@
 import { verifySubmission } from '@buckthornlug/core/submissions/submissionSignature.js';
 import { okAsync } from 'neverthrow';
 
+import { controlGroupId } from '../consensus/controlGroupId.js';
 import type { Feature } from '../runtime/hostParts.js';
 import { createControlGroup } from './controlGroup.js';
 import { readControl, readOnMember } from './controlReader.js';
 import { registerSubmissionRoutes } from './submissionRoutes.js';
 import { commitSubmission } from './submitter.js';
 
-const controlGroupId = 'control';
 const readTimeoutMs = 3000;
 
 /** The control group: submissions of operators and the steps of shifts. */
--- a/packages/protocol/src/events/eventSchema.ts
+++ b/packages/protocol/src/events/eventSchema.ts
@@ -39,6 +39,7 @@
   'memberLeft',
   'replicaAdded',
   'replicaRemoved',
+  'formationRefused',
   'storageFault',
   'keyRefused',
 ] as const;
--- a/packages/protocol/src/results/resultCodes.ts
+++ b/packages/protocol/src/results/resultCodes.ts
@@ -270,6 +270,16 @@
     meaning: 'A membership change of the group is still under way.',
     action: 'Try again when it is done.',
   },
+  BL5007: {
+    httpStatus: 409,
+    meaning: 'The group was formed before and its state is lost; it is not formed anew by itself.',
+    action: 'Bring a disk back, or accept the loss with `buckthornlugctl group form-anew`.',
+  },
+  BL5008: {
+    httpStatus: 409,
+    meaning: 'The group still has a disk that belongs to it, so its state is not given up.',
+    action: 'Repair the group, or empty the disks of all its members first.',
+  },
 
   BL6001: {
     httpStatus: 401,
