feat(ledger): refuse once-only work that finds no place before its intent

Cause: the intent was committed before the pool was asked, so in a flood each refused call cost two commits (begin, finish as not run). Change: the host asks its pool for the outlook of the call first, counting those that are at their commit. Where it would be refused, the identity is looked up on the leader by a read under its lease; a recorded one gets what a resend hears, a free one the refusal of the pool, without a commit. Not foreseen: calls that may leave by a credit or a shift, and calls at a host that holds no slots of the pool.

--- a/packages/core/src/consensus/replicatedMachineTypes.ts
+++ b/packages/core/src/consensus/replicatedMachineTypes.ts
@@ -8,6 +8,8 @@
    * @param logIndex - index of the command in the log
    */
   readonly apply: (command: Command, logIndex: number) => Reply;
+  /** Answers a command that changes nothing; absent where the machine has none. */
+  readonly read?: (command: Command) => Reply;
   /** Encodes the whole state as plain data. */
   readonly snapshot: () => unknown;
   /** Replaces the state by a decoded snapshot. */
--- a/packages/core/src/ledger/ledgerMachine.ts
+++ b/packages/core/src/ledger/ledgerMachine.ts
@@ -2,6 +2,7 @@
   ledgerSnapshotSchema,
   type BeginCommand,
   type CancelCommand,
+  type FindCommand,
   type FinishCommand,
   type LedgerCommand,
   type LedgerRecord,
@@ -48,6 +49,15 @@
     return { reply: 'running', holder: record.holder, deadlineAtMs: record.deadlineAtMs };
   };
 
+  const find = (command: FindCommand): LedgerReply => {
+    const record = store.find(command.key);
+    if (record === undefined) return { reply: 'free' };
+    if (record.key.requestDigest !== command.key.requestDigest) return { reply: 'otherRequest' };
+    if (record.state === 'answered') return replyAnswered(record);
+    if (record.state === 'unknown') return { reply: 'unknown' };
+    return { reply: 'running', holder: record.holder, deadlineAtMs: record.deadlineAtMs };
+  };
+
   const openIntent = (command: BeginCommand): LedgerReply => {
     if (store.isFull()) return { reply: 'refused', reason: 'full' };
     store.open({
@@ -130,8 +140,10 @@
       if (command.type === 'finish') return finish(command, logIndex);
       if (command.type === 'cancel') return cancel(command);
       if (command.type === 'loseHolder') return loseHolder(command);
+      if (command.type === 'find') return find(command);
       return retire(command);
     },
+    read: (command) => (command.type === 'find' ? find(command) : { reply: 'superseded' }),
     snapshot: () => store.snapshot(),
     restore: (snapshot) => store.restore(ledgerSnapshotSchema.parse(snapshot)),
   };
--- a/packages/core/src/pools/pool.ts
+++ b/packages/core/src/pools/pool.ts
@@ -3,6 +3,7 @@
 import type { BackendSlots } from '../slots/backendSlots.js';
 import { PoolQueue } from './poolQueue.js';
 import type {
+  Foresight,
   OfferResult,
   PoolCall,
   PoolEffect,
@@ -142,7 +143,7 @@
    * @param waitMs - expected wait
    * @param nowMs - current time
    */
-  meetsTarget(call: Call, waitMs: number, nowMs: number): boolean {
+  meetsTarget(call: PoolCall, waitMs: number, nowMs: number): boolean {
     return waitMs === 0 || waitMs <= this.longestWaitMs(call.kind, call.targetAtMs - nowMs);
   }
 
@@ -170,6 +171,21 @@
     return { offer: 'queued', entry: this.enqueue(call, nowMs) };
   }
 
+  /**
+   * Tells whether a call would be refused.
+   *
+   * @param call - the call
+   * @param aheadCalls - calls of its rank or a more urgent one that will be offered before it
+   * @param nowMs - current time
+   */
+  foresee(call: PoolCall, aheadCalls: number, nowMs: number): Foresight {
+    const slots = this.usableSlots(nowMs);
+    const isIdle = this.queue.waitingCalls === 0 && this.freeSlots(nowMs) > aheadCalls;
+    const aheadMs = slots === 0 ? 0 : (aheadCalls * this.times.overallMeanMs) / slots;
+    const expectedWaitMs = isIdle ? 0 : this.expectedWaitMs(call.rank, nowMs) + aheadMs;
+    return { reason: this.refusal(call, expectedWaitMs, nowMs), expectedWaitMs };
+  }
+
   /** Takes a call into the queue without a check of its wait. */
   enqueue(call: Call, nowMs: number): QueuedCall<Call> {
     const costMs = this.times.meanMs(call.kind);
@@ -251,7 +267,7 @@
     return soonestMs;
   }
 
-  private refusal(call: Call, waitMs: number, nowMs: number): RefuseReason | undefined {
+  private refusal(call: PoolCall, waitMs: number, nowMs: number): RefuseReason | undefined {
     if (nowMs >= call.deadlineAtMs) return 'deadlinePassed';
     if (!Number.isFinite(waitMs)) return 'noSlots';
     if (this.queue.waitingCalls >= this.rules.maxQueuedCalls) return 'queueFull';
--- a/packages/core/src/pools/poolTypes.ts
+++ b/packages/core/src/pools/poolTypes.ts
@@ -59,6 +59,13 @@
       readonly expectedWaitMs: number;
     };
 
+/** What a pool expects of a call that is not offered yet. */
+export interface Foresight {
+  /** Why the call would be refused; undefined where it may be taken. */
+  readonly reason: RefuseReason | undefined;
+  readonly expectedWaitMs: number;
+}
+
 /** Answer to an offered call. */
 export type OfferResult<Call extends PoolCall> =
   | { readonly offer: 'queued'; readonly entry: QueuedCall<Call> }
--- a/packages/host/src/calls/callRunner.ts
+++ b/packages/host/src/calls/callRunner.ts
@@ -29,7 +29,15 @@
 
 const queueFullRetryAfterMs = 500;
 
-function pendingOf(
+/**
+ * A call as the placement sees it.
+ *
+ * @param call - classified call
+ * @param attempt - number of its attempt on this host
+ * @param excluded - backend servers and hosts that failed it
+ * @param signal - aborted when the caller hangs up
+ */
+export function pendingOf(
   call: AcceptedCall,
   attempt: number,
   excluded: readonly string[],
--- a/packages/host/src/calls/onceWork.ts
+++ b/packages/host/src/calls/onceWork.ts
@@ -1,11 +1,11 @@
 import { createHash } from 'node:crypto';
 
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
-import type { LedgerKey } from '@buckthornlug/protocol/steering/ledgerTypes.js';
+import type { LedgerDecision, LedgerKey } from '@buckthornlug/protocol/steering/ledgerTypes.js';
 
 import type { HostParts } from '../runtime/hostParts.js';
 import { createStoringSink, sendStored } from './answerSinks.js';
-import type { RunCall, RunResult } from './callRunner.js';
+import { pendingOf, type RunCall, type RunResult } from './callRunner.js';
 import type { AcceptedCall } from './callTypes.js';
 import type { RequestBody } from './requestBody.js';
 
@@ -73,8 +73,23 @@
   return failure('BL9002', result.failure.detail);
 }
 
+/** What a call is told before it costs a commit; undefined where its intent is to be committed. */
+async function answerBefore(
+  { parts }: OnceWorkParts,
+  call: AcceptedCall,
+  key: LedgerKey,
+  foreseen: Failure | undefined,
+): Promise<LedgerDecision | undefined> {
+  if (foreseen === undefined) return undefined;
+  const found = await parts.ledger.find(key, call.callClass.kind.ledgerGroups);
+  if (found === 'running') return undefined;
+  if (found === 'free' || found === 'notKnown') return { decision: 'refused', failure: foreseen };
+  return found;
+}
+
 /**
- * Runs once-only work: commits the intent before the dispatch and the outcome before the answer.
+ * Runs once-only work: commits the intent before the dispatch and the outcome before the answer. A
+ * call that would find no place is refused before its intent, unless its identity is recorded.
  *
  * @param work - ledger and runner of calls
  * @param call - classified call with an identity
@@ -95,7 +110,11 @@
   const { ledger } = work.parts;
   const { ledgerGroups } = call.callClass.kind;
   const key = ledgerKey(call, identity, body);
-  const decision = await ledger.begin(key, ledgerGroups, call.deadlineAtMs);
+  const outlook = work.parts.foreseeCall(pendingOf(call, 0, call.excluded, signal));
+  const decision =
+    (await answerBefore(work, call, key, outlook.failure)) ??
+    (await ledger.begin(key, ledgerGroups, call.deadlineAtMs));
+  outlook.end();
   if (decision.decision === 'refused') return decision.failure;
   if (decision.decision === 'replay') {
     if (decision.answer.bodyBase64 === undefined) {
--- a/packages/host/src/consensus/consensusSchema.ts
+++ b/packages/host/src/consensus/consensusSchema.ts
@@ -15,6 +15,7 @@
 export const submitSchema = z.strictObject({
   groupId: idSchema,
   command: z.string(),
+  mode: z.enum(['commit', 'read']).default('commit'),
   timeoutMs: z.number().positive(),
 });
 
--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -246,6 +246,12 @@
     return result;
   }
 
+  /** Answers from the state of the machine while no other replica can lead. */
+  read(command: Command): Result<Reply, Failure> {
+    const reply = this.isLeader() ? this.parts.machine.read?.(command) : undefined;
+    return reply === undefined ? err(this.notLeading()) : ok(reply);
+  }
+
   private flushProposals(): void {
     const { proposals } = this;
     this.proposals = [];
@@ -381,6 +387,7 @@
       for (const message of messages) task.take({ kind: 'message', message });
     },
     propose: (command, timeoutMs) => task.propose(command, timeoutMs),
+    read: (command) => task.read(command),
     readBarrier: (timeoutMs) => task.readBarrier(timeoutMs),
     onApplied: (listener) => task.onApplied(listener),
     isLeader: () => task.isLeader(),
--- a/packages/host/src/consensus/groupTaskTypes.ts
+++ b/packages/host/src/consensus/groupTaskTypes.ts
@@ -1,7 +1,7 @@
 import type { ConsensusMessage } from '@buckthornlug/core/consensus/consensusTypes.js';
 import type { ReplicatedMachine } from '@buckthornlug/core/consensus/replicatedMachineTypes.js';
 import type { Failure } from '@buckthornlug/protocol/results/failure.js';
-import type { ResultAsync } from 'neverthrow';
+import type { Result, ResultAsync } from 'neverthrow';
 
 import type { HostContext } from '../runtime/hostTypes.js';
 import type { GroupDescription } from './consensusSchema.js';
@@ -31,6 +31,8 @@
   readonly deliver: (messages: readonly ConsensusMessage[]) => void;
   /** Proposes on this replica; BL5001 where it does not lead. */
   readonly propose: (command: Command, timeoutMs: number) => ProposalResult<Reply>;
+  /** Answers a command that changes nothing; BL5001 where this replica holds no lease. */
+  readonly read: (command: Command) => Result<Reply, Failure>;
   readonly readBarrier: (timeoutMs: number) => ResultAsync<void, Failure>;
   readonly onApplied: (listener: (logIndex: number) => void) => () => void;
   readonly isLeader: () => boolean;
--- a/packages/host/src/consensus/groupTypes.ts
+++ b/packages/host/src/consensus/groupTypes.ts
@@ -9,6 +9,8 @@
    * needed. BL5001: not proposed, may be repeated; BL5002: may or may not have been committed.
    */
   readonly submit: (command: Command, timeoutMs: number) => ResultAsync<Reply, Failure>;
+  /** Asks the leader without a commit. */
+  readonly read: (command: Command, timeoutMs: number) => ResultAsync<Reply, Failure>;
   /** Whether this host leads the group and has confirmed it within the lease of its quorum. */
   readonly isLeader: () => boolean;
   readonly leaderId: () => string | undefined;
--- a/packages/host/src/consensus/groups.ts
+++ b/packages/host/src/consensus/groups.ts
@@ -104,6 +104,7 @@
     return {
       groupId,
       submit: (command, timeoutMs) => client.submit(command, timeoutMs),
+      read: (command, timeoutMs) => client.read(command, timeoutMs),
       isLeader: () => replica?.task?.isLeader() ?? false,
       leaderId: () => client.leaderId(),
       readBarrier: (timeoutMs) => replica?.readBarrier(timeoutMs) ?? errAsync(notMember),
@@ -125,7 +126,9 @@
     if (task === undefined || task.leaderId() !== this.context.settings.hostId) {
       return notLeader(replica, request.groupId);
     }
-    const result = await task.propose(decodeText(request.command), request.timeoutMs);
+    const command = decodeText(request.command);
+    const result =
+      request.mode === 'read' ? task.read(command) : await task.propose(command, request.timeoutMs);
     if (result.isOk()) return { ok: true, reply: encodeText(result.value) };
     if (result.error.code === 'BL5001') return notLeader(replica, request.groupId);
     return { ok: false, failure: result.error };
--- a/packages/host/src/consensus/leaderClient.ts
+++ b/packages/host/src/consensus/leaderClient.ts
@@ -24,6 +24,9 @@
   readonly localTask: () => GroupTask<Command, Reply> | undefined;
 }
 
+/** Whether a command is committed, or answered by the leader from its state. */
+type Mode = 'commit' | 'read';
+
 /** Outcome of one attempt: final, or where to try next. */
 type Attempt<Reply> =
   | { readonly isFinal: true; readonly result: Result<Reply, Failure> }
@@ -32,9 +35,10 @@
 async function attemptLocally<Command, Reply>(
   task: GroupTask<Command, Reply>,
   command: Command,
+  mode: Mode,
   timeoutMs: number,
 ): Promise<Attempt<Reply>> {
-  const result = await task.propose(command, timeoutMs);
+  const result = mode === 'read' ? task.read(command) : await task.propose(command, timeoutMs);
   if (result.isErr() && result.error.code === 'BL5001') {
     return { isFinal: false, problem: result.error };
   }
@@ -66,13 +70,14 @@
   private async attemptRemotely(
     target: string,
     command: string,
+    mode: Mode,
     timeoutMs: number,
   ): Promise<Attempt<Reply>> {
     const { peers, groupId } = this.parts;
     const sent = await peers.request(
       target,
       (client, signal) =>
-        client.consensus.submit.mutate({ groupId, command, timeoutMs }, { signal }),
+        client.consensus.submit.mutate({ groupId, command, mode, timeoutMs }, { signal }),
       timeoutMs,
     );
     if (sent.isErr()) {
@@ -95,7 +100,11 @@
     return { isFinal: false, problem, ...(leaderId === undefined ? {} : { leaderId }) };
   }
 
-  private async run(command: Command, timeoutMs: number): Promise<Result<Reply, Failure>> {
+  private async run(
+    command: Command,
+    mode: Mode,
+    timeoutMs: number,
+  ): Promise<Result<Reply, Failure>> {
     const { clock, localTask } = this.parts;
     const untilMs = clock.nowMs() + timeoutMs;
     let problem = failure('BL5001', 'no leader was found in time');
@@ -107,10 +116,10 @@
       const isLocal = task !== undefined && task.leaderId() === this.parts.hostId;
       const target = isLocal ? undefined : this.target();
       let attempt: Attempt<Reply> = { isFinal: false, problem };
-      if (isLocal) attempt = await attemptLocally(task, command, restMs);
+      if (isLocal) attempt = await attemptLocally(task, command, mode, restMs);
       else if (target !== undefined) {
         text ??= encodeText(command);
-        attempt = await this.attemptRemotely(target, text, restMs);
+        attempt = await this.attemptRemotely(target, text, mode, restMs);
       }
       if (attempt.isFinal) return attempt.result;
       ({ problem } = attempt);
@@ -131,6 +140,17 @@
    * @returns the machine's reply; BL5001 where it was not proposed, BL5002 where that is not known
    */
   submit(command: Command, timeoutMs: number): ResultAsync<Reply, Failure> {
-    return new ResultAsync(this.run(command, timeoutMs));
+    return new ResultAsync(this.run(command, 'commit', timeoutMs));
+  }
+
+  /**
+   * Asks the leader without a commit.
+   *
+   * @param command - command of the machine that changes nothing
+   * @param timeoutMs - time limit over all attempts
+   * @returns the machine's reply; BL5001 or BL5002 where no leader answered
+   */
+  read(command: Command, timeoutMs: number): ResultAsync<Reply, Failure> {
+    return new ResultAsync(this.run(command, 'read', timeoutMs));
   }
 }
--- a/packages/host/src/ledger/ledgerTask.ts
+++ b/packages/host/src/ledger/ledgerTask.ts
@@ -67,6 +67,19 @@
     return decision;
   };
 
+  readonly find = async (
+    key: LedgerKey,
+    groups: readonly string[],
+  ): Promise<LedgerDecision | 'free' | 'running' | 'notKnown'> => {
+    const groupId = ledgerGroupOf(key, groups);
+    const group = groupId === undefined ? undefined : this.parts.findGroup(groupId);
+    if (group === undefined) return 'notKnown';
+    const found = await group.read({ type: 'find', key }, this.rpcTimeoutMs());
+    if (found.isErr()) return 'notKnown';
+    if (found.value.reply === 'free') return 'free';
+    return decisionOf(found.value, '', group.groupId) ?? 'running';
+  };
+
   readonly finish = (intentId: string, outcome: LedgerOutcome): ResultAsync<void, Failure> =>
     new ResultAsync(this.tryFinish(intentId, outcome));
 
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -9,7 +9,11 @@
   LedgerKey,
   LedgerOutcome,
 } from '@buckthornlug/protocol/steering/ledgerTypes.js';
-import type { MayRetry, PlaceCall } from '@buckthornlug/protocol/steering/placementTypes.js';
+import type {
+  ForeseeCall,
+  MayRetry,
+  PlaceCall,
+} from '@buckthornlug/protocol/steering/placementTypes.js';
 import type { Result, ResultAsync } from 'neverthrow';
 
 import type { RegisterRoutes } from '../admin/adminListener.js';
@@ -39,6 +43,16 @@
     groups: readonly string[],
     deadlineAtMs: number,
   ) => Promise<LedgerDecision>;
+  /**
+   * Looks up what is recorded of an identity, without a commit.
+   *
+   * @returns `free` where nothing is, `running` while a first attempt is open, `notKnown` where the
+   *   ledger did not answer, or what a resend is told
+   */
+  readonly find: (
+    key: LedgerKey,
+    groups: readonly string[],
+  ) => Promise<LedgerDecision | 'free' | 'running' | 'notKnown'>;
   /** Commits the outcome; BL9002 where it could not be committed. */
   readonly finish: (intentId: string, outcome: LedgerOutcome) => ResultAsync<void, Failure>;
 }
@@ -68,6 +82,7 @@
   /** Takes the calls that other hosts forward. */
   forwardedCalls: ForwardedCallHandler;
   placeCall: PlaceCall;
+  foreseeCall: ForeseeCall;
   mayRetry: MayRetry;
   receiveAnnouncement: ReceiveAnnouncement;
   ledger: LedgerHooks;
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -47,10 +47,12 @@
     rpcHandlers: { ping: { ping: () => ({ hostId: settings.hostId, incarnation }) } },
     forwardedCalls: (_request, response) => response.writeHead(503).end(),
     placeCall: () => Promise.resolve({ place: 'refused', failure: notStarted }),
+    foreseeCall: () => ({ end: () => undefined }),
     mayRetry: () => false,
     receiveAnnouncement: () => err(notStarted),
     ledger: {
       begin: () => Promise.resolve({ decision: 'refused', failure: noLedger }),
+      find: () => Promise.resolve('notKnown'),
       finish: () => errAsync(noLedger),
     },
     findCallerZone: (callerAddress) => {
--- a/packages/host/src/slots/creditTask.ts
+++ b/packages/host/src/slots/creditTask.ts
@@ -101,6 +101,12 @@
     return Math.min(leftMs * creditWaitShare, roundTripMs + creditMarginMs);
   }
 
+  /** Whether a call may be answered by another zone, by a credit at hand or one that may come. */
+  mayLeave(rank: number, leftMs: number): boolean {
+    const atHand = this.heldCredits.count(rank, this.context.clock.nowMs());
+    return atHand > 0 || this.creditWaitMs(rank, leftMs) > 0;
+  }
+
   /** Asks other zones for credits where the pool is under pressure. */
   tick(): void {
     if (!this.task.isBusy) return;
--- a/packages/host/src/slots/placement.ts
+++ b/packages/host/src/slots/placement.ts
@@ -1,5 +1,6 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import type {
+  ForeseeCall,
   PendingCall,
   PlaceCall,
   Placement,
@@ -15,6 +16,8 @@
 
 const retryAfterMs = 200;
 const wholePermille = 1000;
+/** Outlook of a call on which the decision falls elsewhere or later. */
+const noOutlook = { end: () => undefined };
 
 /** A pool of this host with its credits. */
 export interface OwnPool {
@@ -48,7 +51,7 @@
   context: HostContext,
   parts: HostParts,
   placementParts: PlacementParts,
-): PlaceCall {
+): { readonly placeCall: PlaceCall; readonly foreseeCall: ForeseeCall } {
   const { settings, clock } = context;
   const { poolOf, owners, links } = placementParts;
 
@@ -97,7 +100,17 @@
     return Promise.resolve({ place: 'host', hostId, release: () => undefined });
   };
 
-  return (call) => {
+  const foresee: ForeseeCall = (call) => {
+    const own = poolOf(call.service);
+    const owner = owners.localOwner(call.service, call.excluded);
+    const isOwner = owner === undefined || owner === settings.hostId;
+    if (own === undefined || !(isOwner || own.task.holdsSlots())) return noOutlook;
+    if (reachOf(call.service) !== 'anywhere') return noOutlook;
+    if (own.credits.mayLeave(call.rank, call.targetAtMs - clock.nowMs())) return noOutlook;
+    return own.task.foresee(call);
+  };
+
+  const placeCall: PlaceCall = (call) => {
     const own = poolOf(call.service);
     if (own === undefined) {
       return Promise.resolve(refused(failure('BL3001', `service "${call.service}"`)));
@@ -111,4 +124,6 @@
     const detail = `host "${owner}" owns the pool`;
     return Promise.resolve(refused(failure('BL3003', detail, { retryAfterMs })));
   };
+
+  return { placeCall, foreseeCall: foresee };
 }
--- a/packages/host/src/slots/poolTask.ts
+++ b/packages/host/src/slots/poolTask.ts
@@ -12,6 +12,7 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import type {
   CallOutcome,
+  CallOutlook,
   PendingCall,
   Placement,
 } from '@buckthornlug/protocol/steering/placementTypes.js';
@@ -45,6 +46,9 @@
 
   private readonly backends = new Map<string, KnownBackend>();
 
+  /** Calls of each rank that were foreseen and have not asked for their place yet. */
+  private readonly announcedByRank: number[] = [];
+
   /**
    * @param service - service of the pool
    * @param context - context of the host
@@ -123,6 +127,30 @@
     });
   }
 
+  /**
+   * Foresees the refusal of a call that has not asked for its place, and counts the call as one that
+   * will come.
+   *
+   * @param pending - the call
+   */
+  foresee(pending: PendingCall): CallOutlook {
+    const { rank } = pending;
+    const nowMs = this.context.clock.nowMs();
+    let aheadCalls = 0;
+    for (const [index, calls] of this.announcedByRank.entries()) {
+      if (index <= rank) aheadCalls += calls;
+    }
+    const { reason, expectedWaitMs } = this.pool.foresee(pending, aheadCalls, nowMs);
+    if (reason !== undefined) {
+      return { failure: refusalOf(reason, expectedWaitMs), end: () => undefined };
+    }
+    const count = (by: 1 | -1) => {
+      this.announcedByRank[rank] = (this.announcedByRank[rank] ?? 0) + by;
+    };
+    count(1);
+    return { end: () => count(-1) };
+  }
+
   /** Gives free slots to waiting calls. */
   pump(): void {
     const nowMs = this.context.clock.nowMs();
--- a/packages/host/src/slots/slotsFeature.ts
+++ b/packages/host/src/slots/slotsFeature.ts
@@ -55,7 +55,7 @@
     (service) => poolOf(service)?.task,
     tasks,
   );
-  const place = createPlacement(context, parts, { poolOf, owners, links, ...retries });
+  const placement = createPlacement(context, parts, { poolOf, owners, links, ...retries });
 
   const isBusy = () => {
     for (const { task } of pools.values()) {
@@ -78,12 +78,19 @@
 
   parts.provide({
     placeCall: async (call) => {
-      const placement = place(call);
+      const placing = placement.placeCall(call);
       ticker.wake();
-      const placed = await placement;
+      const placed = await placing;
       admission.note(call.service, placed);
       return placed;
     },
+    foreseeCall: (call) => {
+      const outlook = placement.foreseeCall(call);
+      const { failure: problem } = outlook;
+      if (problem !== undefined)
+        admission.note(call.service, { place: 'refused', failure: problem });
+      return outlook;
+    },
     mayRetry: retries.mayRetry,
     receiveAnnouncement: announcements.receive,
     poolOwner: owners.ownerOf,
--- a/packages/protocol/src/ledger/ledgerSchema.ts
+++ b/packages/protocol/src/ledger/ledgerSchema.ts
@@ -70,6 +70,9 @@
   nowMs: z.number(),
 });
 
+/** Asks for the state of an identity; changes nothing and needs no commit. */
+export const findCommandSchema = z.strictObject({ type: z.literal('find'), key: ledgerKeySchema });
+
 /** Every command of a ledger group. */
 export const ledgerCommandSchema = z.discriminatedUnion('type', [
   beginCommandSchema,
@@ -77,6 +80,7 @@
   cancelCommandSchema,
   loseHolderCommandSchema,
   retireCommandSchema,
+  findCommandSchema,
 ]);
 
 /** Every reply of a ledger group. */
@@ -89,6 +93,7 @@
     deadlineAtMs: z.number(),
   }),
   z.strictObject({ reply: z.literal('unknown') }),
+  z.strictObject({ reply: z.literal('free') }),
   z.strictObject({ reply: z.literal('answerNotKept') }),
   z.strictObject({ reply: z.literal('otherRequest') }),
   z.strictObject({
@@ -131,6 +136,7 @@
 export type CancelCommand = z.infer<typeof cancelCommandSchema>;
 export type LoseHolderCommand = z.infer<typeof loseHolderCommandSchema>;
 export type RetireCommand = z.infer<typeof retireCommandSchema>;
+export type FindCommand = z.infer<typeof findCommandSchema>;
 export type LedgerReply = z.infer<typeof ledgerReplySchema>;
 export type LedgerRecord = z.infer<typeof ledgerRecordSchema>;
 export type IntentHolder = z.infer<typeof intentHolderSchema>;
--- a/packages/protocol/src/steering/placementTypes.ts
+++ b/packages/protocol/src/steering/placementTypes.ts
@@ -58,5 +58,16 @@
 /** Finds a place for a call; resolves when a place is free or the call must be refused. */
 export type PlaceCall = (call: PendingCall) => Promise<Placement>;
 
+/** What a host expects of a call that has not asked for its place yet. */
+export interface CallOutlook {
+  /** Refusal that the call would get now; absent where it may be taken. */
+  readonly failure?: Failure;
+  /** Ends the claim on its place in line; called once, just before the call asks for its place. */
+  readonly end: () => void;
+}
+
+/** Foresees a refusal before the call costs anything; counts the call as one that will come. */
+export type ForeseeCall = (call: PendingCall) => CallOutlook;
+
 /** Tells whether a call whose attempt failed may be dispatched again. */
 export type MayRetry = (call: PendingCall, outcome: CallOutcome) => boolean;
--- a/packages/testkit/src/calls/callFleet.ts
+++ b/packages/testkit/src/calls/callFleet.ts
@@ -56,6 +56,8 @@
   readonly backendHosts: readonly number[];
   /** Slots of each backend server. */
   readonly slots?: number;
+  /** Mean service time of each backend server. */
+  readonly meanMs?: number;
   /** Features of the hosts; the path alone where absent. */
   readonly features?: readonly Feature[];
 }
@@ -96,7 +98,7 @@
         endpoint: { address: loopbackAddress(firstBackendNumber + index), port: backendPort },
         hosts: [settings[hostIndex]!.listen.callers],
         announceKey: testAnnounceKey,
-        meanMs: 1,
+        meanMs: options.meanMs ?? 1,
         slots: options.slots ?? 3,
         seed: index + 1,
       }),
--- a/packages/testkit/src/calls/onceWork.spec.ts
+++ b/packages/testkit/src/calls/onceWork.spec.ts
@@ -33,6 +33,7 @@
       }
       return Promise.resolve({ decision: 'run', intentId: 'intent-1', group: 'ledger-a' });
     },
+    find: () => Promise.resolve('notKnown'),
     finish: (_intentId, outcome) => {
       if (finishFails) return errAsync(failure('BL9002', 'no quorum'));
       outcomes.push(outcome);
--- a/packages/testkit/src/ledger/fakeLedgerGroup.ts
+++ b/packages/testkit/src/ledger/fakeLedgerGroup.ts
@@ -5,7 +5,7 @@
 import type { LedgerGroup } from '@buckthornlug/host/ledger/ledgerTaskTypes.js';
 import type { LedgerCommand, LedgerReply } from '@buckthornlug/protocol/ledger/ledgerSchema.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
-import { err, ok, okAsync, ResultAsync, type Result } from 'neverthrow';
+import { err, errAsync, ok, okAsync, ResultAsync, type Result } from 'neverthrow';
 
 import type { Draws } from '../random/draws.js';
 import type { ProcessTime } from '../time/processTime.js';
@@ -102,6 +102,7 @@
             this.send(hostId, command, timeoutMs, processTime, resolve);
           }),
         ),
+      read: () => errAsync(failure('BL5001', 'no read in this test')),
       isLeader: () => false,
       leaderId: () => undefined,
       readBarrier: () => okAsync(undefined),
--- /dev/null
+++ b/packages/testkit/src/ledger/onceFlood.spec.ts
@@ -0,0 +1,95 @@
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { features } from '@buckthornlug/host/features.js';
+import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
+import test from 'ava';
+
+import { startCallFleet, type TestReply } from '../calls/callFleet.js';
+import { createTestDocument, inForce, testIdentityHeader } from '../fakes/testDocument.js';
+
+const floodCalls = 400;
+const floodIntervalMs = 3;
+/** Commits that each refused call may cost on average. */
+const commitsPerRefusedCall = 0.2;
+
+const dataFolder = await mkdtemp(join(tmpdir(), 'bl-once-flood-'));
+const zones = ['lagos-a', 'lagos-b', 'abuja-a'];
+const fleet = await startCallFleet({
+  hosts: zones.map((availabilityZone, index) => ({
+    hostId: `host-${index}`,
+    region: availabilityZone.startsWith('lagos') ? 'lagos' : 'abuja',
+    availabilityZone,
+    roles: ['entry', 'control'] satisfies Settings['roles'],
+  })),
+  overrides: {
+    dataFolder,
+    groups: [{ id: 'ledger-a', members: ['host-0', 'host-1', 'host-2'] }],
+    timing: { electionTimeoutMs: 300, heartbeatMs: 50 },
+  },
+  features,
+  document: inForce(createTestDocument({ timeLimitMs: 4000 })),
+  backendHosts: [0],
+  meanMs: 60,
+});
+
+test.after.always(async () => {
+  await fleet.stop();
+  await rm(dataFolder, { recursive: true });
+});
+
+function order(host: number, identity: string): Promise<TestReply> {
+  return fleet.call(host, '/orders', {
+    method: 'POST',
+    headers: { [testIdentityHeader]: identity },
+    body: 'one pallet',
+  });
+}
+
+/** Entries that the ledger has committed. */
+function commits(): number {
+  const indexes = fleet.hosts.map(
+    ({ parts }) => parts.rpcHandlers.consensus?.describe({ groupId: 'ledger-a' }).commitIndex ?? 0,
+  );
+  return Math.max(...indexes);
+}
+
+test('a flood of once-only work costs commits only for the calls that the pool takes', async (t) => {
+  let first = await order(0, 'order-first');
+  for (let tries = 0; tries < 50 && first.result !== 'answered'; tries += 1) {
+    await delay(100);
+    first = await order(0, 'order-first');
+  }
+  t.is(first.result, 'answered');
+
+  const before = commits();
+  const startedAtMs = performance.now();
+  const flood: Promise<TestReply>[] = [];
+  const resends: Promise<TestReply>[] = [];
+  for (let index = 0; index < floodCalls; index += 1) {
+    flood.push(order(0, `order-${index}`));
+    if (index > floodCalls / 2 && index % 20 === 0) resends.push(order(0, 'order-first'));
+    await delay(floodIntervalMs);
+  }
+  const replies = await Promise.all(flood);
+  const elapsedMs = performance.now() - startedAtMs;
+  const committed = commits() - before;
+  for (const resend of await Promise.all(resends)) {
+    t.deepEqual(resend, first, 'a resend gets its stored answer also from a full pool');
+  }
+
+  const executions = fleet.backends[0]!.executions();
+  let answered = 0;
+  for (const [index, { result, execution }] of replies.entries()) {
+    const runs = executions.get(`order-${index}`) ?? 0;
+    if (execution === 'notRun') t.is(runs, 0, 'a refusal as not run is true');
+    if (result === 'answered') answered += 1;
+  }
+  const refused = replies.filter(({ execution }) => execution === 'notRun').length;
+  const wasted = committed - 2 * answered;
+  t.log({ answered, refused, committed, wasted, elapsedMs: Math.round(elapsedMs) });
+  t.true(refused > floodCalls / 4, `the pool refuses: ${refused}`);
+  t.true(wasted <= refused * commitsPerRefusedCall, `${wasted} commits, ${refused} refused calls`);
+});
