fix(consensus): a fresh deployment starts its groups in about one election

Cause: ledger groups wait for the control group since their formation is registered, so their first election came after the control group's. partitions.spec failed for it: an order right after the first submission met no ledger (503 in place of 200), and a host cut off in the first second took the formation of the ledger group with it, since the others heard of it from that host alone. Change: in term 0 no leader can have been heard, so the first voter starts its election at once and the others vote at once; a first voter whose disk is still empty reads the registered formation from the control group.

--- a/packages/core/src/consensus/replicaState.ts
+++ b/packages/core/src/consensus/replicaState.ts
@@ -104,12 +104,13 @@
 }
 
 /**
- * Creates a replica from what its disk holds.
+ * Creates a replica from what its disk holds. In the first election of a group the first voter starts
+ * at once and the others vote at once.
  *
  * @param id - identity of the replica
  * @param durable - synced state
  * @param options - timing and sizes
- * @param nowMs - monotonic time; no vote is given for one election timeout after it
+ * @param nowMs - monotonic time; no vote is given for one election timeout after it, but in term 0
  */
 export function createReplica(
   id: ReplicaId,
@@ -119,6 +120,8 @@
 ): ReplicaState {
   const log = createLogState(durable.snapshot, durable.entries);
   const latest = latestMembers(log, lastIndexOf(log));
+  // In term 0 no leader can have been heard, so no lease can rest on this replica.
+  const isFirstElection = durable.hardState.term === 0;
   return {
     id,
     options,
@@ -132,8 +135,8 @@
     members: latest.members,
     membersIndex: latest.index,
     commitIndex: durable.snapshot.index,
-    electionDeadlineMs: 0,
-    voteBlockedUntilMs: nowMs + options.electionTimeoutMs,
+    electionDeadlineMs: isFirstElection && latest.members.voters[0] === id ? nowMs : 0,
+    voteBlockedUntilMs: isFirstElection ? nowMs : nowMs + options.electionTimeoutMs,
     votes: new Set(),
     ownVoteSequence: 0,
     persistSequence: 0,
--- a/packages/core/src/submissions/controlMachine.ts
+++ b/packages/core/src/submissions/controlMachine.ts
@@ -10,6 +10,7 @@
 import { DocumentStore } from './documentStore.js';
 import {
   FormationRegistry,
+  type FindFormationCommand,
   type Formation,
   type FormationReply,
   type ForgetFormationCommand,
@@ -31,11 +32,16 @@
   readonly shiftStep: ShiftStepOutcome;
   readonly registerFormation: FormationReply;
   readonly forgetFormation: FormationReply;
+  readonly findFormation: FormationReply;
 }
 
 /** A command of the control group. */
 export type ControlCommand =
-  SubmissionCommand | ShiftStepCommand | RegisterFormationCommand | ForgetFormationCommand;
+  | SubmissionCommand
+  | ShiftStepCommand
+  | RegisterFormationCommand
+  | ForgetFormationCommand
+  | FindFormationCommand;
 
 /** A reply of the control group. */
 export type ControlReply = ControlReplies[keyof ControlReplies];
@@ -86,8 +92,10 @@
       if (command.type === 'submission') return documents.submit(command);
       if (command.type === 'shiftStep') return commitStep(documents, shifts, command);
       if (command.type === 'forgetFormation') return formations.forget(command.groupId);
+      if (command.type === 'findFormation') return formations.find(command.groupId);
       return formations.register(command.formation);
     },
+    read: (command) => formations.find('groupId' in command ? command.groupId : ''),
     snapshot: (): ControlSnapshot => ({
       documents: documents.snapshot(),
       shifts: shifts.snapshot(),
--- a/packages/core/src/submissions/formationRegistry.ts
+++ b/packages/core/src/submissions/formationRegistry.ts
@@ -20,6 +20,12 @@
   readonly groupId: string;
 }
 
+/** Asks for the formation of a group without a commit. */
+export interface FindFormationCommand {
+  readonly type: 'findFormation';
+  readonly groupId: string;
+}
+
 /** The formation in force after the command; absent where the group has none. */
 export interface FormationReply {
   readonly formation: Formation | undefined;
@@ -45,6 +51,11 @@
     return { formation };
   }
 
+  /** The formation of a group, if it has one. */
+  find(groupId: string): FormationReply {
+    return { formation: this.formations.get(groupId) };
+  }
+
   /** Forgets the formation of a group. */
   forget(groupId: string): FormationReply {
     this.formations.delete(groupId);
--- a/packages/host/src/consensus/formationGuard.ts
+++ b/packages/host/src/consensus/formationGuard.ts
@@ -9,6 +9,9 @@
 import type { HostContext } from '../runtime/hostTypes.js';
 import { controlGroupId } from './controlGroupId.js';
 
+/** Time limit of one look-up of a formation; it is repeated while the replica waits. */
+const findTimeoutMs = 150;
+
 /** What the guard reads of its host. */
 export type FormationGuardParts = Pick<HostParts, 'peers' | 'control' | 'document'>;
 
@@ -41,6 +44,20 @@
     return new ResultAsync(this.checkDocuments(formation));
   }
 
+  /**
+   * Finds the registered formation that a replica with an empty disk is one of the first voters of,
+   * so that it need not hear of it from the host that formed the group.
+   *
+   * @param groupId - group that the replica waits for
+   * @param replicaId - replica with an empty disk
+   */
+  async startOf(groupId: string, replicaId: string): Promise<Formation | undefined> {
+    if (groupId === controlGroupId) return undefined;
+    const found = await this.parts.control?.findFormation(groupId, findTimeoutMs);
+    if (found === undefined || found.isErr()) return undefined;
+    return found.value?.voters.includes(replicaId) ? found.value : undefined;
+  }
+
   /**
    * Lets a group be formed anew without its former state.
    *
--- a/packages/host/src/consensus/memberReplica.ts
+++ b/packages/host/src/consensus/memberReplica.ts
@@ -12,7 +12,7 @@
 import { decodeText, encodeText } from './binaryCodec.js';
 import type { GroupDescription } from './consensusSchema.js';
 import type { FormationGuard } from './formationGuard.js';
-import { firstState, nextFormationStep } from './formation.js';
+import { firstState, nextFormationStep, type FormationStep } from './formation.js';
 import { openGroupStorage } from './groupStorage.js';
 import { startGroupTask } from './groupTask.js';
 import type { GroupTask } from './groupTaskTypes.js';
@@ -29,7 +29,7 @@
 export interface MemberReplicaParts<Command, Reply> {
   readonly context: HostContext;
   readonly peers: Pick<PeerClients, 'request'>;
-  readonly guard: Pick<FormationGuard, 'claim'>;
+  readonly guard: Pick<FormationGuard, 'claim' | 'startOf'>;
   readonly groupId: string;
   /** Hosts that start the group. */
   readonly memberHostIds: readonly string[];
@@ -124,8 +124,8 @@
     if (storage === undefined) return true;
     const answers = await this.askMembers();
     const next = nextFormationStep(this.replicaId(storage), this.parts.memberHostIds, answers);
-    if (next.step === 'wait' || this.isStopped) return false;
-    const entered = next.step === 'form' ? await this.claim(next.voters) : next;
+    if (this.isStopped) return false;
+    const entered = await this.enter(next, this.replicaId(storage));
     if (entered === undefined || this.isStopped) return false;
     const joined = await storage.join(entered.formationId, firstState(entered.voters));
     if (joined.isErr()) {
@@ -137,6 +137,16 @@
     return true;
   }
 
+  /** The formation to enter the group with; undefined where the replica has to wait. */
+  private async enter(
+    next: FormationStep,
+    replicaId: string,
+  ): Promise<Pick<Formation, 'formationId' | 'voters'> | undefined> {
+    if (next.step === 'adopt') return next;
+    if (next.step === 'form') return this.claim(next.voters);
+    return this.parts.guard.startOf(this.parts.groupId, replicaId);
+  }
+
   /** Claims the formation of the group; undefined while it must not be formed. */
   private async claim(voters: readonly string[]): Promise<Formation | undefined> {
     const { guard, groupId, context } = this.parts;
--- a/packages/host/src/submissions/controlGroup.ts
+++ b/packages/host/src/submissions/controlGroup.ts
@@ -50,6 +50,11 @@
     formation: Formation,
     timeoutMs: number,
   ) => ResultAsync<Formation, Failure>;
+  /** Asks for the registered formation of a ledger group, without a commit. */
+  readonly findFormation: (
+    groupId: string,
+    timeoutMs: number,
+  ) => ResultAsync<Formation | undefined, Failure>;
   /** Allows a ledger group to be formed anew, without its former state. */
   readonly forgetFormation: (groupId: string, timeoutMs: number) => ResultAsync<void, Failure>;
   readonly readBarrier: (timeoutMs: number) => ResultAsync<void, Failure>;
@@ -106,6 +111,10 @@
       submitFormation({ type: 'registerFormation', formation }, timeoutMs).andThen((reply) =>
         reply.formation === undefined ? err(otherReply) : ok(reply.formation),
       ),
+    findFormation: (groupId, timeoutMs) =>
+      handle
+        .read({ type: 'findFormation', groupId }, timeoutMs)
+        .andThen((reply) => ('formation' in reply ? ok(reply.formation) : err(otherReply))),
     forgetFormation: (groupId, timeoutMs) =>
       submitFormation({ type: 'forgetFormation', groupId }, timeoutMs).map(() => undefined),
     readBarrier: handle.readBarrier,
