fix(ledger): a call whose intent was given up is refused as not run

Cause: when the reply to a begin command was lost, the host told BL9002 unless a cancellation was committed, though an intent is dispatched only by the call that made it and only after `run`. BL5005 of a group that has no replica running was taken for an unknown outcome too. Change: the call hears BL9001 at once; the cancellation goes on in the background until the identity is settled.

--- a/packages/host/src/ledger/groupContact.ts
+++ b/packages/host/src/ledger/groupContact.ts
@@ -8,9 +8,12 @@
 /** Time after a failed probe in which calls are refused without another. */
 const probePauseMs = 500;
 
-/** Whether a command that failed in that way may have been committed. */
+/**
+ * Whether a command that failed in that way may have been committed. BL5001 and BL5005 are given
+ * only where no host has proposed it.
+ */
 export function mayBeCommitted(problem: Failure): boolean {
-  return problem.code !== 'BL5001';
+  return problem.code !== 'BL5001' && problem.code !== 'BL5005';
 }
 
 /** What is known of the way to one group. */
--- a/packages/host/src/ledger/ledgerTask.ts
+++ b/packages/host/src/ledger/ledgerTask.ts
@@ -15,7 +15,7 @@
 
 import type { LedgerHooks } from '../runtime/hostParts.js';
 import { GroupContact, mayBeCommitted } from './groupContact.js';
-import { decisionOf, notStarted, outcomeUnknown, stillRunning } from './ledgerReplies.js';
+import { decisionOf, notStarted, stillRunning } from './ledgerReplies.js';
 import type { LedgerGroup, LedgerTaskParts, OpenIntent } from './ledgerTaskTypes.js';
 
 /** Waits between two tries of a command. */
@@ -148,10 +148,8 @@
       await this.parts.sleep(Math.min(backoffMs, Math.max(1, leftMs)), this.stopping.signal);
       if (this.stopping.signal.aborted) break;
     }
-    if (mayExist) {
-      const proof = await this.cancel(intent);
-      if (!proof) return outcomeUnknown('the intent may have been recorded');
-    }
+    // Only this host dispatches the intent, and it has given it up, recorded or not.
+    if (mayExist) this.cancelInBackground(intent);
     return isWaiting ? stillRunning() : notStarted('no quorum of the ledger answered in time');
   }
 
@@ -173,24 +171,10 @@
     return record.state === 'failed' || record.state === 'left';
   }
 
-  /** Cancels an intent that may have been recorded; tells whether that is proved. */
-  private async cancel(intent: OpenIntent): Promise<boolean> {
-    const { group } = intent;
-    const command = this.cancelCommand(intent);
-    const leftMs = Math.max(minEndMs, intent.deadlineAtMs - this.nowMs());
-    const reply = await this.submitUntil(group, command, this.nowMs() + leftMs);
-    if (reply.isOk()) return reply.value.reply === 'cancelled';
+  /** Frees the identity of an intent that may be recorded and is never dispatched. */
+  private cancelInBackground({ intentId, group }: OpenIntent): void {
+    const command: LedgerCommand = { type: 'cancel', intentId, beganAtMs: this.wallMs() };
     this.inBackground(group, command, () => undefined);
-    return false;
-  }
-
-  /** Frees the identity of an intent that another host had declared unknown before its dispatch. */
-  private cancelInBackground(intent: OpenIntent): void {
-    this.inBackground(intent.group, this.cancelCommand(intent), () => undefined);
-  }
-
-  private cancelCommand({ intentId }: OpenIntent): LedgerCommand {
-    return { type: 'cancel', intentId, beganAtMs: this.wallMs() };
   }
 
   private async tryFinish(
