--- a/packages/host/src/consensus/groups.ts
+++ b/packages/host/src/consensus/groups.ts
@@ -20,6 +20,7 @@
 import { controlGroupId } from './controlGroupId.js';
 import { FormationGuard } from './formationGuard.js';
 import type { GroupHandle } from './groupTypes.js';
+import { HeartbeatLink, type HeartbeatBatch } from './heartbeatLink.js';
 import { LeaderClient } from './leaderClient.js';
 import { MemberReplica } from './memberReplica.js';
 
@@ -39,9 +40,13 @@
 
 /** Refusal that names the leader, where it is known. */
 function notLeader(replica: AnyReplica | undefined, groupId: string): LeaderReply {
-  if (replica?.task === undefined) {
+  if (replica === undefined) {
     return { ok: false, failure: failure('BL5005', `no replica of "${groupId}" runs here`) };
   }
+  if (replica.task === undefined) {
+    const detail = `the replica of "${groupId}" has not entered its group yet`;
+    return { ok: false, failure: failure('BL5001', detail) };
+  }
   const leaderId = replica.task.leaderId();
   const problem = failure('BL5001', 'this host does not lead the group');
   return { ok: false, failure: problem, ...(leaderId === undefined ? {} : { leaderId }) };
@@ -57,12 +62,30 @@
 
   private readonly guard: FormationGuard;
 
+  private readonly heartbeats: HeartbeatLink | undefined;
+
   constructor(
     private readonly context: HostContext,
     private readonly parts: HostParts,
   ) {
-    this.peers = parts.peers;
+    const { settings, incarnation, clock } = context;
+    const { peers, datagrams } = parts;
+    this.peers = peers;
     this.guard = new FormationGuard(context, parts);
+    if (datagrams === undefined) return;
+    this.heartbeats = new HeartbeatLink({
+      hostId: settings.hostId,
+      incarnation,
+      datagrams,
+      addressOf: (hostId) =>
+        settings.peerAddresses[hostId] === undefined ? peers.addressOf(hostId) : undefined,
+      clock,
+      onBatch: (batch) => this.takeHeartbeats(batch),
+    });
+  }
+
+  private takeHeartbeats({ groupId, formationId, messages }: HeartbeatBatch): void {
+    this.replicas.get(groupId)?.deliver(formationId, messages);
   }
 
   private memberHostIds(groupId: string): readonly string[] {
@@ -86,8 +109,8 @@
     let replica: MemberReplica<Command, Reply> | undefined;
     if (memberHostIds.includes(settings.hostId) && settings.dataFolder !== undefined) {
       const { dataFolder } = settings;
-      const { context, peers, guard } = this;
-      const shared = { context, peers, guard, machine, dataFolder };
+      const { context, peers, guard, heartbeats } = this;
+      const shared = { context, peers, guard, heartbeats, machine, dataFolder };
       replica = new MemberReplica({ ...shared, groupId, memberHostIds });
       this.replicas.set(groupId, replica as unknown as AnyReplica);
       this.starts.push(replica.start());
--- a/packages/host/src/documents/documentsTask.ts
+++ b/packages/host/src/documents/documentsTask.ts
@@ -1,3 +1,4 @@
+import { ControlContact } from '@buckthornlug/core/spreading/controlContact.js';
 import type { ControlCopy } from '@buckthornlug/core/spreading/controlCopy.js';
 import { orderSources } from '@buckthornlug/core/spreading/sources.js';
 import type {
@@ -9,8 +10,13 @@
 import { err, ok, type Result } from 'neverthrow';
 
 import type { HostParts } from '../runtime/hostParts.js';
-import type { HostContext, HostRecord } from '../runtime/hostTypes.js';
-import { controlUpdateSchema, type Poll, type VersionReport } from './documentsSchema.js';
+import type { DocumentInForce, HostContext, HostRecord } from '../runtime/hostTypes.js';
+import {
+  pollReplySchema,
+  type Poll,
+  type PollReply,
+  type VersionReport,
+} from './documentsSchema.js';
 import { UpdatePoller } from './updatePoller.js';
 import { UpdateServer } from './updateServer.js';
 
@@ -19,14 +25,25 @@
 /** Reports of other hosts in one poll. */
 const maxReports = 500;
 const sourceOfControlGroup = 'control group';
+const sourceOfDataFolder = 'data folder';
+/** Longest wait for other hosts before the document of the data folder is put in force. */
+const restoreWaitMs = 500;
+/** Longest wait for the disk before a newer version is put in force without being kept. */
+const maxKeepMs = 1000;
+
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs).unref();
+  });
+}
 
 function takesPart(host: HostRecord): boolean {
   return host.state !== 'failed' && host.state !== 'left';
 }
 
 /** Checks the answer to a poll. */
-function checkUpdate(value: unknown): Result<ControlUpdate | null, Failure> {
-  const parsed = controlUpdateSchema.nullable().safeParse(value);
+function checkReply(value: unknown): Result<PollReply, Failure> {
+  const parsed = pollReplySchema.safeParse(value);
   if (parsed.success) return ok(parsed.data);
   return err(failure('BL6003', 'the answer to a poll has a wrong form'));
 }
@@ -37,22 +54,27 @@
 
   private readonly poller: UpdatePoller;
 
+  private readonly contact: ControlContact;
+
   private readonly reports = new Map<string, VersionReport>();
 
   private nudge: NodeJS.Timeout | undefined;
 
+  private isRestoring = false;
+
   /**
    * @param context - context of the host
    * @param parts - parts that the task reads and the document that it puts in force
    * @param copy - copy that the task keeps up to date
-   * @param onDocument - called after a newer version came in force
+   * @param keep - keeps the newest version; resolves when it is synced
    */
   constructor(
     private readonly context: HostContext,
     private readonly parts: HostParts,
     private readonly copy: ControlCopy,
-    private readonly onDocument: () => void,
+    private readonly keep: () => Promise<void> | undefined,
   ) {
+    this.contact = new ControlContact(context.clock.nowMs());
     this.server = new UpdateServer(copy);
     this.poller = new UpdatePoller({
       sources: () => this.sources(),
@@ -78,10 +100,10 @@
   apply(update: ControlUpdate, source: string): void {
     const outcome = this.copy.apply(update);
     if (outcome.newSteps.length > 0) {
-      this.parts.shiftSteps.put(outcome.newSteps, this.copy.shifts.all());
+      this.parts.shiftSteps.changed();
     }
     if (outcome.documentChanged) {
-      this.putInForce(source, outcome.changedSections.length);
+      this.bringInForce(source, outcome.changedSections.length);
     }
     if (outcome.documentChanged || outcome.newSteps.length > 0) this.server.wake();
   }
@@ -93,12 +115,22 @@
   }
 
   /** Answers the poll of another host, and notes what it holds. */
-  answer(fromHostId: string, poll: Poll): Promise<ControlUpdate | null> {
+  async answer(fromHostId: string, poll: Poll): Promise<PollReply> {
     for (const report of [{ hostId: fromHostId, ...poll.have }, ...poll.reports]) {
       this.noteReport(report);
     }
-    if (poll.have.version > this.copy.versions().version) this.scheduleNudge();
-    return this.server.answer(poll.have, poll.waitMs);
+    const own = this.copy.versions();
+    const isBehind = poll.have.version > own.version || poll.have.shiftRevision > own.shiftRevision;
+    if (isBehind) this.scheduleNudge();
+    const update = await this.server.answer(poll.have, poll.waitMs);
+    return { update, silentMs: this.controlSilentMs() };
+  }
+
+  /** Time since the control group was last known to have a leader, in milliseconds. */
+  controlSilentMs(): number {
+    const nowMs = this.context.clock.nowMs();
+    if (this.parts.controlState?.hasLeader()) this.contact.heard(0, nowMs);
+    return this.contact.silentMs(nowMs);
   }
 
   /** Looks whether another host holds more, after the membership has changed. */
@@ -144,7 +176,10 @@
       timeoutMs,
     );
     if (answer.isOk()) this.forgetReports(reports);
-    return answer.andThen(checkUpdate);
+    return answer.andThen(checkReply).map(({ update, silentMs }) => {
+      this.contact.heard(silentMs, this.context.clock.nowMs());
+      return update;
+    });
   }
 
   private forgetReports(sent: readonly VersionReport[]): void {
@@ -153,18 +188,47 @@
     }
   }
 
-  private putInForce(source: string, sections: number): void {
-    const { version } = this.copy.versions();
-    const isNewer = this.parts.document.put({
-      version,
+  /**
+   * Takes over the document of the data folder. Other hosts are asked first, so that a host that was
+   * away does not put an old version in force while a newer one can be had.
+   */
+  async restore(kept: ControlUpdate): Promise<void> {
+    this.isRestoring = true;
+    this.apply(kept, sourceOfDataFolder);
+    await Promise.race([this.poller.askSeveral(), pause(restoreWaitMs)]);
+    this.isRestoring = false;
+    this.putInForce(this.newest(), sourceOfDataFolder, kept.sections.length);
+  }
+
+  private newest(): DocumentInForce {
+    return {
+      version: this.copy.versions().version,
       sectionVersions: this.copy.sectionVersions(),
       document: this.copy.document(),
-    });
-    if (!isNewer) return;
+    };
+  }
+
+  /** Puts the newest version in force once it is kept, so that a restart does not go back. */
+  private bringInForce(source: string, sections: number): void {
+    if (this.isRestoring) return;
+    const newest = this.newest();
+    const kept = this.keep();
+    if (kept === undefined) {
+      this.putInForce(newest, source, sections);
+      return;
+    }
+    Promise.race([kept, pause(maxKeepMs)]).then(
+      () => this.putInForce(newest, source, sections),
+      () => undefined,
+    );
+  }
+
+  private putInForce(inForce: DocumentInForce, source: string, sections: number): void {
+    const { version } = inForce;
+    if (!this.parts.document.put(inForce)) return;
     this.context.record({ kind: 'documentInForce', version, detail: { source, sections } });
     this.context.log.info('documentInForce', { version, source, sections });
     this.context.metrics.gauge('document_version', version);
-    this.onDocument();
   }
 
   private newestElsewhere(): HostRecord | undefined {
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -22,6 +22,7 @@
 import type { MembershipTask } from '../membership/membershipTask.js';
 import type { OpenGroup } from '../consensus/groups.js';
 import type { RpcHandlers } from '../rpc/appRouter.js';
+import type { Datagrams } from '../rpc/datagrams.js';
 import type { ForwardedCallHandler } from '../rpc/internalListener.js';
 import type { PeerClients } from '../rpc/peerClients.js';
 import type { ControlGroup } from '../submissions/controlGroup.js';
@@ -61,6 +62,8 @@
 export interface ShiftHooks {
   /** Admits a call that came from another region, or tells why the cap refuses it. */
   readonly admitShifted: (service: string, fromRegion: string) => Failure | undefined;
+  /** The same for a call that is about to go to a backend server after its time in a queue. */
+  readonly dispatchShifted: (service: string, fromRegion: string) => Failure | undefined;
   /** Share of a zone's or region's own traffic that runs elsewhere now, in permille. */
   readonly movedPermille: (service: string, scope: 'zone' | 'region', place: string) => number;
 }
@@ -73,8 +76,12 @@
   membership: MembershipView;
   /** Relays and reports of the membership; absent until its feature has started. */
   membershipTask: MembershipTask | undefined;
+  /** Socket for small messages; absent until the membership has started. */
+  datagrams: Datagrams | undefined;
   /** Committed state of the control group, on its members only; set before `documents` starts. */
   controlState: ControlStateSource | undefined;
+  /** Time since the control group was last known to have a leader, in milliseconds. */
+  controlSilentMs: () => number;
   /** Opens a replicated group of the settings, on members and other hosts alike. */
   openGroup: OpenGroup;
   /** The control group; undefined where the settings name none. */
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -28,10 +28,14 @@
       Object.assign(parts, owned);
     },
     document: documents,
-    table: createTableHolder(documents),
+    table: createTableHolder(documents, context.clock, (elapsedMs) =>
+      context.metrics.observeMs('table_compile_ms', elapsedMs),
+    ),
     membership: createStaticMembership(settings, incarnation),
     membershipTask: undefined,
+    datagrams: undefined,
     controlState: undefined,
+    controlSilentMs: () => 0,
     shiftSteps: createShiftStepHolder(),
     peers: createPeerClients({
       settings,
@@ -59,7 +63,11 @@
       const table = parts.table.current();
       return table === undefined ? undefined : callerZone(table, callerAddress);
     },
-    shifts: { admitShifted: () => undefined, movedPermille: () => 0 },
+    shifts: {
+      admitShifted: () => undefined,
+      dispatchShifted: () => undefined,
+      movedPermille: () => 0,
+    },
     poolOwner: () => undefined,
     adminRoutes: [],
     running: [],
--- a/packages/host/src/submissions/controlGroup.ts
+++ b/packages/host/src/submissions/controlGroup.ts
@@ -39,6 +39,7 @@
   readonly document: () => DocumentInForce | undefined;
   readonly isLeader: () => boolean;
   readonly leaderId: () => string | undefined;
+  readonly hasLeader: () => boolean;
   readonly submit: (
     command: SubmissionCommand,
     timeoutMs: number,
@@ -98,6 +99,7 @@
     document: () => documents.current(),
     isLeader: handle.isLeader,
     leaderId: handle.leaderId,
+    hasLeader: () => handle.leaderId() !== undefined,
     submit: (command, timeoutMs) =>
       handle
         .submit(command, timeoutMs)
