--- a/packages/host/src/consensus/memberReplica.ts
+++ b/packages/host/src/consensus/memberReplica.ts
@@ -2,6 +2,7 @@
 import { join } from 'node:path';
 
 import type { ConsensusMessage } from '@buckthornlug/core/consensus/consensusTypes.js';
+import type { Formation } from '@buckthornlug/core/submissions/formationRegistry.js';
 import type { ReplicatedMachine } from '@buckthornlug/core/consensus/replicatedMachineTypes.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, ResultAsync, type Result } from 'neverthrow';
@@ -10,7 +11,8 @@
 import type { HostContext } from '../runtime/hostTypes.js';
 import { decodeText, encodeText } from './binaryCodec.js';
 import type { GroupDescription } from './consensusSchema.js';
-import { firstState, nextFormationStep } from './formation.js';
+import type { FormationGuard } from './formationGuard.js';
+import { firstState, nextFormationStep, type FormationStep } from './formation.js';
 import { openGroupStorage } from './groupStorage.js';
 import { startGroupTask } from './groupTask.js';
 import type { GroupTask } from './groupTaskTypes.js';
@@ -28,6 +30,7 @@
 export interface MemberReplicaParts<Command, Reply> {
   readonly context: HostContext;
   readonly peers: Pick<PeerClients, 'request'>;
+  readonly guard: Pick<FormationGuard, 'claim' | 'startOf'>;
   /** Link for heartbeats; procedure calls carry them where absent. */
   readonly heartbeats: Pick<HeartbeatLink, 'send'> | undefined;
   readonly groupId: string;
@@ -124,9 +127,10 @@
     if (storage === undefined) return true;
     const answers = await this.askMembers();
     const next = nextFormationStep(this.replicaId(storage), this.parts.memberHostIds, answers);
-    if (next.step === 'wait' || this.isStopped) return false;
-    const formationId = next.step === 'form' ? randomUUID() : next.formationId;
-    const joined = await storage.join(formationId, firstState(next.voters));
+    if (this.isStopped) return false;
+    const entered = await this.enter(next, this.replicaId(storage));
+    if (entered === undefined || this.isStopped) return false;
+    const joined = await storage.join(entered.formationId, firstState(entered.voters));
     if (joined.isErr()) {
       this.problem = joined.error;
       return false;
@@ -136,6 +140,32 @@
     return true;
   }
 
+  /** The formation to enter the group with; undefined where the replica has to wait. */
+  private async enter(
+    next: FormationStep,
+    replicaId: string,
+  ): Promise<Pick<Formation, 'formationId' | 'voters'> | undefined> {
+    if (next.step === 'adopt') return next;
+    if (next.step === 'form') return this.claim(next.voters);
+    return this.parts.guard.startOf(this.parts.groupId, replicaId);
+  }
+
+  /** Claims the formation of the group; undefined while it must not be formed. */
+  private async claim(voters: readonly string[]): Promise<Formation | undefined> {
+    const { guard, groupId, context } = this.parts;
+    const claimed = await guard.claim({ groupId, formationId: randomUUID(), voters });
+    if (claimed.isOk()) return claimed.value;
+    const { code, detail } = claimed.error;
+    const isNew = this.problem?.code !== code;
+    if (code !== 'BL5007') return undefined;
+    this.problem = claimed.error;
+    if (isNew) {
+      context.log.error('formationRefused', { groupId, code, detail });
+      context.record({ kind: 'formationRefused', code, detail: { groupId, detail } });
+    }
+    return undefined;
+  }
+
   private startTask(storage: GroupStorage): void {
     const { context, groupId, machine, heartbeats } = this.parts;
     const formationId = storage.stored().identity.formationId ?? '';
--- a/packages/host/src/slots/slotsFeature.ts
+++ b/packages/host/src/slots/slotsFeature.ts
@@ -57,7 +57,7 @@
     (service) => poolOf(service)?.task,
     tasks,
   );
-  const place = createPlacement(context, parts, { poolOf, owners, links, ...retries });
+  const placement = createPlacement(context, parts, { poolOf, owners, links, ...retries });
 
   const isBusy = () => {
     for (const { task } of pools.values()) {
@@ -80,19 +80,26 @@
 
   parts.provide({
     placeCall: async (call) => {
-      const placement = place(call);
+      const placing = placement.placeCall(call);
       ticker.wake();
-      const placed = await placement;
+      const placed = await placing;
       admission.note(call.service, placed);
       return placed;
     },
+    foreseeCall: (call) => {
+      const outlook = placement.foreseeCall(call);
+      const { failure: problem } = outlook;
+      if (problem !== undefined)
+        admission.note(call.service, { place: 'refused', failure: problem });
+      return outlook;
+    },
     mayRetry: retries.mayRetry,
     hedging: {
       delayMs: hedging.delayMs,
       place: (call) => {
-        const placement = hedging.place(call);
+        const hedge = hedging.place(call);
         ticker.wake();
-        return placement;
+        return hedge;
       },
     },
     receiveAnnouncement: announcements.receive,
