feat(bench): headroom of the pools on a virtual clock

Cause: on a machine that others use, headroom on real sockets measures the machine: a call held its slot 44 to 88 ms in place of 40, so a load of 0.9 was one of 0.99 to 1.98. Change: the experiment headroom-policy runs the pools of both deployments at 0.8 to 0.95 on a virtual clock, with the same decisions as a host.

--- a/packages/testkit/src/bench/experiments.ts
+++ b/packages/testkit/src/bench/experiments.ts
@@ -8,6 +8,7 @@
   slotsExperiment,
 } from './load/latencyExperiment.js';
 import { policyExperiment } from './load/policyExperiment.js';
+import { poolHeadroomExperiment } from './load/poolHeadroomExperiment.js';
 import { controlExperiment } from './control/controlExperiment.js';
 import { lookup } from './lookup.js';
 import { membersExperiment } from './members/membersExperiment.js';
@@ -21,6 +22,7 @@
   callOverhead,
   lookup,
   policyExperiment,
+  poolHeadroomExperiment,
   ...headroomExperiments,
   ...latencyExperiments,
   floodExperiment,
