refactor(hash): one hash of texts in the core

Cause: four functions hashed texts (membership, pool owners, ledger groups, look-ups): two of the same values, one without the last step of the finalizer, one without a finalizer. Change: hash/textHash.ts is the one, with the values by which ledger groups and pool owners are chosen; a test holds these values fixed. Ring positions, digests and the order of equal look-ups take other values of the same kind. No library of the workspace gives this hash, and a change of it would move identities between groups.

--- /dev/null
+++ b/packages/core/src/hash/textHash.spec.ts
@@ -0,0 +1,16 @@
+import test from 'ava';
+
+import { hashText } from './textHash.js';
+
+/** Values in use; another value would move identities between ledger groups and pools between hosts. */
+const valuesInUse = new Map([
+  ['', 2872998923],
+  ['a', 444641715],
+  ['é', 3136788073],
+  ['seq-a/yardboard/seq-a-1', 2379744206],
+  ['ledger-north\nshop\norder\n42', 3092227236],
+]);
+
+test('a text keeps the hash by which ledger groups and pool owners are chosen', (t) => {
+  for (const [text, hash] of valuesInUse) t.is(hashText(text), hash);
+});
--- a/packages/core/src/ledger/ledgerGroup.ts
+++ b/packages/core/src/ledger/ledgerGroup.ts
@@ -1,18 +1,6 @@
 import type { LedgerKey } from '@buckthornlug/protocol/steering/ledgerTypes.js';
 
-const fnvOffset = 0x811c9dc5;
-const fnvPrime = 0x01000193;
-
-/** Hash of a text as an unsigned 32-bit number: FNV-1a with the finalizer of MurmurHash3. */
-function hashText(text: string): number {
-  let hash = fnvOffset;
-  for (let index = 0; index < text.length; index += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), fnvPrime);
-  }
-  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
-  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
-  return (hash ^ (hash >>> 16)) >>> 0;
-}
+import { hashText } from '../hash/textHash.js';
 
 /**
  * Chooses the ledger group of an identity by rendezvous hashing.
--- a/packages/core/src/lookups/lookupOrder.ts
+++ b/packages/core/src/lookups/lookupOrder.ts
@@ -1,3 +1,4 @@
+import { hashText } from '../hash/textHash.js';
 import type { NetworkEntry } from '../table/tableTypes.js';
 
 /** What the order of a look-up needs to know of a host. */
@@ -13,20 +14,9 @@
   readonly poolOwnerId: string | undefined;
 }
 
-const hashStart = 2166136261;
-const hashFactor = 16777619;
 const ownerDistance = -2;
 const ownZoneDistance = -1;
 
-/** Maps a text to a number, spread evenly. */
-function hashText(text: string): number {
-  let hash = hashStart;
-  for (let index = 0; index < text.length; index += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), hashFactor);
-  }
-  return hash >>> 0;
-}
-
 /**
  * Orders the hosts that a caller should use: the pool owner of its zone, the other hosts of the zone,
  * then the hosts of other zones by delay. Hosts of equal distance stand in an order that differs from
--- a/packages/core/src/membership/memberTable.ts
+++ b/packages/core/src/membership/memberTable.ts
@@ -1,7 +1,7 @@
 import { relaysPerZone } from './membershipLimits.js';
 import type { MemberEntry } from './membershipTypes.js';
 import { takesPart } from './memberStamp.js';
-import { hashText } from './textHash.js';
+import { hashText } from '../hash/textHash.js';
 
 /** Sorted views of the hosts that take part. */
 interface Views {
--- a/packages/core/src/slots/poolOwner.ts
+++ b/packages/core/src/slots/poolOwner.ts
@@ -1,22 +1,6 @@
-/** Choice of the host that owns a pool, by rendezvous hashing. */
-
-const fnvOffset = 0x811c9dc5;
-const fnvPrime = 0x01000193;
+import { hashText } from '../hash/textHash.js';
 
-/** 32-bit FNV-1a hash with a final mix, so that similar names get unrelated values. */
-function hashText(text: string): number {
-  let hash = fnvOffset;
-  for (let index = 0; index < text.length; index += 1) {
-    hash ^= text.charCodeAt(index);
-    hash = Math.imul(hash, fnvPrime);
-  }
-  hash ^= hash >>> 16;
-  hash = Math.imul(hash, 0x85ebca6b);
-  hash ^= hash >>> 13;
-  hash = Math.imul(hash, 0xc2b2ae35);
-  hash ^= hash >>> 16;
-  return hash >>> 0;
-}
+/** Choice of the host that owns a pool, by rendezvous hashing. */
 
 /**
  * Ranks the hosts of an availability zone for a pool; the first one owns it.
--- a/packages/core/src/spreading/sources.ts
+++ b/packages/core/src/spreading/sources.ts
@@ -1,4 +1,4 @@
-import { hashText } from '../membership/textHash.js';
+import { hashText } from '../hash/textHash.js';
 
 /** A host as the choice of a source sees it. */
 export interface SourceCandidate {
--- a/packages/testkit/src/bench/members/recompileExperiment.ts
+++ b/packages/testkit/src/bench/members/recompileExperiment.ts
@@ -1,7 +1,7 @@
 import { compileClientBlocks, zoneOfCaller } from '@buckthornlug/core/table/clientBlockTable.js';
 import { parseClientBlocks } from '@buckthornlug/core/table/parsedBlocks.js';
 import { compileTable } from '@buckthornlug/core/table/table.js';
-import { hashText } from '@buckthornlug/core/membership/textHash.js';
+import { hashText } from '@buckthornlug/core/hash/textHash.js';
 import type {
   ClientBlocks,
   SteeringDocument,
