refactor(testkit): one relay, one mesh of relays, one place of a host

Cause: the bench had a second TCP relay; RelayMesh and controlRelays both put relays between hosts; the addresses of a process were computed twice; settings of hosts were built twice from place, listeners and peers. Change: fakes/relay.ts serves the bench too; fakes/hostRelays.ts is the one mesh; fakes/loopback.ts alone chooses networks; fakes/placedHosts.ts makes names, listeners and peers for tests, benches and demo.

--- a/packages/testkit/src/bench/control/controlExperiment.ts
+++ b/packages/testkit/src/bench/control/controlExperiment.ts
@@ -11,8 +11,8 @@
   firstSubmission,
   type ControlFleet,
 } from '../../control/controlFleet.js';
-import { startRelays, stopRelays, throughRelays } from '../../control/controlRelays.js';
-import { loopbackNetwork } from '../../deployment/deployment.js';
+import { startRelays, stopRelays, throughRelays } from '../../fakes/hostRelays.js';
+import { loopbackNetwork } from '../../fakes/loopback.js';
 import {
   atMost,
   type BenchOptions,
--- a/packages/testkit/src/bench/load/benchWorkerMain.ts
+++ b/packages/testkit/src/bench/load/benchWorkerMain.ts
@@ -2,11 +2,11 @@
 
 import { startFakeBackend, type FakeBackend } from '../../fakes/fakeBackend.js';
 import { fakeBackendOptionsSchema, type FakeBackendOptions } from '../../fakes/fakeBackendTypes.js';
+import { startRelay } from '../../fakes/relay.js';
 import { inForce } from '../../fakes/testDocument.js';
 import { runLoad } from './loadGenerator.js';
-import type { BenchReply, BenchRequest, FakeReport, SlotTime } from './loadTypes.js';
+import type { BenchReply, BenchRequest, FakeReport, RelayLine, SlotTime } from './loadTypes.js';
 import { startNaiveHost } from './naiveHost.js';
-import { startRelay } from './relay.js';
 
 /** A process of a load bench: a host, fake backend servers, a relay or a source of load. */
 
@@ -24,6 +24,13 @@
   }
 }
 
+/** Starts a relay that delays both ways between two hosts. */
+async function startLine({ listen, to, oneWayDelayMs }: RelayLine): Promise<void> {
+  const relay = await startRelay(listen, to);
+  relay.delay('forth', oneWayDelayMs);
+  relay.delay('back', oneWayDelayMs);
+}
+
 function reportFakes(): FakeReport[] {
   return [...fakes.values()].map(({ options, fake }) => {
     const { backendId, service, availabilityZone, slots } = fakeBackendOptionsSchema.parse(options);
@@ -57,7 +64,7 @@
       await fakes.get(request.backendId)?.fake.setState(request.state);
       return { message: 'ready' };
     case 'relay':
-      await startRelay(request.lines);
+      for (const line of request.lines) await startLine(line);
       return { message: 'ready' };
     case 'naiveHost':
       await startNaiveHost(request);
--- a/packages/testkit/src/bench/load/loadFleet.ts
+++ b/packages/testkit/src/bench/load/loadFleet.ts
@@ -5,11 +5,8 @@
 import type { Endpoint } from '@buckthornlug/protocol/common/primitives.js';
 import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 
-import {
-  deploymentKeys,
-  deploymentSettings,
-  loopbackNetwork,
-} from '../../deployment/deployment.js';
+import { deploymentKeys, deploymentSettings } from '../../deployment/deployment.js';
+import { loopbackNetwork } from '../../fakes/loopback.js';
 import type { FakeBackendOptions } from '../../fakes/fakeBackendTypes.js';
 import { startBenchProcess, type BenchProcess } from './benchProcess.js';
 import type { FakeReport, NaivePolicy, RelayLine, SlotTime } from './loadTypes.js';
--- a/packages/testkit/src/control/controlFaults.spec.ts
+++ b/packages/testkit/src/control/controlFaults.spec.ts
@@ -5,8 +5,8 @@
 import type { VersionStatus } from '@buckthornlug/protocol/submissions/submissionSchema.js';
 import test, { type ExecutionContext } from 'ava';
 
-import { loopbackNetwork } from '../deployment/deployment.js';
-import { startRelays, stopRelays, throughRelays, type ControlRelays } from './controlRelays.js';
+import { loopbackNetwork } from '../fakes/loopback.js';
+import { startRelays, stopRelays, throughRelays, type HostRelays } from '../fakes/hostRelays.js';
 import {
   blocksSubmission,
   createControlFleet,
@@ -24,7 +24,7 @@
 /** A fleet with a document in it, and what its operators were told. */
 interface Trial {
   readonly fleet: ControlFleet;
-  readonly relays: ControlRelays;
+  readonly relays: HostRelays;
   readonly document: SteeringDocument;
   readonly workFolder: string;
   /** Accepted version by the section that the submission added. */
@@ -37,7 +37,7 @@
   const fleet = createControlFleet(network, workFolder, timing, (settings) =>
     isRelayed ? throughRelays(settings, network) : settings,
   );
-  const relays: ControlRelays = isRelayed
+  const relays: HostRelays = isRelayed
     ? await startRelays(fleet.allSettings(), network)
     : new Map();
   t.teardown(async () => {
--- a/packages/testkit/src/demo/demoSetup.ts
+++ b/packages/testkit/src/demo/demoSetup.ts
@@ -3,7 +3,8 @@
 import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 
 import { startBackendProcess } from '../bench/benchHost.js';
-import { deploymentKeys, deploymentSettings, loopbackNetwork } from '../deployment/deployment.js';
+import { deploymentKeys, deploymentSettings } from '../deployment/deployment.js';
+import { loopbackNetwork } from '../fakes/loopback.js';
 import { startHostProcess, type HostProcess } from '../processes/hostProcess.js';
 
 /** Document that the demo submits; `npm run demo` prints its path. */
--- a/packages/testkit/src/deployment/deployment.ts
+++ b/packages/testkit/src/deployment/deployment.ts
@@ -1,7 +1,8 @@
-import type { Endpoint } from '@buckthornlug/protocol/common/primitives.js';
-import type { Peer, Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
+import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 import { settingsSchema } from '@buckthornlug/protocol/settings/settingsSchema.js';
 
+import { placeSettings, type PlacedHost } from '../fakes/placedHosts.js';
+
 /** Hosts of one deployment on loopback addresses, described by zone. */
 export interface DeploymentPlan {
   /** Availability zones of each region. */
@@ -18,9 +19,6 @@
   readonly logLevel?: Settings['logLevel'];
 }
 
-/** Ports that every host of a deployment listens on. */
-export const deploymentPorts = { callers: 7001, internal: 7002, admin: 7003 } as const;
-
 /** Keys of a deployment; made for tests and demos only. */
 export const deploymentKeys = {
   cluster: { id: 'cluster-1', secret: 'only-for-tests-cluster-secret' },
@@ -29,27 +27,8 @@
 
 const firstHostNumber = 10;
 
-/**
- * Chooses a loopback network that no other running process uses.
- *
- * @param processId - identity of the process
- * @param offset - distinguishes several networks of one process
- */
-export function loopbackNetwork(processId: number, offset = 0): string {
-  const number = processId + offset * 7919;
-  return `127.${16 + ((number >> 8) % 200)}.${number % 256}`;
-}
-
-/** Place of one host in a plan. */
-interface PlannedHost {
-  readonly hostId: string;
-  readonly region: string;
-  readonly availabilityZone: string;
-  readonly address: string;
-}
-
-function planHosts(plan: DeploymentPlan): PlannedHost[] {
-  const hosts: PlannedHost[] = [];
+function planHosts(plan: DeploymentPlan): PlacedHost[] {
+  const hosts: PlacedHost[] = [];
   for (const [region, zones] of Object.entries(plan.regions)) {
     for (const availabilityZone of zones) {
       for (let number = 1; number <= plan.hostsPerZone; number += 1) {
@@ -61,36 +40,15 @@
   return hosts;
 }
 
-function listenerOf(host: PlannedHost, listener: keyof typeof deploymentPorts): Endpoint {
-  return { address: host.address, port: deploymentPorts[listener] };
-}
-
-function peerOf(host: PlannedHost): Peer {
-  return {
-    hostId: host.hostId,
-    region: host.region,
-    availabilityZone: host.availabilityZone,
-    internal: listenerOf(host, 'internal'),
-  };
-}
-
 function settingsOf(
   plan: DeploymentPlan,
-  host: PlannedHost,
-  hosts: readonly PlannedHost[],
+  host: PlacedHost,
+  hosts: readonly PlacedHost[],
 ): Settings {
   const isMember = Object.values(plan.groups).some((members) => members.includes(host.hostId));
   return settingsSchema.parse({
-    hostId: host.hostId,
-    region: host.region,
-    availabilityZone: host.availabilityZone,
+    ...placeSettings(host, hosts),
     roles: isMember ? ['entry', 'control'] : ['entry'],
-    listen: {
-      callers: listenerOf(host, 'callers'),
-      internal: listenerOf(host, 'internal'),
-      admin: listenerOf(host, 'admin'),
-    },
-    peers: hosts.filter((other) => other !== host).map(peerOf),
     ...(isMember ? { dataFolder: `${plan.dataRoot}/${host.hostId}` } : {}),
     groups: Object.entries(plan.groups).map(([id, members]) => ({ id, members })),
     clusterKeys: [deploymentKeys.cluster],
--- a/packages/testkit/src/control/controlRelays.ts
+++ b/packages/testkit/src/fakes/hostRelays.ts
@@ -1,7 +1,7 @@
 import type { Endpoint } from '@buckthornlug/protocol/common/primitives.js';
 import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 
-import { startRelay, type Relay } from '../fakes/relay.js';
+import { startRelay, type Relay } from './relay.js';
 
 /** A relay for each direction in which one host of a fleet connects to another. */
 
@@ -16,7 +16,7 @@
 }
 
 /** Relays by `from>to`. */
-export type ControlRelays = ReadonlyMap<string, Relay>;
+export type HostRelays = ReadonlyMap<string, Relay>;
 
 function planRelays(settings: readonly Settings[], network: string): PlannedRelay[] {
   const planned: PlannedRelay[] = [];
@@ -56,7 +56,7 @@
 export async function startRelays(
   settings: readonly Settings[],
   network: string,
-): Promise<ControlRelays> {
+): Promise<HostRelays> {
   const relays = new Map<string, Relay>();
   for (const { from, to, listenOn, target } of planRelays(settings, network)) {
     relays.set(`${from}>${to}`, await startRelay(listenOn, target));
@@ -64,7 +64,21 @@
   return relays;
 }
 
+/**
+ * Finds the relays on the ways from and to a host.
+ *
+ * @param relays - relays of the fleet
+ * @param hostId - host
+ */
+export function relaysOf(relays: HostRelays, hostId: string): Relay[] {
+  const own: Relay[] = [];
+  for (const [way, relay] of relays) {
+    if (way.split('>').includes(hostId)) own.push(relay);
+  }
+  return own;
+}
+
 /** Stops every relay. */
-export async function stopRelays(relays: ControlRelays): Promise<void> {
-  for (const relay of relays.values()) await relay.stop();
+export async function stopRelays(relays: HostRelays): Promise<void> {
+  await Promise.all([...relays.values()].map((relay) => relay.stop()));
 }
--- a/packages/testkit/src/fakes/hostSettings.ts
+++ b/packages/testkit/src/fakes/hostSettings.ts
@@ -2,11 +2,7 @@
 import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 
 import { loopbackAddress } from './loopback.js';
-
-/** Ports of every host of a test; hosts differ by address. */
-export const callersPort = 7001;
-export const internalPort = 7002;
-export const adminPort = 7003;
+import { placeSettings } from './placedHosts.js';
 
 /** Keys of the hosts and backend servers of a test. */
 export const testClusterKey = { id: 'cluster-1', secret: 'cluster-secret-0123456789' };
@@ -46,25 +42,9 @@
   }));
   const { dataFolder, ...shared } = overrides;
   return addressed.map((host) => {
-    const peers = addressed
-      .filter((peer) => peer.hostId !== host.hostId)
-      .map((peer) => ({
-        hostId: peer.hostId,
-        region: peer.region,
-        availabilityZone: peer.availabilityZone,
-        internal: { address: peer.address, port: internalPort },
-      }));
     const settings = {
-      hostId: host.hostId,
-      region: host.region,
-      availabilityZone: host.availabilityZone,
+      ...placeSettings(host, addressed),
       roles: host.roles ?? ['entry'],
-      listen: {
-        callers: { address: host.address, port: callersPort },
-        internal: { address: host.address, port: internalPort },
-        admin: { address: host.address, port: adminPort },
-      },
-      peers,
       clusterKeys: [testClusterKey],
       announceKeys: [testAnnounceKey],
       logLevel: 'warn',
--- a/packages/testkit/src/ledger/onceProcessRounds.ts
+++ b/packages/testkit/src/ledger/onceProcessRounds.ts
@@ -5,13 +5,19 @@
 
 import { startFakeBackend, type FakeBackend } from '../fakes/fakeBackend.js';
 import { createFleetSettings, testAnnounceKey } from '../fakes/hostSettings.js';
-import { loopbackAddress } from '../fakes/loopback.js';
+import {
+  relaysOf,
+  startRelays,
+  stopRelays,
+  throughRelays,
+  type HostRelays,
+} from '../fakes/hostRelays.js';
+import { loopbackAddress, loopbackNetwork } from '../fakes/loopback.js';
 import { createTestDocument, testService } from '../fakes/testDocument.js';
 import { createDraws, type Draws } from '../random/draws.js';
 import { DeviceOrder } from './deviceOrder.js';
 import { OnceDevices } from './onceDevice.js';
 import { DocumentHostProcess } from './onceProcesses.js';
-import { RelayMesh } from './relayMesh.js';
 
 /** What rounds over real processes showed. */
 export interface OnceProcessResult {
@@ -69,7 +75,7 @@
 
   private emptiedDisks = 0;
 
-  private readonly mesh = new RelayMesh();
+  private relays: HostRelays = new Map();
 
   /** Orders that had run although their devices had only heard "not run", before the last resend. */
   private falseNotRun = 0;
@@ -96,8 +102,9 @@
       })),
       { dataFolder: join(this.folder, 'data'), groups, timing },
     );
-    const relayed = await this.mesh.start(settings);
-    this.hosts = relayed.map((one) => {
+    const network = loopbackNetwork(process.pid);
+    this.relays = await startRelays(settings, network);
+    this.hosts = throughRelays(settings, network).map((one) => {
       const settingsPath = join(this.folder, `${one.hostId}.json`);
       return new DocumentHostProcess(one, settingsPath, documentPath);
     });
@@ -178,7 +185,7 @@
     await Promise.all(this.hosts.map((host) => host.kill()));
     await Promise.all(this.backends.map((backend) => backend.kill()));
     await this.devices.close();
-    await this.mesh.stop();
+    await stopRelays(this.relays);
   }
 
   private countOf(order: DeviceOrder): number {
@@ -237,9 +244,9 @@
     }
     if (fault === 1) {
       this.cuts += 1;
-      this.mesh.stall(settings.hostId);
+      for (const relay of relaysOf(this.relays, settings.hostId)) relay.stall('forth', 'back');
       await delay(this.draws.between(100, longestPauseMs));
-      this.mesh.heal(settings.hostId);
+      for (const relay of relaysOf(this.relays, settings.hostId)) relay.heal();
       return;
     }
     this.pauses += 1;
--- a/packages/testkit/src/partitions/partitionFleet.ts
+++ b/packages/testkit/src/partitions/partitionFleet.ts
@@ -4,13 +4,9 @@
 import { request } from 'undici';
 
 import { ControlFleet } from '../control/controlFleet.js';
-import {
-  startRelays,
-  stopRelays,
-  throughRelays,
-  type ControlRelays,
-} from '../control/controlRelays.js';
-import { deploymentKeys, deploymentSettings, loopbackNetwork } from '../deployment/deployment.js';
+import { startRelays, stopRelays, throughRelays, type HostRelays } from '../fakes/hostRelays.js';
+import { deploymentKeys, deploymentSettings } from '../deployment/deployment.js';
+import { loopbackNetwork } from '../fakes/loopback.js';
 import { startFakeBackend, type FakeBackend } from '../fakes/fakeBackend.js';
 import { testHostName, testIdentityHeader, testService } from '../fakes/testDocument.js';
 
@@ -38,7 +34,7 @@
 export class PartitionFleet {
   private constructor(
     readonly fleet: ControlFleet,
-    private readonly relays: ControlRelays,
+    private readonly relays: HostRelays,
     private readonly network: string,
     private readonly backends: FakeBackend[],
   ) {}
--- a/packages/testkit/src/runtime/adminApi.spec.ts
+++ b/packages/testkit/src/runtime/adminApi.spec.ts
@@ -4,7 +4,7 @@
 import { request } from 'undici';
 import { z } from 'zod';
 
-import { adminPort, createFleetSettings } from '../fakes/hostSettings.js';
+import { createFleetSettings } from '../fakes/hostSettings.js';
 
 const replySchema = z.object({
   events: z.array(timelineEventSchema),
@@ -24,7 +24,7 @@
   ];
   t.teardown(() => Promise.all(hosts.map((host) => host.stop())));
 
-  const origin = `http://${first.listen.admin.address}:${adminPort}`;
+  const origin = `http://${first.listen.admin.address}:${first.listen.admin.port}`;
   const answer = await request(`${origin}/v1/timeline?kind=hostStarted`);
   const reply = replySchema.parse(await answer.body.json());
   t.deepEqual(reply.events.map((event) => event.hostId).sort(), ['north-1', 'north-2']);
--- a/packages/testkit/src/scenarios/scenarioFleet.ts
+++ b/packages/testkit/src/scenarios/scenarioFleet.ts
@@ -3,12 +3,9 @@
 import type { Endpoint } from '@buckthornlug/protocol/common/primitives.js';
 import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 
-import {
-  deploymentKeys,
-  deploymentPorts,
-  deploymentSettings,
-  loopbackNetwork,
-} from '../deployment/deployment.js';
+import { deploymentKeys, deploymentSettings } from '../deployment/deployment.js';
+import { hostPorts } from '../fakes/placedHosts.js';
+import { loopbackNetwork } from '../fakes/loopback.js';
 import { startFakeBackend, type FakeBackend } from '../fakes/fakeBackend.js';
 import { startRelay, type Relay } from '../fakes/relay.js';
 import { startHostProcess, type HostProcess } from '../processes/hostProcess.js';
@@ -112,7 +109,7 @@
       endpoint: { address: `${network}.${firstBackendNumber + number}`, port: backendPort },
       hosts: zoneHosts.map((host) => ({
         address: host.listen.callers.address,
-        port: deploymentPorts.callers,
+        port: hostPorts.callers,
       })),
       announceKey: deploymentKeys.announce,
       slots: wanted.slots,
