feat(documents): every member of the control group knows what all hosts hold

Cause: above 64 hosts membership records carry no versions; reports went up with the polls to one member each, so status, GET /v1/versions and the acknowledgement of shift steps missed the hosts below other members. Change: a host passes what changed below it to its source each documentPollMs, members pass it to each other (reports of a fellow member go no further), and all is sent again each 20 rounds. A host that is no member merges its view with a member's in status and versions. Not run above 70 hosts.

--- a/packages/host/src/documents/documentsFeature.ts
+++ b/packages/host/src/documents/documentsFeature.ts
@@ -7,7 +7,7 @@
 import type { DocumentInForce, HostContext, RunningFeature } from '../runtime/hostTypes.js';
 import { DocumentKeeper } from './documentKeeper.js';
 import { DocumentsTask } from './documentsTask.js';
-import { registerVersionsRoutes } from './versionsRoutes.js';
+import { hostsBehind, registerVersionsRoutes, type VersionSources } from './versionsRoutes.js';
 
 const everything = { version: 0, shiftRevision: 0 } as const;
 
@@ -35,6 +35,23 @@
   return source.onChange(() => task.takeCommitted());
 }
 
+/** Asks the members of the control group in order who has not confirmed a version. */
+async function askMember(
+  parts: HostParts,
+  members: readonly string[],
+  ownHostId: string,
+  version: number,
+): Promise<readonly string[] | undefined> {
+  if (members.includes(ownHostId)) return undefined;
+  for (const member of members) {
+    const answer = await parts.peers.request(member, (client, signal) =>
+      client.documents.behind.query({ version }, { signal }),
+    );
+    if (answer.isOk()) return answer.value;
+  }
+  return undefined;
+}
+
 async function startDocuments(context: HostContext, parts: HostParts): Promise<RunningFeature> {
   const { settings } = context;
   const endTable = keepTable(context, parts);
@@ -47,17 +64,22 @@
   if (kept !== undefined) task.apply(kept, 'data folder');
   parts.provide({ controlSilentMs: () => task.controlSilentMs() });
   const { rpcHandlers } = parts;
-  rpcHandlers.documents = { poll: (fromHostId, poll) => task.answer(fromHostId, poll) };
+  const members = settings.groups.find((group) => group.id === 'control')?.members ?? [];
+  const sources: VersionSources = {
+    membership: () => parts.membership,
+    documentVersion: () => parts.document.current()?.version ?? 0,
+    running: parts.running,
+    expectedHosts: settings.peers.map((peer) => peer.hostId),
+    askMember: (version) => askMember(parts, members, settings.hostId, version),
+  };
+  rpcHandlers.documents = {
+    poll: (fromHostId, poll) => task.answer(fromHostId, poll),
+    report: (fromHostId, reports) => task.takeReports(fromHostId, reports),
+    behind: (version) => hostsBehind(sources, version).map((host) => host.hostId),
+  };
   const endMembership = parts.membership.onChange(() => task.membershipChanged());
   const endControl = followControlGroup(parts, task);
-  parts.adminRoutes.push((app) =>
-    registerVersionsRoutes(app, {
-      membership: () => parts.membership,
-      documentVersion: () => parts.document.current()?.version ?? 0,
-      running: parts.running,
-      expectedHosts: settings.peers.map((peer) => peer.hostId),
-    }),
-  );
+  parts.adminRoutes.push((app) => registerVersionsRoutes(app, sources));
   const running = task.run();
   return {
     name: 'documents',
--- a/packages/host/src/documents/documentsSchema.ts
+++ b/packages/host/src/documents/documentsSchema.ts
@@ -15,12 +15,16 @@
 /** Versions of one host, reported on its behalf. */
 export const versionReportSchema = controlVersionsSchema.extend({ hostId: idSchema });
 
+/** Versions of several hosts. */
+export const reportsSchema = z.array(versionReportSchema).max(500);
+
+/** Hosts that have not confirmed a version, as a member of the control group knows. */
+export const behindQuerySchema = z.object({ version: versionSchema });
+
 /** Asks for what a host lacks; waits for news where it lacks nothing. */
 export const pollSchema = z.object({
   have: controlVersionsSchema,
   waitMs: z.number().min(0).max(10_000),
-  /** Versions of hosts that get their updates from the asking host. */
-  reports: z.array(versionReportSchema).max(500),
 });
 
 /** One section with the version that last changed it; its content was checked by the control group. */
--- a/packages/host/src/documents/documentsTask.ts
+++ b/packages/host/src/documents/documentsTask.ts
@@ -19,11 +19,10 @@
 } from './documentsSchema.js';
 import { UpdatePoller } from './updatePoller.js';
 import { UpdateServer } from './updateServer.js';
+import { VersionReports } from './versionReports.js';
 
 /** Time that a newer version known elsewhere is given to arrive by itself. */
 const nudgeAfterMs = 250;
-/** Reports of other hosts in one poll. */
-const maxReports = 500;
 const sourceOfControlGroup = 'control group';
 
 function takesPart(host: HostRecord): boolean {
@@ -45,7 +44,9 @@
 
   private readonly contact: ControlContact;
 
-  private readonly reports = new Map<string, VersionReport>();
+  private readonly reports: VersionReports;
+
+  private reportTimer: NodeJS.Timeout | undefined;
 
   private nudge: NodeJS.Timeout | undefined;
 
@@ -63,6 +64,7 @@
   ) {
     this.contact = new ControlContact(context.clock.nowMs());
     this.server = new UpdateServer(copy);
+    this.reports = this.createReports();
     this.poller = new UpdatePoller({
       sources: () => this.sources(),
       have: () => this.copy.versions(),
@@ -74,11 +76,17 @@
 
   /** Runs until the task is stopped. */
   run(): Promise<void> {
+    this.reportTimer = setInterval(() => {
+      this.reports.passOn().catch((error: unknown) => {
+        this.context.log.error('versionReportsFailed', { problem: String(error) });
+      });
+    }, this.context.settings.timing.documentPollMs);
     return this.poller.run();
   }
 
   stop(): void {
     clearTimeout(this.nudge);
+    clearInterval(this.reportTimer);
     this.poller.stop();
     this.server.stop();
   }
@@ -103,9 +111,7 @@
 
   /** Answers the poll of another host, and notes what it holds. */
   async answer(fromHostId: string, poll: Poll): Promise<PollReply> {
-    for (const report of [{ hostId: fromHostId, ...poll.have }, ...poll.reports]) {
-      this.noteReport(report);
-    }
+    this.reports.note(fromHostId, [{ hostId: fromHostId, ...poll.have }]);
     const own = this.copy.versions();
     const isBehind = poll.have.version > own.version || poll.have.shiftRevision > own.shiftRevision;
     if (isBehind) this.scheduleNudge();
@@ -126,28 +132,46 @@
     if (this.newestElsewhere() !== undefined) this.scheduleNudge();
   }
 
-  private noteReport(report: VersionReport): void {
-    const { hostId, version, shiftRevision } = report;
-    const known = this.reports.get(hostId);
-    if (known === undefined && this.reports.size >= maxReports) return;
-    this.reports.set(hostId, report);
-    this.parts.membershipTask?.noteVersions(hostId, {
-      documentVersion: version,
-      shiftRevision,
+  /** Takes reports of versions that other hosts hold. */
+  takeReports(fromHostId: string, reports: readonly VersionReport[]): void {
+    this.reports.note(fromHostId, reports);
+  }
+
+  private createReports(): VersionReports {
+    const { hostId } = this.context.settings;
+    return new VersionReports({
+      hostId,
+      members: this.controlMembers(),
+      have: () => this.copy.versions(),
+      source: () => this.poller.source,
+      isKnown: (other) => {
+        const host = this.parts.membership.find(other);
+        return host !== undefined && takesPart(host);
+      },
+      noteVersions: ({ hostId: other, version, shiftRevision }) =>
+        this.parts.membershipTask?.noteVersions(other, { documentVersion: version, shiftRevision }),
+      send: (to, reports) =>
+        this.parts.peers.request(to, (client, signal) =>
+          client.documents.report.mutate([...reports], { signal }),
+        ),
     });
   }
 
+  private controlMembers(): readonly string[] {
+    const { groups } = this.context.settings;
+    return groups.find((group) => group.id === 'control')?.members ?? [];
+  }
+
   private sources(): string[] {
     const { settings } = this.context;
     const { membership, membershipTask } = this.parts;
-    const members = settings.groups.find((group) => group.id === 'control')?.members ?? [];
     const known = membership
       .hosts()
       .filter((host) => takesPart(host) && host.hostId !== settings.hostId);
     const ordered = orderSources({
       self: settings,
       candidates: known,
-      controlMembers: members,
+      controlMembers: this.controlMembers(),
       zoneRelays: membershipTask?.relaysOf(settings.availabilityZone) ?? [],
     });
     const others = known.length > 0 ? [] : settings.peers.map((peer) => peer.hostId);
@@ -155,26 +179,18 @@
   }
 
   private async ask(hostId: string, have: ControlVersions, waitMs: number) {
-    const reports = waitMs > 0 ? [...this.reports.values()] : [];
     const timeoutMs = waitMs + this.context.settings.timing.rpcTimeoutMs;
     const answer = await this.parts.peers.request(
       hostId,
-      (client, signal) => client.documents.poll.mutate({ have, waitMs, reports }, { signal }),
+      (client, signal) => client.documents.poll.mutate({ have, waitMs }, { signal }),
       timeoutMs,
     );
-    if (answer.isOk()) this.forgetReports(reports);
     return answer.andThen(checkReply).map(({ update, silentMs }) => {
       this.contact.heard(silentMs, this.context.clock.nowMs());
       return update;
     });
   }
 
-  private forgetReports(sent: readonly VersionReport[]): void {
-    for (const report of sent) {
-      if (this.reports.get(report.hostId) === report) this.reports.delete(report.hostId);
-    }
-  }
-
   private putInForce(source: string, sections: number): void {
     const { version } = this.copy.versions();
     const isNewer = this.parts.document.put({
--- a/packages/host/src/documents/updatePoller.ts
+++ b/packages/host/src/documents/updatePoller.ts
@@ -32,6 +32,8 @@
 
   private attempt = 0;
 
+  private asked: string | undefined;
+
   private wakePause: (() => void) | undefined;
 
   private readonly fetching = new Set<string>();
@@ -50,6 +52,11 @@
     this.wakePause?.();
   }
 
+  /** The host that was asked last. */
+  get source(): string | undefined {
+    return this.asked;
+  }
+
   /** Goes back to the best source, after the hosts that take part have changed. */
   restart(): void {
     this.attempt = 0;
@@ -83,6 +90,7 @@
   private async askNext(): Promise<void> {
     const sources = this.parts.sources();
     const source = sources[this.attempt % Math.max(1, sources.length)];
+    this.asked = source;
     if (source === undefined) {
       await this.pause();
       return;
--- /dev/null
+++ b/packages/host/src/documents/versionsRoutes.spec.ts
@@ -0,0 +1,48 @@
+import test from 'ava';
+import { Hono } from 'hono';
+
+import type { HostRecord, MembershipView } from '../runtime/hostTypes.js';
+import { registerVersionsRoutes } from './versionsRoutes.js';
+
+function hostAt(hostId: string, documentVersion: number): HostRecord {
+  const endpoint = { address: '127.0.0.1', port: 1 };
+  const listen = { internal: endpoint, callers: endpoint, admin: endpoint };
+  const place = { region: 'lagos', availabilityZone: 'lagos-a', roles: ['entry'], incarnation: 1 };
+  return { ...place, ...listen, hostId, state: 'alive', documentVersion };
+}
+
+/** A host that has heard of version 7 on itself only; the others report elsewhere. */
+function createApp(answerOfMember: readonly string[] | undefined): Hono {
+  const app = new Hono();
+  const hosts = [hostAt('a1', 7), hostAt('a2', 6), hostAt('a3', 0)];
+  const membership = { hosts: () => hosts, self: () => hosts[0] } as unknown as MembershipView;
+  registerVersionsRoutes(app, {
+    membership: () => membership,
+    documentVersion: () => 7,
+    running: [],
+    expectedHosts: [],
+    askMember: () => Promise.resolve(answerOfMember),
+  });
+  return app;
+}
+
+const cases = [
+  { told: 'that all have confirmed', answer: [], behind: [], status: 200 },
+  { told: 'that one is behind', answer: ['a3'], behind: ['a3'], status: 504 },
+  { told: 'that a host which confirmed here is behind', answer: ['a1'], behind: [], status: 200 },
+  { told: 'nothing', answer: undefined, behind: ['a2', 'a3'], status: 504 },
+] as const;
+
+for (const { told, answer, behind, status } of cases) {
+  test(`what this host and a member know is merged; the member tells ${told}`, async (t) => {
+    const app = createApp(answer);
+    const namesOf = async (reply: Response) => {
+      const { behindHosts } = (await reply.json()) as { behindHosts: { hostId: string }[] };
+      return behindHosts.map((host) => host.hostId);
+    };
+    t.deepEqual(await namesOf(await app.request('/v1/status')), behind);
+    const version = await app.request('/v1/versions/7');
+    t.is(version.status, status);
+    t.deepEqual(await namesOf(version), behind);
+  });
+}
--- a/packages/host/src/documents/versionsRoutes.ts
+++ b/packages/host/src/documents/versionsRoutes.ts
@@ -14,10 +14,17 @@
   readonly running: readonly RunningFeature[];
   /** Hosts named by the settings. */
   readonly expectedHosts: readonly string[];
+  /**
+   * Hosts that a member of the control group takes for behind a version; undefined where none
+   * answers, or where this host is a member itself.
+   */
+  readonly askMember: (version: number) => Promise<readonly string[] | undefined>;
 }
 
 const maxWaitMs = 60_000;
 const recheckMs = 20;
+/** Interval at which a member is asked again. */
+const askAgainMs = 500;
 
 const pathSchema = z.coerce.number().int().min(0);
 const waitSchema = z.coerce.number().min(0).max(maxWaitMs).default(0);
@@ -28,8 +35,13 @@
   return host.state !== 'left';
 }
 
-/** Hosts that have not confirmed a version, those never heard of included. */
-function hostsBehind(sources: VersionSources, version: number): BehindHost[] {
+/**
+ * Names the hosts that have not confirmed a version to this host, those never heard of included.
+ *
+ * @param sources - membership and settings
+ * @param version - version of the document
+ */
+export function hostsBehind(sources: VersionSources, version: number): BehindHost[] {
   const hosts = sources.membership().hosts();
   const known = new Set(hosts.map((host) => host.hostId));
   const behind = hosts
@@ -41,23 +53,39 @@
   return behind.sort((left, right) => (left.hostId < right.hostId ? -1 : 1));
 }
 
+/** Hosts that have confirmed a version neither to this host nor to a member of the control group. */
+async function mergedBehind(sources: VersionSources, version: number): Promise<BehindHost[]> {
+  const behind = hostsBehind(sources, version);
+  if (behind.length === 0) return behind;
+  const known = await sources.askMember(version);
+  if (known === undefined) return behind;
+  const behindThere = new Set(known);
+  return behind.filter((host) => behindThere.has(host.hostId));
+}
+
 async function waitForAll(
   sources: VersionSources,
   version: number,
   waitMs: number,
 ): Promise<BehindHost[]> {
   const startedAtMs = performance.now();
-  let behind = hostsBehind(sources, version);
+  let askedAtMs = startedAtMs;
+  let behind = await mergedBehind(sources, version);
   while (behind.length > 0 && performance.now() - startedAtMs < waitMs) {
     await new Promise((resolve) => {
       setTimeout(resolve, recheckMs);
     });
-    behind = hostsBehind(sources, version);
+    if (performance.now() - askedAtMs >= askAgainMs) {
+      askedAtMs = performance.now();
+      behind = await mergedBehind(sources, version);
+    } else if (hostsBehind(sources, version).length === 0) {
+      behind = [];
+    }
   }
   return behind;
 }
 
-function statusOf(sources: VersionSources): StatusReply {
+async function statusOf(sources: VersionSources): Promise<StatusReply> {
   const features: StatusReply['features'] = {};
   for (const feature of sources.running) {
     if (feature.status !== undefined) features[feature.name] = feature.status();
@@ -72,7 +100,7 @@
   return {
     hostId: sources.membership().self().hostId,
     documentVersion: sources.documentVersion(),
-    behindHosts: hostsBehind(sources, newest),
+    behindHosts: await mergedBehind(sources, newest),
     features,
   };
 }
@@ -85,7 +113,7 @@
  * @param sources - membership, document and features
  */
 export function registerVersionsRoutes(app: Hono, sources: VersionSources): void {
-  app.get('/v1/status', (context) => context.json(statusOf(sources)));
+  app.get('/v1/status', async (context) => context.json(await statusOf(sources)));
   app.get('/v1/versions/:version', async (context) => {
     const version = pathSchema.safeParse(context.req.param('version'));
     const wait = waitSchema.safeParse(context.req.query('waitMs'));
--- a/packages/testkit/src/documents/documents.spec.ts
+++ b/packages/testkit/src/documents/documents.spec.ts
@@ -143,7 +143,9 @@
     await hosts[index]!.stop();
     const controlHosts = hosts.filter((host) => host.context.settings.roles.includes('control'));
     for (const host of controlHosts.slice(0, 2)) {
-      host.parts.rpcHandlers.documents = {
+      const { rpcHandlers } = host.parts;
+      rpcHandlers.documents = {
+        ...rpcHandlers.documents!,
         poll: () => Promise.resolve({ update: stale, silentMs: 0 }),
       };
     }
@@ -206,7 +208,9 @@
       startLimitMs,
   );
   // The member of the group now answers like a host that knows only the first version.
-  hosts[0]!.parts.rpcHandlers.documents = {
+  const { rpcHandlers } = hosts[0]!.parts;
+  rpcHandlers.documents = {
+    ...rpcHandlers.documents!,
     poll: () => Promise.resolve({ update: older, silentMs: 0 }),
   };
   await new Promise((resolve) => {
