feat(slots): GET /v1/backends lists the backend servers as their owners see them

Cause: buckthornlugctl backends asked GET /v1/backends, which no host answered. Change: the route asks all live entry hosts, 64 at once, and merges their views: of each backend server that of the host with its lease, else of the host that heard from it last. holdsLease and silentMs tell when an announced state is no longer true; hosts that did not answer are named. A host without the role entry has no slots and does not answer the route; a filter by zone, for fleets of thousands of hosts, is not built.

--- a/packages/cli/src/commands/backendsCommand.ts
+++ b/packages/cli/src/commands/backendsCommand.ts
@@ -18,7 +18,18 @@
     const reply = answer.map((value) => backendsReplySchema.parse(value));
     return this.finish(reply, ({ backends }) =>
       formatTable(
-        ['backend server', 'service', 'zone', 'state', 'owner', 'used', 'slots', 'ejected'],
+        [
+          'backend server',
+          'service',
+          'zone',
+          'state',
+          'owner',
+          'used',
+          'slots',
+          'ejected',
+          'lease',
+          'silent',
+        ],
         backends.map((entry) => [
           entry.backendId,
           entry.service,
@@ -28,6 +39,8 @@
           String(entry.usedSlots),
           String(entry.slots),
           String(entry.ejected),
+          entry.holdsLease ? 'held' : 'none',
+          `${entry.silentMs} ms`,
         ]),
       ),
     );
--- a/packages/host/src/slots/slotsFeature.ts
+++ b/packages/host/src/slots/slotsFeature.ts
@@ -3,7 +3,9 @@
 
 import type { Feature, HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
+import { otherLiveHosts } from '../runtime/otherLiveHosts.js';
 import { createAnnouncements } from './announcements.js';
+import { listBackends, registerBackendsRoutes } from './backendsView.js';
 import { CreditTask } from './creditTask.js';
 import { createPlacement, type OwnPool } from './placement.js';
 import { createPoolOwners } from './poolOwners.js';
@@ -89,7 +91,22 @@
     poolOwner: owners.ownerOf,
   });
   const { rpcHandlers } = parts;
+  const readBackends = () => listBackends(settings.hostId, tasks.values(), clock);
+  parts.adminRoutes.push((app) =>
+    registerBackendsRoutes(app, {
+      readLocal: readBackends,
+      otherHosts: () =>
+        otherLiveHosts(parts.membership, settings).filter(
+          (hostId) => parts.membership.find(hostId)?.roles.includes('entry') ?? true,
+        ),
+      readRemote: (hostId) =>
+        parts.peers.request(hostId, (client, signal) =>
+          client.slots.backends.query(undefined, { signal }),
+        ),
+    }),
+  );
   rpcHandlers.slots = {
+    backends: readBackends,
     credits: (request) =>
       poolOf(request.service)?.credits.grant(request) ?? {
         creditIds: [],
--- a/packages/host/src/slots/slotsRouter.ts
+++ b/packages/host/src/slots/slotsRouter.ts
@@ -1,3 +1,4 @@
+import type { BackendStatus } from '@buckthornlug/protocol/admin/adminSchema.js';
 import { rpcProcedure, rpcRouter } from '@buckthornlug/protocol/rpc/rpcContext.js';
 
 import { creditRequestSchema, type CreditGrant, type CreditRequest } from './slotsSchema.js';
@@ -5,6 +6,8 @@
 /** What the slots answer to other hosts. */
 export interface SlotsHandlers {
   readonly credits: (request: CreditRequest) => CreditGrant;
+  /** Backend servers as this host sees them. */
+  readonly backends: () => BackendStatus[];
 }
 
 /**
@@ -17,5 +20,6 @@
     credits: rpcProcedure
       .input(creditRequestSchema)
       .mutation(({ input }) => handlers.credits(input)),
+    backends: rpcProcedure.query(() => handlers.backends()),
   });
 }
--- a/packages/protocol/src/admin/adminSchema.ts
+++ b/packages/protocol/src/admin/adminSchema.ts
@@ -29,6 +29,10 @@
   slots: z.int(),
   usedSlots: z.int(),
   ejected: z.boolean(),
+  /** Whether the owner may use the slots now. */
+  holdsLease: z.boolean(),
+  /** Time since the last announcement. */
+  silentMs: z.number().min(0),
 });
 
 /** `GET /v1/backends`: all hosts that answered. */
--- a/packages/testkit/src/slots/slotsFleet.ts
+++ b/packages/testkit/src/slots/slotsFleet.ts
@@ -1,3 +1,4 @@
+import { adminFeature } from '@buckthornlug/host/admin/adminFeature.js';
 import { callsFeature } from '@buckthornlug/host/calls/callsFeature.js';
 import { membershipFeature } from '@buckthornlug/host/membership/membershipFeature.js';
 import { startHost, type RunningHost } from '@buckthornlug/host/runtime/hostRuntime.js';
@@ -16,7 +17,7 @@
   readonly stop: () => Promise<void>;
 }
 
-const features = [membershipFeature, slotsFeature, callsFeature];
+const features = [membershipFeature, slotsFeature, callsFeature, adminFeature];
 
 /**
  * Starts hosts.
