--- a/packages/host/src/slots/slotsFeature.ts
+++ b/packages/host/src/slots/slotsFeature.ts
@@ -7,6 +7,7 @@
 import { createAnnouncements } from './announcements.js';
 import { listBackends, registerBackendsRoutes } from './backendsView.js';
 import { CreditTask } from './creditTask.js';
+import { createHedging } from './hedging.js';
 import { createPlacement, type OwnPool } from './placement.js';
 import { createPoolOwners } from './poolOwners.js';
 import { poolRulesOf } from './poolRules.js';
@@ -50,6 +51,7 @@
   const usualMs = (service: string, kind: string) =>
     pools.get(service)?.task.pool.times.usualMs(kind, 0) ?? 0;
   const retries = createRetries(context, usualMs);
+  const hedging = createHedging(context, poolOf, retries);
   const announcements = createAnnouncements(
     context,
     parts,
@@ -87,6 +89,14 @@
       return placed;
     },
     mayRetry: retries.mayRetry,
+    hedging: {
+      delayMs: hedging.delayMs,
+      place: (call) => {
+        const placement = hedging.place(call);
+        ticker.wake();
+        return placement;
+      },
+    },
     receiveAnnouncement: announcements.receive,
     poolOwner: owners.ownerOf,
   });
