--- a/packages/testkit/src/control/submissionSteps.spec.ts
+++ b/packages/testkit/src/control/submissionSteps.spec.ts
@@ -5,7 +5,7 @@
 import type { Submission } from '@buckthornlug/protocol/submissions/submissionSchema.js';
 import test, { type ExecutionContext } from 'ava';
 
-import { loopbackNetwork } from '../deployment/deployment.js';
+import { loopbackNetwork } from '../fakes/loopback.js';
 import {
   blocksSubmission,
   createControlFleet,
@@ -14,7 +14,7 @@
   type AdminAnswer,
   type ControlFleet,
 } from './controlFleet.js';
-import { startRelays, stopRelays, throughRelays, type ControlRelays } from './controlRelays.js';
+import { startRelays, stopRelays, throughRelays, type HostRelays } from '../fakes/hostRelays.js';
 import { watchVersions, type VersionWatch } from './versionWatch.js';
 
 /** A host dies or stands still at each step of a submission. */
@@ -26,7 +26,7 @@
 
 interface Trial {
   readonly fleet: ControlFleet;
-  readonly relays: ControlRelays;
+  readonly relays: HostRelays;
   readonly document: SteeringDocument;
   readonly watch: VersionWatch;
 }
