feat(bench): idle cost of a leader, a follower and a host without a replica, with memory

Cause: the idle row measured ten seconds right after the start, as one row for two hosts, and control's share of the memory was never separated. Change: each kind of host has a row, after 20 s of rest, with resident memory, heap and external memory from three new gauges of /metrics; processor and memory have bounds. The check of the kind of a message in a heartbeat no longer builds its schema anew for each message (0.3% of a core in a profile).

--- a/packages/host/src/consensus/heartbeatLink.ts
+++ b/packages/host/src/consensus/heartbeatLink.ts
@@ -25,9 +25,11 @@
   messages: z.string(),
 });
 
+const messageSchema = z.looseObject({ kind: z.string() });
+
 /** The fields of a signed message are those of its sender; the kind alone is checked here. */
 const messagesSchema = z.array(
-  z.custom<ConsensusMessage>((value) => z.object({ kind: z.string() }).safeParse(value).success),
+  z.custom<ConsensusMessage>((value) => messageSchema.safeParse(value).success),
 );
 
 const parseContent = Result.fromThrowable(
--- a/packages/host/src/metrics/metricsFeature.ts
+++ b/packages/host/src/metrics/metricsFeature.ts
@@ -1,20 +1,32 @@
 import { okAsync } from 'neverthrow';
 
 import type { Feature } from '../runtime/hostParts.js';
+import type { HostContext } from '../runtime/hostTypes.js';
 import { otherLiveHosts } from '../runtime/otherLiveHosts.js';
 import { encodeSeries } from './mergeMetrics.js';
 import { registerMetricsRoutes } from './metricsRoutes.js';
 import type { MetricsPart } from './metricsSchema.js';
 
+/** Sets the gauges of the memory of this process. */
+function gaugeMemory(metrics: HostContext['metrics']): void {
+  const { rss, heapUsed, external } = process.memoryUsage();
+  metrics.gauge('process_resident_bytes', rss);
+  metrics.gauge('process_heap_used_bytes', heapUsed);
+  metrics.gauge('process_external_bytes', external);
+}
+
 /** Metrics of this host and, through the administration API, of all hosts. */
 export const metricsFeature: Feature = {
   name: 'metrics',
   wanted: () => true,
   start: (context, parts) => {
-    const read = (): MetricsPart => ({
-      hostId: context.settings.hostId,
-      series: encodeSeries(context.metrics.series()),
-    });
+    const read = (): MetricsPart => {
+      gaugeMemory(context.metrics);
+      return {
+        hostId: context.settings.hostId,
+        series: encodeSeries(context.metrics.series()),
+      };
+    };
     parts.rpcHandlers.metrics = { read };
     parts.adminRoutes.push((app) =>
       registerMetricsRoutes(app, {
--- a/packages/testkit/src/bench/control/controlExperiment.ts
+++ b/packages/testkit/src/bench/control/controlExperiment.ts
@@ -1,4 +1,4 @@
-import { mkdtemp, readFile, rm } from 'node:fs/promises';
+import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 
 import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
@@ -21,15 +21,15 @@
   type ReportRow,
 } from '../benchTypes.js';
 
+import { measureIdleMembers } from './idleMembers.js';
+
 /** Commit latency, recovery and the cost of control hosts. */
 
 const roundTripsMs = [0, 7, 110];
 const histories = [0, 300, 1000];
 const recoveryBoundMs = 2000;
 const recoveryBoundHistory = 1000;
-const idleSeconds = 10;
 const submittersWhileFilling = 8;
-const clockTicksPerS = 100;
 const usPerMs = 1000;
 const msPerS = 1000;
 
@@ -154,42 +154,6 @@
   });
 }
 
-/** Processor time in seconds and bytes written by a process so far. */
-async function usageOf(processId: number): Promise<{ cpuS: number; writtenBytes: number }> {
-  const stat = await readFile(`/proc/${processId}/stat`, 'utf8');
-  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
-  const ticks = Number(fields[11]) + Number(fields[12]);
-  const io = await readFile(`/proc/${processId}/io`, 'utf8');
-  const written = /wchar: (\d+)/.exec(io)?.[1];
-  return { cpuS: ticks / clockTicksPerS, writtenBytes: Number(written) };
-}
-
-async function idleRow(): Promise<ReportRow> {
-  return withFleet(2, 0, async ({ fleet }) => {
-    const leader = await fleet.leader();
-    const follower = fleet.memberIds().find((hostId) => hostId !== leader) ?? '';
-    const ids = [leader, follower].map((hostId) => fleet.process(hostId).processId);
-    const before = await Promise.all(ids.map(usageOf));
-    await new Promise((resolve) => {
-      setTimeout(resolve, idleSeconds * msPerS);
-    });
-    const after = await Promise.all(ids.map(usageOf));
-    const cpuPercent = (index: number) =>
-      (((after[index]?.cpuS ?? 0) - (before[index]?.cpuS ?? 0)) / idleSeconds) * 100;
-    const bytesPerS = (index: number) =>
-      ((after[index]?.writtenBytes ?? 0) - (before[index]?.writtenBytes ?? 0)) / idleSeconds;
-    return {
-      condition: 'idle members, whole process',
-      figures: {
-        leaderCpuPercent: cpuPercent(0),
-        followerCpuPercent: cpuPercent(1),
-        leaderWrittenBytesPerS: bytesPerS(0),
-        followerWrittenBytesPerS: bytesPerS(1),
-      },
-    };
-  });
-}
-
 async function run(options: BenchOptions): Promise<BenchReport> {
   const rows: ReportRow[] = [];
   for (const roundTripMs of roundTripsMs) {
@@ -199,13 +163,17 @@
   options.progress('recovery');
   const recovery = await recoveryRows();
   options.progress('idle');
-  rows.push(...recovery, await idleRow());
+  const idle = await withFleet(2, 0, ({ fleet }) => measureIdleMembers(fleet));
+  rows.push(...recovery, ...idle.rows);
   const longest = recovery[histories.indexOf(recoveryBoundHistory)]?.figures.oneHostMs;
   return {
     experiment: 'control',
     seed: options.seed,
     rows,
-    bounds: [atMost('recovery after 1,000 changes, ms', Number(longest), recoveryBoundMs)],
+    bounds: [
+      atMost('recovery after 1,000 changes, ms', Number(longest), recoveryBoundMs),
+      ...idle.bounds,
+    ],
   };
 }
 
