feat(consensus): ticks when something is due, not twenty times a second

Cause: each replica ticked every third of a heartbeat, 20 times a second, though a follower has nothing to do before its election deadline and a leader before its next heartbeat. Change: the next tick is scheduled for the time that nextDueMs gives; it is brought forward by any input, and stays at a third of a heartbeat while a replica has no leader, forwards reads, hands over or has learners.

--- a/packages/core/src/consensus/replicaSchedules.spec.ts
+++ b/packages/core/src/consensus/replicaSchedules.spec.ts
@@ -14,6 +14,7 @@
 } from './consensusTypes.js';
 import { entryAt, lastIndexOf, termAt } from './replicaLog.js';
 import { createReplica, type ReplicaState } from './replicaState.js';
+import { nextDueMs } from './nextDue.js';
 import { holdsLease, step } from './replica.js';
 import { hostIdOf } from './membership.js';
 
@@ -306,7 +307,12 @@
   private take(replica: Replica, input: ConsensusInput): void {
     if (replica.isDown || replica.pausedUntil > this.nowMs) return;
     const moment = { nowMs: this.nowMs, random: this.below(1000) / 1000 };
+    const isEarlyTick = input.kind === 'tick' && this.nowMs < nextDueMs(replica.state);
     const effects = step(replica.state, moment, input);
+    const isStepDown = effects.some(({ kind }) => kind === 'roleChanged');
+    if (isEarlyTick && effects.length > 0 && !isStepDown) {
+      throw new Error(`a tick before its time did ${effects.map(({ kind }) => kind).join(', ')}`);
+    }
     this.mutation?.(replica, effects);
     for (const effect of effects) this.carryOut(replica, effect);
     this.checkLeases();
--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -7,6 +7,7 @@
   Proposal,
   Snapshot,
 } from '@buckthornlug/core/consensus/consensusTypes.js';
+import { nextDueMs } from '@buckthornlug/core/consensus/nextDue.js';
 import { holdsLease, step } from '@buckthornlug/core/consensus/replica.js';
 import { lastIndexOf } from '@buckthornlug/core/consensus/replicaLog.js';
 import { createReplica, type ReplicaState } from '@buckthornlug/core/consensus/replicaState.js';
@@ -42,7 +43,12 @@
 
   private readonly listeners = new Set<(logIndex: number) => void>();
 
-  private readonly ticker: NodeJS.Timeout;
+  private ticker: NodeJS.Timeout | undefined;
+
+  /** Time of the tick that is scheduled. */
+  private tickAtMs = Infinity;
+
+  private readonly tickMs: number;
 
   private proposals: Proposal[] = [];
 
@@ -72,9 +78,24 @@
     this.restoreMachine(durable.snapshot);
     this.state = createReplica(this.replicaId, durable, options, context.clock.nowMs());
     this.outbox = createMessageOutbox(parts.sendBatch, parts.sendHeartbeats);
-    this.ticker = setInterval(
-      () => this.take({ kind: 'tick' }),
-      timing.heartbeatMs / ticksPerHeartbeat,
+    this.tickMs = timing.heartbeatMs / ticksPerHeartbeat;
+    this.scheduleTick();
+  }
+
+  /** Schedules the next tick, or brings it forward. */
+  private scheduleTick(): void {
+    const nowMs = this.parts.context.clock.nowMs();
+    const dueMs = Math.max(nextDueMs(this.state), nowMs + this.tickMs);
+    if (dueMs >= this.tickAtMs || this.isStopped) return;
+    clearTimeout(this.ticker);
+    this.tickAtMs = dueMs;
+    this.ticker = setTimeout(
+      () => {
+        this.tickAtMs = Infinity;
+        this.take({ kind: 'tick' });
+        this.scheduleTick();
+      },
+      Math.ceil(dueMs - nowMs) + 1,
     );
   }
 
@@ -84,6 +105,7 @@
     const { clock, random } = this.parts.context;
     const moment = { nowMs: clock.nowMs(), random: random() };
     for (const effect of step(this.state, moment, input)) this.carryOut(effect);
+    this.scheduleTick();
   }
 
   private carryOut(effect: ConsensusEffect): void {
@@ -355,7 +377,7 @@
 
   async stop(): Promise<void> {
     this.isStopped = true;
-    clearInterval(this.ticker);
+    clearTimeout(this.ticker);
     this.outbox.close();
     this.pending.close();
     for (const end of this.reads.values()) end(false);
