--- a/packages/host/src/slots/poolTask.ts
+++ b/packages/host/src/slots/poolTask.ts
@@ -22,6 +22,15 @@
 
 /** Time in which a backend server learns that a call is cancelled and its slot free. */
 const cancelSettleMs = 100;
+/** Longest time for which a slot waits for a sign of life of its backend server. */
+const longestSettleMs = 1000;
+const settleCheckMs = 20;
+/** Outcomes of calls that the host broke off while they ran. */
+const cutResults: ReadonlySet<CallOutcome['result']> = new Set([
+  'cancelled',
+  'timedOut',
+  'outpaced',
+]);
 const minRetryAfterMs = 50;
 const maxRetryAfterMs = 30_000;
 
@@ -43,6 +52,8 @@
   /** Decisions of the pool. */
   readonly pool: Pool<WaitingCall>;
 
+  private readonly labels;
+
   private readonly backends = new Map<string, KnownBackend>();
 
   /**
@@ -56,6 +67,7 @@
     rules: PoolRules,
   ) {
     this.pool = new Pool(rules, context.clock.nowMs());
+    this.labels = { service };
   }
 
   /** Backend servers that announced themselves here. */
@@ -218,8 +230,11 @@
       if (isReleased) return;
       isReleased = true;
       const giveBack = () => this.release(effect.backend, effect.running, outcome);
-      const isCut = outcome.result === 'cancelled' || outcome.result === 'timedOut';
-      if (isCut && outcome.elapsedMs > 0) setTimeout(giveBack, cancelSettleMs);
+      if (outcome.result === 'answered' && backend !== undefined) {
+        backend.lastAnswerAtMs = this.context.clock.nowMs();
+      }
+      const isCut = cutResults.has(outcome.result);
+      if (isCut && outcome.elapsedMs > 0 && backend !== undefined) this.settle(backend, giveBack);
       else giveBack();
     };
     if (call.isSettled()) {
@@ -232,14 +247,33 @@
       return;
     }
     const { backendId, endpoint } = backend.announcement;
-    call.resolve({ place: 'backend', backendId, endpoint, release });
+    const { lease } = effect.backend;
+    const mayStart = () => lease.isHeld(this.context.clock.nowMs());
+    call.resolve({ place: 'backend', backendId, endpoint, mayStart, release });
+  }
+
+  /**
+   * Gives a slot back when its backend server has had time to learn that the call was broken off, and
+   * was heard of since: one that stalls learns nothing.
+   */
+  private settle(backend: KnownBackend, giveBack: () => void): void {
+    const { clock } = this.context;
+    const brokenOffAtMs = clock.nowMs();
+    const check = () => {
+      const heardAtMs = Math.max(backend.lastSeenAtMs, backend.lastAnswerAtMs);
+      const isSettled =
+        heardAtMs > brokenOffAtMs || clock.nowMs() - brokenOffAtMs > longestSettleMs;
+      if (isSettled) giveBack();
+      else setTimeout(check, settleCheckMs);
+    };
+    setTimeout(check, cancelSettleMs);
   }
 
   private release(backend: BackendSlots, running: RunningCall, outcome: CallOutcome): void {
     const nowMs = this.context.clock.nowMs();
     const before = backend.standing(nowMs);
     this.pool.release(backend, running, outcome, nowMs);
-    this.context.metrics.observeMs('slot_ms', outcome.elapsedMs, { service: this.service });
+    this.context.metrics.observeMs('slot_ms', outcome.elapsedMs, this.labels);
     const isEjected = ejectOutlier(this.pool.backends, backend, defaultOutlierLimits, nowMs);
     if (isEjected) this.recordBackend('backendEjected', backend.backendId);
     if (before === 'probation' && backend.standing(nowMs) === 'in') {
