--- a/packages/core/src/pools/pool.ts
+++ b/packages/core/src/pools/pool.ts
@@ -3,6 +3,7 @@
 import type { BackendSlots } from '../slots/backendSlots.js';
 import { PoolQueue } from './poolQueue.js';
 import type {
+  Foresight,
   OfferResult,
   PoolCall,
   PoolEffect,
@@ -19,6 +20,8 @@
 const minWaitShare = 0.3;
 /** Largest part of its target that a call may be expected to wait. */
 const maxWaitShare = 0.85;
+/** Part of the slots that is left free by hedges of calls whose target is not at risk. */
+const keptFromHedgesShare = 0.1;
 
 /** The pool of one service in one availability zone: its backend servers and its one queue. */
 export class Pool<Call extends PoolCall> {
@@ -142,7 +145,7 @@
    * @param waitMs - expected wait
    * @param nowMs - current time
    */
-  meetsTarget(call: Call, waitMs: number, nowMs: number): boolean {
+  meetsTarget(call: PoolCall, waitMs: number, nowMs: number): boolean {
     return waitMs === 0 || waitMs <= this.longestWaitMs(call.kind, call.targetAtMs - nowMs);
   }
 
@@ -170,6 +173,40 @@
     return { offer: 'queued', entry: this.enqueue(call, nowMs) };
   }
 
+  /**
+   * Tells whether a second attempt of a call may take a slot. One whose target is at risk may take any
+   * slot that is free beyond those promised, and the next one before less urgent calls; else a share
+   * of the slots must stay free as well.
+   *
+   * @param rank - index of the rank of the call
+   * @param isAtRisk - whether the target of the call is at risk
+   * @param promisedSlots - slots promised to other availability zones
+   * @param nowMs - current time
+   */
+  mayHedge(rank: number, isAtRisk: boolean, promisedSlots: number, nowMs: number): boolean {
+    for (let index = 0; index <= rank; index += 1) {
+      if (this.queue.waitingCallsOf(index) > 0) return false;
+    }
+    if (this.queue.waitingCalls > 0) return isAtRisk;
+    const keptSlots = isAtRisk ? 0 : this.usableSlots(nowMs) * keptFromHedgesShare;
+    return this.freeSlots(nowMs) > promisedSlots + keptSlots;
+  }
+
+  /**
+   * Tells whether a call would be refused.
+   *
+   * @param call - the call
+   * @param aheadCalls - calls of its rank or a more urgent one that will be offered before it
+   * @param nowMs - current time
+   */
+  foresee(call: PoolCall, aheadCalls: number, nowMs: number): Foresight {
+    const slots = this.usableSlots(nowMs);
+    const isIdle = this.queue.waitingCalls === 0 && this.freeSlots(nowMs) > aheadCalls;
+    const aheadMs = slots === 0 ? 0 : (aheadCalls * this.times.overallMeanMs) / slots;
+    const expectedWaitMs = isIdle ? 0 : this.expectedWaitMs(call.rank, nowMs) + aheadMs;
+    return { reason: this.refusal(call, expectedWaitMs, nowMs), expectedWaitMs };
+  }
+
   /** Takes a call into the queue without a check of its wait. */
   enqueue(call: Call, nowMs: number): QueuedCall<Call> {
     const costMs = this.times.meanMs(call.kind);
@@ -238,7 +275,8 @@
     backend.giveBack(outcome);
     this.countRunning(running.rank, -1);
     this.queue.settle(running, outcome.elapsedMs, this.usableSlots(nowMs));
-    if (outcome.result === 'answered') this.times.note(running.kind, outcome.elapsedMs);
+    const isTimed = outcome.result === 'answered' || outcome.result === 'outpaced';
+    if (isTimed) this.times.note(running.kind, outcome.elapsedMs);
   }
 
   /** Estimates when the first lease gives slots, while none does. */
@@ -251,7 +289,7 @@
     return soonestMs;
   }
 
-  private refusal(call: Call, waitMs: number, nowMs: number): RefuseReason | undefined {
+  private refusal(call: PoolCall, waitMs: number, nowMs: number): RefuseReason | undefined {
     if (nowMs >= call.deadlineAtMs) return 'deadlinePassed';
     if (!Number.isFinite(waitMs)) return 'noSlots';
     if (this.queue.waitingCalls >= this.rules.maxQueuedCalls) return 'queueFull';
--- a/packages/host/src/consensus/groups.ts
+++ b/packages/host/src/consensus/groups.ts
@@ -2,10 +2,10 @@
 import { hostIdOf } from '@buckthornlug/core/consensus/membership.js';
 import type { ReplicatedMachine } from '@buckthornlug/core/consensus/replicatedMachineTypes.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
-import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+import { err, errAsync, okAsync, ResultAsync } from 'neverthrow';
 
-import type { Datagrams } from '../rpc/datagrams.js';
 import type { PeerClients } from '../rpc/peerClients.js';
+import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
 import { decodeText, encodeText } from './binaryCodec.js';
 import type { ConsensusHandlers } from './consensusRouter.js';
@@ -17,6 +17,8 @@
   LeaderReply,
   SubmitRequest,
 } from './consensusSchema.js';
+import { controlGroupId } from './controlGroupId.js';
+import { FormationGuard } from './formationGuard.js';
 import type { GroupHandle } from './groupTypes.js';
 import { HeartbeatLink, type HeartbeatBatch } from './heartbeatLink.js';
 import { LeaderClient } from './leaderClient.js';
@@ -56,14 +58,20 @@
 
   private readonly starts: Promise<void>[] = [];
 
+  private readonly peers: PeerClients;
+
+  private readonly guard: FormationGuard;
+
   private readonly heartbeats: HeartbeatLink | undefined;
 
   constructor(
     private readonly context: HostContext,
-    private readonly peers: PeerClients,
-    datagrams?: Datagrams,
+    private readonly parts: HostParts,
   ) {
     const { settings, incarnation, clock } = context;
+    const { peers, datagrams } = parts;
+    this.peers = peers;
+    this.guard = new FormationGuard(context, parts);
     if (datagrams === undefined) return;
     this.heartbeats = new HeartbeatLink({
       hostId: settings.hostId,
@@ -101,16 +109,9 @@
     let replica: MemberReplica<Command, Reply> | undefined;
     if (memberHostIds.includes(settings.hostId) && settings.dataFolder !== undefined) {
       const { dataFolder } = settings;
-      const { context, peers, heartbeats } = this;
-      replica = new MemberReplica({
-        context,
-        peers,
-        heartbeats,
-        groupId,
-        memberHostIds,
-        machine,
-        dataFolder,
-      });
+      const { context, peers, guard, heartbeats } = this;
+      const shared = { context, peers, guard, heartbeats, machine, dataFolder };
+      replica = new MemberReplica({ ...shared, groupId, memberHostIds });
       this.replicas.set(groupId, replica as unknown as AnyReplica);
       this.starts.push(replica.start());
     }
@@ -126,6 +127,7 @@
     return {
       groupId,
       submit: (command, timeoutMs) => client.submit(command, timeoutMs),
+      read: (command, timeoutMs) => client.read(command, timeoutMs),
       isLeader: () => replica?.task?.isLeader() ?? false,
       leaderId: () => client.leaderId(),
       readBarrier: (timeoutMs) => replica?.readBarrier(timeoutMs) ?? errAsync(notMember),
@@ -147,7 +149,9 @@
     if (task === undefined || task.leaderId() !== this.context.settings.hostId) {
       return notLeader(replica, request.groupId);
     }
-    const result = await task.propose(decodeText(request.command), request.timeoutMs);
+    const command = decodeText(request.command);
+    const result =
+      request.mode === 'read' ? task.read(command) : await task.propose(command, request.timeoutMs);
     if (result.isOk()) return { ok: true, reply: encodeText(result.value) };
     if (result.error.code === 'BL5001') return notLeader(replica, request.groupId);
     return { ok: false, failure: result.error };
@@ -170,11 +174,35 @@
     return {
       deliver: (fromHostId, request) => this.deliver(fromHostId, request),
       submit: (request) => this.submit(request),
-      describe: ({ groupId }) => this.describe(groupId),
+      describe: ({ groupId }) => ({ ...this.describe(groupId), documentVersion: this.version() }),
       join: (request) => this.join(request),
     };
   }
 
+  private version(): number {
+    return this.parts.document.current()?.version ?? 0;
+  }
+
+  /**
+   * Lets a group be formed anew without its former state.
+   *
+   * @param groupId - group whose disks are all empty
+   * @returns BL5005 where another host has to be asked, BL5008 where a replica runs
+   */
+  acceptLoss(groupId: string): ResultAsync<void, Failure> {
+    const [former] = [...this.memberHostIds(groupId)].sort();
+    if (former === undefined) return errAsync(failure('BL5005', `no group "${groupId}" is set up`));
+    const isHere = former === this.context.settings.hostId;
+    if (groupId === controlGroupId && !isHere) {
+      return errAsync(failure('BL5005', `"${groupId}" is formed by host "${former}"; ask it`));
+    }
+    return this.describeAnywhere(groupId).andThen(({ state, replicaId }) => {
+      if (state === 'running') return err(failure('BL5008', `replica "${replicaId}" runs`));
+      this.context.log.warn('lossAccepted', { groupId });
+      return this.guard.acceptLoss(groupId);
+    });
+  }
+
   /** Groups of the settings. */
   groupIds(): string[] {
     return this.context.settings.groups.map(({ id }) => id);
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -51,10 +51,16 @@
     rpcHandlers: { ping: { ping: () => ({ hostId: settings.hostId, incarnation }) } },
     forwardedCalls: (_request, response) => response.writeHead(503).end(),
     placeCall: () => Promise.resolve({ place: 'refused', failure: notStarted }),
+    foreseeCall: () => ({ end: () => undefined }),
     mayRetry: () => false,
+    hedging: {
+      delayMs: () => undefined,
+      place: () => Promise.resolve({ place: 'refused', failure: notStarted }),
+    },
     receiveAnnouncement: () => err(notStarted),
     ledger: {
       begin: () => Promise.resolve({ decision: 'refused', failure: noLedger }),
+      find: () => Promise.resolve('notKnown'),
       finish: () => errAsync(noLedger),
     },
     findCallerZone: (callerAddress) => {
--- a/packages/host/src/slots/creditTask.ts
+++ b/packages/host/src/slots/creditTask.ts
@@ -71,6 +71,11 @@
     return { creditIds, ttlMs, expectedWaitMs };
   }
 
+  /** Slots promised to other zones. */
+  promisedSlots(): number {
+    return this.issuer.outstanding(this.context.clock.nowMs());
+  }
+
   /** Spends a credit that this host granted. */
   spendGranted(creditId: string | undefined): boolean {
     if (creditId === undefined) return false;
@@ -101,6 +106,12 @@
     return Math.min(leftMs * creditWaitShare, roundTripMs + creditMarginMs);
   }
 
+  /** Whether a call may be answered by another zone, by a credit at hand or one that may come. */
+  mayLeave(rank: number, leftMs: number): boolean {
+    const atHand = this.heldCredits.count(rank, this.context.clock.nowMs());
+    return atHand > 0 || this.creditWaitMs(rank, leftMs) > 0;
+  }
+
   /** Asks other zones for credits where the pool is under pressure. */
   tick(): void {
     if (!this.task.isBusy) return;
--- a/packages/host/src/slots/slotsFeature.ts
+++ b/packages/host/src/slots/slotsFeature.ts
@@ -3,8 +3,11 @@
 
 import type { Feature, HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
+import { otherLiveHosts } from '../runtime/otherLiveHosts.js';
 import { createAnnouncements } from './announcements.js';
+import { listBackends, registerBackendsRoutes } from './backendsView.js';
 import { CreditTask } from './creditTask.js';
+import { createHedging } from './hedging.js';
 import { createPlacement, type OwnPool } from './placement.js';
 import { createPoolOwners } from './poolOwners.js';
 import { poolRulesOf } from './poolRules.js';
@@ -48,6 +51,7 @@
   const usualMs = (service: string, kind: string) =>
     pools.get(service)?.task.pool.times.usualMs(kind, 0) ?? 0;
   const retries = createRetries(context, usualMs);
+  const hedging = createHedging(context, poolOf, retries);
   const announcements = createAnnouncements(
     context,
     parts,
@@ -55,7 +59,7 @@
     (service) => poolOf(service)?.task,
     tasks,
   );
-  const place = createPlacement(context, parts, { poolOf, owners, links, ...retries });
+  const placement = createPlacement(context, parts, { poolOf, owners, links, ...retries });
 
   const isBusy = () => {
     for (const { task } of pools.values()) {
@@ -78,18 +82,48 @@
 
   parts.provide({
     placeCall: async (call) => {
-      const placement = place(call);
+      const placing = placement.placeCall(call);
       ticker.wake();
-      const placed = await placement;
+      const placed = await placing;
       admission.note(call.service, placed);
       return placed;
     },
+    foreseeCall: (call) => {
+      const outlook = placement.foreseeCall(call);
+      const { failure: problem } = outlook;
+      if (problem !== undefined)
+        admission.note(call.service, { place: 'refused', failure: problem });
+      return outlook;
+    },
     mayRetry: retries.mayRetry,
+    hedging: {
+      delayMs: hedging.delayMs,
+      place: (call) => {
+        const hedge = hedging.place(call);
+        ticker.wake();
+        return hedge;
+      },
+    },
     receiveAnnouncement: announcements.receive,
     poolOwner: owners.ownerOf,
   });
   const { rpcHandlers } = parts;
+  const readBackends = () => listBackends(settings.hostId, tasks.values(), clock);
+  parts.adminRoutes.push((app) =>
+    registerBackendsRoutes(app, {
+      readLocal: readBackends,
+      otherHosts: () =>
+        otherLiveHosts(parts.membership, settings).filter(
+          (hostId) => parts.membership.find(hostId)?.roles.includes('entry') ?? true,
+        ),
+      readRemote: (hostId) =>
+        parts.peers.request(hostId, (client, signal) =>
+          client.slots.backends.query(undefined, { signal }),
+        ),
+    }),
+  );
   rpcHandlers.slots = {
+    backends: readBackends,
     credits: (request) =>
       poolOf(request.service)?.credits.grant(request) ?? {
         creditIds: [],
--- a/packages/testkit/src/keys/rotation.spec.ts
+++ b/packages/testkit/src/keys/rotation.spec.ts
@@ -11,7 +11,8 @@
   exampleDocument,
   firstSubmission,
 } from '../control/controlFleet.js';
-import { deploymentKeys, loopbackNetwork } from '../deployment/deployment.js';
+import { deploymentKeys } from '../deployment/deployment.js';
+import { loopbackNetwork } from '../fakes/loopback.js';
 
 const outsider = 'abuja-b-1';
 const clusterKeys = {
--- a/packages/testkit/src/slots/slotsFleet.ts
+++ b/packages/testkit/src/slots/slotsFleet.ts
@@ -1,3 +1,4 @@
+import { adminFeature } from '@buckthornlug/host/admin/adminFeature.js';
 import { callsFeature } from '@buckthornlug/host/calls/callsFeature.js';
 import { membershipFeature } from '@buckthornlug/host/membership/membershipFeature.js';
 import { startHost, type RunningHost } from '@buckthornlug/host/runtime/hostRuntime.js';
@@ -6,7 +7,12 @@
 
 import { createFleetSettings, type FleetHost } from '../fakes/hostSettings.js';
 import { valueOf } from '../fakes/results.js';
-import { createTestDocument, inForce, testHostName } from '../fakes/testDocument.js';
+import {
+  createTestDocument,
+  inForce,
+  testHostName,
+  type TestDocumentOptions,
+} from '../fakes/testDocument.js';
 
 /** Hosts with membership, slots and the path of calls, in this process. */
 export interface SlotsFleet {
@@ -16,17 +22,21 @@
   readonly stop: () => Promise<void>;
 }
 
-const features = [membershipFeature, slotsFeature, callsFeature];
+const features = [membershipFeature, slotsFeature, callsFeature, adminFeature];
 
 /**
  * Starts hosts.
  *
  * @param places - places of the hosts
+ * @param documentOptions - fields of the document to change
  */
-export async function startSlotsFleet(places: readonly FleetHost[]): Promise<SlotsFleet> {
+export async function startSlotsFleet(
+  places: readonly FleetHost[],
+  documentOptions: TestDocumentOptions = {},
+): Promise<SlotsFleet> {
   const agent = new Agent({ connections: 256 });
   const hosts: RunningHost[] = [];
-  const document = inForce(createTestDocument());
+  const document = inForce(createTestDocument(documentOptions));
   for (const settings of createFleetSettings(places)) {
     hosts.push(valueOf(await startHost(settings, { document, features })));
   }
