fix(membership): a host that stopped as planned is known to have left, and is named to no caller again

Cause: since datagrams carry heartbeats, sending one no longer waits until it has gone out, and the socket was closed right after the last words of a stop, so they were lost. The others took the silent host as suspected, and look-ups name suspected hosts, so callers were sent to a closed listener. Ruled out: the wait for the cached look-ups (the host stayed 2.2 s after leaving), the state leaving, which all hosts had at once. Change: closing the socket waits for what was sent before it. Besides, a look-up never names an incarnation again that was seen leaving, also where its last words are lost.

--- a/packages/host/src/lookups/lookupAnswers.ts
+++ b/packages/host/src/lookups/lookupAnswers.ts
@@ -28,9 +28,7 @@
   readonly invalidate: () => void;
 }
 
-function takesCalls(host: HostRecord): boolean {
-  return (host.state === 'alive' || host.state === 'suspected') && host.roles.includes('entry');
-}
+const callableStates: readonly HostRecord['state'][] = ['alive', 'suspected'];
 
 function encode(reply: LookupReply): EncodedAnswer {
   const body = JSON.stringify(reply);
@@ -53,6 +51,19 @@
 export function createLookupAnswers(context: HostContext, parts: HostParts): LookupAnswers {
   const { settings } = context;
   const answers = new Map<string, Map<string, Result<EncodedAnswer, Failure>>>();
+  /** Incarnation of each host that was seen leaving; it stays out when it falls silent. */
+  const leaving = new Map<string, number>();
+
+  const noteLeaving = () => {
+    for (const { hostId, state, incarnation } of parts.membership.hosts()) {
+      if (state === 'leaving') leaving.set(hostId, incarnation);
+    }
+  };
+
+  const takesCalls = ({ hostId, incarnation, state, roles }: HostRecord): boolean =>
+    callableStates.includes(state) &&
+    roles.includes('entry') &&
+    leaving.get(hostId) !== incarnation;
 
   const compute = (
     inForce: DocumentInForce,
@@ -96,6 +107,9 @@
       if (computed.isOk()) ofZone.set(service, computed);
       return computed;
     },
-    invalidate: () => answers.clear(),
+    invalidate: () => {
+      noteLeaving();
+      answers.clear();
+    },
   };
 }
--- a/packages/host/src/membership/membershipFeature.ts
+++ b/packages/host/src/membership/membershipFeature.ts
@@ -92,7 +92,7 @@
             endReports();
             await started.leave('left');
             started.close();
-            datagrams.close();
+            await datagrams.close();
           },
         },
       };
--- /dev/null
+++ b/packages/host/src/rpc/datagrams.spec.ts
@@ -0,0 +1,40 @@
+import { randomInt } from 'node:crypto';
+
+import test from 'ava';
+
+import { openDatagrams, type Datagrams } from './datagrams.js';
+
+const keys = [{ id: 'test', secret: 'a secret of the datagram test' }];
+const lastWords = 50;
+const waitLimitMs = 5000;
+
+async function open(address: string, port: number): Promise<Datagrams> {
+  const opened = await openDatagrams({
+    endpoint: { address, port },
+    keys,
+    onKeyRefused: () => undefined,
+  });
+  if (opened.isErr()) throw new Error(opened.error.detail);
+  return opened.value;
+}
+
+test('datagrams that were sent before the socket is closed go out', async (t) => {
+  const port = randomInt(20_000, 30_000);
+  const sender = await open('127.0.0.1', port);
+  const receiver = await open('127.0.0.2', port);
+  const received: string[] = [];
+  receiver.receive('membership', (content) => received.push(content));
+  for (let number = 0; number < lastWords; number += 1) {
+    t.true(sender.send({ address: '127.0.0.2', port }, 'membership', String(number)));
+  }
+  await sender.close();
+  t.false(sender.send({ address: '127.0.0.2', port }, 'membership', 'late'));
+  const untilMs = performance.now() + waitLimitMs;
+  while (received.length < lastWords && performance.now() < untilMs) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+  }
+  await receiver.close();
+  t.is(received.length, lastWords);
+});
--- a/packages/host/src/rpc/datagrams.ts
+++ b/packages/host/src/rpc/datagrams.ts
@@ -29,7 +29,8 @@
   readonly send: (endpoint: Endpoint, channel: DatagramChannel, content: string) => boolean;
   /** Sets the receiver of a channel. */
   readonly receive: (channel: DatagramChannel, receiver: (content: string) => void) => void;
-  readonly close: () => void;
+  /** Closes the socket once the datagrams before it have gone out. */
+  readonly close: () => Promise<void>;
 }
 
 function bind(socket: Socket, endpoint: Endpoint): Promise<void> {
@@ -60,6 +61,7 @@
   const [signingKey] = keys;
   const socket = createSocket(isIPv6(endpoint.address) ? 'udp6' : 'udp4');
   const receivers = new Map<string, (content: string) => void>();
+  const unsent = new Set<Promise<void>>();
   let isOpen = true;
 
   socket.on('message', (bytes: Buffer, sender: RemoteInfo) => {
@@ -76,17 +78,22 @@
     if (signingKey === undefined || !isOpen) return false;
     const datagram = Buffer.from(encodeDatagram(signingKey, withChannel(channel, content)));
     if (datagram.byteLength > maxDatagramBytes) return false;
-    // A datagram that cannot be sent counts as lost.
-    socket.send(datagram, target.port, target.address, () => undefined);
+    const sent = new Promise<void>((resolve) => {
+      // A datagram that cannot be sent counts as lost.
+      socket.send(datagram, target.port, target.address, () => resolve());
+    });
+    unsent.add(sent);
+    sent.then(() => unsent.delete(sent)).catch(() => undefined);
     return true;
   };
 
   const datagrams: Datagrams = {
     send,
     receive: (channel, receiver) => receivers.set(channel, receiver),
-    close: () => {
+    close: async () => {
       if (!isOpen) return;
       isOpen = false;
+      await Promise.all(unsent);
       socket.close();
     },
   };
