--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -17,18 +17,20 @@
 
 import { decodeBinary, encodeBinary } from './binaryCodec.js';
 import { consensusOptions } from './consensusOptions.js';
-import type { GroupDescription, ReplicaStatus } from './consensusSchema.js';
+import type { GroupDescription } from './consensusSchema.js';
 import type { GroupTask, GroupTaskParts, ProposalResult } from './groupTaskTypes.js';
 import { createMessageOutbox } from './messageOutbox.js';
+import { PendingReads } from './pendingReads.js';
 import { PendingReplies } from './pendingReplies.js';
+import { describeReplica } from './replicaDescription.js';
 import { SnapshotPolicy } from './snapshotPolicy.js';
 
 /** The task of one replica: carries out the effects of its step machine. */
 
 const ticksPerHeartbeat = 3;
 const storageRetryMs = 5000;
-const barrierRetryMs = 20;
 const handOverPollMs = 10;
+
 /** State, queues and timers of one replica. */
 class ReplicaTask<Command, Reply> {
   readonly replicaId: string;
@@ -39,7 +41,7 @@
 
   private readonly outbox;
 
-  private readonly reads = new Map<number, (isReady: boolean) => void>();
+  private readonly reads;
 
   private readonly listeners = new Set<(logIndex: number) => void>();
 
@@ -66,8 +68,6 @@
 
   private readonly snapshots = new SnapshotPolicy();
 
-  private nextReadId = 1;
-
   constructor(private readonly parts: GroupTaskParts<Command, Reply>) {
     const { context, storage } = parts;
     const { timing, hostId } = context.settings;
@@ -77,6 +77,7 @@
     const options = consensusOptions(timing.electionTimeoutMs, timing.heartbeatMs);
     this.restoreMachine(durable.snapshot);
     this.state = createReplica(this.replicaId, durable, options, context.clock.nowMs());
+    this.reads = new PendingReads(context.clock, (readId) => this.take({ kind: 'read', readId }));
     this.outbox = createMessageOutbox(parts.sendBatch, parts.sendHeartbeats);
     this.tickMs = timing.heartbeatMs / ticksPerHeartbeat;
     this.scheduleTick();
@@ -133,8 +134,7 @@
         break;
       case 'readReady':
       case 'readFailed':
-        this.reads.get(effect.readId)?.(effect.kind === 'readReady');
-        this.reads.delete(effect.readId);
+        this.reads.end(effect.readId, effect.kind === 'readReady');
         break;
       default:
         this.report(effect);
@@ -285,37 +285,8 @@
     return failure('BL5001', 'this host does not lead the group');
   }
 
-  private async barrier(timeoutMs: number): Promise<Result<void, Failure>> {
-    const { clock } = this.parts.context;
-    const untilMs = clock.nowMs() + timeoutMs;
-    while (clock.nowMs() < untilMs && !this.isStopped) {
-      const isReady = await this.readOnce(untilMs - clock.nowMs());
-      if (isReady) return ok(undefined);
-      await new Promise((resolve) => {
-        setTimeout(resolve, barrierRetryMs);
-      });
-    }
-    return err(failure('BL5001', 'no leader confirmed the read in time'));
-  }
-
-  private readOnce(timeoutMs: number): Promise<boolean> {
-    const readId = this.nextReadId;
-    this.nextReadId += 1;
-    return new Promise((resolve) => {
-      const timer = setTimeout(() => {
-        this.reads.delete(readId);
-        resolve(false);
-      }, timeoutMs);
-      this.reads.set(readId, (isReady) => {
-        clearTimeout(timer);
-        resolve(isReady);
-      });
-      this.take({ kind: 'read', readId });
-    });
-  }
-
   readBarrier(timeoutMs: number): ResultAsync<void, Failure> {
-    return new ResultAsync(this.barrier(timeoutMs));
+    return new ResultAsync(this.reads.barrier(timeoutMs));
   }
 
   onApplied(listener: (logIndex: number) => void): () => void {
@@ -338,35 +309,12 @@
     return !isMember && lastIndexOf(this.state.log) === 0;
   }
 
-  private statusOf(replicaId: string, role: ReplicaStatus['role']): ReplicaStatus {
-    const hostId = hostIdOf(replicaId);
-    const { leadership, log } = this.state;
-    if (leadership === undefined) return { replicaId, hostId, role };
-    const matchIndex = leadership.progress.get(replicaId)?.matchIndex;
-    const lagEntries = replicaId === this.replicaId ? 0 : lastIndexOf(log) - (matchIndex ?? 0);
-    return { replicaId, hostId, role, lagEntries };
-  }
-
   describe(): GroupDescription {
-    const { term, commitIndex, members } = this.state;
     const { groupId, storage } = this.parts;
-    const leaderId = this.leaderId();
+    const { state, storageFailure } = this;
     const { formationId } = storage.stored().identity;
-    return {
-      groupId,
-      state: this.storageFailure === undefined ? 'running' : 'failed',
-      replicaId: this.replicaId,
-      ...(formationId === undefined ? {} : { formationId }),
-      term,
-      ...(leaderId === undefined ? {} : { leaderId }),
-      isLeader: this.isLeader(),
-      commitIndex,
-      replicas: [
-        ...members.voters.map((id) => this.statusOf(id, 'voter')),
-        ...members.learners.map((id) => this.statusOf(id, 'learner')),
-      ],
-      ...(this.storageFailure === undefined ? {} : { failure: this.storageFailure }),
-    };
+    const isLeader = this.isLeader();
+    return describeReplica({ groupId, state, formationId, isLeader, storageFailure });
   }
 
   async handOver(): Promise<void> {
@@ -386,8 +334,7 @@
     clearTimeout(this.ticker);
     this.outbox.close();
     this.pending.close();
-    for (const end of this.reads.values()) end(false);
-    this.reads.clear();
+    this.reads.close();
     await this.writing;
     await this.parts.storage.close();
   }
--- /dev/null
+++ b/packages/host/src/consensus/pendingReads.ts
@@ -0,0 +1,68 @@
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, ok, type Result } from 'neverthrow';
+
+import type { Clock } from '../runtime/hostTypes.js';
+
+/** Reads of a replica that wait until a leader has confirmed them. */
+
+const retryDelayMs = 20;
+
+/** Reads that are under way, by their identity. */
+export class PendingReads {
+  private readonly waiting = new Map<number, (isReady: boolean) => void>();
+
+  private nextReadId = 1;
+
+  private isClosed = false;
+
+  /**
+   * @param clock - clock of the host
+   * @param start - starts a read in the step machine
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly start: (readId: number) => void,
+  ) {}
+
+  /** Ends a read: confirmed, or to be tried again. */
+  end(readId: number, isReady: boolean): void {
+    this.waiting.get(readId)?.(isReady);
+    this.waiting.delete(readId);
+  }
+
+  /** Waits until the machine holds everything committed before the call; BL5001 where too late. */
+  async barrier(timeoutMs: number): Promise<Result<void, Failure>> {
+    const untilMs = this.clock.nowMs() + timeoutMs;
+    while (this.clock.nowMs() < untilMs && !this.isClosed) {
+      const isReady = await this.readOnce(untilMs - this.clock.nowMs());
+      if (isReady) return ok(undefined);
+      await new Promise((resolve) => {
+        setTimeout(resolve, retryDelayMs);
+      });
+    }
+    return err(failure('BL5001', 'no leader confirmed the read in time'));
+  }
+
+  /** Ends all reads as not confirmed and takes no further ones. */
+  close(): void {
+    this.isClosed = true;
+    for (const end of this.waiting.values()) end(false);
+    this.waiting.clear();
+  }
+
+  private readOnce(timeoutMs: number): Promise<boolean> {
+    const readId = this.nextReadId;
+    this.nextReadId += 1;
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        this.waiting.delete(readId);
+        resolve(false);
+      }, timeoutMs);
+      this.waiting.set(readId, (isReady) => {
+        clearTimeout(timer);
+        resolve(isReady);
+      });
+      this.start(readId);
+    });
+  }
+}
--- /dev/null
+++ b/packages/host/src/consensus/replicaDescription.ts
@@ -0,0 +1,56 @@
+import { hostIdOf } from '@buckthornlug/core/consensus/membership.js';
+import { lastIndexOf } from '@buckthornlug/core/consensus/replicaLog.js';
+import type { ReplicaState } from '@buckthornlug/core/consensus/replicaState.js';
+import type { Failure } from '@buckthornlug/protocol/results/failure.js';
+
+import type { GroupDescription, ReplicaStatus } from './consensusSchema.js';
+
+/** A group as one of its replicas sees it, for operators and for other hosts. */
+
+/** What is told of a replica besides its state. */
+export interface DescribedReplica {
+  readonly groupId: string;
+  readonly state: ReplicaState;
+  readonly formationId: string | undefined;
+  /** Whether the replica leads and no other one can have been elected. */
+  readonly isLeader: boolean;
+  readonly storageFailure: Failure | undefined;
+}
+
+function statusOf(
+  state: ReplicaState,
+  replicaId: string,
+  role: ReplicaStatus['role'],
+): ReplicaStatus {
+  const hostId = hostIdOf(replicaId);
+  const { leadership, log } = state;
+  if (leadership === undefined) return { replicaId, hostId, role };
+  const matchIndex = leadership.progress.get(replicaId)?.matchIndex;
+  const lagEntries = replicaId === state.id ? 0 : lastIndexOf(log) - (matchIndex ?? 0);
+  return { replicaId, hostId, role, lagEntries };
+}
+
+/**
+ * Describes a group.
+ *
+ * @param replica - own replica of the group
+ */
+export function describeReplica(replica: DescribedReplica): GroupDescription {
+  const { groupId, state, formationId, isLeader, storageFailure } = replica;
+  const { term, commitIndex, members, leader } = state;
+  return {
+    groupId,
+    state: storageFailure === undefined ? 'running' : 'failed',
+    replicaId: state.id,
+    ...(formationId === undefined ? {} : { formationId }),
+    term,
+    ...(leader === null ? {} : { leaderId: hostIdOf(leader) }),
+    isLeader,
+    commitIndex,
+    replicas: [
+      ...members.voters.map((id) => statusOf(state, id, 'voter')),
+      ...members.learners.map((id) => statusOf(state, id, 'learner')),
+    ],
+    ...(storageFailure === undefined ? {} : { failure: storageFailure }),
+  };
+}
--- a/packages/protocol/src/document/documentSchema.ts
+++ b/packages/protocol/src/document/documentSchema.ts
@@ -70,7 +70,12 @@
     .describe('Ledger groups that keep identities of the kind; for execution once.'),
   targetMs: z.number().positive().optional().describe('Overrides the target of the rank.'),
   timeLimitMs: z.number().positive().describe('Time after which the call is given up.'),
-  hedge: z.boolean().default(false).describe('Whether a second attempt may start on idle slots.'),
+  hedge: z
+    .boolean()
+    .default(false)
+    .describe(
+      'Whether a late call may start a second attempt: on idle slots, or before less urgent calls once half of its target has passed.',
+    ),
 });
 
 /** Section `services/<id>`: one service and its kinds of work. */
