refactor(host): one function replaces a file whole and synced

Cause: the files of a group and the file of the last document each had their own write, sync, rename and sync of the folder, which must never differ. Change: runtime/replaceFile.ts serves both. The unfinished file of the last document is called last.json.tmp in place of last.json.next; nothing reads either. Measured (npx ava packages/host/src/consensus/groupStorage.spec.ts packages/testkit/src/documents/documents.spec.ts): 18 passed. Conclusion: behaviour as before.

--- a/packages/host/src/consensus/groupFiles.ts
+++ b/packages/host/src/consensus/groupFiles.ts
@@ -1,4 +1,4 @@
-import { open, readdir, readFile, rename, rm, stat } from 'node:fs/promises';
+import { readdir, readFile, rm, stat } from 'node:fs/promises';
 import { join } from 'node:path';
 import { crc32 } from 'node:zlib';
 
@@ -11,6 +11,7 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, ok, type Result } from 'neverthrow';
 
+import { replaceFile, unfinishedSuffix } from '../runtime/replaceFile.js';
 import { decodeBinary, encodeBinary } from './binaryCodec.js';
 import { encodeRecord, scanRecords, type ScannedRecords } from './logRecords.js';
 import type { ReplicaIdentity } from './storageTypes.js';
@@ -52,37 +53,13 @@
   return numbers.sort((left, right) => left - right);
 }
 
-/** Syncs the names in a folder. */
-async function syncFolder(folder: string): Promise<void> {
-  const handle = await open(folder, 'r');
-  try {
-    await handle.sync();
-  } finally {
-    await handle.close();
-  }
-}
-
-/** Writes a file whole or not at all, and syncs it with its name. */
-export async function writeWhole(folder: string, path: string, bytes: Uint8Array): Promise<void> {
-  const temporary = `${path}.tmp`;
-  const handle = await open(temporary, 'w');
-  try {
-    await handle.writeFile(bytes);
-    await handle.sync();
-  } finally {
-    await handle.close();
-  }
-  await rename(temporary, path);
-  await syncFolder(folder);
-}
-
 /** Writes a snapshot file. */
 export async function writeSnapshot(folder: string, snapshot: Snapshot): Promise<void> {
   const payload = Buffer.from(encodeBinary(snapshot));
   const checksum = Buffer.alloc(checksumBytes);
   checksum.writeUInt32BE(crc32(payload), 0);
   const bytes = Buffer.concat([snapshotHead, checksum, payload]);
-  await writeWhole(folder, snapshotPath(folder, snapshot.index), bytes);
+  await replaceFile(snapshotPath(folder, snapshot.index), bytes);
 }
 
 /** Writes a new segment that begins with its base. */
@@ -92,13 +69,13 @@
   base: SegmentBase,
 ): Promise<void> {
   const bytes = Buffer.concat([logHead, encodeRecord(encodeBinary(base))]);
-  await writeWhole(folder, segmentPath(folder, number), bytes);
+  await replaceFile(segmentPath(folder, number), bytes);
 }
 
 /** Writes the identity of the replica. */
 export async function writeIdentity(folder: string, identity: ReplicaIdentity): Promise<void> {
   const text = JSON.stringify({ format: formatVersion, ...identity });
-  await writeWhole(folder, join(folder, identityName), Buffer.from(`${text}\n`));
+  await replaceFile(join(folder, identityName), `${text}\n`);
 }
 
 const damaged = (path: string, problem: string): Failure =>
@@ -220,6 +197,6 @@
     if (index !== snapshotIndex) await rm(snapshotPath(folder, index));
   }
   for (const name of await readdir(folder)) {
-    if (name.endsWith('.tmp')) await rm(join(folder, name));
+    if (name.endsWith(unfinishedSuffix)) await rm(join(folder, name));
   }
 }
--- a/packages/host/src/documents/documentFile.ts
+++ b/packages/host/src/documents/documentFile.ts
@@ -1,11 +1,12 @@
 import { createHash } from 'node:crypto';
-import { mkdir, open, readFile, rename } from 'node:fs/promises';
+import { mkdir, readFile } from 'node:fs/promises';
 import { dirname, join } from 'node:path';
 
 import type { ControlUpdate } from '@buckthornlug/core/spreading/spreadingTypes.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 
+import { replaceFile } from '../runtime/replaceFile.js';
 import { controlUpdateSchema } from './documentsSchema.js';
 
 /** The last document and steps, kept in the data folder: one line of head, one line of content. */
@@ -67,24 +68,9 @@
   return text === undefined ? ok(undefined) : decodeDocumentFile(text);
 }
 
-async function replaceFile(path: string, text: string): Promise<void> {
-  const folder = dirname(path);
-  await mkdir(folder, { recursive: true });
-  const nextPath = `${path}.next`;
-  const file = await open(nextPath, 'w');
-  try {
-    await file.writeFile(text);
-    await file.sync();
-  } finally {
-    await file.close();
-  }
-  await rename(nextPath, path);
-  const directory = await open(folder, 'r');
-  try {
-    await directory.sync();
-  } finally {
-    await directory.close();
-  }
+async function writeFile(path: string, content: string): Promise<void> {
+  await mkdir(dirname(path), { recursive: true });
+  await replaceFile(path, content);
 }
 
 /**
@@ -99,7 +85,7 @@
   update: ControlUpdate,
 ): ResultAsync<void, Failure> {
   return ResultAsync.fromPromise(
-    replaceFile(documentFilePath(dataFolder), encodeDocumentFile(update)),
+    writeFile(documentFilePath(dataFolder), encodeDocumentFile(update)),
     (error) => failure('BL5004', String(error)),
   );
 }
