refactor: waits come from node:timers/promises, timeUntil stands once

Cause: a promise round setTimeout was written out in 36 places, under the names pause, sleep and waitMs in some, though the ledger, the tools and other tests used the timer of the library; three specs had the same timeUntil, and one of them used it with a condition that never holds as a sleep. Change: delay of node:timers/promises serves all waits that nothing ends early; testkit/time/timeUntil.ts serves the three specs. Waits that something ends early keep their own timer. Conclusion: behaviour as before; no assertion or limit touched (the condition is asked each 10 ms, 20 ms in two of the specs before).

--- a/packages/host/src/calls/callsFeature.ts
+++ b/packages/host/src/calls/callsFeature.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import { failure } from '@buckthornlug/protocol/results/failure.js';
 import type { ResultAsync } from 'neverthrow';
@@ -25,12 +26,6 @@
 /** How far a planned stop has got. */
 type StopProgress = 'serving' | 'leaving' | 'finishing';
 
-function sleep(timeMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, timeMs);
-  });
-}
-
 /** Longest time for which a look-up that names this host may be cached. */
 function longestLookupMs(parts: HostParts): number {
   const inForce = parts.document.current();
@@ -103,7 +98,7 @@
         progress = 'leaving';
         answers.invalidate();
         const lookupMs = longestLookupMs(parts);
-        if (lookupMs > 0) await sleep(lookupMs + leaveKnownMs + settings.timing.leaveLookupMs);
+        if (lookupMs > 0) await delay(lookupMs + leaveKnownMs + settings.timing.leaveLookupMs);
       },
       finishCalls: async () => {
         progress = 'finishing';
--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import type {
   ConsensusEffect,
   ConsensusInput,
@@ -323,9 +325,7 @@
     const untilMs = clock.nowMs() + 2 * settings.timing.electionTimeoutMs;
     this.take({ kind: 'handOver' });
     while (this.state.role === 'leader' && clock.nowMs() < untilMs) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, handOverPollMs);
-      });
+      await delay(handOverPollMs);
     }
   }
 
--- a/packages/host/src/consensus/leaderClient.ts
+++ b/packages/host/src/consensus/leaderClient.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 
@@ -126,9 +128,7 @@
       const isNewHint = attempt.leaderId !== undefined && attempt.leaderId !== target;
       this.hint = isNewHint ? attempt.leaderId : undefined;
       if (isNewHint) continue;
-      await new Promise((resolve) => {
-        setTimeout(resolve, retryPauseMs);
-      });
+      await delay(retryPauseMs);
     }
   }
 
--- a/packages/host/src/consensus/memberReplica.ts
+++ b/packages/host/src/consensus/memberReplica.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import type { ConsensusMessage } from '@buckthornlug/core/consensus/consensusTypes.js';
 import type { Formation } from '@buckthornlug/core/submissions/formationRegistry.js';
@@ -235,9 +236,7 @@
     const { clock } = this.parts.context;
     const untilMs = clock.nowMs() + timeoutMs;
     while (this.task === undefined && clock.nowMs() < untilMs && !this.isStopped) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, barrierPollMs);
-      });
+      await delay(barrierPollMs);
     }
     if (this.task !== undefined) return this.task.readBarrier(untilMs - clock.nowMs());
     return err(this.problem ?? failure('BL5001', 'the replica has not entered its group yet'));
--- a/packages/host/src/consensus/pendingReads.ts
+++ b/packages/host/src/consensus/pendingReads.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, ok, type Result } from 'neverthrow';
 
@@ -36,9 +38,7 @@
     while (this.clock.nowMs() < untilMs && !this.isClosed) {
       const isReady = await this.readOnce(untilMs - this.clock.nowMs());
       if (isReady) return ok(undefined);
-      await new Promise((resolve) => {
-        setTimeout(resolve, retryDelayMs);
-      });
+      await delay(retryDelayMs);
     }
     return err(failure('BL5001', 'no leader confirmed the read in time'));
   }
--- a/packages/host/src/documents/documentsFeature.ts
+++ b/packages/host/src/documents/documentsFeature.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { ControlCopy } from '@buckthornlug/core/spreading/controlCopy.js';
 import { ResultAsync } from 'neverthrow';
 
@@ -72,9 +74,7 @@
         await keeper.settle();
         await Promise.race([
           running,
-          new Promise((resolve) => {
-            setTimeout(resolve, settings.timing.documentPollMs).unref();
-          }),
+          delay(settings.timing.documentPollMs, undefined, { ref: false }),
         ]);
       },
     },
--- a/packages/host/src/documents/documentsTask.ts
+++ b/packages/host/src/documents/documentsTask.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { ControlContact } from '@buckthornlug/core/spreading/controlContact.js';
 import type { ControlCopy } from '@buckthornlug/core/spreading/controlCopy.js';
 import { orderSources } from '@buckthornlug/core/spreading/sources.js';
@@ -30,12 +32,6 @@
 /** Longest wait for the disk before a newer version is put in force without being kept. */
 const maxKeepMs = 1000;
 
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs).unref();
-  });
-}
-
 function takesPart(host: HostRecord): boolean {
   return host.state !== 'failed' && host.state !== 'left';
 }
@@ -211,7 +207,7 @@
   async restore(kept: ControlUpdate): Promise<void> {
     this.isRestoring = true;
     this.apply(kept, sourceOfDataFolder);
-    await Promise.race([this.poller.askSeveral(), pause(restoreWaitMs)]);
+    await Promise.race([this.poller.askSeveral(), delay(restoreWaitMs, undefined, { ref: false })]);
     this.isRestoring = false;
     this.putInForce(this.newest(), sourceOfDataFolder, kept.sections.length);
   }
@@ -233,7 +229,7 @@
       this.putInForce(newest, source, sections);
       return;
     }
-    Promise.race([kept, pause(maxKeepMs)]).then(
+    Promise.race([kept, delay(maxKeepMs, undefined, { ref: false })]).then(
       () => this.putInForce(newest, source, sections),
       () => undefined,
     );
--- a/packages/host/src/documents/versionsRoutes.ts
+++ b/packages/host/src/documents/versionsRoutes.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { failure } from '@buckthornlug/protocol/results/failure.js';
 import type { StatusReply, VersionReply } from '@buckthornlug/protocol/admin/adminSchema.js';
 import { resultCodes } from '@buckthornlug/protocol/results/resultCodes.js';
@@ -72,9 +74,7 @@
   let askedAtMs = startedAtMs;
   let behind = await mergedBehind(sources, version);
   while (behind.length > 0 && performance.now() - startedAtMs < waitMs) {
-    await new Promise((resolve) => {
-      setTimeout(resolve, recheckMs);
-    });
+    await delay(recheckMs);
     if (performance.now() - askedAtMs >= askAgainMs) {
       askedAtMs = performance.now();
       behind = await mergedBehind(sources, version);
--- a/packages/host/src/membership/membershipTask.ts
+++ b/packages/host/src/membership/membershipTask.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { MembershipMachine } from '@buckthornlug/core/membership/membership.js';
 import type {
   HeldVersions,
@@ -120,13 +122,6 @@
   }
 }
 
-/** Resolves after a time, without keeping the process alive. */
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs).unref();
-  });
-}
-
 /**
  * Starts the membership of a host.
  *
@@ -150,7 +145,7 @@
     relaysOf: (zone) => machine.relaysOf(zone).map((entry) => entry.identity.hostId),
     leave: async (state) => {
       runner.carryOut(machine.leave(state, clock.nowMs()));
-      await Promise.race([runner.settle(), pause(leaveWaitMs)]);
+      await Promise.race([runner.settle(), delay(leaveWaitMs, undefined, { ref: false })]);
     },
     close: () => clearInterval(timer),
   };
--- a/packages/host/src/rpc/datagrams.spec.ts
+++ b/packages/host/src/rpc/datagrams.spec.ts
@@ -1,4 +1,5 @@
 import { randomInt } from 'node:crypto';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import test from 'ava';
 
@@ -31,9 +32,7 @@
   t.false(sender.send({ address: '127.0.0.2', port }, 'membership', 'late'));
   const untilMs = performance.now() + waitLimitMs;
   while (received.length < lastWords && performance.now() < untilMs) {
-    await new Promise((resolve) => {
-      setTimeout(resolve, 10);
-    });
+    await delay(10);
   }
   await receiver.close();
   t.is(received.length, lastWords);
--- a/packages/testkit/src/bench/callOverhead.ts
+++ b/packages/testkit/src/bench/callOverhead.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { originOf } from '@buckthornlug/host/rpc/peerClients.js';
 import { build, type Histogram } from 'hdr-histogram-js';
 import { Agent, request } from 'undici';
@@ -32,12 +34,6 @@
   histogram.recordValue(Math.max(1, Math.round((performance.now() - startedAtMs) * usPerMs)));
 }
 
-function waitMs(timeMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, timeMs);
-  });
-}
-
 const quantileMs = (histogram: Histogram, percentile: number) =>
   histogram.getValueAtPercentile(percentile) / usPerMs;
 
@@ -71,7 +67,7 @@
     call.then(() => open.delete(call)).catch(() => undefined);
   };
   while (performance.now() < endsAtMs) {
-    await waitMs(exponential(random, 1000 / (2 * callsPerS)));
+    await delay(exponential(random, 1000 / (2 * callsPerS)));
     if (random() < 0.5) start(backendOrigin, direct);
     else start(hostOrigin, path);
   }
@@ -99,7 +95,7 @@
   });
   try {
     options.progress(`calls for ${options.durationS} s`);
-    await waitMs(3 * settings.timing.announceRenewMs);
+    await delay(3 * settings.timing.announceRenewMs);
     const hostOrigin = originOf(settings.listen.callers);
     const { direct, path } = await measure(options, hostOrigin, originOf(endpoint));
     const addedMs = (percentile: number) =>
--- a/packages/testkit/src/bench/control/idleMembers.ts
+++ b/packages/testkit/src/bench/control/idleMembers.ts
@@ -1,4 +1,5 @@
 import { readFile } from 'node:fs/promises';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import { request } from 'undici';
 
@@ -52,11 +53,6 @@
   };
 }
 
-const pause = (durationMs: number) =>
-  new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-
 /**
  * Measures a fleet that has a document and no work.
  *
@@ -66,7 +62,7 @@
 export async function measureIdleMembers(
   fleet: ControlFleet,
 ): Promise<{ readonly rows: ReportRow[]; readonly bounds: ReportBound[] }> {
-  await pause(settleMs);
+  await delay(settleMs);
   const leader = await fleet.leader();
   const follower = fleet.memberIds().find((hostId) => hostId !== leader) ?? '';
   const other = fleet.hostIds().find((hostId) => !fleet.memberIds().includes(hostId)) ?? '';
@@ -74,7 +70,7 @@
   const usages = () =>
     Promise.all(hostIds.map((hostId) => usageOf(fleet.process(hostId).processId)));
   const before = await usages();
-  await pause(idleMs);
+  await delay(idleMs);
   const after = await usages();
   const memory = await Promise.all(hostIds.map((hostId) => memoryOf(fleet, hostId)));
   const conditions = ['idle leader', 'idle follower', 'idle host without a replica'];
--- a/packages/testkit/src/bench/load/drainExperiment.ts
+++ b/packages/testkit/src/bench/load/drainExperiment.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { atMost, type BenchOptions, type BenchReport, type Experiment } from '../benchTypes.js';
 import { atLoad, trekpole } from './loadDeployments.js';
 import { startLoadFleet, type LoadFleet } from './loadFleet.js';
@@ -13,12 +15,6 @@
 const watchMs = 4000;
 const lastNewCallBoundMs = 2000;
 
-function sleep(timeMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, timeMs);
-  });
-}
-
 interface DrainResult {
   readonly lastNewCallMs: number;
   readonly emptyMs: number;
@@ -46,7 +42,7 @@
     if (counts.received > received) lastNewCallMs = elapsedMs;
     if (counts.inFlight > 0) emptyMs = elapsedMs;
     received = counts.received;
-    await sleep(pollMs);
+    await delay(pollMs);
   }
   const after = await read();
   return { lastNewCallMs, emptyMs, cancelled: after.cancelled - before.cancelled };
@@ -63,7 +59,7 @@
   const [zone = ''] = fleet.zones;
   const durationMs = warmUpMs + Math.max(options.durationS * msPerS, watchMs * 2);
   try {
-    await sleep(settleMs);
+    await delay(settleMs);
     const offered = offerLoad(fleet, {
       seed,
       shares: atLoad(trekpole.shares, load),
@@ -72,7 +68,7 @@
       processes: 1,
       looksUp: true,
     });
-    await sleep(warmUpMs * 3);
+    await delay(warmUpMs * 3);
     const drain = await watchDrain(fleet, zone, `parts-desk-${zone}-0`);
     const summary = summarize(await offered);
     const figures = { ...drain, broken: summary.broken, offered: summary.offered };
--- a/packages/testkit/src/bench/load/floodExperiment.ts
+++ b/packages/testkit/src/bench/load/floodExperiment.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { atLeast } from '../benchTypes.js';
 import type {
   ReportBound,
@@ -24,12 +26,6 @@
 const loadProcesses = 2;
 const floodedService = 'parts-desk';
 
-function sleep(timeMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, timeMs);
-  });
-}
-
 /** Base load with the kinds of one rank multiplied. */
 function floodShares(kinds: readonly string[]): KindShare[] {
   return trekpole.shares.map((share) => ({
@@ -94,7 +90,7 @@
   const fleet = await startLoadFleet({ ...trekpole.fleet, regions: 1, hosts, seed: options.seed });
   const durationMs = options.durationS * msPerS;
   try {
-    await sleep(settleMs);
+    await delay(settleMs);
     for (const flood of floods) {
       options.progress(`${hosts}, flood of the ${flood.name}`);
       const slotTimesBefore = await fleet.slotTimes();
--- a/packages/testkit/src/bench/load/latencyExperiment.ts
+++ b/packages/testkit/src/bench/load/latencyExperiment.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { atLeast, atMost } from '../benchTypes.js';
 import type {
   ReportBound,
@@ -27,12 +29,6 @@
 /** Size that one machine bears together with its sources of load. */
 const oneRegion = { regions: 1 };
 
-function sleep(timeMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, timeMs);
-  });
-}
-
 /** What is measured on one deployment. */
 export interface LoadSeries {
   readonly deployment: LoadDeployment;
@@ -59,7 +55,7 @@
   const fleet = await startLoadFleet({ ...size, hosts: series.hosts, seed: options.seed });
   const measured: MeasuredLoad[] = [];
   try {
-    await sleep(settleMs);
+    await delay(settleMs);
     let shedBefore = 0;
     for (const load of series.loads) {
       options.progress(`${deployment.name}, ${series.hosts}, load ${load}`);
--- a/packages/testkit/src/bench/load/loadGenerator.ts
+++ b/packages/testkit/src/bench/load/loadGenerator.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { lookupPath, resultCodeHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
 import type { Endpoint } from '@buckthornlug/protocol/common/primitives.js';
 import { lookupReplySchema } from '@buckthornlug/protocol/lookup/lookupSchema.js';
@@ -65,10 +67,7 @@
     let nextMs = startMs + exponential(this.random, gapMs);
     while (nextMs < endMs) {
       const waitMs = nextMs - performance.now();
-      if (waitMs > 0.5)
-        await new Promise((resolve) => {
-          setTimeout(resolve, waitMs);
-        });
+      if (waitMs > 0.5) await delay(waitMs);
       while (nextMs <= performance.now() && nextMs < endMs) {
         this.start(nextMs, nextMs >= startMs + this.plan.warmUpMs);
         nextMs += exponential(this.random, gapMs);
--- a/packages/testkit/src/bench/lookup.ts
+++ b/packages/testkit/src/bench/lookup.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { lookupPath } from '@buckthornlug/protocol/calls/callHeaders.js';
 import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
 import { originOf } from '@buckthornlug/host/rpc/peerClients.js';
@@ -28,12 +30,6 @@
   return { all: blocks };
 }
 
-function waitMs(timeMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, timeMs);
-  });
-}
-
 /** Sends look-ups at the rate for a time; resolves to the number answered. */
 async function sendLookups(
   agents: readonly Agent[],
@@ -61,7 +57,7 @@
       lookup.then(() => open.delete(lookup)).catch(() => undefined);
       nextAtMs += exponential(random, 1000 / lookupsPerS);
     }
-    await waitMs(1);
+    await delay(1);
   }
   await Promise.all(open);
   return answered;
@@ -102,7 +98,7 @@
   try {
     const origin = originOf(settings.listen.callers);
     const idleBeforeMs = await host.cpuMs();
-    await waitMs(1000);
+    await delay(1000);
     const idleShare = ((await host.cpuMs()) - idleBeforeMs) / 1000;
     options.progress('look-ups over kept connections');
     const kept = await measureShare(options, host, origin, false);
--- a/packages/testkit/src/bench/members/spreadingExperiment.ts
+++ b/packages/testkit/src/bench/members/spreadingExperiment.ts
@@ -1,5 +1,6 @@
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import { features as allFeatures } from '@buckthornlug/host/features.js';
 import { startHost, type RunningHost } from '@buckthornlug/host/runtime/hostRuntime.js';
@@ -23,12 +24,6 @@
   ['membership', 'documents'].includes(feature.name),
 );
 
-function sleep(timeMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, timeMs);
-  });
-}
-
 function cpuMs(): number {
   const { user, system } = process.cpuUsage();
   return (user + system) / 1000;
@@ -73,7 +68,7 @@
       const started = await startHost(one, { features: own, writeLogLine: () => undefined });
       this.hosts.push(valueOf(started));
     }
-    await sleep(settleMs);
+    await delay(settleMs);
   }
 
   /** Waits until a version is in force on all hosts; gives the time. */
@@ -82,7 +77,7 @@
     const isBehind = (host: RunningHost) => (host.parts.document.current()?.version ?? 0) < version;
     while (this.hosts.some(isBehind)) {
       if (performance.now() - startMs > limitMs) return Infinity;
-      await sleep(1);
+      await delay(1);
     }
     return performance.now() - startMs;
   }
@@ -108,7 +103,7 @@
   await fleet.start(count);
   await fleet.untilInForce(fleet.control.commitDocument(createTestDocument()));
   const idleFrom = cpuMs();
-  await sleep(idleMs);
+  await delay(idleMs);
   const idlePerMs = (cpuMs() - idleFrom) / idleMs;
   const samples: SpreadingSample[] = [];
   for (const blocks of sectionBlocks) {
--- a/packages/testkit/src/calls/callFleet.ts
+++ b/packages/testkit/src/calls/callFleet.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { callsFeature } from '@buckthornlug/host/calls/callsFeature.js';
 import type { Feature } from '@buckthornlug/host/runtime/hostParts.js';
 import { startHost, type RunningHost } from '@buckthornlug/host/runtime/hostRuntime.js';
@@ -138,8 +140,6 @@
   const startedAtMs = performance.now();
   while (!condition()) {
     if (performance.now() - startedAtMs > timeoutMs) throw new Error('the condition never held');
-    await new Promise((resolve) => {
-      setTimeout(resolve, 5);
-    });
+    await delay(5);
   }
 }
--- a/packages/testkit/src/control/controlFaults.spec.ts
+++ b/packages/testkit/src/control/controlFaults.spec.ts
@@ -1,5 +1,6 @@
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
 import type { VersionStatus } from '@buckthornlug/protocol/submissions/submissionSchema.js';
@@ -124,9 +125,7 @@
     for (const [round, delayMs] of [0, 3, 7, 1, 12].entries()) {
       const leader = await fleet.leader();
       const submitted = [submitSection(trial, `r${round}-x`), submitSection(trial, `r${round}-y`)];
-      await new Promise((resolve) => {
-        setTimeout(resolve, delayMs);
-      });
+      await delay(delayMs);
       await fleet.kill([leader]);
       await Promise.all(submitted);
       await fleet.start([leader]);
--- a/packages/testkit/src/control/earlyStop.spec.ts
+++ b/packages/testkit/src/control/earlyStop.spec.ts
@@ -1,5 +1,6 @@
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import { startHost } from '@buckthornlug/host/runtime/hostRuntime.js';
 import test from 'ava';
@@ -33,14 +34,10 @@
       if (isStopped && line.includes('event=replicaStarted')) started.push(line);
     };
     const host = (await startHost(settings!, { writeLogLine }))._unsafeUnwrap();
-    await new Promise((resolve) => {
-      setTimeout(resolve, afterMs);
-    });
+    await delay(afterMs);
     await host.stop();
     isStopped = true;
-    await new Promise((resolve) => {
-      setTimeout(resolve, 50);
-    });
+    await delay(50);
     t.deepEqual(started, []);
   }
 });
--- a/packages/testkit/src/control/submissionSteps.spec.ts
+++ b/packages/testkit/src/control/submissionSteps.spec.ts
@@ -1,5 +1,6 @@
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
 import type { Submission } from '@buckthornlug/protocol/submissions/submissionSchema.js';
@@ -44,16 +45,11 @@
   ) => Promise<unknown>;
 }
 
-const pause = (durationMs: number) =>
-  new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-
 async function until(what: string, holds: () => Promise<boolean> | boolean): Promise<void> {
   const untilMs = performance.now() + waitLimitMs;
   while (performance.now() < untilMs) {
     if (await holds()) return;
-    await pause(10);
+    await delay(10);
   }
   throw new Error(`not in time: ${what}`);
 }
@@ -62,14 +58,14 @@
   {
     step: 'before it is proposed',
     hold: ({ relays }, leader) => relays.get(`${receiver}>${leader}`)?.stall('forth'),
-    reached: () => pause(afterSubmitMs),
+    reached: () => delay(afterSubmitMs),
   },
   {
     step: 'after it is proposed',
     hold: ({ relays, fleet }, leader) => {
       for (const member of fleet.memberIds()) relays.get(`${leader}>${member}`)?.stall('forth');
     },
-    reached: () => pause(afterSubmitMs),
+    reached: () => delay(afterSubmitMs),
   },
   {
     step: 'after the commit and before the answer',
--- a/packages/testkit/src/control/versionWatch.ts
+++ b/packages/testkit/src/control/versionWatch.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import type { ControlFleet } from './controlFleet.js';
 
 /** Watches the version of the document in force on every host of a fleet. */
@@ -42,9 +44,7 @@
       const { body } = await fleet.ask(hostId, '/v1/status');
       const version = (body as { documentVersion?: number } | undefined)?.documentVersion ?? 0;
       if (version > 0) note(hostId, version);
-      await new Promise((resolve) => {
-        setTimeout(resolve, intervalMs);
-      });
+      await delay(intervalMs);
     }
   };
   const followers = fleet.hostIds().map(follow);
@@ -54,12 +54,7 @@
     reverted: () => reversals,
     stop: async () => {
       isStopped = true;
-      await Promise.race([
-        Promise.all(followers),
-        new Promise((resolve) => {
-          setTimeout(resolve, 100);
-        }),
-      ]);
+      await Promise.race([Promise.all(followers), delay(100)]);
     },
   };
 }
--- a/packages/testkit/src/demo/demo.spec.ts
+++ b/packages/testkit/src/demo/demo.spec.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
+import { setTimeout as delay } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 
 import test, { type ExecutionContext } from 'ava';
@@ -32,9 +33,7 @@
   while (performance.now() < untilMs) {
     const found = line.exec(demo.output())?.[1];
     if (found !== undefined) return found;
-    await new Promise((resolve) => {
-      setTimeout(resolve, 50);
-    });
+    await delay(50);
   }
   throw new Error(`the demo did not print ${name}:\n${demo.output()}`);
 }
--- a/packages/testkit/src/demo/demoMain.ts
+++ b/packages/testkit/src/demo/demoMain.ts
@@ -1,5 +1,6 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import { request } from 'undici';
 
@@ -26,12 +27,6 @@
 const say = (text: string) => console.log(text);
 const title = (text: string) => say(`\n== ${text}`);
 
-function pause(timeMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, timeMs);
-  });
-}
-
 function expectThat(condition: boolean, problem: string): void {
   if (!condition) throw new Error(problem);
 }
@@ -60,7 +55,7 @@
     if (result.result === 'answered') return;
     const isLate = performance.now() - startedAtMs > readyTimeoutMs;
     expectThat(!isLate, `no call was answered: ${result.attempts.join(', ')}`);
-    await pause(retryDelayMs);
+    await delay(retryDelayMs);
   }
 }
 
--- a/packages/testkit/src/documents/documents.spec.ts
+++ b/packages/testkit/src/documents/documents.spec.ts
@@ -1,6 +1,7 @@
 import { mkdtemp, readFile, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import { features as allFeatures } from '@buckthornlug/host/features.js';
 import { documentFilePath } from '@buckthornlug/host/documents/documentFile.js';
@@ -12,6 +13,7 @@
 import { valueOf } from '../fakes/results.js';
 import { FakeControlState } from './fakeControlState.js';
 import { smallDocument } from './smallDocument.js';
+import { timeUntil } from '../time/timeUntil.js';
 
 const zones = ['seq-a', 'seq-b', 'wide-a', 'wide-b', 'downs-a', 'downs-b'];
 const regions = {
@@ -66,17 +68,6 @@
   return host.parts.document.current()?.version ?? 0;
 }
 
-async function timeUntil(holds: () => boolean, limitMs: number): Promise<number> {
-  const startMs = performance.now();
-  while (!holds()) {
-    if (performance.now() - startMs > limitMs) return Infinity;
-    await new Promise((resolve) => {
-      setTimeout(resolve, 10);
-    });
-  }
-  return performance.now() - startMs;
-}
-
 async function versionReply(host: RunningHost, version: number, waitMs: number) {
   const { address, port } = host.context.settings.listen.admin;
   const reply = await fetch(`http://${address}:${port}/v1/versions/${version}?waitMs=${waitMs}`);
@@ -214,9 +205,7 @@
     ...rpcHandlers.documents!,
     poll: () => Promise.resolve({ update: older, silentMs: 0 }),
   };
-  await new Promise((resolve) => {
-    setTimeout(resolve, 300);
-  });
+  await delay(300);
   t.is(versionOf(hosts[1]!), version);
   t.deepEqual(hosts[1]!.parts.document.current()!.document.ranks, []);
 });
--- a/packages/testkit/src/fakes/fakeBackend.ts
+++ b/packages/testkit/src/fakes/fakeBackend.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import type { Announcement } from '@buckthornlug/protocol/announce/announceSchema.js';
 import { requestIdHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
@@ -56,12 +57,6 @@
   };
 }
 
-function sleep(timeMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, timeMs);
-  });
-}
-
 /** Reads a body to its end; resolves to its size, also where it broke off. */
 async function receiveBody(request: IncomingMessage): Promise<number> {
   let bodyBytes = 0;
@@ -241,7 +236,7 @@
       leavingSinceMs = performance.now();
       await announcer.announceNow();
       while (counts.inFlight > 0 || performance.now() - leavingSinceMs < leaveGraceMs) {
-        await sleep(10);
+        await delay(10);
       }
       await close();
     },
--- a/packages/testkit/src/keys/wrongKeys.spec.ts
+++ b/packages/testkit/src/keys/wrongKeys.spec.ts
@@ -1,6 +1,7 @@
 import { createSocket } from 'node:dgram';
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import { signRequest } from '@buckthornlug/core/keys/requestSignature.js';
 import { encodeDatagram } from '@buckthornlug/core/membership/datagramForm.js';
@@ -106,9 +107,7 @@
     const refused = () =>
       host.context.timeline.read(-1).some((one) => one.kind === event && one.code === code);
     for (let attempt = 0; attempt < 100 && !refused(); attempt += 1) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, 20);
-      });
+      await delay(20);
     }
     t.true(refused(), `event ${event} with ${code}`);
     t.is(host.parts.document.current(), undefined);
--- a/packages/testkit/src/ledger/onceCalls.spec.ts
+++ b/packages/testkit/src/ledger/onceCalls.spec.ts
@@ -1,6 +1,7 @@
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 import { features } from '@buckthornlug/host/features.js';
@@ -44,9 +45,7 @@
       body,
     });
     if (reply.result !== 'BL3002' || resends === maxResends) return reply;
-    await new Promise((resolve) => {
-      setTimeout(resolve, resendDelayMs);
-    });
+    await delay(resendDelayMs);
   }
 }
 
@@ -59,9 +58,7 @@
   for (let tries = 0; tries < 50; tries += 1) {
     const reply = await order(0, 'warm-up');
     if (reply.result === 'answered') return;
-    await new Promise((resolve) => {
-      setTimeout(resolve, 100);
-    });
+    await delay(100);
   }
   throw new Error('the hosts answer no order');
 });
--- a/packages/testkit/src/membership/membershipHosts.spec.ts
+++ b/packages/testkit/src/membership/membershipHosts.spec.ts
@@ -5,6 +5,7 @@
 
 import { createFleetSettings, type FleetHost } from '../fakes/hostSettings.js';
 import { valueOf } from '../fakes/results.js';
+import { timeUntil } from '../time/timeUntil.js';
 
 const zones = ['lagos-a', 'lagos-b', 'abuja-a'];
 const fleet: FleetHost[] = zones.flatMap((availabilityZone) =>
@@ -15,7 +16,6 @@
   })),
 );
 const membership = features.filter((feature) => feature.name === 'membership');
-const pollMs = 20;
 
 async function startAll(
   t: ExecutionContext,
@@ -29,18 +29,6 @@
   return hosts;
 }
 
-/** Waits until a condition holds; returns the time it took, or infinity after the limit. */
-async function timeUntil(holds: () => boolean, limitMs: number): Promise<number> {
-  const startMs = performance.now();
-  while (!holds()) {
-    if (performance.now() - startMs > limitMs) return Infinity;
-    await new Promise((resolve) => {
-      setTimeout(resolve, pollMs);
-    });
-  }
-  return performance.now() - startMs;
-}
-
 function allSee(hosts: readonly RunningHost[], of: string, state: string): boolean {
   return hosts.every(
     (host) =>
--- a/packages/testkit/src/partitions/partitions.spec.ts
+++ b/packages/testkit/src/partitions/partitions.spec.ts
@@ -1,5 +1,6 @@
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 import test, { type ExecutionContext } from 'ava';
@@ -7,6 +8,7 @@
 import { blocksSubmission, firstSubmission } from '../control/controlFleet.js';
 import { createTestDocument } from '../fakes/testDocument.js';
 import { PartitionFleet } from './partitionFleet.js';
+import { timeUntil } from '../time/timeUntil.js';
 
 const document = createTestDocument({ ledgerGroups: ['ledger-1'] });
 const cutOff = 'abuja-a-1';
@@ -36,18 +38,6 @@
   return fleet;
 }
 
-/** Time until a condition holds; infinity after the limit. */
-async function timeUntil(holds: () => Promise<boolean>, limitMs = waitLimitMs): Promise<number> {
-  const startMs = performance.now();
-  while (!(await holds())) {
-    if (performance.now() - startMs > limitMs) return Infinity;
-    await new Promise((resolve) => {
-      setTimeout(resolve, 20);
-    });
-  }
-  return performance.now() - startMs;
-}
-
 async function allAt(fleet: PartitionFleet, hosts: readonly string[], version: number) {
   const versions = await Promise.all(hosts.map((hostId) => fleet.versionOn(hostId)));
   return versions.every((one) => one === version);
@@ -122,12 +112,12 @@
       t.is(status, 200, JSON.stringify(body));
     }
     // Several election timeouts pass on the far side.
-    await timeUntil(() => Promise.resolve(false), 3 * longElections.electionTimeoutMs);
+    await delay(3 * longElections.electionTimeoutMs);
     t.true((await timeUntil(() => allLed(fleet, connected))) < waitLimitMs);
     const before = await fleet.leadersSeen(connected[0]!);
     fleet.heal();
     t.true((await timeUntil(() => allAt(fleet, everyone, 6))) < waitLimitMs);
-    await timeUntil(() => Promise.resolve(false), 2 * longElections.electionTimeoutMs);
+    await delay(2 * longElections.electionTimeoutMs);
     t.deepEqual(await fleet.leadersSeen(connected[0]!), before);
     t.true(await allAt(fleet, everyone, 6));
   },
--- a/packages/testkit/src/scenarios/submitChange.ts
+++ b/packages/testkit/src/scenarios/submitChange.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { createAdminClient } from '@buckthornlug/cli/api/adminClient.js';
 import { buildSubmission } from '@buckthornlug/cli/api/buildSubmission.js';
 import { checkDocument } from '@buckthornlug/protocol/document/document.js';
@@ -37,12 +39,6 @@
   return checkDocument(answer.value)._unsafeUnwrap();
 }
 
-function pause(): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, retryDelayMs);
-  });
-}
-
 /**
  * Submits a change of the document; the first submission brings the whole document. A submission
  * whose outcome is not known is sent again with the same identity.
@@ -82,7 +78,7 @@
     }
     outcome = answer.error.code;
     if (step.expect !== 'accepted' || !unavailableCodes.includes(outcome)) break;
-    await pause();
+    await delay(retryDelayMs);
   }
   if (outcome !== step.expect) throw new Error(`submission: ${outcome} in place of ${step.expect}`);
 }
--- a/packages/testkit/src/slots/backendsView.spec.ts
+++ b/packages/testkit/src/slots/backendsView.spec.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { mergeBackends } from '@buckthornlug/host/slots/backendsView.js';
 import {
   backendsReplySchema,
@@ -42,9 +44,7 @@
     for (;;) {
       const { backends } = await read();
       if (holds(backends) || performance.now() - startMs > limitMs) return backends;
-      await new Promise((resolve) => {
-        setTimeout(resolve, 20);
-      });
+      await delay(20);
     }
   };
   const held = await until((listed) => listed[0]?.holdsLease === true);
--- a/packages/testkit/src/slots/slots.spec.ts
+++ b/packages/testkit/src/slots/slots.spec.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import test from 'ava';
 
 import { startFakeBackend, type FakeBackend } from '../fakes/fakeBackend.js';
@@ -36,9 +38,7 @@
 async function untilAnswered(host: number): Promise<void> {
   for (let attempt = 0; attempt < 400; attempt += 1) {
     if ((await fleet.call(host)) === 'answered') return;
-    await new Promise((resolve) => {
-      setTimeout(resolve, 10);
-    });
+    await delay(10);
   }
   throw new Error('the host never answered');
 }
