refactor(testkit): one fleet for the two specs of once-only calls

Cause: onceCalls.spec and onceFlood.spec started the same three hosts, ledger group and document, and sent orders with the same lines. Change: ledger/onceCallFleet.ts starts the fleet, sends orders and clears the data folder. Conclusion: behaviour as before; every assertion and bound stays.

--- /dev/null
+++ b/packages/testkit/src/ledger/onceCallFleet.ts
@@ -0,0 +1,57 @@
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { features } from '@buckthornlug/host/features.js';
+import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
+
+import { startCallFleet, type CallFleet, type CallFleetOptions } from '../calls/callFleet.js';
+import { createTestDocument, inForce, testIdentityHeader } from '../fakes/testDocument.js';
+
+const zones = ['lagos-a', 'lagos-b', 'abuja-a'];
+
+/** Three hosts with a ledger group, one in each of three zones, and their backend servers. */
+export interface OnceCallFleet extends CallFleet {
+  /** Sends an order with its identity through a host. */
+  readonly order: (host: number, identity: string, body?: string) => ReturnType<CallFleet['call']>;
+}
+
+/**
+ * Starts hosts that run once-only work.
+ *
+ * @param backends - backend servers
+ */
+export async function startOnceCallFleet(
+  backends: Pick<CallFleetOptions, 'backendHosts' | 'meanMs'>,
+): Promise<OnceCallFleet> {
+  const dataFolder = await mkdtemp(join(tmpdir(), 'bl-once-'));
+  const fleet = await startCallFleet({
+    hosts: zones.map((availabilityZone, index) => ({
+      hostId: `host-${index}`,
+      region: availabilityZone.startsWith('lagos') ? 'lagos' : 'abuja',
+      availabilityZone,
+      roles: ['entry', 'control'] satisfies Settings['roles'],
+    })),
+    overrides: {
+      dataFolder,
+      groups: [{ id: 'ledger-a', members: ['host-0', 'host-1', 'host-2'] }],
+      timing: { electionTimeoutMs: 300, heartbeatMs: 50 },
+    },
+    features,
+    document: inForce(createTestDocument({ timeLimitMs: 4000 })),
+    ...backends,
+  });
+  return {
+    ...fleet,
+    order: (host, identity, body = 'one pallet') =>
+      fleet.call(host, '/orders', {
+        method: 'POST',
+        headers: { [testIdentityHeader]: identity },
+        body,
+      }),
+    stop: async () => {
+      await fleet.stop();
+      await rm(dataFolder, { recursive: true });
+    },
+  };
+}
--- a/packages/testkit/src/ledger/onceCalls.spec.ts
+++ b/packages/testkit/src/ledger/onceCalls.spec.ts
@@ -1,49 +1,19 @@
-import { mkdtemp, rm } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
 
-import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
-import { features } from '@buckthornlug/host/features.js';
 import test from 'ava';
 
-import { startCallFleet } from '../calls/callFleet.js';
-import { createTestDocument, inForce, testIdentityHeader } from '../fakes/testDocument.js';
+import { startOnceCallFleet } from './onceCallFleet.js';
 
-const dataFolder = await mkdtemp(join(tmpdir(), 'bl-once-'));
-const zones = ['lagos-a', 'lagos-b', 'abuja-a'];
 const maxResends = 50;
 const resendDelayMs = 100;
-const fleet = await startCallFleet({
-  hosts: zones.map((availabilityZone, index) => ({
-    hostId: `host-${index}`,
-    region: availabilityZone.startsWith('lagos') ? 'lagos' : 'abuja',
-    availabilityZone,
-    roles: ['entry', 'control'] satisfies Settings['roles'],
-  })),
-  overrides: {
-    dataFolder,
-    groups: [{ id: 'ledger-a', members: ['host-0', 'host-1', 'host-2'] }],
-    timing: { electionTimeoutMs: 300, heartbeatMs: 50 },
-  },
-  features,
-  document: inForce(createTestDocument({ timeLimitMs: 4000 })),
-  backendHosts: [0, 1, 2],
-});
+const fleet = await startOnceCallFleet({ backendHosts: [0, 1, 2] });
 
-test.after.always(async () => {
-  await fleet.stop();
-  await rm(dataFolder, { recursive: true });
-});
+test.after.always(fleet.stop);
 
 /** Sends an order; again while the pool refuses it as not run for want of time. */
-async function order(host: number, identity: string, body = 'one pallet') {
+async function order(host: number, identity: string, body?: string) {
   for (let resends = 0; ; resends += 1) {
-    const reply = await fleet.call(host, '/orders', {
-      method: 'POST',
-      headers: { [testIdentityHeader]: identity },
-      body,
-    });
+    const reply = await fleet.order(host, identity, body);
     if (reply.result !== 'BL3002' || resends === maxResends) return reply;
     await delay(resendDelayMs);
   }
--- a/packages/testkit/src/ledger/onceFlood.spec.ts
+++ b/packages/testkit/src/ledger/onceFlood.spec.ts
@@ -1,52 +1,19 @@
-import { mkdtemp, rm } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { features } from '@buckthornlug/host/features.js';
-import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 import test from 'ava';
 
-import { startCallFleet, type TestReply } from '../calls/callFleet.js';
-import { createTestDocument, inForce, testIdentityHeader } from '../fakes/testDocument.js';
+import type { TestReply } from '../calls/callFleet.js';
+import { startOnceCallFleet } from './onceCallFleet.js';
 
 const floodCalls = 400;
 const floodIntervalMs = 3;
 /** Commits that each refused call may cost on average: a fifth of an intent and its end. */
 const commitsPerRefusedCall = 0.4;
 
-const dataFolder = await mkdtemp(join(tmpdir(), 'bl-once-flood-'));
-const zones = ['lagos-a', 'lagos-b', 'abuja-a'];
-const fleet = await startCallFleet({
-  hosts: zones.map((availabilityZone, index) => ({
-    hostId: `host-${index}`,
-    region: availabilityZone.startsWith('lagos') ? 'lagos' : 'abuja',
-    availabilityZone,
-    roles: ['entry', 'control'] satisfies Settings['roles'],
-  })),
-  overrides: {
-    dataFolder,
-    groups: [{ id: 'ledger-a', members: ['host-0', 'host-1', 'host-2'] }],
-    timing: { electionTimeoutMs: 300, heartbeatMs: 50 },
-  },
-  features,
-  document: inForce(createTestDocument({ timeLimitMs: 4000 })),
-  backendHosts: [0],
-  meanMs: 60,
-});
-
-test.after.always(async () => {
-  await fleet.stop();
-  await rm(dataFolder, { recursive: true });
-});
+const fleet = await startOnceCallFleet({ backendHosts: [0], meanMs: 60 });
+const { order } = fleet;
 
-function order(host: number, identity: string): Promise<TestReply> {
-  return fleet.call(host, '/orders', {
-    method: 'POST',
-    headers: { [testIdentityHeader]: identity },
-    body: 'one pallet',
-  });
-}
+test.after.always(fleet.stop);
 
 /** Entries that the ledger has committed. */
 function commits(): number {
