fix(membership): a host that was seen leaving stays so for look-ups and for pool owners

The list was also walked over all hosts at each change of the membership. Change: the membership view keeps isLeaving with the record of an incarnation; runtime/takesWork.ts is the one predicate of look-ups and pool owners.

--- a/packages/host/src/lookups/lookupAnswers.spec.ts
+++ b/packages/host/src/lookups/lookupAnswers.spec.ts
@@ -1,11 +1,14 @@
+import type { MemberEntry } from '@buckthornlug/core/membership/membershipTypes.js';
 import { compileTable } from '@buckthornlug/core/table/table.js';
 import { checkDocument } from '@buckthornlug/protocol/document/document.js';
 import { lookupReplySchema } from '@buckthornlug/protocol/lookup/lookupSchema.js';
 import { readFile } from 'node:fs/promises';
 import test from 'ava';
 
+import { createMemberView } from '../membership/memberView.js';
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext, HostRecord } from '../runtime/hostTypes.js';
+import { createPoolOwners } from '../slots/poolOwners.js';
 import { createLookupAnswers } from './lookupAnswers.js';
 
 const document = checkDocument(
@@ -13,20 +16,21 @@
 )._unsafeUnwrap();
 const table = compileTable(document);
 
-function record(hostId: string, state: HostRecord['state'], incarnation = 1): HostRecord {
+function entryOf(hostId: string, state: HostRecord['state'], incarnation = 1): MemberEntry {
   const endpoint = { address: '127.0.0.1', port: 7001 };
+  const place = { region: 'lagos', availabilityZone: 'lagos-a', roles: ['entry' as const] };
   return {
-    hostId,
-    region: 'lagos',
-    availabilityZone: 'lagos-a',
-    roles: ['entry'],
-    internal: endpoint,
-    callers: endpoint,
-    admin: endpoint,
+    identity: { hostId, ...place, internal: endpoint, callers: endpoint, admin: endpoint },
     incarnation,
+    refutation: 0,
     state,
     documentVersion: 1,
     shiftRevision: 0,
+    changedAtMs: 0,
+    suspicionEndsAtMs: 0,
+    accusedHere: false,
+    reachable: true,
+    introduced: true,
   };
 }
 
@@ -71,24 +75,36 @@
 ];
 
 for (const { title, states, isNamed } of histories) {
-  test(`a host that ${title} ${isNamed ? 'is' : 'is not'} named to callers`, (t) => {
-    let hosts: HostRecord[] = [];
+  test(`a host that ${title} ${isNamed ? 'is' : 'is not'} named to callers and given pools`, (t) => {
+    const stays = entryOf('stays', 'alive');
+    let members = [stays];
+    let revision = 0;
+    const membership = createMemberView({
+      members: () => members,
+      own: () => stays,
+      revision: () => revision,
+    });
     const parts = {
       table: { current: () => table },
       document: { current: () => ({ version: 1, document }) },
-      membership: { hosts: () => hosts },
+      membership,
       poolOwner: () => undefined,
       findCallerZone: () => 'lagos-a',
     } as unknown as HostParts;
-    const context = { settings: { availabilityZone: 'lagos-a' } } as unknown as HostContext;
+    const settings = { hostId: 'asked', availabilityZone: 'lagos-a' };
+    const context = { settings } as unknown as HostContext;
     const answers = createLookupAnswers(context, parts);
+    const owners = createPoolOwners(context, parts);
     for (const [state, incarnation] of states) {
-      hosts = [record('stays', 'alive'), record('changes', state, incarnation)];
+      members = [stays, entryOf('changes', state, incarnation)];
+      revision += 1;
+      membership.refresh();
       answers.invalidate();
     }
     const answer = answers.answer('parts-desk', '127.0.0.1')._unsafeUnwrap();
     const named = lookupReplySchema.parse(JSON.parse(answer.body)).hosts.map((each) => each.hostId);
     t.is(named.includes('changes'), isNamed);
     t.true(named.includes('stays'));
+    t.is(owners.localOwner('parts-desk', ['stays']) === 'changes', isNamed);
   });
 }
--- a/packages/host/src/lookups/lookupAnswers.ts
+++ b/packages/host/src/lookups/lookupAnswers.ts
@@ -4,7 +4,8 @@
 import { err, ok, type Result } from 'neverthrow';
 
 import type { HostParts } from '../runtime/hostParts.js';
-import type { DocumentInForce, HostContext, HostRecord } from '../runtime/hostTypes.js';
+import type { DocumentInForce, HostContext } from '../runtime/hostTypes.js';
+import { takesWork } from '../runtime/takesWork.js';
 
 /** Hosts named in one answer. */
 const maxHosts = 8;
@@ -28,8 +29,6 @@
   readonly invalidate: () => void;
 }
 
-const callableStates: readonly HostRecord['state'][] = ['alive', 'suspected'];
-
 function encode(reply: LookupReply): EncodedAnswer {
   const body = JSON.stringify(reply);
   const fields = [
@@ -51,19 +50,6 @@
 export function createLookupAnswers(context: HostContext, parts: HostParts): LookupAnswers {
   const { settings } = context;
   const answers = new Map<string, Map<string, Result<EncodedAnswer, Failure>>>();
-  /** Incarnation of each host that was seen leaving; it stays out when it falls silent. */
-  const leaving = new Map<string, number>();
-
-  const noteLeaving = () => {
-    for (const { hostId, state, incarnation } of parts.membership.hosts()) {
-      if (state === 'leaving') leaving.set(hostId, incarnation);
-    }
-  };
-
-  const takesCalls = ({ hostId, incarnation, state, roles }: HostRecord): boolean =>
-    callableStates.includes(state) &&
-    roles.includes('entry') &&
-    leaving.get(hostId) !== incarnation;
 
   const compute = (
     inForce: DocumentInForce,
@@ -75,7 +61,7 @@
     if (table === undefined || known === undefined) {
       return err(failure('BL7001', `service "${service}"`));
     }
-    const ordered = orderHosts(table.network, parts.membership.hosts().filter(takesCalls), {
+    const ordered = orderHosts(table.network, parts.membership.hosts().filter(takesWork), {
       service,
       availabilityZone: zone,
       poolOwnerId: parts.poolOwner(zone, service),
@@ -107,9 +93,6 @@
       if (computed.isOk()) ofZone.set(service, computed);
       return computed;
     },
-    invalidate: () => {
-      noteLeaving();
-      answers.clear();
-    },
+    invalidate: () => answers.clear(),
   };
 }
--- a/packages/host/src/membership/memberView.ts
+++ b/packages/host/src/membership/memberView.ts
@@ -3,11 +3,13 @@
 
 import type { HostRecord, MembershipView } from '../runtime/hostTypes.js';
 
-function recordOf(entry: MemberEntry): HostRecord {
+function recordOf(entry: MemberEntry, before?: HostRecord): HostRecord {
+  const wasLeaving = before?.incarnation === entry.incarnation && before.isLeaving === true;
   return {
     ...entry.identity,
     incarnation: entry.incarnation,
     state: entry.state,
+    ...(wasLeaving || entry.state === 'leaving' ? { isLeaving: true } : {}),
     documentVersion: entry.documentVersion,
     shiftRevision: entry.shiftRevision,
   };
@@ -23,14 +25,16 @@
  *
  * @param machine - machine of this host
  */
-export function createMemberView(machine: MembershipMachine): RefreshedView {
+export function createMemberView(
+  machine: Pick<MembershipMachine, 'members' | 'own' | 'revision'>,
+): RefreshedView {
   const listeners = new Set<() => void>();
   let revision = -1;
   let records = new Map<string, HostRecord>();
   let list: readonly HostRecord[] = [];
   const rebuild = () => {
-    records = new Map(machine.members().map((entry) => [entry.identity.hostId, recordOf(entry)]));
-    list = [...records.values()];
+    list = machine.members().map((entry) => recordOf(entry, records.get(entry.identity.hostId)));
+    records = new Map(list.map((record) => [record.hostId, record]));
     revision = machine.revision();
   };
   rebuild();
--- a/packages/host/src/runtime/hostTypes.ts
+++ b/packages/host/src/runtime/hostTypes.ts
@@ -42,6 +42,8 @@
   readonly availabilityZone: string;
   readonly incarnation: number;
   readonly state: 'alive' | 'suspected' | 'leaving' | 'failed' | 'left';
+  /** Whether this incarnation was seen leaving, also where it has fallen silent since. */
+  readonly isLeaving?: boolean;
   readonly roles: readonly string[];
   readonly internal: Endpoint;
   readonly callers: Endpoint;
--- a/packages/host/src/slots/poolOwners.ts
+++ b/packages/host/src/slots/poolOwners.ts
@@ -2,6 +2,7 @@
 
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext, HostRecord } from '../runtime/hostTypes.js';
+import { takesWork } from '../runtime/takesWork.js';
 
 /** Knows which host owns which pool, by the membership. */
 export interface PoolOwners {
@@ -13,10 +14,6 @@
   readonly leave: () => void;
 }
 
-function ownsPools(host: HostRecord): boolean {
-  return (host.state === 'alive' || host.state === 'suspected') && host.roles.includes('entry');
-}
-
 /**
  * Creates the view of owners.
  *
@@ -31,7 +28,7 @@
 
   const mayOwn = (host: HostRecord): boolean => {
     if (host.hostId === settings.hostId) return !isLeaving;
-    return ownsPools(host);
+    return takesWork(host);
   };
 
   const rankedHosts = (availabilityZone: string, service: string): readonly string[] => {
