fix(shifts): GET /v1/shifts counts failed regions by the leader's own rule, one timer watches

Cause: the route was given an empty set in place of the failed regions, which only the leader worked out, so the shifts of a failed region were listed with target 0 or left out. Limits and contact were watched by two timers of the same 50 ms. Change: shifts/failedRegions.ts serves the leader and the route; one timer observes both.

--- a/packages/host/src/shifts/shiftLeader.ts
+++ b/packages/host/src/shifts/shiftLeader.ts
@@ -4,10 +4,9 @@
 import type { CommittedStep, ShiftUnit } from '@buckthornlug/protocol/shifts/shiftSchema.js';
 
 import type { DocumentInForce, HostContext, MembershipView } from '../runtime/hostTypes.js';
+import { failedRegions, isLiving } from './failedRegions.js';
 import type { ShiftControl } from './shiftTaskTypes.js';
 
-const livingStates: ReadonlySet<string> = new Set(['alive', 'suspected', 'leaving']);
-
 /** What the planner of a control host is given. */
 export interface ShiftLeaderParts {
   readonly context: Pick<HostContext, 'settings' | 'clock' | 'record' | 'log'>;
@@ -51,7 +50,7 @@
     const { table } = control;
     const nowMs = context.clock.nowMs();
     const hosts = membership().hosts();
-    const living = hosts.filter((host) => livingStates.has(host.state));
+    const living = hosts.filter(isLiving);
     const hostIds = living.map((host) => host.hostId);
     for (const { hostId, shiftRevision = 0 } of living) {
       this.acknowledgements.note(hostId, shiftRevision);
@@ -61,7 +60,7 @@
       document: inForce.document,
       documentVersion: inForce.version,
       table,
-      failedRegions: this.failedRegions(inForce),
+      failedRegions: failedRegions(inForce.document, hosts),
       acknowledgedAtMs: (step) => this.acknowledgements.acknowledgedAtMs(step, hostIds, nowMs),
       nowMs,
     });
@@ -77,25 +76,14 @@
     }
   }
 
-  /** Regions whose hosts are known and all dead. */
-  private failedRegions(inForce: DocumentInForce): ReadonlySet<string> {
-    const hosts = this.parts.membership().hosts();
-    const failed = new Set<string>();
-    for (const region of inForce.document.network.regions) {
-      const own = hosts.filter((host) => host.region === region.id);
-      const isFailed = own.length > 0 && own.every((host) => !livingStates.has(host.state));
-      if (isFailed) failed.add(region.id);
-    }
-    return failed;
-  }
-
   private reportStep(step: CommittedStep, inForce: DocumentInForce): void {
     const { context } = this.parts;
     const { service, documentVersion: version, movedPermille, number } = step;
     const detail = { ...eventDetail(step), movedPermille, number };
     context.record({ kind: 'shiftStep', service, version, detail });
     context.log.info('shiftStep', { service, version, ...detail });
-    const target = shiftTargets(inForce.document, this.failedRegions(inForce)).find(
+    const failed = failedRegions(inForce.document, this.parts.membership().hosts());
+    const target = shiftTargets(inForce.document, failed).find(
       (each) => each.service === service && each.scope === step.scope && each.place === step.place,
     );
     if (target?.movedPermille === movedPermille) {
--- /dev/null
+++ b/packages/host/src/shifts/shiftRoutes.spec.ts
@@ -0,0 +1,40 @@
+import { readFile } from 'node:fs/promises';
+
+import { ShiftTable } from '@buckthornlug/core/shifts/shiftTable.js';
+import { checkDocument } from '@buckthornlug/protocol/document/document.js';
+import test from 'ava';
+import { Hono } from 'hono';
+
+import type { HostRecord } from '../runtime/hostTypes.js';
+import { registerShiftRoutes } from './shiftRoutes.js';
+
+const document = checkDocument(
+  JSON.parse(await readFile('examples/demo.json', 'utf8')),
+)._unsafeUnwrap();
+
+function hostIn(region: string, state: HostRecord['state']): HostRecord {
+  return { hostId: `${region}-${state}`, region, state } as HostRecord;
+}
+
+for (const { fault, states, moving } of [
+  { fault: 'none', states: ['alive', 'suspected'], moving: [] },
+  { fault: 'one of its hosts failed', states: ['alive', 'failed'], moving: [] },
+  { fault: 'all of its hosts failed', states: ['failed', 'left'], moving: ['abuja'] },
+] as const) {
+  test(`GET /v1/shifts tells where the traffic of a region is to go; fault: ${fault}`, async (t) => {
+    const hosts = [hostIn('lagos', 'alive'), ...states.map((state) => hostIn('abuja', state))];
+    const app = new Hono();
+    registerShiftRoutes(app, {
+      document: { current: () => ({ version: 1, document, sectionVersions: {} }) },
+      table: new ShiftTable(),
+      membership: () => ({ hosts: () => hosts }),
+      isHeld: () => false,
+    });
+    const reply = await app.request('/v1/shifts');
+    const { shifts } = (await reply.json()) as { shifts: { region: string }[] };
+    t.deepEqual(
+      shifts.map(({ region }) => region),
+      [...moving],
+    );
+  });
+}
--- a/packages/host/src/shifts/shiftRoutes.ts
+++ b/packages/host/src/shifts/shiftRoutes.ts
@@ -3,13 +3,14 @@
 import type { ShiftStatus } from '@buckthornlug/protocol/admin/adminSchema.js';
 import type { Hono } from 'hono';
 
-import type { DocumentView } from '../runtime/hostTypes.js';
+import type { DocumentView, MembershipView } from '../runtime/hostTypes.js';
+import { failedRegions } from './failedRegions.js';
 
 /** What the routes of the shifts read. */
 export interface ShiftRoutesParts {
   readonly document: Pick<DocumentView, 'current'>;
   readonly table: ShiftTable;
-  readonly failedRegions: () => ReadonlySet<string>;
+  readonly membership: () => Pick<MembershipView, 'hosts'>;
   readonly isHeld: () => boolean;
 }
 
@@ -20,7 +21,8 @@
   const { table } = parts;
   const held = parts.isHeld();
   const shifts: ShiftStatus[] = [];
-  for (const target of shiftTargets(inForce.document, parts.failedRegions())) {
+  const failed = failedRegions(inForce.document, parts.membership().hosts());
+  for (const target of shiftTargets(inForce.document, failed)) {
     const step = table.find(target);
     if (step === undefined && target.movedPermille === 0) continue;
     shifts.push({
@@ -39,7 +41,7 @@
  * Adds `GET /v1/shifts`.
  *
  * @param app - administration API
- * @param parts - document and steps
+ * @param parts - document, steps and membership
  */
 export function registerShiftRoutes(app: Hono, parts: ShiftRoutesParts): void {
   app.get('/v1/shifts', (context) => context.json({ shifts: listShifts(parts) }));
--- a/packages/host/src/shifts/shiftsFeature.ts
+++ b/packages/host/src/shifts/shiftsFeature.ts
@@ -7,7 +7,7 @@
 import { ShiftLeader } from './shiftLeader.js';
 import { registerShiftRoutes } from './shiftRoutes.js';
 
-/** Interval at which the receiver's limits follow the document and the pool owners. */
+/** Interval at which limits follow the document and pool owners, and contact is looked at. */
 const observeMs = 50;
 /** Interval at which a leader plans. */
 const planMs = 200;
@@ -47,14 +47,16 @@
       registerShiftRoutes(app, {
         document: parts.document,
         table,
-        failedRegions: () => new Set(),
+        membership: () => parts.membership,
         isHeld: () => hold.isHeld,
       }),
     );
     const report = (error: unknown) => log.error('shiftTickFailed', { problem: String(error) });
     const timers = [
-      setInterval(() => admission.observe(), observeMs),
-      setInterval(() => hold.observe(), observeMs),
+      setInterval(() => {
+        admission.observe();
+        hold.observe();
+      }, observeMs),
       setInterval(() => leader?.tick().catch(report), planMs),
     ];
     return okAsync({
