perf(shifts): the cap's part is worked out only where the pool is owned

Cause: each 50 ms, and twice for each shifted call, a host looked up its region and divided the cap for every service, before it asked whether it owns the pool at all. Change: the owner is asked first. Conclusion: kept; the limits are as before. At that size the walk over all services each 50 ms still does not fit and should follow changes of owner and document.

--- a/packages/host/src/shifts/shiftAdmission.ts
+++ b/packages/host/src/shifts/shiftAdmission.ts
@@ -65,8 +65,9 @@
     const { context, poolOwner } = this.parts;
     const { hostId, availabilityZone } = context.settings;
     const owner = poolOwner(availabilityZone, service);
-    const part = this.partOf(service);
-    if (part === undefined || (owner !== undefined && owner !== hostId)) {
+    const isOwner = owner === undefined || owner === hostId;
+    const part = isOwner ? this.partOf(service) : undefined;
+    if (part === undefined) {
       this.limiters.delete(service);
       return undefined;
     }
