perf(spreading): each host is hashed once where sources are ordered

Cause: the order of sources hashed two host names in every comparison of its sorts, at each poll. Change: the hashes are computed once, before the sort.

--- a/packages/core/src/spreading/sources.ts
+++ b/packages/core/src/spreading/sources.ts
@@ -20,8 +20,9 @@
 
 /** Orders hosts by a hash with the asking host, so that askers spread over them evenly. */
 function spread(hostIds: readonly string[], asker: string): string[] {
-  const weight = (hostId: string) => hashText(`${asker} ${hostId}`);
-  return [...hostIds].sort((left, right) => weight(left) - weight(right));
+  const weighed = hostIds.map((hostId) => ({ hostId, weight: hashText(`${asker} ${hostId}`) }));
+  weighed.sort((left, right) => left.weight - right.weight);
+  return weighed.map(({ hostId }) => hostId);
 }
 
 interface Tiers {
