feat(consensus): a host new to a group is added, and a lost one removed, by a signed request

Cause: only hosts of the settings entered a group; a lost host could be replaced under its own identity only, and a removed replica would have come back by the settings of the leader. Change: signed POST /v1/groups/:id/replicas, `buckthornlugctl group add-replica|remove-replica`. The leader plans the change against the replicas that the operator saw; a reached aim is answered as done, so a resend is safe. A removal waits for answers of a majority of the others that were asked for after the request: with the last election timeout as the measure, a host killed just before counted and the group was left without a majority (seen in the new test, then mended). A join by a host itself is taken only where the group holds a replica of that host. The set-up of the control faults moved to a module that both specs use. Duration of a change: not measured.

--- /dev/null
+++ b/packages/cli/src/api/changeReplicas.ts
@@ -0,0 +1,86 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { signReplicaChange } from '@buckthornlug/core/groups/replicaChangeSignature.js';
+import type { SharedKey } from '@buckthornlug/core/keys/signature.js';
+import {
+  groupsReplySchema,
+  replicaChangeReplySchema,
+  type ReplicaChange,
+  type ReplicaChangeReply,
+  type ReplicaView,
+} from '@buckthornlug/protocol/groups/replicaChangeSchema.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, ok, type Result } from 'neverthrow';
+
+import type { AdminClient } from './adminClient.js';
+
+/** Changes of a group's replicas by an operator. */
+
+/** Failures after which the same change is sent again. */
+const retryableCodes: readonly string[] = ['BL5001', 'BL5002', 'BL5006', 'BL6003'];
+const maxAttempts = 20;
+const retryDelayMs = 500;
+const pollDelayMs = 200;
+
+/** Replicas of a group as its leader knows them. */
+export async function readReplicas(
+  client: AdminClient,
+  groupId: string,
+): Promise<Result<readonly ReplicaView[], Failure>> {
+  const answer = await client.get('/v1/groups');
+  if (answer.isErr()) return err(answer.error);
+  const { groups } = groupsReplySchema.parse(answer.value);
+  const replicas = groups.find((group) => group.groupId === groupId)?.replicas;
+  if (replicas === undefined) return err(failure('BL5001', `"${groupId}" is not known`));
+  return ok(replicas);
+}
+
+/**
+ * Sends a change; while its outcome is not known, the same one is sent again.
+ *
+ * @param client - administration client
+ * @param groupId - group
+ * @param replicas - replicas that the change is based on
+ * @param change - replica to add or to remove
+ * @param key - cluster key that signs
+ */
+export async function changeReplicas(
+  client: AdminClient,
+  groupId: string,
+  replicas: readonly ReplicaView[],
+  change: ReplicaChange,
+  key: SharedKey,
+): Promise<Result<ReplicaChangeReply, Failure>> {
+  const baseReplicaIds = replicas.map(({ replicaId }) => replicaId);
+  const body = { groupId, change, baseReplicaIds, issuedAtMs: Date.now() };
+  const signed = signReplicaChange(body, key);
+  const path = `/v1/groups/${encodeURIComponent(groupId)}/replicas`;
+  let problem = failure('BL5002', 'the change was not sent');
+  for (let attempt = 0; attempt < maxAttempts; attempt += 1) {
+    const answer = await client.post(path, signed);
+    if (answer.isOk()) return ok(replicaChangeReplySchema.parse(answer.value));
+    problem = answer.error;
+    if (!retryableCodes.includes(problem.code)) return err(problem);
+    await delay(retryDelayMs);
+  }
+  return err(problem);
+}
+
+/** Waits until a host holds a voter of the group; BL5006 where it is still catching up. */
+export async function waitForVoter(
+  client: AdminClient,
+  groupId: string,
+  hostId: string,
+  waitMs: number,
+): Promise<Result<readonly ReplicaView[], Failure>> {
+  const endMs = performance.now() + waitMs;
+  for (;;) {
+    const replicas = await readReplicas(client, groupId);
+    const found = replicas.isOk() ? replicas.value.find((one) => one.hostId === hostId) : undefined;
+    if (found?.role === 'voter') return replicas;
+    if (performance.now() >= endMs) {
+      return err(failure('BL5006', `the replica of "${hostId}" is still catching up`));
+    }
+    await delay(pollDelayMs);
+  }
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -6,7 +6,9 @@
 import { DocumentDiffCommand } from './commands/documentDiffCommand.js';
 import { DocumentGetCommand } from './commands/documentGetCommand.js';
 import { DocumentSubmitCommand } from './commands/documentSubmitCommand.js';
+import { GroupAddReplicaCommand } from './commands/groupAddReplicaCommand.js';
 import { GroupFormAnewCommand } from './commands/groupFormAnewCommand.js';
+import { GroupRemoveReplicaCommand } from './commands/groupRemoveReplicaCommand.js';
 import { HostsCommand } from './commands/hostsCommand.js';
 import { ShiftsCommand } from './commands/shiftsCommand.js';
 import { StatusCommand } from './commands/statusCommand.js';
@@ -24,7 +26,9 @@
   DocumentDiffCommand,
   DocumentGetCommand,
   DocumentSubmitCommand,
+  GroupAddReplicaCommand,
   GroupFormAnewCommand,
+  GroupRemoveReplicaCommand,
   HostsCommand,
   ShiftsCommand,
   StatusCommand,
--- /dev/null
+++ b/packages/core/src/consensus/replicaChanges.spec.ts
@@ -0,0 +1,134 @@
+import test from 'ava';
+
+import type { MembershipChange, Members } from './consensusTypes.js';
+import { planReplicaChange } from './replicaChanges.js';
+import { createReplica, type Progress, type ReplicaState } from './replicaState.js';
+
+const options = {
+  electionTimeoutMs: 100,
+  heartbeatMs: 20,
+  maxAppendBytes: 200,
+  maxAppendEntries: 4,
+  maxInFlightEntries: 12,
+  snapshotChunkBytes: 3,
+  retainedEntries: 2,
+  maxUncommittedEntries: 64,
+};
+
+const sinceMs = 800;
+const nowMs = 1000;
+
+function progressAckedAt(ackedSentAtMs: number): Progress {
+  return { matchIndex: 0, nextIndex: 1, isProbing: false, ackedRound: 1, ackedSentAtMs };
+}
+
+/** A leader `a/1` that hears some of its peers. */
+function leader(members: Members, heard: readonly string[]): ReplicaState {
+  const snapshot = { index: 0, term: 0, members, data: new Uint8Array(0) };
+  const durable = { hardState: { term: 0, votedFor: null }, snapshot, entries: [] };
+  const state = createReplica('a/1', durable, options, 0);
+  const peers = [...members.voters, ...members.learners].filter((id) => id !== 'a/1');
+  const progress = new Map(
+    peers.map((id) => [id, progressAckedAt(heard.includes(id) ? nowMs - 10 : 0)]),
+  );
+  state.role = 'leader';
+  state.leadership = {
+    progress,
+    round: 1,
+    nextHeartbeatMs: 0,
+    startedAtMs: 0,
+    firstIndex: 0,
+    reads: [],
+    waitingReads: [],
+  };
+  return state;
+}
+
+const three: Members = { voters: ['a/1', 'b/1', 'c/1'], learners: [] };
+const four: Members = { voters: ['a/1', 'b/1', 'c/1', 'd/1'], learners: [] };
+const learning: Members = { voters: ['a/1', 'b/1', 'c/1'], learners: ['d/1'] };
+const add = (replicaId: string): MembershipChange => ({ change: 'add', replicaId });
+const remove = (replicaId: string): MembershipChange => ({ change: 'remove', replicaId });
+
+const cases = [
+  { what: 'a new host', members: three, heard: ['b/1'], change: add('d/1'), plan: 'make' },
+  { what: 'a resend of it', members: learning, heard: ['b/1'], change: add('d/1'), plan: 'done' },
+  { what: 'its late resend', members: four, heard: ['b/1'], change: add('d/1'), plan: 'done' },
+  {
+    what: 'another one before it counts',
+    members: learning,
+    heard: ['b/1'],
+    change: add('e/1'),
+    plan: 'changePending',
+  },
+  { what: 'a lost voter', members: three, heard: ['b/1'], change: remove('c/1'), plan: 'make' },
+  {
+    what: 'a lost learner',
+    members: learning,
+    heard: ['b/1'],
+    change: remove('d/1'),
+    plan: 'make',
+  },
+  { what: 'no replica of it', members: three, heard: ['b/1'], change: remove('d/1'), plan: 'done' },
+  {
+    what: 'the voter that still answers',
+    members: three,
+    heard: ['b/1'],
+    change: remove('b/1'),
+    plan: 'noMajority',
+  },
+  {
+    what: 'the leader itself',
+    members: three,
+    heard: ['b/1', 'c/1'],
+    change: remove('a/1'),
+    plan: 'make',
+  },
+  {
+    what: 'the last voter',
+    members: { voters: ['a/1'], learners: [] },
+    heard: [],
+    change: remove('a/1'),
+    plan: 'noMajority',
+  },
+] as const;
+
+for (const { what, members, heard, change, plan } of cases) {
+  test(`${change.change} ${what}: ${plan}`, (t) => {
+    const state = leader(members, heard);
+    const baseReplicaIds = [...members.voters, ...members.learners];
+    const planned = planReplicaChange(state, { change, baseReplicaIds, sinceMs }, nowMs);
+    t.is(planned.plan === 'refuse' ? planned.reason : planned.plan, plan);
+  });
+}
+
+test('a change with another base is refused, unless its aim is reached', (t) => {
+  const state = leader(four, ['b/1', 'c/1', 'd/1']);
+  const baseReplicaIds = three.voters;
+  const refused = planReplicaChange(
+    state,
+    { change: remove('c/1'), baseReplicaIds, sinceMs },
+    nowMs,
+  );
+  t.deepEqual(refused, { plan: 'refuse', reason: 'otherBase' });
+  const done = planReplicaChange(state, { change: add('d/1'), baseReplicaIds, sinceMs }, nowMs);
+  t.deepEqual(done, { plan: 'done' });
+});
+
+test('a removal waits for answers to messages that were sent after it was asked for', (t) => {
+  const state = leader(three, ['b/1', 'c/1']);
+  const requested = { change: remove('c/1'), baseReplicaIds: three.voters, sinceMs: nowMs - 5 };
+  t.deepEqual(planReplicaChange(state, requested, nowMs), { plan: 'wait' });
+  const late = planReplicaChange(state, requested, nowMs + options.electionTimeoutMs);
+  t.deepEqual(late, { plan: 'refuse', reason: 'noMajority' });
+});
+
+test('nothing is planned while a change is not committed, or without the lead', (t) => {
+  const state = leader(three, ['b/1', 'c/1']);
+  const requested = { change: add('d/1'), baseReplicaIds: three.voters, sinceMs };
+  state.membersIndex = 1;
+  t.deepEqual(planReplicaChange(state, requested, nowMs), { plan: 'wait' });
+  delete state.leadership;
+  const refused = planReplicaChange(state, requested, nowMs);
+  t.deepEqual(refused, { plan: 'refuse', reason: 'notLeader' });
+});
--- a/packages/host/src/consensus/consensusRouter.ts
+++ b/packages/host/src/consensus/consensusRouter.ts
@@ -1,3 +1,7 @@
+import {
+  signedReplicaChangeSchema,
+  type SignedReplicaChange,
+} from '@buckthornlug/protocol/groups/replicaChangeSchema.js';
 import { rpcProcedure, rpcRouter } from '@buckthornlug/protocol/rpc/rpcContext.js';
 
 import {
@@ -20,6 +24,7 @@
   readonly submit: (request: SubmitRequest) => Promise<LeaderReply>;
   readonly describe: (request: DescribeRequest) => GroupDescription;
   readonly join: (request: JoinRequest) => LeaderReply;
+  readonly changeReplicas: (request: SignedReplicaChange) => Promise<LeaderReply>;
 }
 
 /**
@@ -35,5 +40,8 @@
     submit: rpcProcedure.input(submitSchema).mutation(({ input }) => handlers.submit(input)),
     describe: rpcProcedure.input(describeSchema).query(({ input }) => handlers.describe(input)),
     join: rpcProcedure.input(joinSchema).mutation(({ input }) => handlers.join(input)),
+    changeReplicas: rpcProcedure
+      .input(signedReplicaChangeSchema)
+      .mutation(({ input }) => handlers.changeReplicas(input)),
   });
 }
--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -11,6 +11,11 @@
 } from '@buckthornlug/core/consensus/consensusTypes.js';
 import { nextDueMs } from '@buckthornlug/core/consensus/nextDue.js';
 import { holdsLease, step } from '@buckthornlug/core/consensus/replica.js';
+import {
+  planReplicaChange,
+  type ChangePlan,
+  type RequestedChange,
+} from '@buckthornlug/core/consensus/replicaChanges.js';
 import { lastIndexOf } from '@buckthornlug/core/consensus/replicaLog.js';
 import { createReplica, type ReplicaState } from '@buckthornlug/core/consensus/replicaState.js';
 import { hostIdOf } from '@buckthornlug/core/consensus/membership.js';
@@ -311,6 +316,11 @@
     return !isMember && lastIndexOf(this.state.log) === 0;
   }
 
+  planChange(requested: RequestedChange): ChangePlan {
+    if (!this.isLeader()) return { plan: 'refuse', reason: 'notLeader' };
+    return planReplicaChange(this.state, requested, this.parts.context.clock.nowMs());
+  }
+
   describe(): GroupDescription {
     const { groupId, storage } = this.parts;
     const { state, storageFailure } = this;
@@ -364,8 +374,8 @@
     wantsToJoin: () => task.wantsToJoin(),
     addReplica: (replicaId) =>
       task.take({ kind: 'changeMembers', change: { change: 'add', replicaId } }),
-    removeReplica: (replicaId) =>
-      task.take({ kind: 'changeMembers', change: { change: 'remove', replicaId } }),
+    changeMembers: (change) => task.take({ kind: 'changeMembers', change }),
+    planChange: (requested) => task.planChange(requested),
     describe: () => task.describe(),
     handOver: () => task.handOver(),
     stop: () => task.stop(),
--- a/packages/host/src/consensus/groupTaskTypes.ts
+++ b/packages/host/src/consensus/groupTaskTypes.ts
@@ -1,4 +1,8 @@
-import type { ConsensusMessage } from '@buckthornlug/core/consensus/consensusTypes.js';
+import type {
+  ConsensusMessage,
+  MembershipChange,
+} from '@buckthornlug/core/consensus/consensusTypes.js';
+import type { ChangePlan, RequestedChange } from '@buckthornlug/core/consensus/replicaChanges.js';
 import type { ReplicatedMachine } from '@buckthornlug/core/consensus/replicatedMachineTypes.js';
 import type { Failure } from '@buckthornlug/protocol/results/failure.js';
 import type { Result, ResultAsync } from 'neverthrow';
@@ -41,7 +45,10 @@
   /** Whether the replica waits to be added to the group. */
   readonly wantsToJoin: () => boolean;
   readonly addReplica: (replicaId: string) => void;
-  readonly removeReplica: (replicaId: string) => void;
+  /** Starts a change that was planned. */
+  readonly changeMembers: (change: MembershipChange) => void;
+  /** What to do about a change that an operator asks for. */
+  readonly planChange: (requested: RequestedChange) => ChangePlan;
   readonly describe: () => GroupDescription;
   /** Hands the lead over; resolves when another replica leads or the time is up. */
   readonly handOver: () => Promise<void>;
--- a/packages/host/src/consensus/groups.ts
+++ b/packages/host/src/consensus/groups.ts
@@ -23,6 +23,7 @@
 import { HeartbeatLink, type HeartbeatBatch } from './heartbeatLink.js';
 import { LeaderClient } from './leaderClient.js';
 import { MemberReplica } from './memberReplica.js';
+import { ReplicaChanger } from './replicaChanger.js';
 
 /** All replicated groups of a host. */
 
@@ -64,6 +65,9 @@
 
   private readonly heartbeats: HeartbeatLink | undefined;
 
+  /** Changes of replicas that operators ask for. */
+  readonly changer: ReplicaChanger;
+
   constructor(
     private readonly context: HostContext,
     private readonly parts: HostParts,
@@ -72,6 +76,14 @@
     const { peers, datagrams } = parts;
     this.peers = peers;
     this.guard = new FormationGuard(context, parts);
+    this.changer = new ReplicaChanger({
+      context,
+      peers,
+      taskOf: (groupId) => this.replicas.get(groupId)?.task,
+      describe: (groupId) => this.describe(groupId),
+      describeAnywhere: (groupId) => this.describeAnywhere(groupId),
+      notLeader: (groupId) => notLeader(this.replicas.get(groupId), groupId),
+    });
     if (datagrams === undefined) return;
     this.heartbeats = new HeartbeatLink({
       hostId: settings.hostId,
@@ -93,11 +105,15 @@
     return group?.members ?? [];
   }
 
-  /** Hosts of the group now, as far as the own replica knows, and those of the settings. */
-  private knownHostIds(groupId: string): readonly string[] {
+  /** Hosts that hold a replica of the group now, as far as the own replica knows. */
+  private replicaHostIds(groupId: string): readonly string[] {
     const replicas = this.replicas.get(groupId)?.describe().replicas ?? [];
-    const hostIds = [...replicas.map(({ hostId }) => hostId), ...this.memberHostIds(groupId)];
-    return [...new Set(hostIds)];
+    return replicas.map(({ hostId }) => hostId);
+  }
+
+  /** Hosts of the group now, and those of the settings. */
+  private knownHostIds(groupId: string): readonly string[] {
+    return [...new Set([...this.replicaHostIds(groupId), ...this.memberHostIds(groupId)])];
   }
 
   open: OpenGroup = <Command, Reply>(
@@ -157,12 +173,13 @@
     return { ok: false, failure: result.error };
   }
 
+  /** Lets a host whose disk was replaced in again; a host new to the group waits for an operator. */
   private join(request: JoinRequest): LeaderReply {
     const { groupId, replicaId } = request;
     const replica = this.replicas.get(groupId);
     const { task } = replica ?? {};
     if (task === undefined || !task.isLeader()) return notLeader(replica, groupId);
-    if (!this.knownHostIds(groupId).includes(hostIdOf(replicaId))) {
+    if (!this.replicaHostIds(groupId).includes(hostIdOf(replicaId))) {
       return { ok: false, failure: failure('BL5005', `"${replicaId}" is of no member host`) };
     }
     task.addReplica(replicaId);
@@ -176,6 +193,7 @@
       submit: (request) => this.submit(request),
       describe: ({ groupId }) => ({ ...this.describe(groupId), documentVersion: this.version() }),
       join: (request) => this.join(request),
+      changeReplicas: (request) => this.changer.lead(request),
     };
   }
 
--- /dev/null
+++ b/packages/host/src/consensus/replicaChanger.ts
@@ -0,0 +1,162 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import type { MembershipChange } from '@buckthornlug/core/consensus/consensusTypes.js';
+import type { ChangeRefusal } from '@buckthornlug/core/consensus/replicaChanges.js';
+import { isValidReplicaChange } from '@buckthornlug/core/groups/replicaChangeSignature.js';
+import type {
+  ReplicaChange,
+  ReplicaChangeReply,
+  SignedReplicaChange,
+} from '@buckthornlug/protocol/groups/replicaChangeSchema.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+
+import type { PeerClients } from '../rpc/peerClients.js';
+import type { HostContext } from '../runtime/hostTypes.js';
+import { decodeText, encodeText } from './binaryCodec.js';
+import type { GroupDescription, LeaderReply } from './consensusSchema.js';
+import type { GroupTask } from './groupTaskTypes.js';
+
+/** Longest wait of the leader for the commit of a change. */
+const commitWaitMs = 2500;
+/** Time limit of a request to the leader; longer than the leader's own. */
+const requestTimeoutMs = 4000;
+const commitPollMs = 10;
+
+type ChangingTask = Pick<GroupTask<unknown, unknown>, 'planChange' | 'changeMembers' | 'describe'>;
+
+/** What the changes of replicas are given. */
+export interface ReplicaChangerParts {
+  readonly context: Pick<HostContext, 'settings' | 'clock' | 'log'>;
+  readonly peers: Pick<PeerClients, 'request'>;
+  /** Replica of this host that runs. */
+  readonly taskOf: (groupId: string) => ChangingTask | undefined;
+  readonly describe: (groupId: string) => GroupDescription;
+  readonly describeAnywhere: (groupId: string) => ResultAsync<GroupDescription, Failure>;
+  /** Refusal that names the leader, where it is known. */
+  readonly notLeader: (groupId: string) => LeaderReply;
+}
+
+function refusalOf(reason: ChangeRefusal): Failure {
+  if (reason === 'notLeader') return failure('BL5001', 'this host does not lead the group');
+  if (reason === 'otherBase') return failure('BL5009', 'the replicas have changed meanwhile');
+  if (reason === 'noMajority') {
+    return failure('BL5010', 'no majority of the remaining replicas answers');
+  }
+  return failure('BL5006', 'another replica is still catching up');
+}
+
+/** Changes of a group's replicas that operators ask for. */
+export class ReplicaChanger {
+  constructor(private readonly parts: ReplicaChangerParts) {}
+
+  /**
+   * Has the leader make a change.
+   *
+   * @param signed - change as received from an operator
+   * @returns the replicas once the change is committed; BL5001, BL5002 or BL6003 where the same
+   *   request is to be sent again
+   */
+  request(signed: SignedReplicaChange): ResultAsync<ReplicaChangeReply, Failure> {
+    return new ResultAsync(this.pass(signed));
+  }
+
+  private async pass(signed: SignedReplicaChange): Promise<Result<ReplicaChangeReply, Failure>> {
+    const { settings } = this.parts.context;
+    const { groupId } = signed;
+    if (!this.isValid(signed)) {
+      return err(failure('BL5011', 'the change is signed with no cluster key or not recent'));
+    }
+    const group = await this.parts.describeAnywhere(groupId);
+    if (group.isErr()) return err(group.error);
+    const { leaderId } = group.value;
+    if (leaderId === undefined) return err(failure('BL5001', `"${groupId}" has no leader`));
+    const reply =
+      leaderId === settings.hostId
+        ? ok(await this.lead(signed))
+        : await this.parts.peers.request(
+            leaderId,
+            (client, signal) => client.consensus.changeReplicas.mutate(signed, { signal }),
+            requestTimeoutMs,
+          );
+    if (reply.isErr()) return err(failure('BL5002', reply.error.detail));
+    if (!reply.value.ok) return err(reply.value.failure);
+    return ok(decodeText(reply.value.reply) as ReplicaChangeReply);
+  }
+
+  /** Makes a change on the leader and answers once it is committed. */
+  async lead(signed: SignedReplicaChange): Promise<LeaderReply> {
+    const { groupId, change, baseReplicaIds } = signed;
+    const task = this.parts.taskOf(groupId);
+    if (task === undefined) return this.parts.notLeader(groupId);
+    if (!this.isValid(signed)) {
+      return { ok: false, failure: failure('BL5011', 'the leader does not take the signature') };
+    }
+    const resolved = await this.resolve(groupId, change);
+    if (resolved.isErr()) return { ok: false, failure: resolved.error };
+    const made = await this.commit(task, {
+      change: resolved.value,
+      baseReplicaIds,
+      sinceMs: this.parts.context.clock.nowMs(),
+    });
+    if (made.isErr()) {
+      if (made.error.code === 'BL5001') return this.parts.notLeader(groupId);
+      return { ok: false, failure: made.error };
+    }
+    const reply: ReplicaChangeReply = { groupId, replicas: [...(task.describe().replicas ?? [])] };
+    this.parts.context.log.info('replicasChanged', { groupId, ...resolved.value });
+    return { ok: true, reply: encodeText(reply) };
+  }
+
+  private async commit(
+    task: ChangingTask,
+    requested: Parameters<ChangingTask['planChange']>[0],
+  ): Promise<Result<void, Failure>> {
+    const { clock } = this.parts.context;
+    const untilMs = clock.nowMs() + commitWaitMs;
+    let isStarted = false;
+    while (clock.nowMs() < untilMs) {
+      const next = task.planChange(requested);
+      if (next.plan === 'done') return ok(undefined);
+      if (next.plan === 'refuse') {
+        const isUnknown = isStarted && next.reason === 'notLeader';
+        if (isUnknown) return err(failure('BL5002', 'the lead was lost before the commit'));
+        return err(refusalOf(next.reason));
+      }
+      if (next.plan === 'make') {
+        task.changeMembers(next.change);
+        isStarted = true;
+      }
+      await delay(commitPollMs);
+    }
+    return err(failure('BL5002', 'the change was not committed in time'));
+  }
+
+  private isValid(signed: SignedReplicaChange): boolean {
+    const { clock, settings } = this.parts.context;
+    return isValidReplicaChange(signed, settings.clusterKeys, clock.wallMs());
+  }
+
+  /** Finds the replica that runs on a host that is to be added. */
+  private async resolve(
+    groupId: string,
+    change: ReplicaChange,
+  ): Promise<Result<MembershipChange, Failure>> {
+    if (change.change === 'remove') return ok(change);
+    const { hostId } = change;
+    const own = this.parts.describe(groupId);
+    const answer =
+      hostId === this.parts.context.settings.hostId
+        ? ok(own)
+        : await this.parts.peers.request(hostId, (client, signal) =>
+            client.consensus.describe.query({ groupId }, { signal }),
+          );
+    if (answer.isErr()) return err(answer.error);
+    const { replicaId, formationId, state } = answer.value;
+    if (state !== 'running' || replicaId === undefined || formationId !== own.formationId) {
+      const detail = `host "${hostId}" runs no replica of "${groupId}"; name it in its own settings`;
+      return err(failure('BL5005', detail));
+    }
+    return ok({ change: 'add', replicaId });
+  }
+}
--- a/packages/protocol/src/results/resultCodes.ts
+++ b/packages/protocol/src/results/resultCodes.ts
@@ -280,6 +280,21 @@
     meaning: 'The group still has a disk that belongs to it, so its state is not given up.',
     action: 'Repair the group, or empty the disks of all its members first.',
   },
+  BL5009: {
+    httpStatus: 409,
+    meaning: 'The group has other replicas than those that the change is based on.',
+    action: 'Look at the group and ask again.',
+  },
+  BL5010: {
+    httpStatus: 409,
+    meaning: 'No majority of the remaining replicas answers, so the replica is not removed.',
+    action: 'Bring another replica back, or add one first.',
+  },
+  BL5011: {
+    httpStatus: 401,
+    meaning: 'The change of the replicas has no valid signature, or is more than 5 minutes old.',
+    action: 'Check the cluster key and the clock; ask again.',
+  },
 
   BL6001: {
     httpStatus: 401,
--- a/packages/testkit/src/control/controlFaults.spec.ts
+++ b/packages/testkit/src/control/controlFaults.spec.ts
@@ -1,58 +1,23 @@
-import { mkdtemp, rm } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
+import { rm } from 'node:fs/promises';
 import { setTimeout as delay } from 'node:timers/promises';
 
-import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
 import type { VersionStatus } from '@buckthornlug/protocol/submissions/submissionSchema.js';
-import test, { type ExecutionContext } from 'ava';
+import test from 'ava';
 
-import { loopbackNetwork } from '../fakes/loopback.js';
-import { startRelays, stopRelays, throughRelays, type HostRelays } from '../fakes/hostRelays.js';
+import { blocksSubmission } from './controlFleet.js';
 import {
-  blocksSubmission,
-  createControlFleet,
-  exampleDocument,
-  firstSubmission,
-  type ControlFleet,
-} from './controlFleet.js';
+  assertKept,
+  awaitNewVoter,
+  members,
+  outsider,
+  replicaOf,
+  startTrial,
+  submitSection,
+  type Trial,
+} from './controlTrial.js';
 
-const timing = { electionTimeoutMs: 400, heartbeatMs: 60 };
-const members = ['lagos-a-1', 'lagos-b-1', 'abuja-a-1'];
-const outsider = 'abuja-b-1';
-const waitLimitMs = 15_000;
 const inForceBoundMs = 2000;
 
-/** A fleet with a document in it, and what its operators were told. */
-interface Trial {
-  readonly fleet: ControlFleet;
-  readonly relays: HostRelays;
-  readonly document: SteeringDocument;
-  readonly workFolder: string;
-  /** Accepted version by the section that the submission added. */
-  readonly accepted: Map<string, number>;
-}
-
-async function startTrial(t: ExecutionContext, offset: number, isRelayed = false): Promise<Trial> {
-  const workFolder = await mkdtemp(`${tmpdir()}/bl-control-`);
-  const network = loopbackNetwork(process.pid, offset);
-  const fleet = createControlFleet(network, workFolder, timing, (settings) =>
-    isRelayed ? throughRelays(settings, network) : settings,
-  );
-  const relays: HostRelays = isRelayed
-    ? await startRelays(fleet.allSettings(), network)
-    : new Map();
-  t.teardown(async () => {
-    await fleet.kill();
-    await stopRelays(relays);
-    await rm(workFolder, { recursive: true });
-  });
-  await fleet.start();
-  const document = await exampleDocument();
-  const { status, body } = await fleet.ask(outsider, '/v1/submissions', firstSubmission(document));
-  t.is(status, 200, JSON.stringify(body));
-  return { fleet, relays, document, workFolder, accepted: new Map() };
-}
-
 /** Silently drops everything that a host sends, while it hears the others. */
 function muteHost(trial: Trial, hostId: string): void {
   for (const [way, relay] of trial.relays) {
@@ -61,62 +26,6 @@
   }
 }
 
-/** Submits a new section, and again until the outcome is known. */
-async function submitSection(trial: Trial, group: string, via = outsider): Promise<number> {
-  const submission = blocksSubmission(trial.document, `submission-${group}`, 0, group);
-  const untilMs = performance.now() + waitLimitMs;
-  while (performance.now() < untilMs) {
-    const { status, body } = await trial.fleet.ask(via, '/v1/submissions', submission);
-    if (status === 200) {
-      const { version } = body as { version: number };
-      trial.accepted.set(`clientBlocks/${group}`, version);
-      return version;
-    }
-  }
-  throw new Error(`submission "${group}" was not accepted in time`);
-}
-
-/** Section versions as a host reads them. */
-async function sectionVersions(trial: Trial, via: string): Promise<Record<string, number>> {
-  const untilMs = performance.now() + waitLimitMs;
-  let answer = await trial.fleet.ask(via, '/v1/document');
-  while (answer.status !== 200 && performance.now() < untilMs) {
-    answer = await trial.fleet.ask(via, '/v1/document');
-  }
-  return (answer.body as { base: { sections: Record<string, number> } }).base.sections;
-}
-
-/** Checks on some hosts that each accepted section stands at the version that was accepted. */
-async function assertKept(t: ExecutionContext, trial: Trial, hostIds: readonly string[]) {
-  for (const hostId of hostIds) {
-    const versions = await sectionVersions(trial, hostId);
-    for (const [name, version] of trial.accepted)
-      t.is(versions[name], version, `${hostId} ${name}`);
-  }
-}
-
-interface ReplicaView {
-  readonly hostId: string;
-  readonly replicaId: string;
-  readonly role: string;
-}
-
-async function replicaOf(trial: Trial, hostId: string): Promise<ReplicaView | undefined> {
-  const { body } = await trial.fleet.ask(outsider, '/v1/groups');
-  const [group] = (body as { groups: { replicas?: ReplicaView[] }[] }).groups;
-  return group?.replicas?.find((one) => one.hostId === hostId);
-}
-
-/** Waits until a host is a voter with another replica than before. */
-async function awaitNewVoter(trial: Trial, hostId: string, before: string): Promise<void> {
-  const untilMs = performance.now() + waitLimitMs;
-  while (performance.now() < untilMs) {
-    const replica = await replicaOf(trial, hostId);
-    if (replica?.role === 'voter' && replica.replicaId !== before) return;
-  }
-  throw new Error(`"${hostId}" did not become a voter`);
-}
-
 test.serial(
   'a leader killed at seeded moments of submissions loses no accepted version',
   async (t) => {
