fix(documents): a host confirms what is in force, and as which process

Cause: a poll reported what the copy held, which is in force only once it is kept on disk (up to 1 s later); reports named no process, so that a report kept by a relay or a member counted for a restarted host that had lost the version. Change: a poll carries what is in force, with the incarnation, beside what is held; the next poll waits until the last update is in force, so that it confirms it without a further message. Time to confirm: not measured apart.

--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -123,10 +123,17 @@
     return this.outbox.flush();
   }
 
-  /** Notes what another host said that it holds, without telling others. */
-  noteVersions(hostId: string, held: HeldVersions): void {
+  /**
+   * Notes what a process said that it holds, without telling others. What a former process of the
+   * host held counts no longer.
+   *
+   * @returns false where the process is not known yet
+   */
+  noteVersions(hostId: string, incarnation: number, held: HeldVersions): boolean {
     const entry = this.table.find(hostId);
-    if (entry !== undefined) this.raiseVersions(entry, held);
+    if (entry === undefined || entry.incarnation < incarnation) return false;
+    if (entry.incarnation === incarnation) this.raiseVersions(entry, held);
+    return true;
   }
 
   /** Tells the others that this host takes no new work, or that it has gone. */
--- /dev/null
+++ b/packages/core/src/membership/noteVersions.spec.ts
@@ -0,0 +1,48 @@
+import test from 'ava';
+
+import { MembershipMachine } from './membership.js';
+
+const endpoint = { address: '127.0.0.1', port: 1 };
+
+function machineOf(hostId: string, incarnation: number): MembershipMachine {
+  const identity = { hostId, region: 'r', availabilityZone: 'z', roles: ['entry'] };
+  const endpoints = { internal: endpoint, callers: endpoint, admin: endpoint };
+  const seeds = ['a', 'b']
+    .filter((other) => other !== hostId)
+    .map((other) => ({ hostId: other, region: 'r', availabilityZone: 'z', internal: endpoint }));
+  const times = { tickMs: 100, probeIntervalMs: 500, directTimeoutMs: 200, suspicionMs: 1200 };
+  const random = () => 0.5;
+  return new MembershipMachine(
+    { ...identity, ...endpoints },
+    incarnation,
+    { ...times, seeds },
+    random,
+    0,
+  );
+}
+
+/** Lets `to` hear of the process of `from`. */
+function introduce(from: MembershipMachine, to: MembershipMachine): void {
+  for (let nowMs = 100; nowMs <= 1000; nowMs += 100) {
+    for (const effect of from.tick(nowMs)) {
+      if (effect.effect === 'send') to.receive(effect.message, nowMs);
+    }
+  }
+}
+
+test('a report of a former process does not count for the one that runs now', (t) => {
+  const here = machineOf('a', 1);
+  const held = { documentVersion: 5, shiftRevision: 3 };
+  t.false(here.noteVersions('b', 1, held), 'not known yet');
+  introduce(machineOf('b', 1), here);
+  t.true(here.noteVersions('b', 1, held));
+  const find = () => here.find('b');
+  t.is(find()?.documentVersion, 5);
+  introduce(machineOf('b', 2), here);
+  t.is(find()?.documentVersion, 0);
+  t.true(here.noteVersions('b', 1, held));
+  t.is(find()?.documentVersion, 0);
+  t.false(here.noteVersions('b', 3, held), 'the membership has not heard of it yet');
+  t.true(here.noteVersions('b', 2, held));
+  t.is(find()?.documentVersion, 5);
+});
--- /dev/null
+++ b/packages/host/src/documents/documentInstaller.ts
@@ -0,0 +1,82 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import type { ControlCopy } from '@buckthornlug/core/spreading/controlCopy.js';
+import type { ControlVersions } from '@buckthornlug/core/spreading/spreadingTypes.js';
+
+import type { DocumentHolder } from '../runtime/documentHolder.js';
+import type { DocumentInForce, HostContext } from '../runtime/hostTypes.js';
+
+/** Longest wait for the disk before a newer version is put in force without being kept. */
+const maxKeepMs = 1000;
+
+/** Puts the newest document of the copy in force once it is kept. */
+export class DocumentInstaller {
+  private isHeld = false;
+
+  private lastInstall: Promise<void> = Promise.resolve();
+
+  /**
+   * @param context - context of the host
+   * @param document - document in force
+   * @param copy - newest document
+   * @param keep - keeps the newest version; resolves when it is synced
+   */
+  constructor(
+    private readonly context: Pick<HostContext, 'record' | 'log' | 'metrics'>,
+    private readonly document: Pick<DocumentHolder, 'current' | 'put'>,
+    private readonly copy: ControlCopy,
+    private readonly keep: () => Promise<void> | undefined,
+  ) {}
+
+  /** What this host may confirm: the version in force, and the steps that it holds. */
+  versionsInForce(): ControlVersions {
+    const { shiftRevision } = this.copy.versions();
+    return { version: this.document.current()?.version ?? 0, shiftRevision };
+  }
+
+  /** Resolves when everything that came before the call is in force. */
+  settled(): Promise<void> {
+    return this.lastInstall;
+  }
+
+  /** Puts nothing in force until `release`. */
+  hold(): void {
+    this.isHeld = true;
+  }
+
+  release(source: string, sections: number): void {
+    this.isHeld = false;
+    this.put(this.newest(), source, sections);
+  }
+
+  /** Puts the newest version in force once it is kept, so that a restart does not go back. */
+  install(source: string, sections: number): void {
+    if (this.isHeld) return;
+    const newest = this.newest();
+    const kept = this.keep();
+    if (kept === undefined) {
+      this.put(newest, source, sections);
+      return;
+    }
+    this.lastInstall = Promise.race([kept, delay(maxKeepMs, undefined, { ref: false })]).then(
+      () => this.put(newest, source, sections),
+      () => undefined,
+    );
+  }
+
+  private newest(): DocumentInForce {
+    return {
+      version: this.copy.versions().version,
+      sectionVersions: this.copy.sectionVersions(),
+      document: this.copy.document(),
+    };
+  }
+
+  private put(inForce: DocumentInForce, source: string, sections: number): void {
+    const { version } = inForce;
+    if (!this.document.put(inForce)) return;
+    this.context.record({ kind: 'documentInForce', version, detail: { source, sections } });
+    this.context.log.info('documentInForce', { version, source, sections });
+    this.context.metrics.gauge('document_version', version);
+  }
+}
--- a/packages/host/src/documents/documentsSchema.ts
+++ b/packages/host/src/documents/documentsSchema.ts
@@ -12,8 +12,11 @@
   shiftRevision: versionSchema,
 });
 
+/** What a process has in force. */
+export const heldByProcessSchema = controlVersionsSchema.extend({ incarnation: z.number() });
+
 /** Versions of one host, reported on its behalf. */
-export const versionReportSchema = controlVersionsSchema.extend({ hostId: idSchema });
+export const versionReportSchema = heldByProcessSchema.extend({ hostId: idSchema });
 
 /** Versions of several hosts. */
 export const reportsSchema = z.array(versionReportSchema).max(500);
@@ -24,6 +27,8 @@
 /** Asks for what a host lacks; waits for news where it lacks nothing. */
 export const pollSchema = z.object({
   have: controlVersionsSchema,
+  /** What the asking host confirms; may be behind what it has received. */
+  held: heldByProcessSchema,
   waitMs: z.number().min(0).max(10_000),
 });
 
@@ -51,4 +56,5 @@
 
 export type Poll = z.infer<typeof pollSchema>;
 export type PollReply = z.infer<typeof pollReplySchema>;
+export type HeldByProcess = z.infer<typeof heldByProcessSchema>;
 export type VersionReport = z.infer<typeof versionReportSchema>;
--- /dev/null
+++ b/packages/host/src/documents/documentsTask.spec.ts
@@ -0,0 +1,116 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { ControlCopy } from '@buckthornlug/core/spreading/controlCopy.js';
+import { ShiftTable } from '@buckthornlug/core/shifts/shiftTable.js';
+import test from 'ava';
+import { okAsync } from 'neverthrow';
+
+import { createDocumentHolder } from '../runtime/documentHolder.js';
+import type { HostParts } from '../runtime/hostParts.js';
+import type { HostContext } from '../runtime/hostTypes.js';
+import type { Poll } from './documentsSchema.js';
+import { DocumentsTask } from './documentsTask.js';
+
+const pollMs = 20;
+
+/** A host below another one: what it keeps is synced when the test says so. */
+class Below {
+  readonly polls: Poll[] = [];
+
+  readonly document = createDocumentHolder();
+
+  readonly task: DocumentsTask;
+
+  private synced: (() => void)[] = [];
+
+  private update: unknown = {
+    version: 1,
+    shiftRevision: 0,
+    sinceVersion: 0,
+    sections: [],
+    shiftSteps: [],
+  };
+
+  constructor() {
+    const ignore = () => undefined;
+    const self = { hostId: 'below', incarnation: 7, state: 'alive', documentVersion: 0 };
+    const above = { ...self, hostId: 'above', availabilityZone: 'z', region: 'r', roles: [] };
+    const context = {
+      settings: {
+        hostId: 'below',
+        availabilityZone: 'z',
+        region: 'r',
+        roles: ['entry'],
+        groups: [],
+        peers: [],
+        timing: { documentPollMs: pollMs, rpcTimeoutMs: 1000 },
+      },
+      clock: { nowMs: () => performance.now(), wallMs: () => Date.now() },
+      random: () => 0.5,
+      record: ignore,
+      log: { info: ignore, error: ignore },
+      metrics: { gauge: ignore },
+    };
+    const mutate = async (poll: Poll) => {
+      this.polls.push(poll);
+      const { update } = this;
+      this.update = null;
+      if (update === null) await delay(pollMs);
+      return { update, silentMs: 0 };
+    };
+    const parts = {
+      document: this.document,
+      shiftSteps: { table: new ShiftTable(), changed: ignore },
+      membership: { self: () => self, hosts: () => [above], find: () => above },
+      peers: {
+        request: (_hostId: string, send: (client: unknown, signal: unknown) => Promise<unknown>) =>
+          okAsync(undefined).map(() => send({ documents: { poll: { mutate } } }, undefined)),
+      },
+    };
+    this.task = new DocumentsTask(
+      context as unknown as HostContext,
+      parts as unknown as HostParts,
+      new ControlCopy(),
+      () =>
+        new Promise((resolve) => {
+          this.synced.push(resolve);
+        }),
+    );
+  }
+
+  sync(): void {
+    for (const resolve of this.synced) resolve();
+  }
+
+  async pollsUntil(count: number): Promise<void> {
+    const untilMs = performance.now() + 20 * pollMs;
+    while (this.polls.length < count && performance.now() < untilMs) {
+      await delay(pollMs / 4);
+    }
+  }
+}
+
+/** Version that a poll confirms to the host that is asked. */
+function confirmed(poll: Poll | undefined): number | undefined {
+  return poll?.held.version;
+}
+
+test('a version is confirmed only once it is in force', async (t) => {
+  const below = new Below();
+  const running = below.task.run();
+  t.teardown(() => below.task.stop());
+  await below.pollsUntil(3);
+  t.deepEqual(
+    below.polls.map(confirmed).filter((version) => version !== 0),
+    [],
+    'not in force while it is not kept',
+  );
+  t.is(below.document.current(), undefined);
+  below.sync();
+  const asked = below.polls.length;
+  await below.pollsUntil(asked + 1);
+  t.is(below.document.current()?.version, 1);
+  t.deepEqual(below.polls.at(-1)?.held, { incarnation: 7, version: 1, shiftRevision: 0 });
+  below.task.stop();
+  await running;
+});
--- a/packages/host/src/documents/documentsTask.ts
+++ b/packages/host/src/documents/documentsTask.ts
@@ -2,7 +2,6 @@
 
 import { ControlContact } from '@buckthornlug/core/spreading/controlContact.js';
 import type { ControlCopy } from '@buckthornlug/core/spreading/controlCopy.js';
-import { orderSources } from '@buckthornlug/core/spreading/sources.js';
 import type {
   ControlUpdate,
   ControlVersions,
@@ -12,15 +11,18 @@
 import { err, ok, type Result } from 'neverthrow';
 
 import type { HostParts } from '../runtime/hostParts.js';
-import type { DocumentInForce, HostContext, HostRecord } from '../runtime/hostTypes.js';
+import type { HostContext, HostRecord } from '../runtime/hostTypes.js';
+import { DocumentInstaller } from './documentInstaller.js';
 import {
   pollReplySchema,
+  type HeldByProcess,
   type Poll,
   type PollReply,
   type VersionReport,
 } from './documentsSchema.js';
 import { UpdatePoller } from './updatePoller.js';
 import { UpdateServer } from './updateServer.js';
+import { controlMembersOf, newestElsewhere, takesPart, updateSources } from './updateSources.js';
 import { VersionReports } from './versionReports.js';
 
 /** Time that a newer version known elsewhere is given to arrive by itself. */
@@ -29,12 +31,6 @@
 const sourceOfDataFolder = 'data folder';
 /** Longest wait for other hosts before the document of the data folder is put in force. */
 const restoreWaitMs = 500;
-/** Longest wait for the disk before a newer version is put in force without being kept. */
-const maxKeepMs = 1000;
-
-function takesPart(host: HostRecord): boolean {
-  return host.state !== 'failed' && host.state !== 'left';
-}
 
 /** Checks the answer to a poll. */
 function checkReply(value: unknown): Result<PollReply, Failure> {
@@ -57,7 +53,7 @@
 
   private nudge: NodeJS.Timeout | undefined;
 
-  private isRestoring = false;
+  private readonly installer: DocumentInstaller;
 
   /**
    * @param context - context of the host
@@ -69,16 +65,18 @@
     private readonly context: HostContext,
     private readonly parts: HostParts,
     private readonly copy: ControlCopy,
-    private readonly keep: () => Promise<void> | undefined,
+    keep: () => Promise<void> | undefined,
   ) {
     this.contact = new ControlContact(context.clock.nowMs());
     this.server = new UpdateServer(copy);
+    this.installer = new DocumentInstaller(context, parts.document, copy, keep);
     this.reports = this.createReports();
     this.poller = new UpdatePoller({
-      sources: () => this.sources(),
+      sources: () => updateSources(context.settings, parts),
       have: () => this.copy.versions(),
       ask: (hostId, have, waitMs) => this.ask(hostId, have, waitMs),
       apply: (update, source) => this.apply(update, source),
+      settled: () => this.installer.settled(),
       retryMs: () => context.settings.timing.documentPollMs * (0.5 + context.random()),
     });
   }
@@ -107,7 +105,7 @@
       this.parts.shiftSteps.changed();
     }
     if (outcome.documentChanged) {
-      this.bringInForce(source, outcome.changedSections.length);
+      this.installer.install(source, outcome.changedSections.length);
     }
     if (outcome.documentChanged || outcome.newSteps.length > 0) this.server.wake();
   }
@@ -120,7 +118,7 @@
 
   /** Answers the poll of another host, and notes what it holds. */
   async answer(fromHostId: string, poll: Poll): Promise<PollReply> {
-    this.reports.note(fromHostId, [{ hostId: fromHostId, ...poll.have }]);
+    this.reports.note(fromHostId, [{ hostId: fromHostId, ...poll.held }]);
     const own = this.copy.versions();
     const isBehind = poll.have.version > own.version || poll.have.shiftRevision > own.shiftRevision;
     if (isBehind) this.scheduleNudge();
@@ -138,6 +136,7 @@
   /** Looks whether another host holds more, after the membership has changed. */
   membershipChanged(): void {
     this.poller.restart();
+    this.reports.noteAgain();
     if (this.newestElsewhere() !== undefined) this.scheduleNudge();
   }
 
@@ -146,19 +145,27 @@
     this.reports.note(fromHostId, reports);
   }
 
+  /** What this host confirms, and as which process. */
+  private held(): HeldByProcess {
+    const { incarnation } = this.parts.membership.self();
+    return { incarnation, ...this.installer.versionsInForce() };
+  }
+
   private createReports(): VersionReports {
     const { hostId } = this.context.settings;
     return new VersionReports({
       hostId,
-      members: this.controlMembers(),
-      have: () => this.copy.versions(),
+      members: controlMembersOf(this.context.settings),
+      held: () => this.held(),
       source: () => this.poller.source,
       isKnown: (other) => {
         const host = this.parts.membership.find(other);
         return host !== undefined && takesPart(host);
       },
-      noteVersions: ({ hostId: other, version, shiftRevision }) =>
-        this.parts.membershipTask?.noteVersions(other, { documentVersion: version, shiftRevision }),
+      noteVersions: ({ hostId: other, incarnation, version, shiftRevision }) => {
+        const held = { documentVersion: version, shiftRevision };
+        return this.parts.membershipTask?.noteVersions(other, incarnation, held) ?? true;
+      },
       send: (to, reports) =>
         this.parts.peers.request(to, (client, signal) =>
           client.documents.report.mutate([...reports], { signal }),
@@ -166,32 +173,12 @@
     });
   }
 
-  private controlMembers(): readonly string[] {
-    const { groups } = this.context.settings;
-    return groups.find((group) => group.id === 'control')?.members ?? [];
-  }
-
-  private sources(): string[] {
-    const { settings } = this.context;
-    const { membership, membershipTask } = this.parts;
-    const known = membership
-      .hosts()
-      .filter((host) => takesPart(host) && host.hostId !== settings.hostId);
-    const ordered = orderSources({
-      self: settings,
-      candidates: known,
-      controlMembers: this.controlMembers(),
-      zoneRelays: membershipTask?.relaysOf(settings.availabilityZone) ?? [],
-    });
-    const others = known.length > 0 ? [] : settings.peers.map((peer) => peer.hostId);
-    return [...ordered, ...others];
-  }
-
   private async ask(hostId: string, have: ControlVersions, waitMs: number) {
     const timeoutMs = waitMs + this.context.settings.timing.rpcTimeoutMs;
     const answer = await this.parts.peers.request(
       hostId,
-      (client, signal) => client.documents.poll.mutate({ have, waitMs }, { signal }),
+      (client, signal) =>
+        client.documents.poll.mutate({ have, held: this.held(), waitMs }, { signal }),
       timeoutMs,
     );
     return answer.andThen(checkReply).map(({ update, silentMs }) => {
@@ -205,54 +192,14 @@
    * away does not put an old version in force while a newer one can be had.
    */
   async restore(kept: ControlUpdate): Promise<void> {
-    this.isRestoring = true;
+    this.installer.hold();
     this.apply(kept, sourceOfDataFolder);
     await Promise.race([this.poller.askSeveral(), delay(restoreWaitMs, undefined, { ref: false })]);
-    this.isRestoring = false;
-    this.putInForce(this.newest(), sourceOfDataFolder, kept.sections.length);
-  }
-
-  private newest(): DocumentInForce {
-    return {
-      version: this.copy.versions().version,
-      sectionVersions: this.copy.sectionVersions(),
-      document: this.copy.document(),
-    };
-  }
-
-  /** Puts the newest version in force once it is kept, so that a restart does not go back. */
-  private bringInForce(source: string, sections: number): void {
-    if (this.isRestoring) return;
-    const newest = this.newest();
-    const kept = this.keep();
-    if (kept === undefined) {
-      this.putInForce(newest, source, sections);
-      return;
-    }
-    Promise.race([kept, delay(maxKeepMs, undefined, { ref: false })]).then(
-      () => this.putInForce(newest, source, sections),
-      () => undefined,
-    );
-  }
-
-  private putInForce(inForce: DocumentInForce, source: string, sections: number): void {
-    const { version } = inForce;
-    if (!this.parts.document.put(inForce)) return;
-    this.context.record({ kind: 'documentInForce', version, detail: { source, sections } });
-    this.context.log.info('documentInForce', { version, source, sections });
-    this.context.metrics.gauge('document_version', version);
+    this.installer.release(sourceOfDataFolder, kept.sections.length);
   }
 
   private newestElsewhere(): HostRecord | undefined {
-    const have = this.copy.versions();
-    let newest: HostRecord | undefined;
-    for (const host of this.parts.membership.hosts()) {
-      if (!takesPart(host) || host.hostId === this.context.settings.hostId) continue;
-      const isNewer =
-        host.documentVersion > have.version || (host.shiftRevision ?? 0) > have.shiftRevision;
-      if (isNewer && host.documentVersion >= (newest?.documentVersion ?? 0)) newest = host;
-    }
-    return newest;
+    return newestElsewhere(this.context.settings.hostId, this.parts, this.copy.versions());
   }
 
   private scheduleNudge(): void {
--- a/packages/host/src/documents/updatePoller.ts
+++ b/packages/host/src/documents/updatePoller.ts
@@ -22,6 +22,8 @@
     waitMs: number,
   ) => Promise<Result<ControlUpdate | null, Failure>>;
   readonly apply: (update: ControlUpdate, source: string) => void;
+  /** Resolves when what was applied is in force, so that the next poll confirms it. */
+  readonly settled: () => Promise<void>;
   /** Pause after a source did not answer. */
   readonly retryMs: () => number;
 }
@@ -43,6 +45,7 @@
   async run(): Promise<void> {
     while (!this.stopped) {
       if (this.parts.have().version === 0) await this.askSeveral();
+      await this.parts.settled();
       await this.askNext();
     }
   }
--- a/packages/host/src/documents/versionReports.spec.ts
+++ b/packages/host/src/documents/versionReports.spec.ts
@@ -30,10 +30,13 @@
     return new VersionReports({
       hostId,
       members,
-      have: () => ({ version: 1, shiftRevision: 0 }),
+      held: () => ({ incarnation: 1, version: 1, shiftRevision: 0 }),
       source: () => undefined,
       isKnown: () => true,
-      noteVersions: (report) => this.known.get(hostId)?.set(report.hostId, report.version),
+      noteVersions: (report) => {
+        this.known.get(hostId)?.set(report.hostId, report.version);
+        return true;
+      },
       send: (memberId, page) => {
         this.messages += 1;
         if (memberId === this.lostTo) return errAsync(failure('BL6003', 'lost'));
@@ -47,6 +50,7 @@
 function reportsAt(version: number): VersionReport[] {
   return Array.from({ length: manyHosts }, (_each, index) => ({
     hostId: `h${index}`,
+    incarnation: 1,
     version,
     shiftRevision: 0,
   }));
@@ -95,3 +99,53 @@
     t.true(allKnow(group, 2));
   });
 }
+
+const ignoreSent = () => okAsync(undefined);
+
+test('a late report of a former process is not passed on', async (t) => {
+  const sent: VersionReport[] = [];
+  const reports = new VersionReports({
+    hostId: 'm1',
+    members: ['m1', 'm2'],
+    held: () => ({ incarnation: 1, version: 0, shiftRevision: 0 }),
+    source: () => undefined,
+    isKnown: () => true,
+    noteVersions: () => true,
+    send: (_to, page) => {
+      sent.push(...page);
+      return ignoreSent();
+    },
+  });
+  const report = { hostId: 'h1', shiftRevision: 0 };
+  reports.note('relay', [{ ...report, incarnation: 1, version: 5 }]);
+  reports.note('relay', [{ ...report, incarnation: 2, version: 1 }]);
+  reports.note('relay', [{ ...report, incarnation: 1, version: 5 }]);
+  await reports.passOn();
+  const ofHost = sent.filter(({ hostId }) => hostId === 'h1');
+  t.deepEqual(ofHost, [{ ...report, incarnation: 2, version: 1 }]);
+});
+
+test('a report of a process that the membership hears of later is noted then', (t) => {
+  const noted: number[] = [];
+  let knownIncarnation = 1;
+  const reports = new VersionReports({
+    hostId: 'm1',
+    members: ['m1'],
+    held: () => ({ incarnation: 1, version: 0, shiftRevision: 0 }),
+    source: () => undefined,
+    isKnown: () => true,
+    noteVersions: ({ incarnation, version }) => {
+      if (incarnation > knownIncarnation) return false;
+      noted.push(version);
+      return true;
+    },
+    send: ignoreSent,
+  });
+  reports.note('relay', [{ hostId: 'h1', incarnation: 2, version: 4, shiftRevision: 0 }]);
+  reports.noteAgain();
+  t.deepEqual(noted, []);
+  knownIncarnation = 2;
+  reports.noteAgain();
+  reports.noteAgain();
+  t.deepEqual(noted, [4]);
+});
--- a/packages/host/src/documents/versionReports.ts
+++ b/packages/host/src/documents/versionReports.ts
@@ -1,8 +1,7 @@
-import type { ControlVersions } from '@buckthornlug/core/spreading/spreadingTypes.js';
 import type { Failure } from '@buckthornlug/protocol/results/failure.js';
 import type { ResultAsync } from 'neverthrow';
 
-import type { VersionReport } from './documentsSchema.js';
+import type { HeldByProcess, VersionReport } from './documentsSchema.js';
 
 /** Reports of other hosts in one message. */
 const maxReports = 500;
@@ -14,14 +13,14 @@
   readonly hostId: string;
   /** Members of the control group. */
   readonly members: readonly string[];
-  /** What this host holds itself. */
-  readonly have: () => ControlVersions;
+  /** What this host has in force itself. */
+  readonly held: () => HeldByProcess;
   /** Host that this one gets its updates from. */
   readonly source: () => string | undefined;
   /** Whether a host still takes part. */
   readonly isKnown: (hostId: string) => boolean;
-  /** Tells the membership of this host. */
-  readonly noteVersions: (report: VersionReport) => void;
+  /** Tells the membership of this host; false where it does not know that process yet. */
+  readonly noteVersions: (report: VersionReport) => boolean;
   /** Sends reports to another host. */
   readonly send: (to: string, reports: readonly VersionReport[]) => ResultAsync<unknown, Failure>;
 }
@@ -40,6 +39,9 @@
   /** Reports that came from below, by host. */
   private readonly held = new Map<string, HeldReport>();
 
+  /** Reports of processes that the membership does not know yet, by host. */
+  private readonly early = new Map<string, VersionReport>();
+
   /** Sequence up to which each receiver has taken the reports. */
   private readonly takenUpTo = new Map<string, number>();
 
@@ -56,17 +58,22 @@
   note(fromHostId: string, reports: readonly VersionReport[]): void {
     const isFellow = this.isMember && this.parts.members.includes(fromHostId);
     for (const report of reports) {
-      this.parts.noteVersions(report);
+      this.noteHere(report);
       if (!isFellow) this.keep(report);
     }
   }
 
+  /** Notes reports that came before the membership knew their process; after it has changed. */
+  noteAgain(): void {
+    for (const report of this.early.values()) this.noteHere(report);
+  }
+
   /** Passes on what is new, and now and then everything; to be called regularly. */
   async passOn(): Promise<void> {
-    const { hostId, have } = this.parts;
+    const { hostId, held } = this.parts;
     this.round += 1;
     if (this.round % roundsPerFullReport === 0) this.startAnew();
-    if (this.isMember) this.keep({ hostId, ...have() });
+    if (this.isMember) this.keep({ hostId, ...held() });
     const free = this.receivers().filter((receiver) => !this.passing.has(receiver));
     await Promise.all(
       free.map(async (receiver) => {
@@ -105,13 +112,23 @@
     }
   }
 
+  private noteHere(report: VersionReport): void {
+    if (this.parts.noteVersions(report)) this.early.delete(report.hostId);
+    else this.early.set(report.hostId, report);
+  }
+
+  /** Keeps a report that is newer: of a later process, or of the same one with higher versions. */
   private keep(report: VersionReport): void {
-    const known = this.held.get(report.hostId)?.report;
-    const isSame =
-      known?.version === report.version && known.shiftRevision === report.shiftRevision;
-    if (isSame) return;
+    const { hostId, incarnation } = report;
+    const known = this.held.get(hostId)?.report;
+    if (known !== undefined && known.incarnation > incarnation) return;
+    const before = known?.incarnation === incarnation ? known : undefined;
+    const version = Math.max(report.version, before?.version ?? 0);
+    const shiftRevision = Math.max(report.shiftRevision, before?.shiftRevision ?? 0);
+    if (before?.version === version && before.shiftRevision === shiftRevision) return;
     this.sequence += 1;
-    this.held.set(report.hostId, { report, sequence: this.sequence });
+    const newest = { hostId, incarnation, version, shiftRevision };
+    this.held.set(hostId, { report: newest, sequence: this.sequence });
   }
 
   /** Has everything passed on again, but for hosts that no longer take part. */
@@ -119,6 +136,7 @@
     for (const hostId of [...this.held.keys()]) {
       if (!this.parts.isKnown(hostId)) this.held.delete(hostId);
     }
+    this.early.clear();
     this.takenUpTo.clear();
   }
 }
--- a/packages/host/src/membership/membershipTask.ts
+++ b/packages/host/src/membership/membershipTask.ts
@@ -27,8 +27,8 @@
   readonly take: (message: MemberMessage) => void;
   /** Reports what this host holds of the control group's state. */
   readonly setVersions: (held: HeldVersions) => void;
-  /** Notes what another host said that it holds. */
-  readonly noteVersions: (hostId: string, held: HeldVersions) => void;
+  /** Notes what a process said that it holds; false where that process is not known yet. */
+  readonly noteVersions: (hostId: string, incarnation: number, held: HeldVersions) => boolean;
   /** Hosts that carry records between a zone and the others. */
   readonly relaysOf: (availabilityZone: string) => readonly string[];
   /** Tells the others that this host is leaving or has left. */
@@ -138,9 +138,10 @@
     deliver: (fromHostId, message) => runner.deliver(fromHostId, message),
     take: (message) => runner.carryOut(machine.receive(message, clock.nowMs())),
     setVersions: (held) => runner.carryOut(machine.setVersions(held, clock.nowMs())),
-    noteVersions: (hostId, held) => {
-      machine.noteVersions(hostId, held);
+    noteVersions: (hostId, incarnation, held) => {
+      const isKnown = machine.noteVersions(hostId, incarnation, held);
       runner.view.refresh();
+      return isKnown;
     },
     relaysOf: (zone) => machine.relaysOf(zone).map((entry) => entry.identity.hostId),
     leave: async (state) => {
