--- a/packages/core/src/consensus/replicatedMachineTypes.ts
+++ b/packages/core/src/consensus/replicatedMachineTypes.ts
@@ -10,7 +10,7 @@
   readonly apply: (command: Command, logIndex: number) => Reply;
   /** Answers a command that changes nothing; absent where the machine has none. */
   readonly read?: (command: Command) => Reply;
-  /** Encodes the whole state as plain data. */
+  /** The whole state as plain data, which later commands leave as it is. */
   readonly snapshot: () => unknown;
   /** Replaces the state by a decoded snapshot. */
   readonly restore: (snapshot: unknown) => void;
--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -30,6 +30,7 @@
 import { PendingReads } from './pendingReads.js';
 import { PendingReplies } from './pendingReplies.js';
 import { describeReplica } from './replicaDescription.js';
+import { encodeInSlices } from './snapshotEncoder.js';
 import { SnapshotPolicy } from './snapshotPolicy.js';
 
 /** The task of one replica: carries out the effects of its step machine. */
@@ -75,6 +76,8 @@
 
   private readonly snapshots = new SnapshotPolicy();
 
+  private isEncoding = false;
+
   constructor(private readonly parts: GroupTaskParts<Command, Reply>) {
     const { context, storage } = parts;
     const { timing, hostId } = context.settings;
@@ -169,7 +172,8 @@
 
   private restoreMachine(snapshot: Snapshot): void {
     this.appliedIndex = snapshot.index;
-    this.snapshots.noteSnapshot(snapshot.data.byteLength);
+    this.snapshots.noteCaptured();
+    this.snapshots.noteSize(snapshot.data.byteLength);
     if (snapshot.data.byteLength > 0) this.parts.machine.restore(decodeBinary(snapshot.data));
   }
 
@@ -177,8 +181,9 @@
     for (const { index, term, body } of entries) {
       let reply: Reply | undefined;
       if (body.kind === 'command') {
+        const startedAtMs = performance.now();
         reply = this.parts.machine.apply(decodeBinary(body.data) as Command, index);
-        this.snapshots.noteApplied(body.data.byteLength);
+        this.snapshots.noteApplied(body.data.byteLength, performance.now() - startedAtMs);
       }
       this.appliedIndex = index;
       this.pending.applied(index, term, reply as Reply);
@@ -192,10 +197,27 @@
   }
 
   private snapshotIfDue(): void {
-    if (!this.snapshots.isDue()) return;
-    const data = encodeBinary(this.parts.machine.snapshot());
-    this.snapshots.noteSnapshot(data.byteLength);
-    this.take({ kind: 'compact', index: this.appliedIndex, data });
+    if (this.isEncoding || this.isStopped || !this.snapshots.isDue()) return;
+    this.isEncoding = true;
+    this.snapshots.noteCaptured();
+    this.saveSnapshot().then(
+      () => {
+        this.isEncoding = false;
+        this.snapshotIfDue();
+      },
+      (error: unknown) => {
+        this.isEncoding = false;
+        this.parts.context.log.error('snapshotFailed', { problem: String(error) });
+      },
+    );
+  }
+
+  /** Encodes the state as it is now, in slices, and replaces the log up to here by it. */
+  private async saveSnapshot(): Promise<void> {
+    const index = this.appliedIndex;
+    const data = await encodeInSlices(this.parts.machine.snapshot());
+    this.snapshots.noteSize(data.byteLength);
+    this.take({ kind: 'compact', index, data });
   }
 
   /** Writes what has gathered as one batch, then what gathered meanwhile. */
--- /dev/null
+++ b/packages/host/src/consensus/snapshotEncoder.ts
@@ -0,0 +1,95 @@
+import { encodeBinary } from './binaryCodec.js';
+
+/** Encodes a large state in slices, so that timers and sockets of the process are served between. */
+
+/** Time of one slice; far below a heartbeat interval. */
+const sliceMs = 4;
+/** Time that one batch of elements aims at. */
+const batchMs = 1;
+/** Objects inside one another that are taken apart; below it a value is encoded at once. */
+const maxDepth = 3;
+
+const mapType = 0xa0;
+const arrayType = 0x80;
+
+/** Head of a CBOR map or array. */
+function headOf(type: number, length: number): Uint8Array {
+  if (length < 24) return Uint8Array.of(type | length);
+  const head = Buffer.alloc(5);
+  head.writeUInt8(type | 26, 0);
+  head.writeUInt32BE(length, 1);
+  return head;
+}
+
+/** Bytes that the codec writes before the elements of an array. */
+function arrayHeadBytes(encoded: Uint8Array): number {
+  const size = (encoded[0] ?? 0) & 31;
+  return size < 24 ? 1 : 1 + 2 ** (size - 24);
+}
+
+function isPlainObject(value: unknown): value is Record<string, unknown> {
+  return (
+    typeof value === 'object' && value !== null && Object.getPrototypeOf(value) === Object.prototype
+  );
+}
+
+/** Encodes the elements in batches whose size follows the time that the last one took. */
+function* partsOfArray(elements: readonly unknown[], nowMs: () => number): Generator<Uint8Array> {
+  yield headOf(arrayType, elements.length);
+  let batch = 1;
+  for (let first = 0; first < elements.length;) {
+    const startedAtMs = nowMs();
+    const taken = elements.slice(first, first + batch);
+    const encoded = encodeBinary(taken);
+    first += taken.length;
+    yield encoded.subarray(arrayHeadBytes(encoded));
+    const tookMs = nowMs() - startedAtMs;
+    batch = tookMs < batchMs ? batch * 2 : Math.max(1, batch >> 1);
+  }
+}
+
+function* partsOf(value: unknown, depth: number, nowMs: () => number): Generator<Uint8Array> {
+  if (Array.isArray(value)) {
+    yield* partsOfArray(value, nowMs);
+    return;
+  }
+  if (!isPlainObject(value) || depth >= maxDepth) {
+    yield encodeBinary(value);
+    return;
+  }
+  const fields = Object.entries(value);
+  yield headOf(mapType, fields.length);
+  for (const [name, field] of fields) {
+    yield encodeBinary(name);
+    yield* partsOf(field, depth + 1, nowMs);
+  }
+}
+
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
+/**
+ * Encodes plain data like `encodeBinary`, with pauses. The data must not change meanwhile.
+ *
+ * @param value - plain data
+ * @param pause - lets the process do other work
+ * @param nowMs - monotonic time
+ */
+export async function encodeInSlices(
+  value: unknown,
+  pause: () => Promise<void> = nextTurn,
+  nowMs: () => number = () => performance.now(),
+): Promise<Uint8Array> {
+  const parts: Uint8Array[] = [];
+  let sliceStartedAtMs = nowMs();
+  for (const part of partsOf(value, 0, nowMs)) {
+    parts.push(part);
+    if (nowMs() - sliceStartedAtMs < sliceMs) continue;
+    await pause();
+    sliceStartedAtMs = nowMs();
+  }
+  return Buffer.concat(parts);
+}
--- a/packages/host/src/consensus/snapshotPolicy.ts
+++ b/packages/host/src/consensus/snapshotPolicy.ts
@@ -5,6 +5,9 @@
 /** A small state is saved after so many entries at the latest, so that a start replays few. */
 const snapshotEveryEntries = 256;
 const smallSnapshotBytes = 4 * 1024 * 1024;
+/** Any state is saved once a start would replay for so long, but not after a few entries only. */
+const snapshotEveryReplayMs = 500;
+const fewEntries = 32;
 
 /** Counts what was applied since the last snapshot. */
 export class SnapshotPolicy {
@@ -12,24 +15,33 @@
 
   private entries = 0;
 
+  private replayMs = 0;
+
   private snapshotBytes = 0;
 
-  /** Takes note of an applied entry and the size of its command. */
-  noteApplied(commandBytes: number): void {
+  /** Takes note of an applied entry, the size of its command and the time that it took. */
+  noteApplied(commandBytes: number, applyMs: number): void {
     this.entries += 1;
     this.logBytes += commandBytes;
+    this.replayMs += applyMs;
   }
 
-  /** Takes note of a snapshot that covers everything applied so far. */
-  noteSnapshot(bytes: number): void {
-    this.snapshotBytes = bytes;
+  /** Takes note that everything applied so far goes into a snapshot. */
+  noteCaptured(): void {
     this.entries = 0;
     this.logBytes = 0;
+    this.replayMs = 0;
+  }
+
+  /** Takes note of the size of the newest snapshot. */
+  noteSize(bytes: number): void {
+    this.snapshotBytes = bytes;
   }
 
   isDue(): boolean {
     const isSmall = this.snapshotBytes <= smallSnapshotBytes;
     if (isSmall && this.entries >= snapshotEveryEntries) return true;
+    if (this.replayMs >= snapshotEveryReplayMs && this.entries >= fewEntries) return true;
     return this.logBytes >= Math.max(snapshotEveryBytes, this.snapshotBytes);
   }
 }
--- a/packages/testkit/src/bench/control/controlExperiment.ts
+++ b/packages/testkit/src/bench/control/controlExperiment.ts
@@ -22,6 +22,7 @@
 } from '../benchTypes.js';
 
 import { measureIdleMembers } from './idleMembers.js';
+import { measureLargeState } from './largeState.js';
 
 /** Commit latency, recovery and the cost of control hosts. */
 
@@ -164,7 +165,9 @@
   const recovery = await recoveryRows();
   options.progress('idle');
   const idle = await withFleet(2, 0, ({ fleet }) => measureIdleMembers(fleet));
-  rows.push(...recovery, ...idle.rows);
+  options.progress('a state of full size');
+  const large = await measureLargeState(recoveryBoundHistory, options.seed);
+  rows.push(...recovery, large, ...idle.rows);
   const longest = recovery[histories.indexOf(recoveryBoundHistory)]?.figures.oneHostMs;
   return {
     experiment: 'control',
@@ -172,6 +175,11 @@
     rows,
     bounds: [
       atMost('recovery after 1,000 changes, ms', Number(longest), recoveryBoundMs),
+      atMost(
+        'restart of a replica of full size, ms',
+        Number(large.figures.startMs),
+        recoveryBoundMs,
+      ),
       ...idle.bounds,
     ],
   };
--- a/packages/testkit/src/bench/members/recompileExperiment.ts
+++ b/packages/testkit/src/bench/members/recompileExperiment.ts
@@ -47,7 +47,7 @@
 }
 
 /** A document of the target size: each site is a service of its own. */
-function createLargeDocument(): SteeringDocument {
+export function createLargeDocument(): SteeringDocument {
   const small = createTestDocument();
   const [service] = Object.values(small.services);
   const [traffic] = Object.values(small.traffic);
--- a/packages/testkit/src/control/groups.spec.ts
+++ b/packages/testkit/src/control/groups.spec.ts
@@ -23,7 +23,7 @@
   return {
     words: () => words,
     apply: ({ word }) => words.push(word),
-    snapshot: () => words,
+    snapshot: () => [...words],
     restore: (snapshot) => {
       words = snapshot as string[];
     },
