fix(consensus): form-anew waits for the control group and hears the same when sent again

Cause: POST /v1/groups/<ledger>/form-anew gave the control group timing.rpcTimeoutMs (300 ms in the test, election timeout 300 ms) where submissions get 10 s, so an election or a slow sync answered 503 or 504. The operator then didn't know whether the loss was accepted, and a resend either met BL5008 because the group ran again, or deleted the formation that had been registered meanwhile, so a second loss of all disks would have gone unnoticed. Change: the request names what is given up (formation of a ledger group, empty disk that forms the control group). The control group keeps what was given up and answers a resend with the first answer; another identity is BL5009. GET /v1/groups/<group>/formation shows the name.

--- a/packages/cli/src/api/sendSubmission.ts
+++ b/packages/cli/src/api/sendSubmission.ts
@@ -11,11 +11,8 @@
 import { err, ok, type Result } from 'neverthrow';
 
 import type { AdminClient } from './adminClient.js';
+import { postUntilKnown } from './postUntilKnown.js';
 
-/** Failures after which the same submission is sent again. */
-const retryableCodes: readonly string[] = ['BL2008', 'BL5001', 'BL5002'];
-const maxAttempts = 20;
-const retryDelayMs = 300;
 const pollDelayMs = 200;
 
 /**
@@ -29,15 +26,8 @@
   client: AdminClient,
   submission: Submission,
 ): Promise<Result<SubmissionReply, Failure>> {
-  let problem = failure('BL2008', 'the submission was not sent');
-  for (let attempt = 0; attempt < maxAttempts; attempt += 1) {
-    const answer = await client.post('/v1/submissions', submission);
-    if (answer.isOk()) return ok(submissionReplySchema.parse(answer.value));
-    problem = answer.error;
-    if (!retryableCodes.includes(problem.code)) return err(problem);
-    await delay(retryDelayMs);
-  }
-  return err(problem);
+  const answer = await postUntilKnown(client, '/v1/submissions', submission);
+  return answer.map((reply) => submissionReplySchema.parse(reply));
 }
 
 /**
--- a/packages/core/src/submissions/controlMachine.ts
+++ b/packages/core/src/submissions/controlMachine.ts
@@ -13,7 +13,9 @@
   type FindFormationCommand,
   type Formation,
   type FormationReply,
-  type ForgetFormationCommand,
+  type GivenUpFormations,
+  type GiveUpFormationCommand,
+  type GiveUpOutcome,
   type RegisterFormationCommand,
 } from './formationRegistry.js';
 import type { VerifySubmission } from './submissionSignature.js';
@@ -31,7 +33,7 @@
   readonly submission: SubmissionOutcome;
   readonly shiftStep: ShiftStepOutcome;
   readonly registerFormation: FormationReply;
-  readonly forgetFormation: FormationReply;
+  readonly giveUpFormation: GiveUpOutcome;
   readonly findFormation: FormationReply;
 }
 
@@ -40,7 +42,7 @@
   | SubmissionCommand
   | ShiftStepCommand
   | RegisterFormationCommand
-  | ForgetFormationCommand
+  | GiveUpFormationCommand
   | FindFormationCommand;
 
 /** A reply of the control group. */
@@ -51,6 +53,7 @@
   readonly shifts: ShiftSnapshot;
   /** Absent in snapshots of versions without the registry. */
   readonly formations?: readonly Formation[];
+  readonly givenUpFormations?: readonly GivenUpFormations[];
 }
 
 /** The machine of the control group, with read access to its parts. */
@@ -91,21 +94,30 @@
     apply: (command) => {
       if (command.type === 'submission') return documents.submit(command);
       if (command.type === 'shiftStep') return commitStep(documents, shifts, command);
-      if (command.type === 'forgetFormation') return formations.forget(command.groupId);
+      if (command.type === 'giveUpFormation') {
+        return formations.giveUp(command.groupId, command.formationId);
+      }
       if (command.type === 'findFormation') return formations.find(command.groupId);
       return formations.register(command.formation);
     },
     read: (command) => formations.find('groupId' in command ? command.groupId : ''),
-    snapshot: (): ControlSnapshot => ({
-      documents: documents.snapshot(),
-      shifts: shifts.snapshot(),
-      formations: formations.snapshot(),
-    }),
+    snapshot: (): ControlSnapshot => {
+      const registry = formations.snapshot();
+      return {
+        documents: documents.snapshot(),
+        shifts: shifts.snapshot(),
+        formations: registry.formations,
+        givenUpFormations: registry.givenUp,
+      };
+    },
     restore: (snapshot) => {
       const restored = snapshot as ControlSnapshot;
       documents.restore(restored.documents);
       shifts.restore(restored.shifts);
-      formations.restore(restored.formations ?? []);
+      formations.restore({
+        formations: restored.formations ?? [],
+        givenUp: restored.givenUpFormations ?? [],
+      });
     },
   };
 }
--- a/packages/host/src/consensus/consensusFeature.ts
+++ b/packages/host/src/consensus/consensusFeature.ts
@@ -3,6 +3,7 @@
 import type { Feature } from '../runtime/hostParts.js';
 import { HostGroups } from './groups.js';
 import { registerGroupRoutes } from './groupRoutes.js';
+import { LossAcceptance } from './lossAcceptance.js';
 
 /** The replicated groups of the settings; features that start later open them. */
 export const consensusFeature: Feature = {
@@ -10,9 +11,10 @@
   wanted: () => true,
   start: (context, parts) => {
     const groups = new HostGroups(context, parts);
+    const losses = new LossAcceptance({ context, groups, guard: groups.guard });
     parts.provide({ openGroup: groups.open });
     parts.rpcHandlers.consensus = groups.handlers();
-    parts.adminRoutes.push((app) => registerGroupRoutes(app, groups));
+    parts.adminRoutes.push((app) => registerGroupRoutes(app, groups, losses));
     return okAsync({
       name: 'consensus',
       stopSteps: {
--- a/packages/host/src/consensus/consensusSchema.ts
+++ b/packages/host/src/consensus/consensusSchema.ts
@@ -22,9 +22,6 @@
 export const describeSchema = z.strictObject({ groupId: idSchema });
 
 /** A replica that asks to be added. */
-/** Consent of an operator to a group without its former state. */
-export const formAnewSchema = z.strictObject({ acceptLoss: z.literal(true) });
-
 export const joinSchema = z.strictObject({ groupId: idSchema, replicaId: z.string() });
 
 export type DeliverRequest = z.infer<typeof deliverSchema>;
--- a/packages/host/src/consensus/formationGuard.ts
+++ b/packages/host/src/consensus/formationGuard.ts
@@ -1,12 +1,16 @@
 import {
   startsWithSameDisks,
   type Formation,
+  type FormationReply,
 } from '@buckthornlug/core/submissions/formationRegistry.js';
+import type { FormAnewRequest } from '@buckthornlug/protocol/admin/formAnewSchema.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, errAsync, ok, okAsync, ResultAsync, type Result } from 'neverthrow';
 
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
+import type { ControlGroup } from '../submissions/controlGroup.js';
+import { repeatUntilKnown } from '../submissions/operatorCommand.js';
 import { controlGroupId } from './controlGroupId.js';
 
 /** Time limit of one look-up of a formation; it is repeated while the replica waits. */
@@ -24,10 +28,11 @@
  * control group itself is formed only while no host that answers holds a document.
  */
 export class FormationGuard {
-  private isControlLossAccepted = false;
+  /** Empty disk of this host that may form the control group although a document is known. */
+  private acceptedReplicaId: string | undefined;
 
   constructor(
-    private readonly context: Pick<HostContext, 'settings'>,
+    private readonly context: Pick<HostContext, 'settings' | 'clock'>,
     private readonly parts: FormationGuardParts,
   ) {}
 
@@ -40,7 +45,7 @@
    */
   claim(formation: Formation): ResultAsync<Formation, Failure> {
     if (formation.groupId !== controlGroupId) return this.register(formation);
-    if (this.isControlLossAccepted) return okAsync(formation);
+    if (formation.voters.some((one) => this.isControlLossAccepted(one))) return okAsync(formation);
     return new ResultAsync(this.checkDocuments(formation));
   }
 
@@ -55,22 +60,51 @@
     if (groupId === controlGroupId) return undefined;
     const found = await this.parts.control?.findFormation(groupId, findTimeoutMs);
     if (found === undefined || found.isErr()) return undefined;
-    return found.value?.voters.includes(replicaId) ? found.value : undefined;
+    const { formation } = found.value;
+    return formation?.voters.includes(replicaId) ? formation : undefined;
   }
 
   /**
-   * Lets a group be formed anew without its former state.
+   * Asks for what a request to form a ledger group anew has to name.
    *
-   * @param groupId - group whose loss an operator accepts
+   * @param groupId - ledger group
    */
-  acceptLoss(groupId: string): ResultAsync<void, Failure> {
-    if (groupId !== controlGroupId) {
-      const { control } = this.parts;
-      if (control === undefined) return errAsync(failure('BL5005', 'no control group is set up'));
-      return control.forgetFormation(groupId, this.timeoutMs());
-    }
-    this.isControlLossAccepted = true;
-    return okAsync(undefined);
+  formationsOf(groupId: string): ResultAsync<FormationReply, Failure> {
+    return this.ask((control, timeoutMs) => control.findFormation(groupId, timeoutMs));
+  }
+
+  /**
+   * Lets a ledger group be formed anew without its former state. Waits for the control group as
+   * submissions do; a request that is sent again hears the same.
+   *
+   * @param request - group and formation whose loss an operator accepts
+   * @returns BL5009 where the formation was never registered; BL5002 where it is not known whether
+   *   the loss was accepted
+   */
+  acceptLedgerLoss({ groupId, lostId }: FormAnewRequest): ResultAsync<void, Failure> {
+    const command = { type: 'giveUpFormation', groupId, formationId: lostId } as const;
+    return this.ask((control, timeoutMs) => control.giveUpFormation(command, timeoutMs));
+  }
+
+  /** Lets the control group be formed anew by an empty disk of this host. */
+  acceptControlLoss(replicaId: string): void {
+    this.acceptedReplicaId = replicaId;
+  }
+
+  /** Whether the loss of the control group was accepted for this disk. */
+  isControlLossAccepted(replicaId: string): boolean {
+    return this.acceptedReplicaId === replicaId;
+  }
+
+  private ask<Value>(
+    attempt: (control: ControlGroup, timeoutMs: number) => ResultAsync<Value, Failure>,
+  ): ResultAsync<Value, Failure> {
+    const { control } = this.parts;
+    if (control === undefined) return errAsync(failure('BL5005', 'no control group is set up'));
+    const unknown = failure('BL5002', 'the control group did not confirm in time');
+    return new ResultAsync(
+      repeatUntilKnown(this.context.clock, (timeoutMs) => attempt(control, timeoutMs), unknown),
+    );
   }
 
   private register(formation: Formation): ResultAsync<Formation, Failure> {
--- a/packages/host/src/consensus/groupRoutes.ts
+++ b/packages/host/src/consensus/groupRoutes.ts
@@ -1,30 +1,47 @@
-import { failure } from '@buckthornlug/protocol/results/failure.js';
-import type { Hono } from 'hono';
+import { formAnewSchema } from '@buckthornlug/protocol/admin/formAnewSchema.js';
+import { faultsOf } from '@buckthornlug/protocol/common/faults.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import type { Context, Hono } from 'hono';
+import type { ResultAsync } from 'neverthrow';
 
 import { failureResponse } from '../admin/adminListener.js';
-import { formAnewSchema } from './consensusSchema.js';
-
 import type { HostGroups } from './groups.js';
+import type { LossAcceptance } from './lossAcceptance.js';
+
+async function answer(result: ResultAsync<unknown, Failure>): Promise<Response> {
+  const settled = await result;
+  return settled.isOk() ? Response.json(settled.value) : failureResponse(settled.error);
+}
+
+async function answerFormAnew(losses: LossAcceptance, request: Context): Promise<Response> {
+  const body: unknown = await request.req.json().catch(() => undefined);
+  const parsed = formAnewSchema.safeParse(body);
+  if (!parsed.success) {
+    const faults = faultsOf(parsed.error);
+    return failureResponse(failure('BL1005', 'the request is not valid', { faults }));
+  }
+  if (parsed.data.groupId !== request.req.param('id')) {
+    return failureResponse(failure('BL1005', 'the path names another group'));
+  }
+  return answer(losses.accept(parsed.data));
+}
 
 /**
- * Adds `GET /v1/groups`: term, leader, replicas and lag of each group, and
+ * Adds `GET /v1/groups`: term, leader, replicas and lag of each group,
+ * `GET /v1/groups/:id/formation`: what a request to form the group anew has to name, and
  * `POST /v1/groups/:id/form-anew`: an operator accepts the loss of a group's state.
  *
  * @param app - administration API
  * @param groups - groups of the host
+ * @param losses - requests that give up the state of a group
  */
-export function registerGroupRoutes(app: Hono, groups: HostGroups): void {
+export function registerGroupRoutes(app: Hono, groups: HostGroups, losses: LossAcceptance): void {
   app.get('/v1/groups', async (request) => {
     const found = await Promise.all(groups.groupIds().map((id) => groups.describeAnywhere(id)));
     return request.json({ groups: found.flatMap((group) => (group.isOk() ? [group.value] : [])) });
   });
-  app.post('/v1/groups/:id/form-anew', async (request) => {
-    const body: unknown = await request.req.json().catch(() => undefined);
-    if (!formAnewSchema.safeParse(body).success) {
-      return failureResponse(failure('BL1005', 'the body must be {"acceptLoss":true}'));
-    }
-    const accepted = await groups.acceptLoss(request.req.param('id'));
-    if (accepted.isErr()) return failureResponse(accepted.error);
-    return request.json({ groupId: request.req.param('id'), lossAccepted: true });
-  });
+  app.get('/v1/groups/:id/formation', (request) =>
+    answer(losses.statusOf(request.req.param('id'))),
+  );
+  app.post('/v1/groups/:id/form-anew', (request) => answerFormAnew(losses, request));
 }
--- a/packages/host/src/consensus/groups.ts
+++ b/packages/host/src/consensus/groups.ts
@@ -2,7 +2,7 @@
 import { hostIdOf } from '@buckthornlug/core/consensus/membership.js';
 import type { ReplicatedMachine } from '@buckthornlug/core/consensus/replicatedMachineTypes.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
-import { err, errAsync, okAsync, ResultAsync } from 'neverthrow';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 
 import type { PeerClients } from '../rpc/peerClients.js';
 import type { HostParts } from '../runtime/hostParts.js';
@@ -17,7 +17,6 @@
   LeaderReply,
   SubmitRequest,
 } from './consensusSchema.js';
-import { controlGroupId } from './controlGroupId.js';
 import { FormationGuard } from './formationGuard.js';
 import type { GroupHandle } from './groupTypes.js';
 import { HeartbeatLink, type HeartbeatBatch } from './heartbeatLink.js';
@@ -60,7 +59,7 @@
 
   private readonly peers: PeerClients;
 
-  private readonly guard: FormationGuard;
+  readonly guard: FormationGuard;
 
   private readonly heartbeats: HeartbeatLink | undefined;
 
@@ -88,7 +87,8 @@
     this.replicas.get(groupId)?.deliver(formationId, messages);
   }
 
-  private memberHostIds(groupId: string): readonly string[] {
+  /** Hosts of the settings that start the group. */
+  memberHostIds(groupId: string): readonly string[] {
     const group = this.context.settings.groups.find(({ id }) => id === groupId);
     return group?.members ?? [];
   }
@@ -183,26 +183,6 @@
     return this.parts.document.current()?.version ?? 0;
   }
 
-  /**
-   * Lets a group be formed anew without its former state.
-   *
-   * @param groupId - group whose disks are all empty
-   * @returns BL5005 where another host has to be asked, BL5008 where a replica runs
-   */
-  acceptLoss(groupId: string): ResultAsync<void, Failure> {
-    const [former] = [...this.memberHostIds(groupId)].sort();
-    if (former === undefined) return errAsync(failure('BL5005', `no group "${groupId}" is set up`));
-    const isHere = former === this.context.settings.hostId;
-    if (groupId === controlGroupId && !isHere) {
-      return errAsync(failure('BL5005', `"${groupId}" is formed by host "${former}"; ask it`));
-    }
-    return this.describeAnywhere(groupId).andThen(({ state, replicaId }) => {
-      if (state === 'running') return err(failure('BL5008', `replica "${replicaId}" runs`));
-      this.context.log.warn('lossAccepted', { groupId });
-      return this.guard.acceptLoss(groupId);
-    });
-  }
-
   /** Groups of the settings. */
   groupIds(): string[] {
     return this.context.settings.groups.map(({ id }) => id);
--- /dev/null
+++ b/packages/host/src/consensus/lossAcceptance.ts
@@ -0,0 +1,106 @@
+import type {
+  FormAnewReply,
+  FormAnewRequest,
+  FormationStatus,
+} from '@buckthornlug/protocol/admin/formAnewSchema.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, errAsync, ok, okAsync, type Result, type ResultAsync } from 'neverthrow';
+
+import type { HostContext } from '../runtime/hostTypes.js';
+import type { GroupDescription } from './consensusSchema.js';
+import { controlGroupId } from './controlGroupId.js';
+import type { FormationGuard } from './formationGuard.js';
+import type { HostGroups } from './groups.js';
+
+/** What the acceptance of a loss is given. */
+export interface LossAcceptanceParts {
+  readonly context: Pick<HostContext, 'settings' | 'log'>;
+  readonly groups: Pick<HostGroups, 'describe' | 'describeAnywhere' | 'memberHostIds'>;
+  readonly guard: Pick<
+    FormationGuard,
+    'formationsOf' | 'acceptLedgerLoss' | 'acceptControlLoss' | 'isControlLossAccepted'
+  >;
+}
+
+function stillRuns({ replicaId }: GroupDescription): Failure {
+  return failure('BL5008', `replica "${replicaId}" runs`);
+}
+
+/** Requests of operators that give up the state of a group, so that it can be formed anew. */
+export class LossAcceptance {
+  constructor(private readonly parts: LossAcceptanceParts) {}
+
+  /**
+   * Tells what a request to form a group anew has to name.
+   *
+   * @param groupId - group
+   * @returns BL5005 where the group is not set up, or another host has to be asked
+   */
+  statusOf(groupId: string): ResultAsync<FormationStatus, Failure> {
+    return this.checkHost(groupId).asyncAndThen(() => {
+      if (groupId !== controlGroupId) {
+        return this.parts.guard.formationsOf(groupId).map(({ formation, givenUpIds }) => ({
+          groupId,
+          ...(formation === undefined ? {} : { lostId: formation.formationId }),
+          givenUpIds: [...givenUpIds],
+        }));
+      }
+      const { replicaId } = this.parts.groups.describe(groupId);
+      const lost = replicaId === undefined ? {} : { lostId: replicaId };
+      return okAsync({ groupId, ...lost, givenUpIds: [] });
+    });
+  }
+
+  /**
+   * Lets a group be formed anew without its former state. A request that is sent again changes
+   * nothing and hears the same.
+   *
+   * @param request - what is given up
+   * @returns BL5005 where another host has to be asked, BL5008 where a replica of what is given up
+   *   runs, BL5009 where the group was not formed as stated, BL5002 where the outcome is not known
+   */
+  accept(request: FormAnewRequest): ResultAsync<FormAnewReply, Failure> {
+    const { groupId, lostId } = request;
+    const accepted = this.checkHost(groupId).asyncAndThen(() =>
+      groupId === controlGroupId ? this.acceptControl(lostId) : this.acceptLedger(request),
+    );
+    return accepted.map(() => ({ groupId, lostId, lossAccepted: true as const }));
+  }
+
+  private checkHost(groupId: string): Result<void, Failure> {
+    const { context, groups } = this.parts;
+    const [former] = [...groups.memberHostIds(groupId)].sort();
+    if (former === undefined) return err(failure('BL5005', `no group "${groupId}" is set up`));
+    if (groupId !== controlGroupId || former === context.settings.hostId) return ok(undefined);
+    return err(failure('BL5005', `"${groupId}" is formed by host "${former}"; ask it`));
+  }
+
+  private acceptLedger(request: FormAnewRequest): ResultAsync<void, Failure> {
+    const { groups, guard } = this.parts;
+    return groups.describeAnywhere(request.groupId).andThen((found) => {
+      const isLost = found.state !== 'running' || found.formationId !== request.lostId;
+      if (!isLost) return errAsync(stillRuns(found));
+      this.log(request.groupId, request.lostId);
+      return guard.acceptLedgerLoss(request);
+    });
+  }
+
+  private acceptControl(lostId: string): ResultAsync<void, Failure> {
+    const { groups, guard } = this.parts;
+    if (guard.isControlLossAccepted(lostId)) return okAsync(undefined);
+    return groups.describeAnywhere(controlGroupId).andThen((found) => {
+      if (found.state === 'running') return err(stillRuns(found));
+      const { replicaId } = groups.describe(controlGroupId);
+      if (replicaId !== lostId) {
+        return err(failure('BL5009', `the disk that is to form the group is ${replicaId}`));
+      }
+      this.log(controlGroupId, lostId);
+      guard.acceptControlLoss(lostId);
+      return ok(undefined);
+    });
+  }
+
+  private log(groupId: string, lostId: string): void {
+    this.parts.context.log.warn('lossAccepted', { groupId, lostId });
+  }
+}
--- a/packages/host/src/consensus/memberReplica.ts
+++ b/packages/host/src/consensus/memberReplica.ts
@@ -245,9 +245,10 @@
   describe(): GroupDescription {
     const { groupId } = this.parts;
     if (this.task !== undefined) return this.withStart(this.task.describe());
-    if (this.problem !== undefined) return { groupId, state: 'failed', failure: this.problem };
-    if (this.storage === undefined) return { groupId, state: 'unknown' };
-    return { groupId, state: 'empty', replicaId: this.replicaId(this.storage) };
+    const { storage, problem } = this;
+    const replica = storage === undefined ? {} : { replicaId: this.replicaId(storage) };
+    if (problem !== undefined) return { groupId, state: 'failed', ...replica, failure: problem };
+    return { groupId, state: storage === undefined ? 'unknown' : 'empty', ...replica };
   }
 
   /** Adds the first voters while this host still holds the start of the group. */
--- a/packages/host/src/submissions/controlGroup.ts
+++ b/packages/host/src/submissions/controlGroup.ts
@@ -4,10 +4,9 @@
   ControlReply,
 } from '@buckthornlug/core/submissions/controlMachine.js';
 import type {
-  ForgetFormationCommand,
   Formation,
   FormationReply,
-  RegisterFormationCommand,
+  GiveUpFormationCommand,
 } from '@buckthornlug/core/submissions/formationRegistry.js';
 import type { ShiftTable } from '@buckthornlug/core/shifts/shiftTable.js';
 import type {
@@ -51,13 +50,16 @@
     formation: Formation,
     timeoutMs: number,
   ) => ResultAsync<Formation, Failure>;
-  /** Asks for the registered formation of a ledger group, without a commit. */
+  /** Asks for the formations of a ledger group, without a commit. */
   readonly findFormation: (
     groupId: string,
     timeoutMs: number,
-  ) => ResultAsync<Formation | undefined, Failure>;
-  /** Allows a ledger group to be formed anew, without its former state. */
-  readonly forgetFormation: (groupId: string, timeoutMs: number) => ResultAsync<void, Failure>;
+  ) => ResultAsync<FormationReply, Failure>;
+  /** Allows a ledger group to be formed anew, without its former state; may be repeated. */
+  readonly giveUpFormation: (
+    command: GiveUpFormationCommand,
+    timeoutMs: number,
+  ) => ResultAsync<void, Failure>;
   readonly readBarrier: (timeoutMs: number) => ResultAsync<void, Failure>;
   /** Everything that a host lacks which has come as far as stated. */
   readonly updateSince: (have: CommittedVersions) => CommittedVersions & {
@@ -83,15 +85,6 @@
 ): ControlGroup {
   const { documents, shifts } = machine;
   const otherReply = failure('BL5002', 'the reply is of another command');
-  const submitFormation = (
-    command: RegisterFormationCommand | ForgetFormationCommand,
-    timeoutMs: number,
-  ) =>
-    handle
-      .submit(command, timeoutMs)
-      .andThen((reply): Result<FormationReply, Failure> =>
-        'formation' in reply ? ok(reply) : err(otherReply),
-      );
   return {
     isMember,
     machine,
@@ -110,15 +103,19 @@
         return reply.committed ? okAsync(reply.step) : errAsync(reply.failure);
       }),
     registerFormation: (formation, timeoutMs) =>
-      submitFormation({ type: 'registerFormation', formation }, timeoutMs).andThen((reply) =>
-        reply.formation === undefined ? err(otherReply) : ok(reply.formation),
-      ),
+      handle.submit({ type: 'registerFormation', formation }, timeoutMs).andThen((reply) => {
+        const registered = 'formation' in reply ? reply.formation : undefined;
+        return registered === undefined ? err(otherReply) : ok(registered);
+      }),
     findFormation: (groupId, timeoutMs) =>
       handle
         .read({ type: 'findFormation', groupId }, timeoutMs)
-        .andThen((reply) => ('formation' in reply ? ok(reply.formation) : err(otherReply))),
-    forgetFormation: (groupId, timeoutMs) =>
-      submitFormation({ type: 'forgetFormation', groupId }, timeoutMs).map(() => undefined),
+        .andThen((reply) => ('formation' in reply ? ok(reply) : err(otherReply))),
+    giveUpFormation: (command, timeoutMs) =>
+      handle.submit(command, timeoutMs).andThen((reply): Result<void, Failure> => {
+        if (!('givenUp' in reply)) return err(otherReply);
+        return reply.givenUp ? ok(undefined) : err(reply.failure);
+      }),
     readBarrier: handle.readBarrier,
     updateSince: (have) => ({
       version: documents.currentVersion(),
--- /dev/null
+++ b/packages/host/src/submissions/operatorCommand.ts
@@ -0,0 +1,35 @@
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, type Result, type ResultAsync } from 'neverthrow';
+
+import type { Clock } from '../runtime/hostTypes.js';
+
+/** Commands of operators wait for the control group through elections and restarts of hosts. */
+
+const commandTimeoutMs = 10_000;
+const attemptTimeoutMs = 2500;
+
+/**
+ * Repeats an idempotent command until its outcome is known or 10 s have passed.
+ *
+ * @param clock - clock of the host
+ * @param attempt - one attempt within the time given
+ * @param unknown - failure where an attempt may have been committed
+ * @returns the outcome; BL5001 where the command was never proposed
+ */
+export async function repeatUntilKnown<Value>(
+  clock: Pick<Clock, 'nowMs'>,
+  attempt: (timeoutMs: number) => ResultAsync<Value, Failure>,
+  unknown: Failure,
+): Promise<Result<Value, Failure>> {
+  const untilMs = clock.nowMs() + commandTimeoutMs;
+  let isUnknown = false;
+  for (;;) {
+    const restMs = untilMs - clock.nowMs();
+    if (restMs <= 0) break;
+    const answer = await attempt(Math.min(attemptTimeoutMs, restMs));
+    if (answer.isOk()) return answer;
+    if (answer.error.code === 'BL5002') isUnknown = true;
+    else if (answer.error.code !== 'BL5001') return answer;
+  }
+  return err(isUnknown ? unknown : failure('BL5001', 'the control group has no leader'));
+}
--- a/packages/host/src/submissions/submitter.ts
+++ b/packages/host/src/submissions/submitter.ts
@@ -10,12 +10,10 @@
 
 import type { HostContext } from '../runtime/hostTypes.js';
 import type { ControlGroup } from './controlGroup.js';
+import { repeatUntilKnown } from './operatorCommand.js';
 
 /** Commits submissions; a submission may be sent again since its identity makes it idempotent. */
 
-const submitTimeoutMs = 10_000;
-const attemptTimeoutMs = 2500;
-
 /** Adds who vouches for the submission. */
 function commandOf(submission: Submission, clusterKeys: readonly SecretKey[]): SubmissionCommand {
   const key = clusterKeys.find(({ id }) => id === submission.keyId);
@@ -46,21 +44,12 @@
   submission: Submission,
 ): Promise<Result<SubmissionReply, Failure>> {
   const command = commandOf(submission, context.settings.clusterKeys);
-  const untilMs = context.clock.nowMs() + submitTimeoutMs;
-  let isUnknown = false;
-  for (;;) {
-    const restMs = untilMs - context.clock.nowMs();
-    if (restMs <= 0) break;
-    const answer = await control.submit(command, Math.min(attemptTimeoutMs, restMs));
-    if (answer.isOk()) {
-      const outcome = answer.value;
-      return outcome.accepted ? ok(outcome.reply) : err(outcome.failure);
-    }
-    if (answer.error.code === 'BL5002') isUnknown = true;
-    else if (answer.error.code !== 'BL5001') return err(answer.error);
-  }
-  if (isUnknown) return err(failure('BL2008', 'the control group did not confirm in time'));
-  return err(failure('BL5001', 'the control group has no leader'));
+  const answer = await repeatUntilKnown(
+    context.clock,
+    (timeoutMs) => control.submit(command, timeoutMs),
+    failure('BL2008', 'the control group did not confirm in time'),
+  );
+  return answer.andThen((outcome) => (outcome.accepted ? ok(outcome.reply) : err(outcome.failure)));
 }
 
 /**
--- a/packages/protocol/src/results/resultCodes.ts
+++ b/packages/protocol/src/results/resultCodes.ts
@@ -280,6 +280,11 @@
     meaning: 'The group still has a disk that belongs to it, so its state is not given up.',
     action: 'Repair the group, or empty the disks of all its members first.',
   },
+  BL5009: {
+    httpStatus: 409,
+    meaning: 'What is to be given up is not what the group was formed as.',
+    action: 'Ask for `GET /v1/groups/<group>/formation` and name what it shows.',
+  },
 
   BL6001: {
     httpStatus: 401,
--- a/packages/testkit/src/control/formation.spec.ts
+++ b/packages/testkit/src/control/formation.spec.ts
@@ -42,7 +42,9 @@
 const timeLimitMs = 3000;
 const coldStartBoundMs = 10_000;
 const retryMs = 50;
+const withoutQuorumMs = 1000;
 const key = { service: 'yard', kind: 'orders', identity: 'order-1', requestDigest: 'digest' };
+const clock = { nowMs: () => performance.now(), wallMs: () => Date.now() };
 const answer = { status: 200, headers: [], bodyBase64: 'b25l' };
 
 class Fleet {
@@ -94,6 +96,19 @@
     return this.host('d').parts.ledger.begin(key, ['ledger-a'], deadlineAtMs);
   }
 
+  /** What a request to form a group anew names now; undefined where there is nothing to give up. */
+  async lostId(hostId: string, groupId: string): Promise<string | undefined> {
+    const { address, port } = this.host(hostId).context.settings.listen.admin;
+    const reply = await fetch(`http://${address}:${port}/v1/groups/${groupId}/formation`);
+    return ((await reply.json()) as { lostId?: string }).lostId;
+  }
+
+  /** Accepts the loss of a group by the identity of what is lost. */
+  formAnew(hostId: string, groupId: string, lostId = ''): Promise<Response> {
+    const path = `/v1/groups/${groupId}/form-anew`;
+    return this.post(hostId, path, { groupId, lostId, acceptLoss: true });
+  }
+
   async post(hostId: string, path: string, body: unknown): Promise<Response> {
     const { address, port } = this.host(hostId).context.settings.listen.admin;
     return fetch(`http://${address}:${port}${path}`, {
@@ -129,7 +144,8 @@
 test.serial('a ledger group that lost every disk is not formed anew by itself', async (t) => {
   const all = await Fleet.start(t);
   await runOrder(t, all);
-  const early = await all.post('d', '/v1/groups/ledger-a/form-anew', { acceptLoss: true });
+  const lostId = await all.lostId('d', 'ledger-a');
+  const early = await all.formAnew('d', 'ledger-a', lostId);
   t.is(early.status, 409, 'a group that runs is not given up');
   await all.loseDisks(join('groups', 'ledger-a'));
   const again = await all.begin();
@@ -138,9 +154,31 @@
 
   const refused = await all.post('d', '/v1/groups/ledger-a/form-anew', {});
   t.is(refused.status, 400, 'the operator has to accept the loss in words');
-  const accepted = await all.post('d', '/v1/groups/ledger-a/form-anew', { acceptLoss: true });
+  const other = await all.formAnew('d', 'ledger-a', 'never-formed');
+  t.is(other.status, 409, 'only what the group was formed as can be given up');
+  const accepted = await all.formAnew('d', 'ledger-a', lostId);
   t.is(accepted.status, 200);
   await runOrder(t, all);
+
+  const formedAnew = await all.lostId('d', 'ledger-a');
+  t.not(formedAnew, lostId);
+  const resent = await all.formAnew('d', 'ledger-a', lostId);
+  t.is(resent.status, 200, 'a resend hears the first answer, also where the group runs again');
+  t.is(await all.lostId('d', 'ledger-a'), formedAnew, 'a resend gives up no later formation');
+});
+
+test.serial('an accepted loss waits until the control group has a quorum', async (t) => {
+  const all = await Fleet.start(t);
+  await runOrder(t, all);
+  await all.loseDisks(join('groups', 'ledger-a'));
+  t.like(await all.begin(), { decision: 'refused', failure: { code: 'BL9001' } });
+  const lostId = await all.lostId('d', 'ledger-a');
+  await all.stop(['b', 'c']);
+  const answering = all.formAnew('d', 'ledger-a', lostId);
+  await delay(withoutQuorumMs);
+  await all.startHosts(['b', 'c']);
+  t.is((await answering).status, 200);
+  await runOrder(t, all);
 });
 
 test.serial('a control group that lost every disk does not forget the document', async (t) => {
@@ -154,11 +192,16 @@
   const read = await all.host('a').parts.control!.readBarrier(2000);
   t.is(read.isErr() ? read.error.code : 'formed anew', 'BL5007');
 
-  const elsewhere = await all.post('b', '/v1/groups/control/form-anew', { acceptLoss: true });
+  const lostId = await all.lostId('a', 'control');
+  const elsewhere = await all.formAnew('b', 'control', lostId);
   t.is(elsewhere.status, 404, 'only the host that forms the group can be told');
-  const accepted = await all.post('a', '/v1/groups/control/form-anew', { acceptLoss: true });
+  const other = await all.formAnew('a', 'control', 'a/another-disk');
+  t.is(other.status, 409, 'the empty disk has to be named');
+  const accepted = await all.formAnew('a', 'control', lostId);
   t.is(accepted.status, 200);
   t.true((await all.host('a').parts.control!.readBarrier(coldStartBoundMs)).isOk());
+  const resent = await all.formAnew('a', 'control', lostId);
+  t.is(resent.status, 200, 'a resend hears the first answer');
 });
 
 const registered: Formation = { groupId: 'ledger-a', formationId: 'first', voters: ['a/1', 'b/1'] };
@@ -192,7 +235,7 @@
     };
     const [settings] = createFleetSettings(fleet, { dataFolder: 'none', groups });
     const parts = { control, peers: {}, document: {} } as unknown as FormationGuardParts;
-    const guard = new FormationGuard({ settings: settings! }, parts);
+    const guard = new FormationGuard({ settings: settings!, clock }, parts);
     const claimed = await guard.claim(proposed);
     t.is(claimed.isOk() ? claimed.value.formationId : claimed.error.code, expected);
   });
