feat(keys): form-anew is a signed request of operators

Cause: POST /v1/groups/<group>/form-anew asked for no key, so whoever reached the administration listener could give up what a lost group knew. Change: the request is signed like a submission by a team that owns '*'; the control group checks the key against its document before it gives the formation up, and keeps no answer to a refused one. No nonce: the request names a formation or an empty disk, and neither comes again.

--- a/packages/cli/src/commands/documentSubmitCommand.ts
+++ b/packages/cli/src/commands/documentSubmitCommand.ts
@@ -1,13 +1,11 @@
 import { randomUUID } from 'node:crypto';
-import { readFile } from 'node:fs/promises';
 
 import { summarizeChange } from '@buckthornlug/core/changes/changes.js';
 import type { Failure } from '@buckthornlug/protocol/results/failure.js';
-import { failure } from '@buckthornlug/protocol/results/failure.js';
 import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
 import type { Submission } from '@buckthornlug/protocol/submissions/submissionSchema.js';
 import { Command, Option } from 'clipanion';
-import { err, ok, type Result } from 'neverthrow';
+import { ok, type Result } from 'neverthrow';
 
 import { buildSubmission } from '../api/buildSubmission.js';
 import { fetchDocument } from '../api/fetchDocument.js';
@@ -15,6 +13,7 @@
 import { formatChange } from '../output/changeText.js';
 import { AdminCommand } from './adminCommand.js';
 import { readDocumentFile } from './documentFile.js';
+import { readSecretFile } from './secretFile.js';
 
 const defaultWaitMs = 30_000;
 
@@ -64,14 +63,6 @@
 
   dryRun = Option.Boolean('--dry-run', false, { description: 'Show the change, send nothing.' });
 
-  private async readSecret(): Promise<Result<string, Failure>> {
-    try {
-      return ok((await readFile(this.secretFile, 'utf8')).trim());
-    } catch {
-      return err(failure('BL1005', `the secret file "${this.secretFile}" cannot be read`));
-    }
-  }
-
   /** The document in force; none before the first submission. */
   private async readCurrent(): Promise<Result<SteeringDocument | undefined, Failure>> {
     const current = await fetchDocument(this.client());
@@ -99,7 +90,7 @@
   async execute(): Promise<number> {
     const edited = await readDocumentFile(this.file);
     if (edited.isErr()) return this.refuse(edited.error);
-    const secret = await this.readSecret();
+    const secret = await readSecretFile(this.secretFile);
     if (secret.isErr()) return this.refuse(secret.error);
     const current = await this.readCurrent();
     if (current.isErr()) return this.refuse(current.error);
--- a/packages/core/src/submissions/controlMachine.ts
+++ b/packages/core/src/submissions/controlMachine.ts
@@ -8,6 +8,7 @@
 import type { ReplicatedMachine } from '../consensus/replicatedMachineTypes.js';
 import { ShiftTable } from '../shifts/shiftTable.js';
 import { DocumentStore } from './documentStore.js';
+import { checkFormAnew } from './formAnewSignature.js';
 import {
   FormationRegistry,
   type FindFormationCommand,
@@ -79,6 +80,16 @@
   return { committed: true, step: result.value };
 }
 
+function giveUp(
+  documents: DocumentStore,
+  formations: FormationRegistry,
+  { request, authority }: GiveUpFormationCommand,
+): GiveUpOutcome {
+  const checked = checkFormAnew(documents.teams(), request, authority);
+  if (checked.isErr()) return { givenUp: false, failure: checked.error };
+  return formations.giveUp(request.groupId, request.lostId);
+}
+
 /**
  * Creates the machine of the control group.
  *
@@ -95,7 +106,7 @@
       if (command.type === 'submission') return documents.submit(command);
       if (command.type === 'shiftStep') return commitStep(documents, shifts, command);
       if (command.type === 'giveUpFormation') {
-        return formations.giveUp(command.groupId, command.formationId);
+        return giveUp(documents, formations, command);
       }
       if (command.type === 'findFormation') return formations.find(command.groupId);
       return formations.register(command.formation);
--- a/packages/core/src/submissions/documentStore.ts
+++ b/packages/core/src/submissions/documentStore.ts
@@ -67,11 +67,12 @@
   /** Whether the submission may change the sections that it names; not kept as an answer. */
   private authorize({ submission, authority }: SubmissionCommand): Result<void, Failure> {
     const teams = this.teams();
-    if (this.version === 0 || teams === undefined) {
+    if (teams === undefined) {
       if (authority === 'cluster') return ok(undefined);
       return err(failure('BL2006', 'the first submission is signed with a cluster key'));
     }
-    return checkSignature(teams, submission, this.verify).andThen((team) =>
+    const isSignedWith = (secret: string) => this.verify(submission, secret);
+    return checkSignature(teams, submission, isSignedWith).andThen((team) =>
       checkOwnership(team, submission),
     );
   }
@@ -87,7 +88,9 @@
     return { accepted: true, reply: result.value };
   }
 
-  private teams(): Teams | undefined {
+  /** Teams of the accepted document with their secrets; undefined before the first submission. */
+  teams(): Teams | undefined {
+    if (this.version === 0) return undefined;
     return this.sections.get('teams')?.content as Teams | undefined;
   }
 
--- /dev/null
+++ b/packages/core/src/submissions/formAnew.spec.ts
@@ -0,0 +1,138 @@
+import type { FormAnewBody } from '@buckthornlug/protocol/admin/formAnewSchema.js';
+import { checkDocument } from '@buckthornlug/protocol/document/document.js';
+import { splitSections } from '@buckthornlug/protocol/document/sections.js';
+import test from 'ava';
+
+import { createControlMachine, type ControlMachine } from './controlMachine.js';
+import { signFormAnew } from './formAnewSignature.js';
+import type { FormationReply, GiveUpOutcome } from './formationRegistry.js';
+import { signSubmission, verifySubmission } from './submissionSignature.js';
+import type { SubmissionAuthority } from './submissionTypes.js';
+
+const secrets = { all: 'secret-of-team-all', shop: 'secret-of-team-shop' };
+const groupId = 'ledger-north';
+
+const document = checkDocument({
+  format: 1,
+  teams: [
+    { id: 'all', sections: ['*'], keys: [{ id: 'k1', secret: secrets.all }] },
+    { id: 'shop', sections: ['services/*'], keys: [{ id: 'k1', secret: secrets.shop }] },
+  ],
+  network: {
+    regions: [{ id: 'north', availabilityZones: ['north-a'] }],
+    zoneDelayMs: 3,
+    callerDelayMs: 1,
+  },
+  ranks: [{ id: 'urgent', targetMs: 250, floorPermille: 100 }],
+  services: {
+    shop: {
+      hostNames: ['shop.example'],
+      kinds: [
+        { id: 'order', match: {}, rank: 'urgent', execution: 'idempotent', timeLimitMs: 750 },
+      ],
+    },
+  },
+  traffic: {
+    shop: { shiftCap: { stepPermille: 300, stepIntervalMs: 1000, maxShiftedCallsPerS: 50 } },
+  },
+})._unsafeUnwrap();
+
+function register(machine: ControlMachine, formationId: string): void {
+  const formation = { groupId, formationId, voters: [`a/${formationId}`] };
+  machine.apply({ type: 'registerFormation', formation }, 1);
+}
+
+/** A machine with one registered formation, and a document where it is wanted. */
+function startedMachine(hasDocument: boolean): ControlMachine {
+  const machine = createControlMachine(verifySubmission);
+  register(machine, 'first');
+  if (!hasDocument) return machine;
+  const sections = Object.fromEntries(splitSections(document));
+  const baseVersions = Object.fromEntries(Object.keys(sections).map((name) => [name, 0]));
+  const body = { submissionId: 'bootstrap', team: 'all', keyId: 'k1', baseVersions, sections };
+  const submission = signSubmission(body, secrets.all);
+  machine.apply({ type: 'submission', submission, authority: 'cluster' }, 1);
+  return machine;
+}
+
+/** A request as it was signed, and what was changed in it afterwards. */
+interface Wanted {
+  readonly signed?: Partial<FormAnewBody>;
+  readonly altered?: Partial<FormAnewBody>;
+  readonly secret?: string;
+  readonly authority?: SubmissionAuthority;
+}
+
+function giveUp(machine: ControlMachine, wanted: Wanted): string {
+  const { signed, altered, secret = secrets.all, authority = 'team' } = wanted;
+  const body: FormAnewBody = {
+    request: 'formAnew',
+    team: 'all',
+    keyId: 'k1',
+    groupId,
+    lostId: 'first',
+    acceptLoss: true,
+    ...signed,
+  };
+  const request = { ...signFormAnew(body, secret), ...altered };
+  const reply = machine.apply({ type: 'giveUpFormation', request, authority }, 1) as GiveUpOutcome;
+  return reply.givenUp ? 'given up' : reply.failure.code;
+}
+
+function registered(machine: ControlMachine): string | undefined {
+  const reply = machine.apply({ type: 'findFormation', groupId }, 1) as FormationReply;
+  return reply.formation?.formationId;
+}
+
+const requests: [what: string, hasDocument: boolean, wanted: Wanted, heard: string][] = [
+  ['signed by the team that owns every section', true, {}, 'given up'],
+  ['signed with a wrong secret', true, { secret: 'another-secret' }, 'BL2006'],
+  ['of an unknown team', true, { signed: { team: 'none' } }, 'BL2006'],
+  ['of an unknown key', true, { signed: { keyId: 'k2' } }, 'BL2006'],
+  [
+    'of a team of some sections',
+    true,
+    { signed: { team: 'shop' }, secret: secrets.shop },
+    'BL2004',
+  ],
+  ['with the team changed', true, { signed: { team: 'shop' }, altered: { team: 'all' } }, 'BL2006'],
+  ['with the group changed', true, { signed: { groupId: 'l-2' }, altered: { groupId } }, 'BL2006'],
+  [
+    'with the loss changed',
+    true,
+    { signed: { lostId: 'none' }, altered: { lostId: 'first' } },
+    'BL2006',
+  ],
+  ['of another formation', true, { signed: { lostId: 'second' } }, 'BL5009'],
+  ['of another group', true, { signed: { groupId: 'l-2' } }, 'BL5009'],
+  ['with a cluster key', true, { secret: 'cluster-secret', authority: 'cluster' }, 'BL2006'],
+  ['with a cluster key before any document', false, { authority: 'cluster' }, 'given up'],
+  ['with the key of a team before any document', false, {}, 'BL2006'],
+];
+
+for (const [what, hasDocument, wanted, heard] of requests) {
+  test(`a formation is given up only by who may; a request ${what}: ${heard}`, (t) => {
+    const machine = startedMachine(hasDocument);
+    t.is(giveUp(machine, wanted), heard);
+    t.is(registered(machine), heard === 'given up' ? undefined : 'first');
+  });
+}
+
+test('a request that is sent again hears the same and gives up no later formation', (t) => {
+  const machine = startedMachine(true);
+  t.is(giveUp(machine, {}), 'given up');
+  t.is(giveUp(machine, {}), 'given up', 'before the group is formed anew');
+  register(machine, 'second');
+  const restored = createControlMachine(verifySubmission);
+  restored.restore(structuredClone(machine.snapshot()));
+  t.is(giveUp(restored, {}), 'given up', 'after that, from a snapshot');
+  t.is(registered(restored), 'second');
+  t.is(giveUp(restored, { signed: { lostId: 'second' } }), 'given up');
+  t.is(registered(restored), undefined);
+});
+
+test('a replay without a valid signature does not hear the first answer', (t) => {
+  const machine = startedMachine(true);
+  t.is(giveUp(machine, {}), 'given up');
+  t.is(giveUp(machine, { secret: 'another-secret' }), 'BL2006');
+});
--- a/packages/core/src/submissions/formationRegistry.ts
+++ b/packages/core/src/submissions/formationRegistry.ts
@@ -1,5 +1,8 @@
+import type { FormAnewRequest } from '@buckthornlug/protocol/admin/formAnewSchema.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 
+import type { SubmissionAuthority } from './submissionTypes.js';
+
 /** The formations of the ledger groups, as the control group has committed them. */
 
 /** First voters of a group under the identity of its formation. */
@@ -19,9 +22,8 @@
 /** Command of an operator that allows a group to be formed anew without its former state. */
 export interface GiveUpFormationCommand {
   readonly type: 'giveUpFormation';
-  readonly groupId: string;
-  /** Formation whose state is lost. */
-  readonly formationId: string;
+  readonly request: FormAnewRequest;
+  readonly authority: SubmissionAuthority;
 }
 
 /** Asks for the formation of a group without a commit. */
--- /dev/null
+++ b/packages/core/src/submissions/signedBody.ts
@@ -0,0 +1,28 @@
+import { createHmac, timingSafeEqual } from 'node:crypto';
+
+import { canonicalJson } from './canonicalJson.js';
+
+/** Signatures of operators over plain data: HMAC-SHA256 over its canonical JSON, in base64url. */
+
+/**
+ * Signs plain data.
+ *
+ * @param body - plain data without its signature
+ * @param secret - secret of the key that the body names
+ */
+export function signatureOf(body: object, secret: string): string {
+  return createHmac('sha256', secret).update(canonicalJson(body)).digest('base64url');
+}
+
+/**
+ * Compares in a time that does not depend on where the signatures differ.
+ *
+ * @param body - plain data without its signature
+ * @param signature - signature that came with it
+ * @param secret - secret of the key that the body names
+ */
+export function isSignatureOf(body: object, signature: string, secret: string): boolean {
+  const expected = Buffer.from(signatureOf(body, secret));
+  const given = Buffer.from(signature);
+  return expected.byteLength === given.byteLength && timingSafeEqual(expected, given);
+}
--- a/packages/core/src/submissions/submissionChecks.ts
+++ b/packages/core/src/submissions/submissionChecks.ts
@@ -17,20 +17,25 @@
 import { checkChangedSections } from './changedSectionCheck.js';
 import type { RetiredServices } from './retiredServices.js';
 import { missingSecretFaults } from './teamSecrets.js';
-import type { VerifySubmission } from './submissionSignature.js';
 
 /** Checks of a submission against the accepted document. Each reports every fault. */
 
-/** Team of a submission, with its signature checked. */
+/**
+ * Team that signed a request of an operator, with its signature checked.
+ *
+ * @param teams - teams of the accepted document
+ * @param request - team and key that the request names
+ * @param isSignedWith - tells whether the request is signed with a secret
+ */
 export function checkSignature(
   teams: Teams,
-  submission: Submission,
-  verify: VerifySubmission,
+  request: { readonly team: string; readonly keyId: string },
+  isSignedWith: (secret: string) => boolean,
 ): Result<Teams[number], Failure> {
-  const team = teams.find(({ id }) => id === submission.team);
-  const key = team?.keys.find(({ id }) => id === submission.keyId);
-  if (team === undefined || key?.secret === undefined || !verify(submission, key.secret)) {
-    return err(failure('BL2006', `no valid signature of team "${submission.team}"`));
+  const team = teams.find(({ id }) => id === request.team);
+  const key = team?.keys.find(({ id }) => id === request.keyId);
+  if (team === undefined || key?.secret === undefined || !isSignedWith(key.secret)) {
+    return err(failure('BL2006', `no valid signature of team "${request.team}"`));
   }
   return ok(team);
 }
--- a/packages/core/src/submissions/submissionSignature.ts
+++ b/packages/core/src/submissions/submissionSignature.ts
@@ -1,4 +1,4 @@
-import { createHash, createHmac, timingSafeEqual } from 'node:crypto';
+import { createHash } from 'node:crypto';
 
 import type {
   Submission,
@@ -6,6 +6,7 @@
 } from '@buckthornlug/protocol/submissions/submissionSchema.js';
 
 import { canonicalJson } from './canonicalJson.js';
+import { isSignatureOf, signatureOf } from './signedBody.js';
 
 /** Tells whether a submission is signed with a secret. */
 export type VerifySubmission = (submission: Submission, secret: string) => boolean;
@@ -23,16 +24,12 @@
  * @param secret - secret of the key named in the body
  */
 export function signSubmission(body: SubmissionBody, secret: string): Submission {
-  const signature = createHmac('sha256', secret).update(canonicalJson(body)).digest('base64url');
-  return { ...body, signature };
+  return { ...body, signature: signatureOf(body, secret) };
 }
 
 /** Compares in a time that does not depend on where the signatures differ. */
-export const verifySubmission: VerifySubmission = (submission, secret) => {
-  const expected = Buffer.from(signSubmission(bodyOf(submission), secret).signature);
-  const given = Buffer.from(submission.signature);
-  return expected.byteLength === given.byteLength && timingSafeEqual(expected, given);
-};
+export const verifySubmission: VerifySubmission = (submission, secret) =>
+  isSignatureOf(bodyOf(submission), submission.signature, secret);
 
 /**
  * Digest of what a submission asks for.
--- a/packages/host/src/consensus/formationGuard.ts
+++ b/packages/host/src/consensus/formationGuard.ts
@@ -1,3 +1,4 @@
+import { isFormAnewSignedWith } from '@buckthornlug/core/submissions/formAnewSignature.js';
 import {
   startsWithSameDisks,
   type Formation,
@@ -78,11 +79,12 @@
    * submissions do; a request that is sent again hears the same.
    *
    * @param request - group and formation whose loss an operator accepts
-   * @returns BL5009 where the formation was never registered; BL5002 where it is not known whether
+   * @returns BL2006 or BL2004 where the signer may not do so; BL5009 where the formation was never registered; BL5002 where it is not known whether
    *   the loss was accepted
    */
-  acceptLedgerLoss({ groupId, lostId }: FormAnewRequest): ResultAsync<void, Failure> {
-    const command = { type: 'giveUpFormation', groupId, formationId: lostId } as const;
+  acceptLedgerLoss(request: FormAnewRequest): ResultAsync<void, Failure> {
+    const authority = this.isClusterSigned(request) ? 'cluster' : 'team';
+    const command = { type: 'giveUpFormation', request, authority } as const;
     return this.ask((control, timeoutMs) => control.giveUpFormation(command, timeoutMs));
   }
 
@@ -91,6 +93,12 @@
     this.acceptedReplicaId = replicaId;
   }
 
+  /** Whether a request is signed with a cluster key of this host. */
+  isClusterSigned(request: FormAnewRequest): boolean {
+    const key = this.context.settings.clusterKeys.find(({ id }) => id === request.keyId);
+    return key !== undefined && isFormAnewSignedWith(request, key.secret);
+  }
+
   /** Whether the loss of the control group was accepted for this disk. */
   isControlLossAccepted(replicaId: string): boolean {
     return this.acceptedReplicaId === replicaId;
--- a/packages/host/src/consensus/lossAcceptance.ts
+++ b/packages/host/src/consensus/lossAcceptance.ts
@@ -14,11 +14,15 @@
 
 /** What the acceptance of a loss is given. */
 export interface LossAcceptanceParts {
-  readonly context: Pick<HostContext, 'settings' | 'log'>;
+  readonly context: Pick<HostContext, 'settings' | 'log' | 'record'>;
   readonly groups: Pick<HostGroups, 'describe' | 'describeAnywhere' | 'memberHostIds'>;
   readonly guard: Pick<
     FormationGuard,
-    'formationsOf' | 'acceptLedgerLoss' | 'acceptControlLoss' | 'isControlLossAccepted'
+    | 'formationsOf'
+    | 'acceptLedgerLoss'
+    | 'acceptControlLoss'
+    | 'isClusterSigned'
+    | 'isControlLossAccepted'
   >;
 }
 
@@ -56,15 +60,19 @@
    * nothing and hears the same.
    *
    * @param request - what is given up
-   * @returns BL5005 where another host has to be asked, BL5008 where a replica of what is given up
-   *   runs, BL5009 where the group was not formed as stated, BL5002 where the outcome is not known
+   * @returns BL2006 or BL2004 where the signer may not give up the group, BL5005 where another host
+   *   has to be asked, BL5008 where a replica of what is given up runs, BL5009 where the group was
+   *   not formed as stated, BL5002 where the outcome is not known
    */
   accept(request: FormAnewRequest): ResultAsync<FormAnewReply, Failure> {
     const { groupId, lostId } = request;
     const accepted = this.checkHost(groupId).asyncAndThen(() =>
-      groupId === controlGroupId ? this.acceptControl(lostId) : this.acceptLedger(request),
+      groupId === controlGroupId ? this.acceptControl(request) : this.acceptLedger(request),
     );
-    return accepted.map(() => ({ groupId, lostId, lossAccepted: true as const }));
+    return accepted
+      .map(() => ({ groupId, lostId, lossAccepted: true as const }))
+      .andTee(() => this.report('lossAccepted', request))
+      .orTee(({ code }) => this.report('lossRefused', request, code));
   }
 
   private checkHost(groupId: string): Result<void, Failure> {
@@ -79,14 +87,18 @@
     const { groups, guard } = this.parts;
     return groups.describeAnywhere(request.groupId).andThen((found) => {
       const isLost = found.state !== 'running' || found.formationId !== request.lostId;
-      if (!isLost) return errAsync(stillRuns(found));
-      this.log(request.groupId, request.lostId);
-      return guard.acceptLedgerLoss(request);
+      return isLost ? guard.acceptLedgerLoss(request) : errAsync(stillRuns(found));
     });
   }
 
-  private acceptControl(lostId: string): ResultAsync<void, Failure> {
+  /** A control group without its document has no keys of teams, so a cluster key stands in. */
+  private acceptControl(request: FormAnewRequest): ResultAsync<void, Failure> {
     const { groups, guard } = this.parts;
+    const { lostId } = request;
+    if (!guard.isClusterSigned(request)) {
+      const detail = 'a request for the control group is signed with a cluster key';
+      return errAsync(failure('BL2006', detail));
+    }
     if (guard.isControlLossAccepted(lostId)) return okAsync(undefined);
     return groups.describeAnywhere(controlGroupId).andThen((found) => {
       if (found.state === 'running') return err(stillRuns(found));
@@ -94,13 +106,19 @@
       if (replicaId !== lostId) {
         return err(failure('BL5009', `the disk that is to form the group is ${replicaId}`));
       }
-      this.log(controlGroupId, lostId);
       guard.acceptControlLoss(lostId);
       return ok(undefined);
     });
   }
 
-  private log(groupId: string, lostId: string): void {
-    this.parts.context.log.warn('lossAccepted', { groupId, lostId });
+  private report(
+    kind: 'lossAccepted' | 'lossRefused',
+    { groupId, lostId, team, keyId }: FormAnewRequest,
+    code?: string,
+  ): void {
+    const { log, record } = this.parts.context;
+    const detail = { groupId, lostId, team, keyId };
+    log.warn(kind, { ...detail, ...(code === undefined ? {} : { code }) });
+    record({ kind, detail, ...(code === undefined ? {} : { code }) });
   }
 }
--- a/packages/protocol/src/admin/formAnewSchema.ts
+++ b/packages/protocol/src/admin/formAnewSchema.ts
@@ -4,8 +4,11 @@
 
 /** The request that gives up the state of a group: `POST /v1/groups/<group>/form-anew`. */
 
-/** Consent of an operator to a group without its former state. */
-export const formAnewSchema = z.strictObject({
+/** What an operator signs: consent to a group without its former state. */
+export const formAnewBodySchema = z.strictObject({
+  request: z.literal('formAnew'),
+  team: idSchema,
+  keyId: idSchema.describe('Key of the team that signs, or a cluster key.'),
   groupId: idSchema,
   lostId: z
     .string()
@@ -16,6 +19,11 @@
   acceptLoss: z.literal(true),
 });
 
+/** A signed request. */
+export const formAnewSchema = formAnewBodySchema.extend({
+  signature: z.string().describe('HMAC-SHA256 over the canonical JSON of the body, in base64url.'),
+});
+
 /** Answer to an accepted loss; a resend gets the same one. */
 export const formAnewReplySchema = z.strictObject({
   groupId: idSchema,
@@ -30,6 +38,7 @@
   givenUpIds: z.array(z.string()).describe('What was given up before, oldest first.'),
 });
 
+export type FormAnewBody = z.infer<typeof formAnewBodySchema>;
 export type FormAnewRequest = z.infer<typeof formAnewSchema>;
 export type FormAnewReply = z.infer<typeof formAnewReplySchema>;
 export type FormationStatus = z.infer<typeof formationReplySchema>;
--- a/packages/protocol/src/events/eventSchema.ts
+++ b/packages/protocol/src/events/eventSchema.ts
@@ -40,6 +40,8 @@
   'replicaAdded',
   'replicaRemoved',
   'formationRefused',
+  'lossAccepted',
+  'lossRefused',
   'storageFault',
   'keyRefused',
 ] as const;
--- a/packages/testkit/src/keys/wrongKeys.spec.ts
+++ b/packages/testkit/src/keys/wrongKeys.spec.ts
@@ -11,6 +11,7 @@
 import test from 'ava';
 
 import { firstSubmission } from '../control/controlFleet.js';
+import { signedRequest } from '../control/formationFleet.js';
 import { createFleetSettings, testAnnounceKey, testClusterKey } from '../fakes/hostSettings.js';
 import { valueOf } from '../fakes/results.js';
 import { createTestDocument } from '../fakes/testDocument.js';
@@ -73,6 +74,17 @@
       return refusalCode(await fetch(url, { method: 'POST', headers, body }));
     },
   },
+  {
+    fault: 'a request to form a group anew',
+    code: 'BL2006',
+    event: 'lossRefused',
+    send: async ({ context }: RunningHost) => {
+      const url = `${originOf(context.settings.listen.admin)}/v1/groups/control/form-anew`;
+      const signer = { team: 'cluster', keyId: wrongKey.id, secret: wrongKey.secret };
+      const body = JSON.stringify(signedRequest('control', 'a1/none', signer));
+      return refusalCode(await fetch(url, { method: 'POST', body }));
+    },
+  },
   {
     fault: 'a datagram of the membership',
     code: 'BL6001',
