fix(consensus): a ledger group that runs is registered with a control group formed anew

Cause: a formation was registered only when the group was formed, so a control group formed anew knew none, and a ledger group that lost all its disks after that was formed anew by itself, without the identities it had recorded.

--- a/packages/host/src/consensus/consensusFeature.ts
+++ b/packages/host/src/consensus/consensusFeature.ts
@@ -1,6 +1,7 @@
 import { okAsync } from 'neverthrow';
 
 import type { Feature } from '../runtime/hostParts.js';
+import { FormationWatch } from './formationWatch.js';
 import { HostGroups } from './groups.js';
 import { registerGroupRoutes } from './groupRoutes.js';
 import { LossAcceptance } from './lossAcceptance.js';
@@ -11,6 +12,8 @@
   wanted: () => true,
   start: (context, parts) => {
     const groups = new HostGroups(context, parts);
+    const describeAll = () => groups.groupIds().map((groupId) => groups.describe(groupId));
+    const watch = new FormationWatch({ describeAll, guard: groups.guard });
     const losses = new LossAcceptance({ context, groups, guard: groups.guard });
     parts.provide({ openGroup: groups.open });
     parts.rpcHandlers.consensus = groups.handlers();
@@ -19,9 +22,12 @@
       name: 'consensus',
       stopSteps: {
         handOver: () => groups.handOver(),
-        closeTasks: () => groups.stop(),
+        closeTasks: async () => {
+          await watch.stop();
+          await groups.stop();
+        },
       },
-      status: () => ({ groups: groups.groupIds().map((groupId) => groups.describe(groupId)) }),
+      status: () => ({ groups: describeAll() }),
     });
   },
 };
--- a/packages/host/src/consensus/formationGuard.ts
+++ b/packages/host/src/consensus/formationGuard.ts
@@ -33,7 +33,7 @@
   private acceptedReplicaId: string | undefined;
 
   constructor(
-    private readonly context: Pick<HostContext, 'settings' | 'clock'>,
+    private readonly context: Pick<HostContext, 'settings' | 'clock' | 'log'>,
     private readonly parts: FormationGuardParts,
   ) {}
 
@@ -65,6 +65,23 @@
     return formation?.voters.includes(replicaId) ? formation : undefined;
   }
 
+  /**
+   * Registers the formation of a ledger group that runs, where the register has none: the control
+   * group was formed anew meanwhile. What can't be settled now is left to the next time.
+   *
+   * @param formation - formation that the group runs with
+   */
+  async keepRegistered(formation: Formation): Promise<void> {
+    const { control } = this.parts;
+    const { groupId, formationId } = formation;
+    const found = await control?.findFormation(groupId, this.timeoutMs());
+    if (control === undefined || found === undefined || found.isErr()) return;
+    if (found.value.formation !== undefined) return;
+    const registered = await control.registerFormation(formation, this.timeoutMs());
+    if (registered.isErr()) return;
+    this.context.log.warn('formationRegistered', { groupId, formationId });
+  }
+
   /**
    * Asks for what a request to form a ledger group anew has to name.
    *
--- a/packages/testkit/src/control/formation.spec.ts
+++ b/packages/testkit/src/control/formation.spec.ts
@@ -9,6 +9,7 @@
   FormationGuard,
   type FormationGuardParts,
 } from '@buckthornlug/host/consensus/formationGuard.js';
+import { createLog } from '@buckthornlug/host/log/log.js';
 import test from 'ava';
 import { okAsync } from 'neverthrow';
 
@@ -25,6 +26,8 @@
 
 const clock = { nowMs: () => performance.now(), wallMs: () => Date.now() };
 const withoutQuorumMs = 1000;
+const registeredBoundMs = 15_000;
+const pollMs = 100;
 
 test.serial('a ledger group that lost every disk is not formed anew by itself', async (t) => {
   const all = await FormationFleet.start(t);
@@ -104,6 +107,27 @@
   t.is(replayed.status, 409, 'a replay names a disk that is gone');
 });
 
+test.serial(
+  'a ledger group that runs on is registered with a control group formed anew',
+  async (t) => {
+    const all = await FormationFleet.start(t);
+    await runOrder(t, all);
+    const formedAs = await all.lostId('d', 'ledger-a');
+    await all.loseDisks(join('groups', 'control'));
+    const startedAtMs = performance.now();
+    let registeredAs = await all.lostId('d', 'ledger-a');
+    while (registeredAs === undefined && performance.now() < startedAtMs + registeredBoundMs) {
+      await delay(pollMs);
+      registeredAs = await all.lostId('d', 'ledger-a');
+    }
+    t.is(registeredAs, formedAs);
+    t.log(`registered after ${Math.round(performance.now() - startedAtMs)} ms`);
+    await all.loseDisks(join('groups', 'ledger-a'));
+    t.like(await all.begin(), { decision: 'refused', failure: { code: 'BL9001' } });
+    t.is(await problemOf(all, 'ledger-a'), 'BL5007');
+  },
+);
+
 const registered: Formation = { groupId: 'ledger-a', formationId: 'first', voters: ['a/1', 'b/1'] };
 const claims: readonly { fault: string; proposed: Formation; expected: string }[] = [
   {
@@ -135,7 +159,8 @@
     };
     const [settings] = createFleetSettings(fleet, { dataFolder: 'none', groups });
     const parts = { control, peers: {}, document: {} } as unknown as FormationGuardParts;
-    const guard = new FormationGuard({ settings: settings!, clock }, parts);
+    const log = createLog('a', 'error', () => undefined);
+    const guard = new FormationGuard({ settings: settings!, clock, log }, parts);
     const claimed = await guard.claim(proposed);
     t.is(claimed.isOk() ? claimed.value.formationId : claimed.error.code, expected);
   });
