feat(bench): the document changes in the rounds of `once` over processes

Cause: the rounds over processes ran with a document that was in force from the start and never changed, and hosts without a control group; the issue asks for document changes between the rounds. Change: the hosts are the program itself with a control group; each round submits a group of client blocks of its own through any host and sends it again until it is accepted.

--- a/packages/testkit/src/bench/once/onceExperiment.ts
+++ b/packages/testkit/src/bench/once/onceExperiment.ts
@@ -44,13 +44,16 @@
       atMost('false "not run"', total('falseNotRun'), 0),
       atMost('accepted outcomes lost', total('acceptedLost'), 0),
       atMost('orders not settled', inProcesses.notSettled, 0),
+      atMost('accepted changes of the document lost', inProcesses.changesLost, 0),
+      atMost('changes of the document not accepted', inProcesses.changesNotAccepted, 0),
     ],
   };
 }
 
-/** Rounds of kills, pauses, cuts, resends and lost replies against once-only work. */
+/** Rounds of kills, pauses, cuts, resends, lost replies and document changes. */
 export const onceExperiment: Experiment = {
   name: 'once',
-  describe: 'once-only work in seeded rounds of kills, pauses, cuts, resends and lost replies',
+  describe:
+    'once-only work in seeded rounds of kills, pauses, cuts, resends, lost replies and document changes',
   run: runOnce,
 };
--- a/packages/testkit/src/ledger/onceProcesses.ts
+++ b/packages/testkit/src/ledger/onceProcesses.ts
@@ -5,7 +5,7 @@
 
 import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 
-const programPath = fileURLToPath(new URL('./documentHostMain.js', import.meta.url));
+const programPath = fileURLToPath(new URL('../../../host/dist/main.js', import.meta.url));
 const startTimeoutMs = 15_000;
 const maxKeptOutput = 10_000;
 
@@ -28,7 +28,7 @@
 }
 
 /** A host as a process that can be killed, paused and started again. */
-export class DocumentHostProcess {
+export class OnceHostProcess {
   private child: ChildProcess | undefined;
 
   private isPaused = false;
@@ -39,7 +39,6 @@
   constructor(
     readonly settings: Settings,
     private readonly settingsPath: string,
-    private readonly documentPath: string,
   ) {}
 
   get isRunning(): boolean {
@@ -55,7 +54,7 @@
     if (this.child !== undefined) return;
     this.starts += 1;
     await writeFile(this.settingsPath, JSON.stringify({ ...this.settings, logLevel: 'info' }));
-    const child = spawn(process.execPath, [programPath, this.settingsPath, this.documentPath], {
+    const child = spawn(process.execPath, [programPath, 'run', '--settings', this.settingsPath], {
       stdio: ['ignore', 'ignore', 'pipe'],
     });
     this.child = child;
