perf(pools): the first answers of a service replace the expected service time soon

Cause: a service time was learned with a weight of 1/50 from the first answer on, so that a pool whose document states a time that is far from the true one estimated waits wrongly for some hundred calls. Change: the weight of a sample is 1/(5 + samples) until that is less than 1/50.

--- a/packages/core/src/pools/serviceTimes.ts
+++ b/packages/core/src/pools/serviceTimes.ts
@@ -1,21 +1,37 @@
 /** Learned service times per kind of work: a running log-normal fit. */
 
-const averageWeight = 0.02;
+/** Least weight of a new sample. */
+const minSampleWeight = 0.02;
+/** Samples that the expectation before any answer counts for. */
+const priorSamples = 4;
 const initialLogDeviation = 0.8;
 const minSampleMs = 0.1;
 const maxLogDeviation = 1.5;
 
 interface KindTimes {
+  samples: number;
   meanMs: number;
   logMean: number;
   logVariance: number;
 }
 
+/**
+ * Weight of the next sample: the first ones replace the expectation soon, later ones change a settled
+ * average little.
+ *
+ * @param samples - samples noted before
+ */
+function weightAfter(samples: number): number {
+  return Math.max(minSampleWeight, 1 / (priorSamples + samples + 1));
+}
+
 /** Service times of the kinds of one service. */
 export class ServiceTimes {
   /** Expected slot time of a call of any kind. */
   overallMeanMs: number;
 
+  private samples = 0;
+
   private readonly kinds = new Map<string, KindTimes>();
 
   /** @param initialMs - usual service time before any answer was seen */
@@ -33,10 +49,13 @@
     const times = this.timesOf(kind);
     const sampleMs = Math.max(minSampleMs, elapsedMs);
     const deviation = Math.log(sampleMs) - times.logMean;
-    this.overallMeanMs += averageWeight * (sampleMs - this.overallMeanMs);
-    times.meanMs += averageWeight * (sampleMs - times.meanMs);
-    times.logMean += averageWeight * deviation;
-    times.logVariance += averageWeight * (deviation * deviation - times.logVariance);
+    this.overallMeanMs += weightAfter(this.samples) * (sampleMs - this.overallMeanMs);
+    this.samples += 1;
+    const weight = weightAfter(times.samples);
+    times.samples += 1;
+    times.meanMs += weight * (sampleMs - times.meanMs);
+    times.logMean += weight * deviation;
+    times.logVariance += weight * (deviation * deviation - times.logVariance);
   }
 
   /** Expected slot time of a call of the kind. */
@@ -61,6 +80,7 @@
     if (known !== undefined) return known;
     const logVariance = initialLogDeviation * initialLogDeviation;
     const times: KindTimes = {
+      samples: 0,
       meanMs: this.initialMs,
       logMean: Math.log(this.initialMs) - logVariance / 2,
       logVariance,
