perf(spreading,shifts): sources and limits follow changes instead of the clock

Cause: each poll hashed and sorted all hosts that take part, and each 50 ms every service of the document was looked at, with the owner of its pool ranked anew after any change of membership.

--- a/packages/core/src/shifts/shiftLimiter.ts
+++ b/packages/core/src/shifts/shiftLimiter.ts
@@ -1,7 +1,7 @@
 import type { ShiftPart } from './shiftParts.js';
 
-/** A gap between two observations that counts as a pause of the process. */
-const maxGapMs = 250;
+/** A longer gap between two observations counts as a pause of the process. */
+export const maxGapMs = 250;
 /** Shortest pause in which another host can have taken the pool over. */
 const takeOverGapMs = 1000;
 /** Time for which a larger part waits, so that other zones have taken up their smaller ones. */
@@ -50,9 +50,18 @@
     if (gapMs >= takeOverGapMs) this.closeFor(nowMs, this.closedForMs());
     else if (gapMs > maxGapMs) this.closeFor(nowMs, this.part.windowMs + this.guardMs);
     this.observedAtMs = nowMs;
-    if (this.pending === undefined || nowMs < this.pending.atMs) return;
-    this.part = this.pending.part;
-    this.pending = undefined;
+    this.takeUpPending(nowMs);
+  }
+
+  /**
+   * Tells the limiter that the process has run without a pause since the last observation.
+   *
+   * @param untilMs - time of the last sign of it
+   */
+  ranUntil(untilMs: number): void {
+    if (untilMs <= this.observedAtMs) return;
+    this.observedAtMs = untilMs;
+    this.takeUpPending(untilMs);
   }
 
   /** Changes the part: at once where it shrinks, after a delay where it grows. */
@@ -86,6 +95,12 @@
     return Math.max(1, Math.ceil(Math.max(freeAtMs, this.closedUntilMs) - nowMs));
   }
 
+  private takeUpPending(nowMs: number): void {
+    if (this.pending === undefined || nowMs < this.pending.atMs) return;
+    this.part = this.pending.part;
+    this.pending = undefined;
+  }
+
   private closeFor(nowMs: number, timeMs: number): void {
     this.closedUntilMs = Math.max(this.closedUntilMs, nowMs + timeMs);
   }
--- a/packages/core/src/spreading/spreading.spec.ts
+++ b/packages/core/src/spreading/spreading.spec.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 
 import { ControlCopy } from './controlCopy.js';
-import { orderSources, type SourceCandidate } from './sources.js';
+import { SourceOrder, type SourceCandidate } from './sources.js';
 import type { ControlUpdate } from './spreadingTypes.js';
 
 /** A copy that commits changes itself, as the control group does. */
@@ -149,8 +149,7 @@
 for (const { title, hostId, first } of placesInTree) {
   test(title, (t) => {
     const self = everyone.find((host) => host.hostId === hostId)!;
-    const ordered = orderSources({
-      self,
+    const ordered = new SourceOrder(self).order({
       candidates: everyone.filter((host) => host !== self),
       controlMembers: ['a1'],
       zoneRelays: ['a2', 'a3'],
@@ -181,7 +180,11 @@
     const zoneRelays = inZone.slice(0, 3).map((host) => host.hostId);
     const candidates = [...inZone, ...controlHosts];
     for (const self of inZone) {
-      const [source = ''] = orderSources({ self, candidates, controlMembers, zoneRelays });
+      const [source = ''] = new SourceOrder(self).order({
+        candidates,
+        controlMembers,
+        zoneRelays,
+      });
       served.set(source, (served.get(source) ?? 0) + 1);
     }
   }
--- a/packages/core/src/table/clientBlockTable.ts
+++ b/packages/core/src/table/clientBlockTable.ts
@@ -1,5 +1,6 @@
 import type { ClientBlocks } from '@buckthornlug/protocol/document/documentTypes.js';
 
+import { sameNames } from '../lists/sameNames.js';
 import { ipv6Prefix, parseCallerAddress } from './addressBlock.js';
 import { parseClientBlocks, type ParsedBlocks } from './parsedBlocks.js';
 import { buildPage, emptyPage, findInPage, type BlockPage } from './blockPage.js';
@@ -29,10 +30,6 @@
   readonly pagesBuilt: number;
 }
 
-function sameNames(left: readonly string[], right: readonly string[]): boolean {
-  return left.length === right.length && left.every((name, index) => name === right[index]);
-}
-
 function buildIpv6(parsed: Iterable<ParsedBlocks>): Ipv6Blocks {
   const byLength = new Map<number, Map<string, number>>();
   for (const section of parsed) {
--- a/packages/host/src/documents/documentsTask.ts
+++ b/packages/host/src/documents/documentsTask.ts
@@ -2,7 +2,6 @@
 
 import { ControlContact } from '@buckthornlug/core/spreading/controlContact.js';
 import type { ControlCopy } from '@buckthornlug/core/spreading/controlCopy.js';
-import { orderSources } from '@buckthornlug/core/spreading/sources.js';
 import type {
   ControlUpdate,
   ControlVersions,
@@ -21,6 +20,7 @@
 } from './documentsSchema.js';
 import { UpdatePoller } from './updatePoller.js';
 import { UpdateServer } from './updateServer.js';
+import { takesPart, UpdateSources } from './updateSources.js';
 import { VersionReports } from './versionReports.js';
 
 /** Time that a newer version known elsewhere is given to arrive by itself. */
@@ -32,10 +32,6 @@
 /** Longest wait for the disk before a newer version is put in force without being kept. */
 const maxKeepMs = 1000;
 
-function takesPart(host: HostRecord): boolean {
-  return host.state !== 'failed' && host.state !== 'left';
-}
-
 /** Checks the answer to a poll. */
 function checkReply(value: unknown): Result<PollReply, Failure> {
   const parsed = pollReplySchema.safeParse(value);
@@ -74,8 +70,9 @@
     this.contact = new ControlContact(context.clock.nowMs());
     this.server = new UpdateServer(copy);
     this.reports = this.createReports();
+    const sources = this.createSources();
     this.poller = new UpdatePoller({
-      sources: () => this.sources(),
+      sources: () => sources.list(),
       have: () => this.copy.versions(),
       ask: (hostId, have, waitMs) => this.ask(hostId, have, waitMs),
       apply: (update, source) => this.apply(update, source),
@@ -146,6 +143,16 @@
     this.reports.note(fromHostId, reports);
   }
 
+  private createSources(): UpdateSources {
+    const { settings } = this.context;
+    return new UpdateSources({
+      settings,
+      controlMembers: this.controlMembers(),
+      membership: () => this.parts.membership,
+      zoneRelays: () => this.parts.membershipTask?.relaysOf(settings.availabilityZone) ?? [],
+    });
+  }
+
   private createReports(): VersionReports {
     const { hostId } = this.context.settings;
     return new VersionReports({
@@ -171,22 +178,6 @@
     return groups.find((group) => group.id === 'control')?.members ?? [];
   }
 
-  private sources(): string[] {
-    const { settings } = this.context;
-    const { membership, membershipTask } = this.parts;
-    const known = membership
-      .hosts()
-      .filter((host) => takesPart(host) && host.hostId !== settings.hostId);
-    const ordered = orderSources({
-      self: settings,
-      candidates: known,
-      controlMembers: this.controlMembers(),
-      zoneRelays: membershipTask?.relaysOf(settings.availabilityZone) ?? [],
-    });
-    const others = known.length > 0 ? [] : settings.peers.map((peer) => peer.hostId);
-    return [...ordered, ...others];
-  }
-
   private async ask(hostId: string, have: ControlVersions, waitMs: number) {
     const timeoutMs = waitMs + this.context.settings.timing.rpcTimeoutMs;
     const answer = await this.parts.peers.request(
--- /dev/null
+++ b/packages/host/src/documents/updateSources.spec.ts
@@ -0,0 +1,65 @@
+import test from 'ava';
+
+import type { HostRecord } from '../runtime/hostTypes.js';
+import { UpdateSources } from './updateSources.js';
+
+const endpoint = { address: '127.0.0.1', port: 1 };
+
+function hostOf(hostId: string, state: HostRecord['state'] = 'alive'): HostRecord {
+  return {
+    hostId,
+    region: 'lagos',
+    availabilityZone: 'lagos-a',
+    incarnation: 1,
+    state,
+    roles: ['entry'],
+    internal: endpoint,
+    callers: endpoint,
+    admin: endpoint,
+    documentVersion: 1,
+  };
+}
+
+/** Sources of the host `self` in a membership that the test sets; counts walks of the hosts. */
+function createSources() {
+  const world = { hosts: [] as readonly HostRecord[], walks: 0 };
+  const setHosts = (...hosts: readonly HostRecord[]) => {
+    const list = [...hosts];
+    const walk = list.filter.bind(list);
+    list.filter = ((wanted: (host: HostRecord) => boolean) => {
+      world.walks += 1;
+      return walk(wanted);
+    }) as typeof list.filter;
+    world.hosts = list;
+  };
+  const peer = { hostId: 'peer', region: 'lagos', availabilityZone: 'lagos-a', internal: endpoint };
+  const sources = new UpdateSources({
+    settings: {
+      hostId: 'self',
+      availabilityZone: 'lagos-a',
+      roles: ['entry'],
+      peers: [peer],
+    },
+    controlMembers: [],
+    membership: () => ({ hosts: () => world.hosts }),
+    zoneRelays: () => [],
+  });
+  return { world, setHosts, sources };
+}
+
+test('the hosts are walked once for each change of the membership', (t) => {
+  const { world, setHosts, sources } = createSources();
+  setHosts(hostOf('self'), hostOf('other'));
+  for (let poll = 0; poll < 10; poll += 1) t.deepEqual(sources.list(), ['other']);
+  t.is(world.walks, 1);
+  setHosts(hostOf('self'), hostOf('other', 'failed'), hostOf('new'));
+  for (let poll = 0; poll < 10; poll += 1) t.deepEqual(sources.list(), ['new']);
+  t.is(world.walks, 2);
+});
+
+test('a host that knows no other one asks the peers of its settings', (t) => {
+  const { setHosts, sources } = createSources();
+  t.deepEqual(sources.list(), ['peer']);
+  setHosts(hostOf('self'), hostOf('gone', 'left'));
+  t.deepEqual(sources.list(), ['peer']);
+});
--- /dev/null
+++ b/packages/host/src/documents/updateSources.ts
@@ -0,0 +1,52 @@
+import { SourceOrder } from '@buckthornlug/core/spreading/sources.js';
+import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
+
+import type { HostRecord, MembershipView } from '../runtime/hostTypes.js';
+
+/** What the sources of updates follow. */
+export interface UpdateSourcesParts {
+  readonly settings: Pick<Settings, 'hostId' | 'availabilityZone' | 'roles' | 'peers'>;
+  /** Members of the control group by the settings. */
+  readonly controlMembers: readonly string[];
+  readonly membership: () => Pick<MembershipView, 'hosts'>;
+  /** Relays of the own zone. */
+  readonly zoneRelays: () => readonly string[];
+}
+
+/**
+ * Tells whether a host can be asked for updates.
+ *
+ * @param host - host as the membership sees it
+ */
+export function takesPart(host: HostRecord): boolean {
+  return host.state !== 'failed' && host.state !== 'left';
+}
+
+/** The hosts that this host gets updates from; walks the membership only after it has changed. */
+export class UpdateSources {
+  private readonly order: SourceOrder;
+
+  private hosts: readonly HostRecord[] = [];
+
+  private candidates: readonly HostRecord[] = [];
+
+  /**
+   * @param parts - settings and membership
+   */
+  constructor(private readonly parts: UpdateSourcesParts) {
+    this.order = new SourceOrder(parts.settings);
+  }
+
+  /** Hosts to ask, the best first; the peers of the settings where no host is known. */
+  list(): readonly string[] {
+    const { settings, controlMembers, membership, zoneRelays } = this.parts;
+    const hosts = membership().hosts();
+    const relays = zoneRelays();
+    if (hosts !== this.hosts) {
+      this.hosts = hosts;
+      this.candidates = hosts.filter((host) => takesPart(host) && host.hostId !== settings.hostId);
+    }
+    if (this.candidates.length === 0) return settings.peers.map((peer) => peer.hostId);
+    return this.order.order({ candidates: this.candidates, controlMembers, zoneRelays: relays });
+  }
+}
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -99,6 +99,8 @@
   shifts: ShiftHooks;
   /** Host that owns the pool of a service in a zone; undefined where not known. */
   poolOwner: (availabilityZone: string, service: string) => string | undefined;
+  /** Number that rises once owners of pools of the own zone may have changed. */
+  poolOwnersVersion: () => number;
 }
 
 /**
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -73,6 +73,7 @@
       movedPermille: () => 0,
     },
     poolOwner: () => undefined,
+    poolOwnersVersion: () => 0,
     adminRoutes: [],
     running: [],
   };
--- a/packages/host/src/shifts/shiftAdmission.ts
+++ b/packages/host/src/shifts/shiftAdmission.ts
@@ -1,8 +1,8 @@
-import { ShiftLimiter } from '@buckthornlug/core/shifts/shiftLimiter.js';
+import { maxGapMs, ShiftLimiter } from '@buckthornlug/core/shifts/shiftLimiter.js';
 import { shiftPartOf, type ShiftPart } from '@buckthornlug/core/shifts/shiftParts.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 
-import type { DocumentView, HostContext } from '../runtime/hostTypes.js';
+import type { DocumentInForce, DocumentView, HostContext } from '../runtime/hostTypes.js';
 
 /** Time beyond the slot lease for which a new pool owner admits no shifted call. */
 const takeOverMs = 1000;
@@ -21,6 +21,8 @@
   readonly document: Pick<DocumentView, 'current'>;
   /** Host that owns the pool of a service in a zone; undefined where not known. */
   readonly poolOwner: (availabilityZone: string, service: string) => string | undefined;
+  /** A value that differs once owners of pools of the own zone may have changed. */
+  readonly ownersVersion: () => number | string;
 }
 
 /**
@@ -30,15 +32,26 @@
 export class ShiftAdmission {
   private readonly limiters = new Map<string, ServiceLimiters>();
 
-  constructor(private readonly parts: ShiftAdmissionParts) {}
+  private inForce: DocumentInForce | undefined;
 
-  /** Follows the document and the owners of pools; to be called more often than each 250 ms. */
+  private ownersVersion: number | string | undefined;
+
+  private observedAtMs: number;
+
+  constructor(private readonly parts: ShiftAdmissionParts) {
+    this.observedAtMs = parts.context.clock.nowMs();
+  }
+
+  /**
+   * Follows the document and the owners of pools; to be called more often than each 250 ms. Services
+   * are walked only where one of these has changed or the process was paused; the limiters learn of
+   * the time without a pause when they are used next.
+   */
   observe(): void {
-    const services = this.parts.document.current()?.document.services ?? {};
-    for (const service of Object.keys(services)) this.limitersOf(service);
-    for (const service of this.limiters.keys()) {
-      if (services[service] === undefined) this.limiters.delete(service);
-    }
+    const nowMs = this.parts.context.clock.nowMs();
+    const wasPaused = nowMs - this.observedAtMs > maxGapMs;
+    if (this.takeOverChanges() || wasPaused) this.walk();
+    this.observedAtMs = nowMs;
   }
 
   /** Admits a call to the queue, or tells why it is refused as not run. */
@@ -53,6 +66,22 @@
   readonly dispatchShifted = (service: string, fromRegion: string): Failure | undefined =>
     this.pass(this.limitersOf(service)?.dispatches, fromRegion);
 
+  /** Returns whether the document or the owners of pools may differ from those of the last walk. */
+  private takeOverChanges(): boolean {
+    const { inForce, ownersVersion } = this;
+    this.inForce = this.parts.document.current();
+    this.ownersVersion = this.parts.ownersVersion();
+    return inForce !== this.inForce || ownersVersion !== this.ownersVersion;
+  }
+
+  private walk(): void {
+    const services = this.inForce?.document.services ?? {};
+    for (const service of Object.keys(services)) this.limitersOf(service);
+    for (const service of this.limiters.keys()) {
+      if (services[service] === undefined) this.limiters.delete(service);
+    }
+  }
+
   private pass(limiter: ShiftLimiter | undefined, fromRegion: string): Failure | undefined {
     const nowMs = this.parts.context.clock.nowMs();
     if (limiter?.admit(nowMs)) return undefined;
@@ -74,6 +103,7 @@
     const nowMs = context.clock.nowMs();
     const known = this.limiters.get(service) ?? this.addLimiters(service, part, nowMs);
     for (const limiter of [known.arrivals, known.dispatches]) {
+      limiter.ranUntil(this.observedAtMs);
       limiter.observe(nowMs);
       limiter.change(part, nowMs);
     }
--- a/packages/host/src/shifts/shiftsFeature.ts
+++ b/packages/host/src/shifts/shiftsFeature.ts
@@ -35,6 +35,7 @@
       context,
       document: parts.document,
       poolOwner: (zone, service) => parts.poolOwner(zone, service),
+      ownersVersion: () => parts.poolOwnersVersion(),
     });
     parts.provide({
       shifts: {
--- a/packages/host/src/slots/slotsFeature.ts
+++ b/packages/host/src/slots/slotsFeature.ts
@@ -106,6 +106,7 @@
     },
     receiveAnnouncement: announcements.receive,
     poolOwner: owners.ownerOf,
+    poolOwnersVersion: owners.localVersion,
   });
   const { rpcHandlers } = parts;
   const readBackends = () => listBackends(settings.hostId, tasks.values(), clock);
--- a/packages/testkit/src/bench/experiments.ts
+++ b/packages/testkit/src/bench/experiments.ts
@@ -11,6 +11,7 @@
 import { poolHeadroomExperiment } from './load/poolHeadroomExperiment.js';
 import { controlExperiment } from './control/controlExperiment.js';
 import { lookup } from './lookup.js';
+import { followingExperiment } from './members/followingExperiment.js';
 import { membersExperiment } from './members/membersExperiment.js';
 import { recompileExperiment } from './members/recompileExperiment.js';
 import { spreadingExperiment } from './members/spreadingExperiment.js';
@@ -33,5 +34,6 @@
   shiftExperiment,
   recompileExperiment,
   membersExperiment,
+  followingExperiment,
   spreadingExperiment,
 ];
--- a/packages/testkit/src/bench/members/recompileExperiment.ts
+++ b/packages/testkit/src/bench/members/recompileExperiment.ts
@@ -2,21 +2,19 @@
 import { parseClientBlocks } from '@buckthornlug/core/table/parsedBlocks.js';
 import { compileTable } from '@buckthornlug/core/table/table.js';
 import { hashText } from '@buckthornlug/core/hash/textHash.js';
-import type {
-  ClientBlocks,
-  SteeringDocument,
-} from '@buckthornlug/protocol/document/documentTypes.js';
+import type { ClientBlocks } from '@buckthornlug/protocol/document/documentTypes.js';
 
 import { atMost, type BenchReport, type Experiment } from '../benchTypes.js';
 import { createSeededRandom, type SeededRandom } from '../../fakes/seededRandom.js';
-import { createTestDocument } from '../../fakes/testDocument.js';
+import {
+  createGroups,
+  createLargeDocument,
+  groupCount,
+  zoneCount,
+  zoneName,
+} from './largeDocument.js';
 import { median } from './slope.js';
 
-const blockCount = 100_000;
-const siteCount = 3700;
-const regionCount = 27;
-const zoneCount = 79;
-const groupCount = 100;
 const runs = 11;
 const matches = 1_000_000;
 /** Largest time of a match. */
@@ -24,52 +22,6 @@
 /** Entries of a chunk on average. */
 const chunkEntries = 64;
 
-function zoneName(index: number): string {
-  return `zone-${index % zoneCount}`;
-}
-
-function createBlock(index: number) {
-  const first = 10 + (index >> 13);
-  const block = `${first}.${(index >> 5) & 255}.${(index & 31) * 8}.0/${21 + (index % 6)}`;
-  return { block, availabilityZone: zoneName(index) };
-}
-
-function createGroups(groups: number): Record<string, ClientBlocks> {
-  const sections: Record<string, ClientBlocks> = {};
-  const perGroup = blockCount / groups;
-  for (let group = 0; group < groups; group += 1) {
-    const first = group * perGroup;
-    sections[`group-${group}`] = Array.from({ length: perGroup }, (_, index) =>
-      createBlock(first + index),
-    );
-  }
-  return sections;
-}
-
-/** A document of the target size: each site is a service of its own. */
-function createLargeDocument(): SteeringDocument {
-  const small = createTestDocument();
-  const [service] = Object.values(small.services);
-  const [traffic] = Object.values(small.traffic);
-  if (service === undefined || traffic === undefined) throw new Error('the document is empty');
-  const sites = Array.from({ length: siteCount }, (_, index) => `site-${index}`);
-  const regions = Array.from({ length: regionCount }, (_, region) => ({
-    id: `region-${region}`,
-    availabilityZones: Array.from({ length: zoneCount }, (__, zone) => zone)
-      .filter((zone) => zone % regionCount === region)
-      .map(zoneName),
-  }));
-  return {
-    ...small,
-    network: { ...small.network, regions, links: [] },
-    clientBlocks: createGroups(groupCount),
-    services: Object.fromEntries(
-      sites.map((site) => [site, { ...service, hostNames: [`${site}.example`] }]),
-    ),
-    traffic: Object.fromEntries(sites.map((site) => [site, { ...traffic }])),
-  };
-}
-
 function timeMs(run: () => void): number {
   const startMs = performance.now();
   run();
--- a/packages/testkit/src/shifts/shiftHost.ts
+++ b/packages/testkit/src/shifts/shiftHost.ts
@@ -78,6 +78,7 @@
       context,
       document: { current: () => parts.document() },
       poolOwner: (zone) => parts.poolOwner(zone),
+      ownersVersion: () => parts.poolOwner(place.availabilityZone) ?? 'not known',
     });
     const control = parts.memberFor?.(this.processTime);
     const membership = () => ({ hosts: () => parts.hosts() });
