perf(slots): owners of pools are kept where a change of membership leaves them as they are

Cause: any change of any host's record dropped the owners of all pools, and the next observation of shift limits walked all hosts for each service. The event loop stood still for over a second, which the limiters took for a pause of the process. Change: the membership is walked once after a change; an owner is compared with hosts that came and looked for anew only where it has gone.

--- a/packages/core/src/slots/poolOwner.ts
+++ b/packages/core/src/slots/poolOwner.ts
@@ -2,6 +2,17 @@
 
 /** Choice of the host that owns a pool, by rendezvous hashing. */
 
+/**
+ * Scores a host for a pool; the host with the highest score owns it.
+ *
+ * @param availabilityZone - zone of the pool
+ * @param service - service of the pool
+ * @param hostId - host of the zone
+ */
+export function ownerScore(availabilityZone: string, service: string, hostId: string): number {
+  return hashText(`${availabilityZone}/${service}/${hostId}`);
+}
+
 /**
  * Ranks the hosts of an availability zone for a pool; the first one owns it.
  *
@@ -17,7 +28,7 @@
 ): string[] {
   const scored = hostIds.map((hostId) => ({
     hostId,
-    score: hashText(`${availabilityZone}/${service}/${hostId}`),
+    score: ownerScore(availabilityZone, service, hostId),
   }));
   scored.sort((a, b) => b.score - a.score || a.hostId.localeCompare(b.hostId));
   return scored.map((entry) => entry.hostId);
--- a/packages/host/src/slots/poolOwners.spec.ts
+++ b/packages/host/src/slots/poolOwners.spec.ts
@@ -11,28 +11,37 @@
 const zones = ['lagos-a', 'lagos-b'];
 
 const hostArbitrary: fc.Arbitrary<HostRecord> = fc.record({
-  hostId: fc.constantFrom('self', 'h1', 'h2', 'h3', 'h4'),
+  hostId: fc.constantFrom('self', ...Array.from({ length: 12 }, (_, index) => `h${index}`)),
   region: fc.constant('lagos'),
-  availabilityZone: fc.constantFrom(...zones),
+  availabilityZone: fc.constantFrom('lagos-a', 'lagos-a', ...zones),
   incarnation: fc.constant(1),
-  state: fc.constantFrom('alive' as const, 'suspected' as const, 'failed' as const),
-  isLeaving: fc.boolean(),
-  roles: fc.constantFrom(['entry'], ['control']),
+  state: fc.constantFrom(
+    'alive' as const,
+    'alive' as const,
+    'suspected' as const,
+    'failed' as const,
+  ),
+  isLeaving: fc.constantFrom(false, false, false, true),
+  roles: fc.constantFrom(['entry'], ['entry'], ['entry'], ['control']),
   internal: fc.constant(endpoint),
   callers: fc.constant(endpoint),
   admin: fc.constant(endpoint),
   documentVersion: fc.constant(1),
 });
 
-const membershipArbitrary = fc.uniqueArray(hostArbitrary, { selector: (host) => host.hostId });
+/** Records that each replace the one of the same host: few of them, or most at once. */
+const changeArbitrary = fc.oneof(
+  fc.array(hostArbitrary, { minLength: 1, maxLength: 2 }),
+  fc.array(hostArbitrary, { minLength: 20, maxLength: 30 }),
+);
 
-/** The owner by all hosts, computed from nothing kept. */
-function ownerByAll(hosts: readonly HostRecord[], zone: string, service: string, leaves: boolean) {
+/** The hosts that may own a pool, the owner first, computed from nothing kept. */
+function ownersByAll(hosts: readonly HostRecord[], zone: string, service: string, leaves: boolean) {
   const mayOwn = (host: HostRecord) => (host.hostId === 'self' ? !leaves : takesWork(host));
   const hostIds = hosts
     .filter((host) => host.availabilityZone === zone && mayOwn(host))
     .map((host) => host.hostId);
-  return rankPoolHosts(zone, service, hostIds)[0];
+  return rankPoolHosts(zone, service, hostIds);
 }
 
 function createOwners() {
@@ -45,22 +54,28 @@
 
 test('owners kept over changes of membership equal those by all hosts', (t) => {
   const property = fc.property(
-    fc.array(membershipArbitrary, { minLength: 1, maxLength: 8 }),
-    fc.nat({ max: 10 }),
-    (memberships, leavesAt) => {
+    fc.array(hostArbitrary, { minLength: 20, maxLength: 30 }),
+    fc.array(changeArbitrary, { minLength: 1, maxLength: 12 }),
+    fc.nat({ max: 15 }),
+    (first, changes, leavesAt) => {
       const { world, owners } = createOwners();
       const known = new Map<string, string | undefined>();
+      const records = new Map(first.map((host) => [host.hostId, host]));
       let version = 0;
-      for (const [index, hosts] of memberships.entries()) {
+      for (const [index, change] of changes.entries()) {
+        for (const host of change) records.set(host.hostId, host);
+        const hosts = [...records.values()];
         world.hosts = hosts;
         if (index === leavesAt) owners.leave();
         const isChanged = owners.localVersion() !== version;
         version = owners.localVersion();
         for (const zone of zones) {
           for (const service of services) {
-            const expected = ownerByAll(hosts, zone, service, index >= leavesAt);
+            const [expected, second] = ownersByAll(hosts, zone, service, index >= leavesAt);
             t.is(owners.ownerOf(zone, service), expected);
             if (zone !== 'lagos-a') continue;
+            t.is(owners.localOwner(service, []), expected);
+            t.is(owners.localOwner(service, [expected ?? '']), second);
             if (!isChanged) t.is(expected, known.get(service));
             known.set(service, expected);
           }
--- a/packages/host/src/slots/poolOwners.ts
+++ b/packages/host/src/slots/poolOwners.ts
@@ -1,5 +1,4 @@
-import { sameNames } from '@buckthornlug/core/lists/sameNames.js';
-import { rankPoolHosts } from '@buckthornlug/core/slots/poolOwner.js';
+import { ZoneOwners } from '@buckthornlug/core/slots/zoneOwners.js';
 
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext, HostRecord } from '../runtime/hostTypes.js';
@@ -17,15 +16,9 @@
   readonly leave: () => void;
 }
 
-/** Hosts of a zone that may own pools, with those of each service in order. */
-interface ZoneOwners {
-  readonly hostIds: readonly string[];
-  readonly ranked: Map<string, readonly string[]>;
-}
-
 /**
- * Creates the view of owners. The membership is walked once after each of its changes; the orders of
- * a zone are kept as long as the same hosts of it may own pools.
+ * Creates the view of owners. The membership is walked once after each of its changes; owners are kept
+ * where the change leaves them as they are.
  *
  * @param context - zone of this host
  * @param parts - membership
@@ -35,7 +28,7 @@
   parts: Pick<HostParts, 'membership'>,
 ): PoolOwners {
   const { settings } = context;
-  let zones = new Map<string, ZoneOwners>();
+  const zones = new Map<string, ZoneOwners>();
   let seen: readonly HostRecord[] | undefined;
   let localVersion = 1;
   let isLeaving = false;
@@ -57,15 +50,14 @@
   };
 
   const regroup = (hosts: readonly HostRecord[]): void => {
-    const before = zones;
-    zones = new Map();
-    for (const [zone, hostIds] of hostIdsByZone(hosts)) {
-      const known = before.get(zone);
-      const isSame = known !== undefined && sameNames(known.hostIds, hostIds);
-      zones.set(zone, isSame ? known : { hostIds, ranked: new Map() });
+    const byZone = hostIdsByZone(hosts);
+    for (const zone of byZone.keys()) {
+      if (!zones.has(zone)) zones.set(zone, new ZoneOwners(zone));
+    }
+    for (const [zone, owners] of zones) {
+      const isChanged = owners.change(byZone.get(zone) ?? []);
+      if (isChanged && zone === settings.availabilityZone) localVersion += 1;
     }
-    const local = settings.availabilityZone;
-    if (zones.get(local) !== before.get(local)) localVersion += 1;
   };
 
   /** Takes over the membership where it has changed. */
@@ -76,25 +68,15 @@
     regroup(hosts);
   };
 
-  const rankedHosts = (availabilityZone: string, service: string): readonly string[] => {
+  const ownersOf = (availabilityZone: string): ZoneOwners | undefined => {
     refresh();
-    const zone = zones.get(availabilityZone);
-    if (zone === undefined) return [];
-    const known = zone.ranked.get(service);
-    if (known !== undefined) return known;
-    const hosts = rankPoolHosts(availabilityZone, service, zone.hostIds);
-    zone.ranked.set(service, hosts);
-    return hosts;
+    return zones.get(availabilityZone);
   };
 
   return {
-    ownerOf: (availabilityZone, service) => rankedHosts(availabilityZone, service)[0],
-    localOwner: (service, excluded) => {
-      for (const hostId of rankedHosts(settings.availabilityZone, service)) {
-        if (!excluded.includes(hostId)) return hostId;
-      }
-      return undefined;
-    },
+    ownerOf: (availabilityZone, service) => ownersOf(availabilityZone)?.ownerOf(service),
+    localOwner: (service, excluded) =>
+      ownersOf(settings.availabilityZone)?.ownerWithout(service, excluded),
     localVersion: () => {
       refresh();
       return localVersion;
