--- a/packages/host/src/consensus/groupRoutes.ts
+++ b/packages/host/src/consensus/groupRoutes.ts
@@ -1,5 +1,6 @@
 import { formAnewSchema } from '@buckthornlug/protocol/admin/formAnewSchema.js';
 import { faultsOf } from '@buckthornlug/protocol/common/faults.js';
+import { signedReplicaChangeSchema } from '@buckthornlug/protocol/groups/replicaChangeSchema.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import type { Context, Hono } from 'hono';
 import type { ResultAsync } from 'neverthrow';
@@ -26,9 +27,24 @@
   return answer(losses.accept(parsed.data));
 }
 
+async function answerChange(groups: HostGroups, request: Context): Promise<Response> {
+  const body: unknown = await request.req.json().catch(() => undefined);
+  const parsed = signedReplicaChangeSchema.safeParse(body);
+  if (!parsed.success) {
+    const faults = faultsOf(parsed.error);
+    return failureResponse(failure('BL1005', 'the change is not valid', { faults }));
+  }
+  if (parsed.data.groupId !== request.req.param('id')) {
+    return failureResponse(failure('BL1005', 'the change is of another group'));
+  }
+  const changed = await groups.changer.request(parsed.data);
+  return changed.isOk() ? Response.json(changed.value) : failureResponse(changed.error);
+}
+
 /**
  * Adds `GET /v1/groups`: term, leader, replicas and lag of each group,
- * `GET /v1/groups/:id/formation`: what a request to form the group anew has to name, and
+ * `GET /v1/groups/:id/formation`: what a request to form the group anew has to name,
+ * `POST /v1/groups/:id/replicas`: a signed change of the replicas, and
  * `POST /v1/groups/:id/form-anew`: an operator accepts the loss of a group's state.
  *
  * @param app - administration API
@@ -44,4 +60,5 @@
     answer(losses.statusOf(request.req.param('id'))),
   );
   app.post('/v1/groups/:id/form-anew', (request) => answerFormAnew(losses, request));
+  app.post('/v1/groups/:id/replicas', (request) => answerChange(groups, request));
 }
--- a/packages/protocol/src/results/resultCodes.ts
+++ b/packages/protocol/src/results/resultCodes.ts
@@ -285,6 +285,21 @@
     meaning: 'What is to be given up is not what the group was formed as.',
     action: 'Ask for `GET /v1/groups/<group>/formation` and name what it shows.',
   },
+  BL5010: {
+    httpStatus: 409,
+    meaning: 'The group has other replicas than those that the change is based on.',
+    action: 'Look at the group and ask again.',
+  },
+  BL5011: {
+    httpStatus: 409,
+    meaning: 'No majority of the remaining replicas answers, so the replica is not removed.',
+    action: 'Bring another replica back, or add one first.',
+  },
+  BL5012: {
+    httpStatus: 401,
+    meaning: 'The change of the replicas has no valid signature, or is more than 5 minutes old.',
+    action: 'Check the cluster key and the clock; ask again.',
+  },
 
   BL6001: {
     httpStatus: 401,
