--- a/packages/cli/src/commands/groupRemoveReplicaCommand.ts
+++ b/packages/cli/src/commands/groupRemoveReplicaCommand.ts
@@ -9,7 +9,7 @@
   static override usage = Command.Usage({
     description: 'Remove the replica of a host from a group.',
     details: `
-      Refused (BL5010) where no majority of the other replicas answers. The host may be lost or
+      Refused (BL5011) where no majority of the other replicas answers. The host may be lost or
       alive. A command that lost its answer may be repeated.
     `,
     examples: [
--- a/packages/cli/src/commands/secretFile.ts
+++ b/packages/cli/src/commands/secretFile.ts
@@ -6,8 +6,8 @@
 /**
  * Reads the secret of a key.
  *
- * @param path - file that holds it
- * @returns the secret, or BL1005 where the file cannot be read
+ * @param path - path of the file
+ * @returns the secret without blanks around it; BL1005 where it cannot be read
  */
 export async function readSecretFile(path: string): Promise<Result<string, Failure>> {
   try {
--- a/packages/host/src/consensus/replicaChanger.ts
+++ b/packages/host/src/consensus/replicaChanger.ts
@@ -39,9 +39,9 @@
 
 function refusalOf(reason: ChangeRefusal): Failure {
   if (reason === 'notLeader') return failure('BL5001', 'this host does not lead the group');
-  if (reason === 'otherBase') return failure('BL5009', 'the replicas have changed meanwhile');
+  if (reason === 'otherBase') return failure('BL5010', 'the replicas have changed meanwhile');
   if (reason === 'noMajority') {
-    return failure('BL5010', 'no majority of the remaining replicas answers');
+    return failure('BL5011', 'no majority of the remaining replicas answers');
   }
   return failure('BL5006', 'another replica is still catching up');
 }
@@ -65,7 +65,7 @@
     const { settings } = this.parts.context;
     const { groupId } = signed;
     if (!this.isValid(signed)) {
-      return err(failure('BL5011', 'the change is signed with no cluster key or not recent'));
+      return err(failure('BL5012', 'the change is signed with no cluster key or not recent'));
     }
     const group = await this.parts.describeAnywhere(groupId);
     if (group.isErr()) return err(group.error);
@@ -90,7 +90,7 @@
     const task = this.parts.taskOf(groupId);
     if (task === undefined) return this.parts.notLeader(groupId);
     if (!this.isValid(signed)) {
-      return { ok: false, failure: failure('BL5011', 'the leader does not take the signature') };
+      return { ok: false, failure: failure('BL5012', 'the leader does not take the signature') };
     }
     const resolved = await this.resolve(groupId, change);
     if (resolved.isErr()) return { ok: false, failure: resolved.error };
--- a/packages/host/src/documents/documentsTask.ts
+++ b/packages/host/src/documents/documentsTask.ts
@@ -22,7 +22,8 @@
 } from './documentsSchema.js';
 import { UpdatePoller } from './updatePoller.js';
 import { UpdateServer } from './updateServer.js';
-import { controlMembersOf, newestElsewhere, takesPart, updateSources } from './updateSources.js';
+import { newestElsewhere } from './newestElsewhere.js';
+import { controlMembersOf, takesPart, UpdateSources } from './updateSources.js';
 import { VersionReports } from './versionReports.js';
 
 /** Time that a newer version known elsewhere is given to arrive by itself. */
@@ -71,8 +72,9 @@
     this.server = new UpdateServer(copy);
     this.installer = new DocumentInstaller(context, parts.document, copy, keep);
     this.reports = this.createReports();
+    const sources = this.createSources();
     this.poller = new UpdatePoller({
-      sources: () => updateSources(context.settings, parts),
+      sources: () => sources.list(),
       have: () => this.copy.versions(),
       ask: (hostId, have, waitMs) => this.ask(hostId, have, waitMs),
       apply: (update, source) => this.apply(update, source),
@@ -145,6 +147,16 @@
     this.reports.note(fromHostId, reports);
   }
 
+  private createSources(): UpdateSources {
+    const { settings } = this.context;
+    return new UpdateSources({
+      settings,
+      controlMembers: controlMembersOf(settings),
+      membership: () => this.parts.membership,
+      zoneRelays: () => this.parts.membershipTask?.relaysOf(settings.availabilityZone) ?? [],
+    });
+  }
+
   /** What this host confirms, and as which process. */
   private held(): HeldByProcess {
     const { incarnation } = this.parts.membership.self();
@@ -199,7 +211,11 @@
   }
 
   private newestElsewhere(): HostRecord | undefined {
-    return newestElsewhere(this.context.settings.hostId, this.parts, this.copy.versions());
+    return newestElsewhere(
+      this.context.settings.hostId,
+      this.parts.membership,
+      this.copy.versions(),
+    );
   }
 
   private scheduleNudge(): void {
--- a/packages/host/src/documents/updateSources.ts
+++ b/packages/host/src/documents/updateSources.ts
@@ -1,64 +1,61 @@
-import { orderSources } from '@buckthornlug/core/spreading/sources.js';
-import type { ControlVersions } from '@buckthornlug/core/spreading/spreadingTypes.js';
+import { SourceOrder } from '@buckthornlug/core/spreading/sources.js';
 import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 
-import type { HostParts } from '../runtime/hostParts.js';
-import type { HostRecord } from '../runtime/hostTypes.js';
+import type { HostRecord, MembershipView } from '../runtime/hostTypes.js';
 
-/** Other hosts as sources of updates. */
+/** What the sources of updates follow. */
+export interface UpdateSourcesParts {
+  readonly settings: Pick<Settings, 'hostId' | 'availabilityZone' | 'roles' | 'peers'>;
+  /** Members of the control group by the settings. */
+  readonly controlMembers: readonly string[];
+  readonly membership: () => Pick<MembershipView, 'hosts'>;
+  /** Relays of the own zone. */
+  readonly zoneRelays: () => readonly string[];
+}
 
-/** Whether a host still takes part. */
+/**
+ * Tells whether a host can be asked for updates.
+ *
+ * @param host - host as the membership sees it
+ */
 export function takesPart(host: HostRecord): boolean {
   return host.state !== 'failed' && host.state !== 'left';
 }
 
-/** Members of the control group by the settings. */
-export function controlMembersOf({ groups }: Pick<Settings, 'groups'>): readonly string[] {
-  return groups.find((group) => group.id === 'control')?.members ?? [];
-}
-
 /**
- * Hosts to ask for updates, the best first.
+ * Members of the control group by the settings.
  *
  * @param settings - settings of this host
- * @param parts - membership of this host
  */
-export function updateSources(
-  settings: Settings,
-  parts: Pick<HostParts, 'membership' | 'membershipTask'>,
-): string[] {
-  const { membership, membershipTask } = parts;
-  const known = membership
-    .hosts()
-    .filter((host) => takesPart(host) && host.hostId !== settings.hostId);
-  const ordered = orderSources({
-    self: settings,
-    candidates: known,
-    controlMembers: controlMembersOf(settings),
-    zoneRelays: membershipTask?.relaysOf(settings.availabilityZone) ?? [],
-  });
-  const others = known.length > 0 ? [] : settings.peers.map((peer) => peer.hostId);
-  return [...ordered, ...others];
+export function controlMembersOf({ groups }: Pick<Settings, 'groups'>): readonly string[] {
+  return groups.find((group) => group.id === 'control')?.members ?? [];
 }
 
-/**
- * Host with the newest document among those that hold more than this one.
- *
- * @param ownHostId - this host
- * @param parts - membership of this host
- * @param have - what this host holds
- */
-export function newestElsewhere(
-  ownHostId: string,
-  parts: Pick<HostParts, 'membership'>,
-  have: ControlVersions,
-): HostRecord | undefined {
-  let newest: HostRecord | undefined;
-  for (const host of parts.membership.hosts()) {
-    if (!takesPart(host) || host.hostId === ownHostId) continue;
-    const isNewer =
-      host.documentVersion > have.version || (host.shiftRevision ?? 0) > have.shiftRevision;
-    if (isNewer && host.documentVersion >= (newest?.documentVersion ?? 0)) newest = host;
+/** The hosts that this host gets updates from; walks the membership only after it has changed. */
+export class UpdateSources {
+  private readonly order: SourceOrder;
+
+  private hosts: readonly HostRecord[] = [];
+
+  private candidates: readonly HostRecord[] = [];
+
+  /**
+   * @param parts - settings and membership
+   */
+  constructor(private readonly parts: UpdateSourcesParts) {
+    this.order = new SourceOrder(parts.settings);
+  }
+
+  /** Hosts to ask, the best first; the peers of the settings where no host is known. */
+  list(): readonly string[] {
+    const { settings, controlMembers, membership, zoneRelays } = this.parts;
+    const hosts = membership().hosts();
+    const relays = zoneRelays();
+    if (hosts !== this.hosts) {
+      this.hosts = hosts;
+      this.candidates = hosts.filter((host) => takesPart(host) && host.hostId !== settings.hostId);
+    }
+    if (this.candidates.length === 0) return settings.peers.map((peer) => peer.hostId);
+    return this.order.order({ candidates: this.candidates, controlMembers, zoneRelays: relays });
   }
-  return newest;
 }
--- /dev/null
+++ b/packages/host/src/slots/poolOwners.spec.ts
@@ -0,0 +1,107 @@
+import { rankPoolHosts } from '@buckthornlug/core/slots/poolOwner.js';
+import test from 'ava';
+import fc from 'fast-check';
+
+import type { HostContext, HostRecord, MembershipView } from '../runtime/hostTypes.js';
+import { takesWork } from '../runtime/takesWork.js';
+import { createPoolOwners } from './poolOwners.js';
+
+const endpoint = { address: '127.0.0.1', port: 1 };
+const services = ['parts-desk', 'pickups'];
+const zones = ['lagos-a', 'lagos-b'];
+
+const hostArbitrary: fc.Arbitrary<HostRecord> = fc.record({
+  hostId: fc.constantFrom('self', ...Array.from({ length: 12 }, (_, index) => `h${index}`)),
+  region: fc.constant('lagos'),
+  availabilityZone: fc.constantFrom('lagos-a', 'lagos-a', ...zones),
+  incarnation: fc.constant(1),
+  state: fc.constantFrom(
+    'alive' as const,
+    'alive' as const,
+    'suspected' as const,
+    'failed' as const,
+  ),
+  isLeaving: fc.constantFrom(false, false, false, true),
+  roles: fc.constantFrom(['entry'], ['entry'], ['entry'], ['control']),
+  internal: fc.constant(endpoint),
+  callers: fc.constant(endpoint),
+  admin: fc.constant(endpoint),
+  documentVersion: fc.constant(1),
+});
+
+/** Records that each replace the one of the same host: few of them, or most at once. */
+const changeArbitrary = fc.oneof(
+  fc.array(hostArbitrary, { minLength: 1, maxLength: 2 }),
+  fc.array(hostArbitrary, { minLength: 20, maxLength: 30 }),
+);
+
+/** The hosts that may own a pool, the owner first, computed from nothing kept. */
+function ownersByAll(hosts: readonly HostRecord[], zone: string, service: string, leaves: boolean) {
+  const mayOwn = (host: HostRecord) => (host.hostId === 'self' ? !leaves : takesWork(host));
+  const hostIds = hosts
+    .filter((host) => host.availabilityZone === zone && mayOwn(host))
+    .map((host) => host.hostId);
+  return rankPoolHosts(zone, service, hostIds);
+}
+
+function createOwners() {
+  const world = { hosts: [] as readonly HostRecord[] };
+  const membership = { hosts: () => world.hosts } as unknown as MembershipView;
+  const settings = { hostId: 'self', availabilityZone: 'lagos-a' };
+  const owners = createPoolOwners({ settings } as unknown as HostContext, { membership });
+  return { world, owners };
+}
+
+test('owners kept over changes of membership equal those by all hosts', (t) => {
+  const property = fc.property(
+    fc.array(hostArbitrary, { minLength: 20, maxLength: 30 }),
+    fc.array(changeArbitrary, { minLength: 1, maxLength: 12 }),
+    fc.nat({ max: 15 }),
+    (first, changes, leavesAt) => {
+      const { world, owners } = createOwners();
+      const known = new Map<string, string | undefined>();
+      const records = new Map(first.map((host) => [host.hostId, host]));
+      let version = 0;
+      for (const [index, change] of changes.entries()) {
+        for (const host of change) records.set(host.hostId, host);
+        const hosts = [...records.values()];
+        world.hosts = hosts;
+        if (index === leavesAt) owners.leave();
+        const isChanged = owners.localVersion() !== version;
+        version = owners.localVersion();
+        for (const zone of zones) {
+          for (const service of services) {
+            const [expected, second] = ownersByAll(hosts, zone, service, index >= leavesAt);
+            t.is(owners.ownerOf(zone, service), expected);
+            if (zone !== 'lagos-a') continue;
+            t.is(owners.localOwner(service, []), expected);
+            t.is(owners.localOwner(service, [expected ?? '']), second);
+            if (!isChanged) t.is(expected, known.get(service));
+            known.set(service, expected);
+          }
+        }
+      }
+    },
+  );
+  t.notThrows(() => fc.assert(property, { seed: 7, numRuns: 1000 }));
+});
+
+test('a change in another zone, or of versions alone, leaves the local owners as they are', (t) => {
+  const { world, owners } = createOwners();
+  const hostOf = (hostId: string, availabilityZone: string, documentVersion: number) =>
+    ({
+      hostId,
+      availabilityZone,
+      documentVersion,
+      state: 'alive',
+      roles: ['entry'],
+    }) as unknown as HostRecord;
+  const versionWith = (...hosts: readonly HostRecord[]) => {
+    world.hosts = hosts;
+    return owners.localVersion();
+  };
+  const first = versionWith(hostOf('self', 'lagos-a', 1));
+  t.is(versionWith(hostOf('self', 'lagos-a', 2)), first);
+  t.is(versionWith(hostOf('self', 'lagos-a', 2), hostOf('h1', 'lagos-b', 2)), first);
+  t.not(versionWith(hostOf('self', 'lagos-a', 2), hostOf('h1', 'lagos-a', 2)), first);
+});
--- a/packages/host/src/slots/poolOwners.ts
+++ b/packages/host/src/slots/poolOwners.ts
@@ -1,4 +1,4 @@
-import { rankPoolHosts } from '@buckthornlug/core/slots/poolOwner.js';
+import { ZoneOwners } from '@buckthornlug/core/slots/zoneOwners.js';
 
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext, HostRecord } from '../runtime/hostTypes.js';
@@ -10,51 +10,80 @@
   readonly ownerOf: (availabilityZone: string, service: string) => string | undefined;
   /** Owner of a pool of the own zone, leaving out hosts that failed a call. */
   readonly localOwner: (service: string, excluded: readonly string[]) => string | undefined;
+  /** Number that rises with each change of the hosts that may own pools of the own zone. */
+  readonly localVersion: () => number;
   /** Takes this host out, because it stops. */
   readonly leave: () => void;
 }
 
 /**
- * Creates the view of owners.
+ * Creates the view of owners. The membership is walked once after each of its changes; owners are kept
+ * where the change leaves them as they are.
  *
  * @param context - zone of this host
  * @param parts - membership
  */
-export function createPoolOwners(context: HostContext, parts: HostParts): PoolOwners {
+export function createPoolOwners(
+  context: Pick<HostContext, 'settings'>,
+  parts: Pick<HostParts, 'membership'>,
+): PoolOwners {
   const { settings } = context;
-  const ranked = new Map<string, readonly string[]>();
+  const zones = new Map<string, ZoneOwners>();
+  let seen: readonly HostRecord[] | undefined;
+  let localVersion = 1;
   let isLeaving = false;
-  parts.membership.onChange(() => ranked.clear());
 
   const mayOwn = (host: HostRecord): boolean => {
     if (host.hostId === settings.hostId) return !isLeaving;
     return takesWork(host);
   };
 
-  const rankedHosts = (availabilityZone: string, service: string): readonly string[] => {
-    const key = `${availabilityZone}/${service}`;
-    const known = ranked.get(key);
-    if (known !== undefined) return known;
-    const hostIds: string[] = [];
-    for (const host of parts.membership.hosts()) {
-      if (host.availabilityZone === availabilityZone && mayOwn(host)) hostIds.push(host.hostId);
+  const hostIdsByZone = (hosts: readonly HostRecord[]): Map<string, string[]> => {
+    const byZone = new Map<string, string[]>();
+    for (const host of hosts) {
+      if (!mayOwn(host)) continue;
+      const hostIds = byZone.get(host.availabilityZone);
+      if (hostIds === undefined) byZone.set(host.availabilityZone, [host.hostId]);
+      else hostIds.push(host.hostId);
     }
-    const hosts = rankPoolHosts(availabilityZone, service, hostIds);
-    ranked.set(key, hosts);
-    return hosts;
+    return byZone;
+  };
+
+  const regroup = (hosts: readonly HostRecord[]): void => {
+    const byZone = hostIdsByZone(hosts);
+    for (const zone of byZone.keys()) {
+      if (!zones.has(zone)) zones.set(zone, new ZoneOwners(zone));
+    }
+    for (const [zone, owners] of zones) {
+      const isChanged = owners.change(byZone.get(zone) ?? []);
+      if (isChanged && zone === settings.availabilityZone) localVersion += 1;
+    }
+  };
+
+  /** Takes over the membership where it has changed. */
+  const refresh = (): void => {
+    const hosts = parts.membership.hosts();
+    if (hosts === seen) return;
+    seen = hosts;
+    regroup(hosts);
+  };
+
+  const ownersOf = (availabilityZone: string): ZoneOwners | undefined => {
+    refresh();
+    return zones.get(availabilityZone);
   };
 
   return {
-    ownerOf: (availabilityZone, service) => rankedHosts(availabilityZone, service)[0],
-    localOwner: (service, excluded) => {
-      for (const hostId of rankedHosts(settings.availabilityZone, service)) {
-        if (!excluded.includes(hostId)) return hostId;
-      }
-      return undefined;
+    ownerOf: (availabilityZone, service) => ownersOf(availabilityZone)?.ownerOf(service),
+    localOwner: (service, excluded) =>
+      ownersOf(settings.availabilityZone)?.ownerWithout(service, excluded),
+    localVersion: () => {
+      refresh();
+      return localVersion;
     },
     leave: () => {
       isLeaving = true;
-      ranked.clear();
+      seen = undefined;
     },
   };
 }
--- a/packages/protocol/src/results/resultCodes.ts
+++ b/packages/protocol/src/results/resultCodes.ts
@@ -281,16 +281,21 @@
     action: 'Repair the group, or empty the disks of all its members first.',
   },
   BL5009: {
+    httpStatus: 409,
+    meaning: 'What is to be given up is not what the group was formed as.',
+    action: 'Ask for `GET /v1/groups/<group>/formation` and name what it shows.',
+  },
+  BL5010: {
     httpStatus: 409,
     meaning: 'The group has other replicas than those that the change is based on.',
     action: 'Look at the group and ask again.',
   },
-  BL5010: {
+  BL5011: {
     httpStatus: 409,
     meaning: 'No majority of the remaining replicas answers, so the replica is not removed.',
     action: 'Bring another replica back, or add one first.',
   },
-  BL5011: {
+  BL5012: {
     httpStatus: 401,
     meaning: 'The change of the replicas has no valid signature, or is more than 5 minutes old.',
     action: 'Check the cluster key and the clock; ask again.',
--- a/packages/testkit/src/bench/control/largeState.ts
+++ b/packages/testkit/src/bench/control/largeState.ts
@@ -17,7 +17,7 @@
 import { splitSections } from '@buckthornlug/protocol/document/sections.js';
 
 import { createSeededRandom } from '../../fakes/seededRandom.js';
-import { createLargeDocument } from '../members/recompileExperiment.js';
+import { createLargeDocument } from '../members/largeDocument.js';
 import type { ReportRow } from '../benchTypes.js';
 
 /** One replica with a document of full size: what snapshots cost, and how long a restart takes. */
--- a/packages/testkit/src/control/replaceHost.spec.ts
+++ b/packages/testkit/src/control/replaceHost.spec.ts
@@ -162,7 +162,7 @@
   const remove = { change: 'remove', replicaId: idOf(second) } as const;
   const wrongKey = { id: deploymentKeys.cluster.id, secret: 'wrong-secret-0123456789' };
   const wrong = await signedChange(trial, remove, wrongKey);
-  t.is(codeOf(await fleet.ask(third, groupPath, wrong)), 'BL5011');
+  t.is(codeOf(await fleet.ask(third, groupPath, wrong)), 'BL5012');
   const absent = await signedChange(trial, { change: 'add', hostId: outsider });
   t.is(codeOf(await fleet.ask(third, groupPath, absent)), 'BL5005');
   const old = signReplicaChange(
@@ -174,11 +174,11 @@
     },
     deploymentKeys.cluster,
   );
-  t.is(codeOf(await settle(trial, old)), 'BL5009');
+  t.is(codeOf(await settle(trial, old)), 'BL5010');
   await fleet.kill([lost]);
   await fleet.leader();
   const costly = await signedChange(trial, remove);
-  t.is(codeOf(await settle(trial, costly)), 'BL5010');
+  t.is(codeOf(await settle(trial, costly)), 'BL5011');
   t.deepEqual(
     (await replicas(trial, third)).map(({ replicaId }) => replicaId).sort(),
     before.map(({ replicaId }) => replicaId).sort(),
