test(consensus): the operators' tool replaces a host, and may be run again

Cause: the commands were not run as processes in any test; their retry stood twice. Change: a test runs both commands twice; the retry of an idempotent request is shared. Conclusion: the run book's commands hold as written.

--- a/packages/cli/src/api/changeReplicas.ts
+++ b/packages/cli/src/api/changeReplicas.ts
@@ -13,13 +13,10 @@
 import { err, ok, type Result } from 'neverthrow';
 
 import type { AdminClient } from './adminClient.js';
+import { postUntilKnown } from './postUntilKnown.js';
 
 /** Changes of a group's replicas by an operator. */
 
-/** Failures after which the same change is sent again. */
-const retryableCodes: readonly string[] = ['BL5001', 'BL5002', 'BL5006', 'BL6003'];
-const maxAttempts = 20;
-const retryDelayMs = 500;
 const pollDelayMs = 200;
 
 /** Replicas of a group as its leader knows them. */
@@ -55,15 +52,8 @@
   const body = { groupId, change, baseReplicaIds, issuedAtMs: Date.now() };
   const signed = signReplicaChange(body, key);
   const path = `/v1/groups/${encodeURIComponent(groupId)}/replicas`;
-  let problem = failure('BL5002', 'the change was not sent');
-  for (let attempt = 0; attempt < maxAttempts; attempt += 1) {
-    const answer = await client.post(path, signed);
-    if (answer.isOk()) return ok(replicaChangeReplySchema.parse(answer.value));
-    problem = answer.error;
-    if (!retryableCodes.includes(problem.code)) return err(problem);
-    await delay(retryDelayMs);
-  }
-  return err(problem);
+  const answer = await postUntilKnown(client, path, signed);
+  return answer.map((value) => replicaChangeReplySchema.parse(value));
 }
 
 /** Waits until a host holds a voter of the group; BL5006 where it is still catching up. */
--- a/packages/testkit/src/control/replaceHost.spec.ts
+++ b/packages/testkit/src/control/replaceHost.spec.ts
@@ -1,3 +1,5 @@
+import { writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { signReplicaChange } from '@buckthornlug/core/groups/replicaChangeSignature.js';
@@ -5,6 +7,7 @@
 import type { Failure } from '@buckthornlug/protocol/results/failure.js';
 import test, { type ExecutionContext } from 'ava';
 
+import { runTool } from '../demo/demoTool.js';
 import { deploymentKeys } from '../deployment/deployment.js';
 import type { AdminAnswer } from './controlFleet.js';
 import {
@@ -184,3 +187,27 @@
     before.map(({ replicaId }) => replicaId).sort(),
   );
 });
+
+test.serial("the operators' tool replaces a host, and may be run again", async (t) => {
+  const trial = await startTrial(t, 31);
+  const { fleet, workFolder } = trial;
+  await startNewHost(trial);
+  await fleet.kill([lost]);
+  await fleet.leader();
+  const secretFile = join(workFolder, 'key.txt');
+  await writeFile(secretFile, `${deploymentKeys.cluster.secret}\n`);
+  const admins = [third, second].map((hostId) => {
+    const { address, port } = fleet.settingsOf(hostId).listen.admin;
+    return `http://${address}:${port}`;
+  });
+  const key = ['--key', deploymentKeys.cluster.id, '--secret-file', secretFile];
+  for (const round of ['first', 'again']) {
+    const added = await runTool(admins, ['group', 'add-replica', 'control', outsider, ...key]);
+    t.is(added.status, 0, `${round}: ${added.output}`);
+    const removed = await runTool(admins, ['group', 'remove-replica', 'control', lost, ...key]);
+    t.is(removed.status, 0, `${round}: ${removed.output}`);
+  }
+  await assertReplaced(t, trial);
+  const refused = await runTool(admins, ['group', 'add-replica', 'control', lost, ...key]);
+  t.is(refused.status, 2, refused.output);
+});
