fix(ledger): an intent declared unknown before its own host could dispatch it is said not run

Cause: a host whose reply to `begin` was lost repeats the command; where the intent had been declared unknown meanwhile (holder taken for lost, deadline overdue), the ledger answered "unknown" and the call heard BL9002, though only this host dispatches the intent and only after it has heard "run". Change: the reply says that the unknown intent is that of the very command; the host answers BL9001 and cancels it as before, which frees the identity.

--- a/packages/core/src/ledger/ledgerMachine.ts
+++ b/packages/core/src/ledger/ledgerMachine.ts
@@ -28,6 +28,11 @@
   return { reply: 'replay', answer: record.answer };
 }
 
+function replyUnknown(record: LedgerRecord, command: BeginCommand): LedgerReply {
+  if (record.intentId !== command.intentId) return { reply: 'unknown' };
+  return { reply: 'unknown', ofOwnIntent: true };
+}
+
 /**
  * Creates an empty ledger.
  *
@@ -79,7 +84,7 @@
     if (record === undefined) return openIntent(command);
     if (record.key.requestDigest !== command.key.requestDigest) return { reply: 'otherRequest' };
     if (record.state === 'answered') return replyAnswered(record);
-    if (record.state === 'unknown') return { reply: 'unknown' };
+    if (record.state === 'unknown') return replyUnknown(record, command);
     return replyOpen(record, command);
   };
 
--- a/packages/core/src/ledger/ledgerModel.spec.ts
+++ b/packages/core/src/ledger/ledgerModel.spec.ts
@@ -52,6 +52,8 @@
 
   unknown = 0;
 
+  provedByOwn = 0;
+
   private machine = createLedgerMachine(limits);
 
   private readonly incarnations = Array.from({ length: hosts }, () => 1);
@@ -160,6 +162,15 @@
     if (attempt.phase !== 'asked') return;
     const current = attempt;
     current.phase = reply.reply === 'run' ? 'mayRun' : 'closed';
+    if (reply.reply === 'unknown' && reply.ofOwnIntent) this.proveNotRun(attempt);
+  }
+
+  /** The host has not heard that it may run the intent, so it says "not run" and gives it up. */
+  private proveNotRun(attempt: Attempt): void {
+    const { intentId, beganAtMs } = attempt;
+    if (this.ranIntents.has(intentId)) this.faults.push(`${intentId} ran and is said not run`);
+    this.network.push({ command: { type: 'cancel', intentId, beganAtMs }, attempt });
+    this.provedByOwn += 1;
   }
 
   private onClosed(attempt: Attempt, command: LedgerCommand, reply: LedgerReply): void {
@@ -240,6 +251,7 @@
 test('whatever is lost, doubled or late, no identity runs twice and no accepted outcome is lost', (t) => {
   let runs = 0;
   let unknown = 0;
+  let provedByOwn = 0;
   fc.assert(
     fc.property(fc.array(stepArbitrary, { minLength: 40, maxLength: 160 }), (steps) => {
       const model = new Model();
@@ -247,11 +259,13 @@
       model.settle();
       runs += [...model.executions.values()].reduce((sum, each) => sum + each, 0);
       unknown += model.unknown;
+      provedByOwn += model.provedByOwn;
       const doubled = [...model.executions.values()].filter((count) => count > 1);
       return doubled.length === 0 && model.faults.length === 0;
     }),
     { seed, numRuns: 10_000 },
   );
-  t.log({ seed, runs, unknown });
+  t.log({ seed, runs, unknown, provedByOwn });
   t.true(runs > 1000);
+  t.true(provedByOwn > 0, 'an intent is declared unknown before its own begin command comes again');
 });
--- a/packages/host/src/ledger/ledgerReplies.ts
+++ b/packages/host/src/ledger/ledgerReplies.ts
@@ -36,6 +36,10 @@
   if (reply.reply === 'running') return undefined;
   if (reply.reply === 'run') return { decision: 'run', intentId, group };
   if (reply.reply === 'replay') return { decision: 'replay', answer: reply.answer };
+  // A host repeats its begin command only while it has not heard "run", so nothing was dispatched.
+  if (reply.reply === 'unknown' && reply.ofOwnIntent === true) {
+    return notStarted('the intent was declared lost before it was dispatched');
+  }
   if (reply.reply === 'unknown') return outcomeUnknown('no outcome was recorded in time');
   if (reply.reply === 'answerNotKept') {
     return { decision: 'refused', failure: failure('BL9003', 'the answer is no longer kept') };
--- a/packages/protocol/src/ledger/ledgerSchema.ts
+++ b/packages/protocol/src/ledger/ledgerSchema.ts
@@ -92,7 +92,13 @@
     holder: intentHolderSchema,
     deadlineAtMs: z.number(),
   }),
-  z.strictObject({ reply: z.literal('unknown') }),
+  z.strictObject({
+    reply: z.literal('unknown'),
+    ofOwnIntent: z
+      .literal(true)
+      .optional()
+      .describe('Set on the reply to a begin command of the very intent that is unknown.'),
+  }),
   z.strictObject({ reply: z.literal('free') }),
   z.strictObject({ reply: z.literal('answerNotKept') }),
   z.strictObject({ reply: z.literal('otherRequest') }),
--- a/packages/testkit/src/ledger/ledgerFaults.spec.ts
+++ b/packages/testkit/src/ledger/ledgerFaults.spec.ts
@@ -183,6 +183,21 @@
   });
 }
 
+test('an intent that was declared unknown before its host could dispatch it is proved not run', async (t) => {
+  const seen = await runCase({
+    fault: 'declared unknown before the begin command is repeated',
+    moment: 'start',
+    bringAbout: (scene) => {
+      scene.group.misbehaveFor(500, { ...faultlessNetwork, replyLost: 1 });
+      const lose = { type: 'loseHolder', hostId: 'host-a', maxIncarnation: 1 } as const;
+      after(scene, 300, () => scene.group.commit(lose));
+    },
+    resendAtMs: 2500,
+  });
+  t.deepEqual(seen.heard, ['BL9001', '201', '201']);
+  t.is(seen.executions, 1);
+});
+
 test('a host that is cut off refuses each call as not run, without dispatch', async (t) => {
   const time = new VirtualTime();
   const random = createDraws(seed);
