test(control): the operators' command forms a lost ledger group anew

Cause: formation.spec.ts sent the request by itself; no test ran `buckthornlugctl group form-anew`. Change: the command runs in the test, with a wrong key (BL2006, status 2) and with the right one.

--- a/packages/testkit/src/control/formation.spec.ts
+++ b/packages/testkit/src/control/formation.spec.ts
@@ -64,6 +64,16 @@
   t.is(await all.lostId('d', 'ledger-a'), formedAnew, 'a replay gives up no later formation');
   t.like(await all.begin(), { decision: 'refused', failure: { code: 'BL9001' } });
   t.is(await problemOf(all, 'ledger-a'), 'BL5007');
+  const unsigned = await all.runFormAnewCommand('d', 'ledger-a', {
+    ...teamSigner,
+    secret: 'wrong',
+  });
+  t.is(unsigned.status, 2);
+  t.regex(unsigned.printed, /BL2006/);
+  const told = await all.runFormAnewCommand('d', 'ledger-a', teamSigner);
+  t.is(told.status, 0, told.printed);
+  t.true(told.printed.includes(`gives up ${formedAnew}`));
+  await runOrder(t, all);
 });
 
 test.serial('an accepted loss waits until the control group has a quorum', async (t) => {
--- a/packages/testkit/src/control/formationFleet.ts
+++ b/packages/testkit/src/control/formationFleet.ts
@@ -1,14 +1,19 @@
-import { mkdtemp, rm } from 'node:fs/promises';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { PassThrough } from 'node:stream';
+import { text } from 'node:stream/consumers';
 import { setTimeout as delay } from 'node:timers/promises';
 
+import { GroupFormAnewCommand } from '@buckthornlug/cli/commands/groupFormAnewCommand.js';
 import { signFormAnew } from '@buckthornlug/core/submissions/formAnewSignature.js';
 import type { GroupDescription } from '@buckthornlug/host/consensus/consensusSchema.js';
 import { features } from '@buckthornlug/host/features.js';
+import { originOf } from '@buckthornlug/host/rpc/peerClients.js';
 import { startHost, type RunningHost } from '@buckthornlug/host/runtime/hostRuntime.js';
 import type { FormAnewRequest } from '@buckthornlug/protocol/admin/formAnewSchema.js';
 import type { ExecutionContext } from 'ava';
+import { Cli } from 'clipanion';
 
 import { createFleetSettings, testClusterKey, type FleetHost } from '../fakes/hostSettings.js';
 import { valueOf } from '../fakes/results.js';
@@ -146,6 +151,27 @@
     return this.post(hostId, path, signedRequest(groupId, lostId, signer));
   }
 
+  /** Runs `buckthornlugctl group form-anew` at one host; gives its exit status and what it printed. */
+  async runFormAnewCommand(
+    hostId: string,
+    groupId: string,
+    signer: Signer,
+  ): Promise<{ status: number; printed: string }> {
+    const secretFile = join(this.dataFolder, 'secret.txt');
+    await writeFile(secretFile, `${signer.secret}\n`);
+    const { admin } = this.host(hostId).context.settings.listen;
+    const output = new PassThrough();
+    const status = await Cli.from(GroupFormAnewCommand).run(
+      [
+        ...['group', 'form-anew', groupId, '--accept-loss', '--admin', originOf(admin)],
+        ...['--team', signer.team, '--key', signer.keyId, '--secret-file', secretFile],
+      ],
+      { stdout: output, stderr: output },
+    );
+    output.end();
+    return { status, printed: await text(output) };
+  }
+
   async post(hostId: string, path: string, body: unknown): Promise<Response> {
     const { address, port } = this.host(hostId).context.settings.listen.admin;
     return fetch(`http://${address}:${port}${path}`, {
