--- a/packages/core/src/submissions/controlMachine.ts
+++ b/packages/core/src/submissions/controlMachine.ts
@@ -8,12 +8,15 @@
 import type { ReplicatedMachine } from '../consensus/replicatedMachineTypes.js';
 import { ShiftTable } from '../shifts/shiftTable.js';
 import { DocumentStore } from './documentStore.js';
+import { checkFormAnew } from './formAnewSignature.js';
 import {
   FormationRegistry,
   type FindFormationCommand,
   type Formation,
   type FormationReply,
-  type ForgetFormationCommand,
+  type GivenUpFormations,
+  type GiveUpFormationCommand,
+  type GiveUpOutcome,
   type RegisterFormationCommand,
 } from './formationRegistry.js';
 import type { VerifySubmission } from './submissionSignature.js';
@@ -31,7 +34,7 @@
   readonly submission: SubmissionOutcome;
   readonly shiftStep: ShiftStepOutcome;
   readonly registerFormation: FormationReply;
-  readonly forgetFormation: FormationReply;
+  readonly giveUpFormation: GiveUpOutcome;
   readonly findFormation: FormationReply;
 }
 
@@ -40,7 +43,7 @@
   | SubmissionCommand
   | ShiftStepCommand
   | RegisterFormationCommand
-  | ForgetFormationCommand
+  | GiveUpFormationCommand
   | FindFormationCommand;
 
 /** A reply of the control group. */
@@ -51,6 +54,7 @@
   readonly shifts: ShiftSnapshot;
   /** Absent in snapshots of versions without the registry. */
   readonly formations?: readonly Formation[];
+  readonly givenUpFormations?: readonly GivenUpFormations[];
 }
 
 /** The machine of the control group, with read access to its parts. */
@@ -76,6 +80,16 @@
   return { committed: true, step: result.value };
 }
 
+function giveUp(
+  documents: DocumentStore,
+  formations: FormationRegistry,
+  { request, authority }: GiveUpFormationCommand,
+): GiveUpOutcome {
+  const checked = checkFormAnew(documents.teams(), request, authority);
+  if (checked.isErr()) return { givenUp: false, failure: checked.error };
+  return formations.giveUp(request.groupId, request.lostId);
+}
+
 /**
  * Creates the machine of the control group.
  *
@@ -91,21 +105,30 @@
     apply: (command) => {
       if (command.type === 'submission') return documents.submit(command);
       if (command.type === 'shiftStep') return commitStep(documents, shifts, command);
-      if (command.type === 'forgetFormation') return formations.forget(command.groupId);
+      if (command.type === 'giveUpFormation') {
+        return giveUp(documents, formations, command);
+      }
       if (command.type === 'findFormation') return formations.find(command.groupId);
       return formations.register(command.formation);
     },
     read: (command) => formations.find('groupId' in command ? command.groupId : ''),
-    snapshot: (): ControlSnapshot => ({
-      documents: documents.snapshot(),
-      shifts: shifts.snapshot(),
-      formations: formations.snapshot(),
-    }),
+    snapshot: (): ControlSnapshot => {
+      const registry = formations.snapshot();
+      return {
+        documents: documents.snapshot(),
+        shifts: shifts.snapshot(),
+        formations: registry.formations,
+        givenUpFormations: registry.givenUp,
+      };
+    },
     restore: (snapshot) => {
       const restored = snapshot as ControlSnapshot;
       documents.restore(restored.documents);
       shifts.restore(restored.shifts);
-      formations.restore(restored.formations ?? []);
+      formations.restore({
+        formations: restored.formations ?? [],
+        givenUp: restored.givenUpFormations ?? [],
+      });
     },
   };
 }
--- a/packages/host/src/consensus/groups.ts
+++ b/packages/host/src/consensus/groups.ts
@@ -2,7 +2,7 @@
 import { hostIdOf } from '@buckthornlug/core/consensus/membership.js';
 import type { ReplicatedMachine } from '@buckthornlug/core/consensus/replicatedMachineTypes.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
-import { err, errAsync, okAsync, ResultAsync } from 'neverthrow';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 
 import type { PeerClients } from '../rpc/peerClients.js';
 import type { HostParts } from '../runtime/hostParts.js';
@@ -17,12 +17,12 @@
   LeaderReply,
   SubmitRequest,
 } from './consensusSchema.js';
-import { controlGroupId } from './controlGroupId.js';
 import { FormationGuard } from './formationGuard.js';
 import type { GroupHandle } from './groupTypes.js';
 import { HeartbeatLink, type HeartbeatBatch } from './heartbeatLink.js';
 import { LeaderClient } from './leaderClient.js';
 import { MemberReplica } from './memberReplica.js';
+import { ReplicaChanger } from './replicaChanger.js';
 
 /** All replicated groups of a host. */
 
@@ -60,10 +60,13 @@
 
   private readonly peers: PeerClients;
 
-  private readonly guard: FormationGuard;
+  readonly guard: FormationGuard;
 
   private readonly heartbeats: HeartbeatLink | undefined;
 
+  /** Changes of replicas that operators ask for. */
+  readonly changer: ReplicaChanger;
+
   constructor(
     private readonly context: HostContext,
     private readonly parts: HostParts,
@@ -72,6 +75,14 @@
     const { peers, datagrams } = parts;
     this.peers = peers;
     this.guard = new FormationGuard(context, parts);
+    this.changer = new ReplicaChanger({
+      context,
+      peers,
+      taskOf: (groupId) => this.replicas.get(groupId)?.task,
+      describe: (groupId) => this.describe(groupId),
+      describeAnywhere: (groupId) => this.describeAnywhere(groupId),
+      notLeader: (groupId) => notLeader(this.replicas.get(groupId), groupId),
+    });
     if (datagrams === undefined) return;
     this.heartbeats = new HeartbeatLink({
       hostId: settings.hostId,
@@ -88,16 +99,21 @@
     this.replicas.get(groupId)?.deliver(formationId, messages);
   }
 
-  private memberHostIds(groupId: string): readonly string[] {
+  /** Hosts of the settings that start the group. */
+  memberHostIds(groupId: string): readonly string[] {
     const group = this.context.settings.groups.find(({ id }) => id === groupId);
     return group?.members ?? [];
   }
 
-  /** Hosts of the group now, as far as the own replica knows, and those of the settings. */
-  private knownHostIds(groupId: string): readonly string[] {
+  /** Hosts that hold a replica of the group now, as far as the own replica knows. */
+  private replicaHostIds(groupId: string): readonly string[] {
     const replicas = this.replicas.get(groupId)?.describe().replicas ?? [];
-    const hostIds = [...replicas.map(({ hostId }) => hostId), ...this.memberHostIds(groupId)];
-    return [...new Set(hostIds)];
+    return replicas.map(({ hostId }) => hostId);
+  }
+
+  /** Hosts of the group now, and those of the settings. */
+  private knownHostIds(groupId: string): readonly string[] {
+    return [...new Set([...this.replicaHostIds(groupId), ...this.memberHostIds(groupId)])];
   }
 
   open: OpenGroup = <Command, Reply>(
@@ -157,12 +173,13 @@
     return { ok: false, failure: result.error };
   }
 
+  /** Lets a host whose disk was replaced in again; a host new to the group waits for an operator. */
   private join(request: JoinRequest): LeaderReply {
     const { groupId, replicaId } = request;
     const replica = this.replicas.get(groupId);
     const { task } = replica ?? {};
     if (task === undefined || !task.isLeader()) return notLeader(replica, groupId);
-    if (!this.knownHostIds(groupId).includes(hostIdOf(replicaId))) {
+    if (!this.replicaHostIds(groupId).includes(hostIdOf(replicaId))) {
       return { ok: false, failure: failure('BL5005', `"${replicaId}" is of no member host`) };
     }
     task.addReplica(replicaId);
@@ -176,6 +193,7 @@
       submit: (request) => this.submit(request),
       describe: ({ groupId }) => ({ ...this.describe(groupId), documentVersion: this.version() }),
       join: (request) => this.join(request),
+      changeReplicas: (request) => this.changer.lead(request),
     };
   }
 
@@ -183,26 +201,6 @@
     return this.parts.document.current()?.version ?? 0;
   }
 
-  /**
-   * Lets a group be formed anew without its former state.
-   *
-   * @param groupId - group whose disks are all empty
-   * @returns BL5005 where another host has to be asked, BL5008 where a replica runs
-   */
-  acceptLoss(groupId: string): ResultAsync<void, Failure> {
-    const [former] = [...this.memberHostIds(groupId)].sort();
-    if (former === undefined) return errAsync(failure('BL5005', `no group "${groupId}" is set up`));
-    const isHere = former === this.context.settings.hostId;
-    if (groupId === controlGroupId && !isHere) {
-      return errAsync(failure('BL5005', `"${groupId}" is formed by host "${former}"; ask it`));
-    }
-    return this.describeAnywhere(groupId).andThen(({ state, replicaId }) => {
-      if (state === 'running') return err(failure('BL5008', `replica "${replicaId}" runs`));
-      this.context.log.warn('lossAccepted', { groupId });
-      return this.guard.acceptLoss(groupId);
-    });
-  }
-
   /** Groups of the settings. */
   groupIds(): string[] {
     return this.context.settings.groups.map(({ id }) => id);
--- a/packages/host/src/documents/documentsTask.ts
+++ b/packages/host/src/documents/documentsTask.ts
@@ -11,16 +11,19 @@
 import { err, ok, type Result } from 'neverthrow';
 
 import type { HostParts } from '../runtime/hostParts.js';
-import type { DocumentInForce, HostContext, HostRecord } from '../runtime/hostTypes.js';
+import type { HostContext, HostRecord } from '../runtime/hostTypes.js';
+import { DocumentInstaller } from './documentInstaller.js';
 import {
   pollReplySchema,
+  type HeldByProcess,
   type Poll,
   type PollReply,
   type VersionReport,
 } from './documentsSchema.js';
 import { UpdatePoller } from './updatePoller.js';
 import { UpdateServer } from './updateServer.js';
-import { takesPart, UpdateSources } from './updateSources.js';
+import { newestElsewhere } from './newestElsewhere.js';
+import { controlMembersOf, takesPart, UpdateSources } from './updateSources.js';
 import { VersionReports } from './versionReports.js';
 
 /** Time that a newer version known elsewhere is given to arrive by itself. */
@@ -29,8 +32,6 @@
 const sourceOfDataFolder = 'data folder';
 /** Longest wait for other hosts before the document of the data folder is put in force. */
 const restoreWaitMs = 500;
-/** Longest wait for the disk before a newer version is put in force without being kept. */
-const maxKeepMs = 1000;
 
 /** Checks the answer to a poll. */
 function checkReply(value: unknown): Result<PollReply, Failure> {
@@ -53,7 +54,7 @@
 
   private nudge: NodeJS.Timeout | undefined;
 
-  private isRestoring = false;
+  private readonly installer: DocumentInstaller;
 
   /**
    * @param context - context of the host
@@ -65,10 +66,11 @@
     private readonly context: HostContext,
     private readonly parts: HostParts,
     private readonly copy: ControlCopy,
-    private readonly keep: () => Promise<void> | undefined,
+    keep: () => Promise<void> | undefined,
   ) {
     this.contact = new ControlContact(context.clock.nowMs());
     this.server = new UpdateServer(copy);
+    this.installer = new DocumentInstaller(context, parts.document, copy, keep);
     this.reports = this.createReports();
     const sources = this.createSources();
     this.poller = new UpdatePoller({
@@ -76,6 +78,7 @@
       have: () => this.copy.versions(),
       ask: (hostId, have, waitMs) => this.ask(hostId, have, waitMs),
       apply: (update, source) => this.apply(update, source),
+      settled: () => this.installer.settled(),
       retryMs: () => context.settings.timing.documentPollMs * (0.5 + context.random()),
     });
   }
@@ -104,7 +107,7 @@
       this.parts.shiftSteps.changed();
     }
     if (outcome.documentChanged) {
-      this.bringInForce(source, outcome.changedSections.length);
+      this.installer.install(source, outcome.changedSections.length);
     }
     if (outcome.documentChanged || outcome.newSteps.length > 0) this.server.wake();
   }
@@ -117,7 +120,7 @@
 
   /** Answers the poll of another host, and notes what it holds. */
   async answer(fromHostId: string, poll: Poll): Promise<PollReply> {
-    this.reports.note(fromHostId, [{ hostId: fromHostId, ...poll.have }]);
+    this.reports.note(fromHostId, [{ hostId: fromHostId, ...poll.held }]);
     const own = this.copy.versions();
     const isBehind = poll.have.version > own.version || poll.have.shiftRevision > own.shiftRevision;
     if (isBehind) this.scheduleNudge();
@@ -135,6 +138,7 @@
   /** Looks whether another host holds more, after the membership has changed. */
   membershipChanged(): void {
     this.poller.restart();
+    this.reports.noteAgain();
     if (this.newestElsewhere() !== undefined) this.scheduleNudge();
   }
 
@@ -147,25 +151,33 @@
     const { settings } = this.context;
     return new UpdateSources({
       settings,
-      controlMembers: this.controlMembers(),
+      controlMembers: controlMembersOf(settings),
       membership: () => this.parts.membership,
       zoneRelays: () => this.parts.membershipTask?.relaysOf(settings.availabilityZone) ?? [],
     });
   }
 
+  /** What this host confirms, and as which process. */
+  private held(): HeldByProcess {
+    const { incarnation } = this.parts.membership.self();
+    return { incarnation, ...this.installer.versionsInForce() };
+  }
+
   private createReports(): VersionReports {
     const { hostId } = this.context.settings;
     return new VersionReports({
       hostId,
-      members: this.controlMembers(),
-      have: () => this.copy.versions(),
+      members: controlMembersOf(this.context.settings),
+      held: () => this.held(),
       source: () => this.poller.source,
       isKnown: (other) => {
         const host = this.parts.membership.find(other);
         return host !== undefined && takesPart(host);
       },
-      noteVersions: ({ hostId: other, version, shiftRevision }) =>
-        this.parts.membershipTask?.noteVersions(other, { documentVersion: version, shiftRevision }),
+      noteVersions: ({ hostId: other, incarnation, version, shiftRevision }) => {
+        const held = { documentVersion: version, shiftRevision };
+        return this.parts.membershipTask?.noteVersions(other, incarnation, held) ?? true;
+      },
       send: (to, reports) =>
         this.parts.peers.request(to, (client, signal) =>
           client.documents.report.mutate([...reports], { signal }),
@@ -173,16 +185,12 @@
     });
   }
 
-  private controlMembers(): readonly string[] {
-    const { groups } = this.context.settings;
-    return groups.find((group) => group.id === 'control')?.members ?? [];
-  }
-
   private async ask(hostId: string, have: ControlVersions, waitMs: number) {
     const timeoutMs = waitMs + this.context.settings.timing.rpcTimeoutMs;
     const answer = await this.parts.peers.request(
       hostId,
-      (client, signal) => client.documents.poll.mutate({ have, waitMs }, { signal }),
+      (client, signal) =>
+        client.documents.poll.mutate({ have, held: this.held(), waitMs }, { signal }),
       timeoutMs,
     );
     return answer.andThen(checkReply).map(({ update, silentMs }) => {
@@ -196,54 +204,18 @@
    * away does not put an old version in force while a newer one can be had.
    */
   async restore(kept: ControlUpdate): Promise<void> {
-    this.isRestoring = true;
+    this.installer.hold();
     this.apply(kept, sourceOfDataFolder);
     await Promise.race([this.poller.askSeveral(), delay(restoreWaitMs, undefined, { ref: false })]);
-    this.isRestoring = false;
-    this.putInForce(this.newest(), sourceOfDataFolder, kept.sections.length);
-  }
-
-  private newest(): DocumentInForce {
-    return {
-      version: this.copy.versions().version,
-      sectionVersions: this.copy.sectionVersions(),
-      document: this.copy.document(),
-    };
-  }
-
-  /** Puts the newest version in force once it is kept, so that a restart does not go back. */
-  private bringInForce(source: string, sections: number): void {
-    if (this.isRestoring) return;
-    const newest = this.newest();
-    const kept = this.keep();
-    if (kept === undefined) {
-      this.putInForce(newest, source, sections);
-      return;
-    }
-    Promise.race([kept, delay(maxKeepMs, undefined, { ref: false })]).then(
-      () => this.putInForce(newest, source, sections),
-      () => undefined,
-    );
-  }
-
-  private putInForce(inForce: DocumentInForce, source: string, sections: number): void {
-    const { version } = inForce;
-    if (!this.parts.document.put(inForce)) return;
-    this.context.record({ kind: 'documentInForce', version, detail: { source, sections } });
-    this.context.log.info('documentInForce', { version, source, sections });
-    this.context.metrics.gauge('document_version', version);
+    this.installer.release(sourceOfDataFolder, kept.sections.length);
   }
 
   private newestElsewhere(): HostRecord | undefined {
-    const have = this.copy.versions();
-    let newest: HostRecord | undefined;
-    for (const host of this.parts.membership.hosts()) {
-      if (!takesPart(host) || host.hostId === this.context.settings.hostId) continue;
-      const isNewer =
-        host.documentVersion > have.version || (host.shiftRevision ?? 0) > have.shiftRevision;
-      if (isNewer && host.documentVersion >= (newest?.documentVersion ?? 0)) newest = host;
-    }
-    return newest;
+    return newestElsewhere(
+      this.context.settings.hostId,
+      this.parts.membership,
+      this.copy.versions(),
+    );
   }
 
   private scheduleNudge(): void {
--- a/packages/host/src/documents/updateSources.ts
+++ b/packages/host/src/documents/updateSources.ts
@@ -22,6 +22,15 @@
   return host.state !== 'failed' && host.state !== 'left';
 }
 
+/**
+ * Members of the control group by the settings.
+ *
+ * @param settings - settings of this host
+ */
+export function controlMembersOf({ groups }: Pick<Settings, 'groups'>): readonly string[] {
+  return groups.find((group) => group.id === 'control')?.members ?? [];
+}
+
 /** The hosts that this host gets updates from; walks the membership only after it has changed. */
 export class UpdateSources {
   private readonly order: SourceOrder;
