fix(slots): a call that was foreseen no longer closes the pool to later once-only calls

Cause: the calls announced by rank are an array with holes. After the first once-only call of a rank below the most urgent one, the sum over the ranks was NaN, and each later once-only call was refused before its intent as BL3003 ("no slot is held here") though slots were free. It showed only where no other zone may take calls, since calls that may leave were not foreseen.

Change: the sum goes over the ranks by index.

Effect on floods: not measured alone.

Conclusion: fixed.

--- a/packages/host/src/slots/poolTask.ts
+++ b/packages/host/src/slots/poolTask.ts
@@ -149,9 +149,7 @@
     const { rank } = pending;
     const nowMs = this.context.clock.nowMs();
     let aheadCalls = 0;
-    for (const [index, calls] of this.announcedByRank.entries()) {
-      if (index <= rank) aheadCalls += calls;
-    }
+    for (let index = 0; index <= rank; index += 1) aheadCalls += this.announcedByRank[index] ?? 0;
     const { reason, expectedWaitMs } = this.pool.foresee(pending, aheadCalls, nowMs);
     if (reason !== undefined) {
       return { failure: refusalOf(reason, expectedWaitMs), end: () => undefined };
