fix(calls): a slot rests after each call that the host itself breaks off

Cause: a slot rested only after the results cancelled, timedOut and outpaced. An attempt that the host ended because of its answer (without a stated end, malformed, an error answer of a hedge) has the result broken, and freed its slot at once though the backend server may still work on the call.

Change: an attempt says whether the host ended the exchange after the request was sent (`isCut`); the pool goes by that and not by the result. Errors with which the other side closed or reset the connection (ECONNRESET, EPIPE, "other side closed") free the slot at once, all others don't.

An answer that ends whole while the request body is still being sent counts as answered, as before.

--- a/packages/host/src/calls/attempt.ts
+++ b/packages/host/src/calls/attempt.ts
@@ -43,12 +43,23 @@
   );
 }
 
+/** Codes of errors that say that the other side closed or reset the connection. */
+const receiverCodes: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET']);
+
+/** Whether the receiver of a request ended the exchange; else this host did, such as on a malformed answer. */
+function isEndOfReceiver(error: Error): boolean {
+  return receiverCodes.has((error as NodeJS.ErrnoException).code ?? '');
+}
+
 /** State of one attempt, as the handler of the HTTP client. */
 class Attempt implements Dispatcher.DispatchHandler {
   private readonly startedAtMs: number;
 
   private requestStarted = false;
 
+  /** Whether this host ended the exchange. */
+  private isCut = false;
+
   private answerStarted = false;
 
   private status: number | undefined;
@@ -85,7 +96,7 @@
     const fields = textFields(controller.rawHeaders);
     this.refusal = this.plan.judge(status, fields) ?? this.openEnded(status, fields);
     if (this.refusal !== undefined) {
-      if (this.refusal.result === 'broken') controller.abort(new Error('answer refused'));
+      if (this.refusal.result === 'broken') this.cut(controller, new Error('answer refused'));
       return;
     }
     this.answerStarted = true;
@@ -110,6 +121,7 @@
   }
 
   onResponseError(_controller: unknown, error: Error): void {
+    if (!isEndOfReceiver(error)) this.isCut = true;
     if (this.refusal !== undefined) {
       this.finish(this.refusal.result, this.refusal.failure);
       return;
@@ -131,10 +143,16 @@
 
   /** Ends the attempt because the caller hung up or the deadline passed. */
   abort(reason: CallAborted): void {
+    this.isCut = true;
     this.controller?.abort(reason);
     this.finishAborted(reason);
   }
 
+  private cut(controller: Dispatcher.DispatchController, reason: Error): void {
+    this.isCut = true;
+    controller.abort(reason);
+  }
+
   private openEnded(status: number, fields: readonly string[]): HeadRefusal | undefined {
     if (hasStatedEnd(this.plan.method, status, fields)) return undefined;
     return { failure: failure('BL3020', `status ${status} without length`), result: 'broken' };
@@ -160,6 +178,7 @@
       outcome: {
         result,
         elapsedMs: this.plan.nowMs() - this.startedAtMs,
+        ...(this.isCut && this.requestStarted ? { isCut: true } : {}),
         ...(this.status === undefined ? {} : { status: this.status }),
       },
       answerStarted: this.answerStarted,
--- a/packages/host/src/slots/poolTask.ts
+++ b/packages/host/src/slots/poolTask.ts
@@ -26,12 +26,6 @@
 /** Longest time for which a slot waits for a sign of life of its backend server. */
 const longestSettleMs = 1000;
 const settleCheckMs = 20;
-/** Outcomes of calls that the host broke off while they ran. */
-const cutResults: ReadonlySet<CallOutcome['result']> = new Set([
-  'cancelled',
-  'timedOut',
-  'outpaced',
-]);
 const minRetryAfterMs = 50;
 const maxRetryAfterMs = 30_000;
 
@@ -259,8 +253,7 @@
       if (outcome.result === 'answered' && backend !== undefined) {
         backend.lastAnswerAtMs = this.context.clock.nowMs();
       }
-      const isCut = cutResults.has(outcome.result);
-      if (isCut && outcome.elapsedMs > 0 && backend !== undefined) this.settle(backend, giveBack);
+      if (outcome.isCut === true && backend !== undefined) this.settle(backend, giveBack);
       else giveBack();
     };
     if (call.isSettled()) {
--- a/packages/protocol/src/steering/placementTypes.ts
+++ b/packages/protocol/src/steering/placementTypes.ts
@@ -40,6 +40,8 @@
   readonly status?: number;
   /** Time from dispatch to the end of the answer. */
   readonly elapsedMs: number;
+  /** Whether this host broke off the call after it was sent, so that its receiver may still work on it. */
+  readonly isCut?: boolean;
 }
 
 /** A place for a call: a slot of a backend server, another host, or a refusal. */
--- a/packages/testkit/src/fakes/backendAnswers.ts
+++ b/packages/testkit/src/fakes/backendAnswers.ts
@@ -68,6 +68,12 @@
       await flushed(response, half);
       response.socket?.end();
       return;
+    case 'malformed':
+      response.socket?.write('HTTP/1.1 200 OK\r\ncontent-length: many\r\n\r\n');
+      await new Promise((resolve) => {
+        response.once('close', resolve);
+      });
+      return;
     case 'openEnded':
       response.socket?.end(
         Buffer.concat([Buffer.from('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n'), half]),
--- a/packages/testkit/src/fakes/fakeBackendTypes.ts
+++ b/packages/testkit/src/fakes/fakeBackendTypes.ts
@@ -27,6 +27,7 @@
   'cutsLength',
   'cutsChunked',
   'openEnded',
+  'malformed',
   'isLate',
 ]);
 
