feat(slots): once-only calls that may run elsewhere are refused before their intent too

Cause: nothing was foreseen for a call that may leave by a credit or a shift, or whose zone has no backend server; each one refused in the end cost two commits.

Change: the decisions of the placement that need no slot are taken before the intent and kept for the call (shifts, cap of a caller of another region, wait for a credit). A credit got so is held while the intent is committed, and goes back where it is not used. The caller hears the refusal after the same wait as before.

--- a/packages/host/src/calls/onceWork.ts
+++ b/packages/host/src/calls/onceWork.ts
@@ -48,6 +48,15 @@
   readonly runCall: RunCall;
 }
 
+/** A call whose identity is known. */
+interface OnceCall {
+  readonly call: AcceptedCall;
+  readonly key: LedgerKey;
+  readonly body: WholeBody;
+  readonly signal: CallSignal;
+  readonly extraFields: readonly string[];
+}
+
 /** Commits the outcome, then sends the answer. */
 async function finishOnce(
   work: OnceWorkParts,
@@ -88,6 +97,30 @@
   return found;
 }
 
+/** Runs a call after its refusal was foreseen or not. */
+async function runForeseen(
+  work: OnceWorkParts,
+  once: OnceCall,
+  foreseen: Failure | undefined,
+): Promise<Failure | undefined> {
+  const { call, key, body, signal, extraFields } = once;
+  const { ledger } = work.parts;
+  const decision =
+    (await answerBefore(work, call, key, foreseen)) ??
+    (await ledger.begin(key, call.callClass.kind.ledgerGroups, call.deadlineAtMs));
+  if (decision.decision === 'refused') return decision.failure;
+  if (decision.decision === 'replay') {
+    if (decision.answer.bodyBase64 === undefined) {
+      return failure('BL9003', 'the answer was not kept');
+    }
+    sendStored(call.response, decision.answer, extraFields);
+    return undefined;
+  }
+  const sink = createStoringSink(maxStoredAnswerBytes);
+  const result = await work.runCall(call, body, sink, signal);
+  return finishOnce(work, call, decision.intentId, result, sink, extraFields);
+}
+
 /**
  * Runs once-only work: commits the intent before the dispatch and the outcome before the answer. A
  * call that would find no place is refused before its intent, unless its identity is recorded.
@@ -108,23 +141,12 @@
   signal: CallSignal,
   extraFields: readonly string[],
 ): Promise<Failure | undefined> {
-  const { ledger } = work.parts;
-  const { ledgerGroups } = call.callClass.kind;
   const key = ledgerKey(call, identity, body);
-  const outlook = work.parts.foreseeCall(pendingOf(call, 0, call.excluded, signal));
-  const decision =
-    (await answerBefore(work, call, key, outlook.failure)) ??
-    (await ledger.begin(key, ledgerGroups, call.deadlineAtMs));
-  outlook.end();
-  if (decision.decision === 'refused') return decision.failure;
-  if (decision.decision === 'replay') {
-    if (decision.answer.bodyBase64 === undefined) {
-      return failure('BL9003', 'the answer was not kept');
-    }
-    sendStored(call.response, decision.answer, extraFields);
-    return undefined;
+  const outlook = await work.parts.foreseeCall(pendingOf(call, 0, call.excluded, signal));
+  try {
+    const once = { call, key, body, signal, extraFields };
+    return await runForeseen(work, once, outlook.failure);
+  } finally {
+    outlook.end();
   }
-  const sink = createStoringSink(maxStoredAnswerBytes);
-  const result = await work.runCall(call, body, sink, signal);
-  return finishOnce(work, call, decision.intentId, result, sink, extraFields);
 }
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -51,7 +51,7 @@
     rpcHandlers: { ping: { ping: () => ({ hostId: settings.hostId, incarnation }) } },
     forwardedCalls: (_request, response) => response.writeHead(503).end(),
     placeCall: () => Promise.resolve({ place: 'refused', failure: notStarted }),
-    foreseeCall: () => ({ end: () => undefined }),
+    foreseeCall: () => Promise.resolve({ end: () => undefined }),
     mayRetry: () => false,
     hedging: {
       delayMs: () => undefined,
--- a/packages/host/src/slots/creditTask.ts
+++ b/packages/host/src/slots/creditTask.ts
@@ -10,6 +10,7 @@
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
 import type { PoolTask } from './poolTask.js';
+import type { HostPlace } from './reservations.js';
 import type { RemoteLinks } from './remoteLinks.js';
 import type { CreditGrant, CreditRequest } from './slotsSchema.js';
 import type { WaitingCall } from './slotsTypes.js';
@@ -106,10 +107,12 @@
     return Math.min(leftMs * creditWaitShare, roundTripMs + creditMarginMs);
   }
 
-  /** Whether a call may be answered by another zone, by a credit at hand or one that may come. */
-  mayLeave(rank: number, leftMs: number): boolean {
-    const atHand = this.heldCredits.count(rank, this.context.clock.nowMs());
-    return atHand > 0 || this.creditWaitMs(rank, leftMs) > 0;
+  /** Takes back the credit of a place that was not used. */
+  giveBack({ hostId, creditId, useBeforeMs }: HostPlace, rank: number): void {
+    const availabilityZone = this.parts.membership.find(hostId)?.availabilityZone;
+    if (creditId === undefined || useBeforeMs === undefined) return;
+    if (availabilityZone === undefined) return;
+    this.heldCredits.add([{ creditId, hostId, availabilityZone, rank, useBeforeMs }]);
   }
 
   /** Asks other zones for credits where the pool is under pressure. */
@@ -186,7 +189,8 @@
       service: this.task.service,
       zone: credit.availabilityZone,
     });
-    call.resolve({ place: 'host', hostId, creditId, release: () => undefined });
+    const { useBeforeMs } = credit;
+    call.resolve({ place: 'host', hostId, creditId, useBeforeMs, release: () => undefined });
     return true;
   }
 
--- a/packages/host/src/slots/placement.ts
+++ b/packages/host/src/slots/placement.ts
@@ -8,16 +8,16 @@
 
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
+import { createForesight } from './foresight.js';
 import type { CreditTask } from './creditTask.js';
 import type { PoolOwners } from './poolOwners.js';
 import type { PoolTask } from './poolTask.js';
 import type { RemoteLinks } from './remoteLinks.js';
+import { Reservations } from './reservations.js';
 import type { CallReach } from './slotsTypes.js';
 
 const retryAfterMs = 200;
 const wholePermille = 1000;
-/** Outlook of a call on which the decision falls elsewhere or later. */
-const noOutlook = { end: () => undefined };
 
 /** A pool of this host with its credits. */
 export interface OwnPool {
@@ -54,6 +54,7 @@
 ): { readonly placeCall: PlaceCall; readonly foreseeCall: ForeseeCall } {
   const { settings, clock } = context;
   const { poolOf, owners, links } = placementParts;
+  const reservations = new Reservations();
 
   /** Where a call of this zone may run, by the shifts. */
   const reachOf = (service: string): CallReach => {
@@ -64,22 +65,31 @@
     return 'anywhere';
   };
 
-  const placeHere = (call: PendingCall, own: OwnPool, reach: CallReach): Promise<Placement> => {
+  /** Time that a call may wait for a credit. */
+  const creditWaitMs = (call: PendingCall, own: OwnPool, reach: CallReach): number => {
+    if (reach === 'homeOnly') return 0;
     const leftMs = call.targetAtMs - clock.nowMs();
-    const creditWaitMs =
-      reach === 'homeOnly' ? 0 : own.credits.creditWaitMs(call.rank, Math.max(0, leftMs));
-    return own.task.place(call, reach, creditWaitMs, (waiting) => own.credits.tryCredit(waiting));
+    return own.credits.creditWaitMs(call.rank, Math.max(0, leftMs));
   };
 
-  /** Places a call under the cap on shifted traffic, where its caller is of another region. */
+  const placeHere = (call: PendingCall, own: OwnPool, reach: CallReach): Promise<Placement> => {
+    const waitMs = creditWaitMs(call, own, reach);
+    return own.task.place(call, reach, waitMs, (waiting) => own.credits.tryCredit(waiting));
+  };
+
+  /**
+   * Places a call under the cap on shifted traffic, where its caller is of another region; one that
+   * was foreseen has been admitted.
+   */
   const placeUnderCap = async (
     call: PendingCall,
     own: OwnPool,
     reach: CallReach,
+    isAdmitted = false,
   ): Promise<Placement> => {
     const { service, originRegion } = call;
     if (originRegion === settings.region) return placeHere(call, own, reach);
-    const overCap = parts.shifts.admitShifted(service, originRegion);
+    const overCap = isAdmitted ? undefined : parts.shifts.admitShifted(service, originRegion);
     if (overCap !== undefined) return refused(overCap);
     const placement = await placeHere(call, own, reach);
     if (placement.place !== 'backend') return placement;
@@ -90,8 +100,13 @@
   };
 
   /** Places a call of this zone, or one whose caller came here from another region. */
-  const placeFromCaller = (call: PendingCall, own: OwnPool): Promise<Placement> =>
-    placeUnderCap(call, own, reachOf(call.service));
+  const placeFromCaller = (call: PendingCall, own: OwnPool): Promise<Placement> => {
+    const reserved = reservations.take(call.requestId);
+    const { place, reach } = reserved ?? {};
+    const isUsable = place !== undefined && clock.nowMs() < (place.useBeforeMs ?? 0);
+    if (isUsable) return Promise.resolve(place);
+    return placeUnderCap(call, own, reach ?? reachOf(call.service), reach !== undefined);
+  };
 
   const fromOtherZone = (call: PendingCall, own: OwnPool): Promise<Placement> => {
     if (!own.credits.spendGranted(call.creditId)) {
@@ -107,16 +122,6 @@
     return Promise.resolve({ place: 'host', hostId, release: () => undefined });
   };
 
-  const foresee: ForeseeCall = (call) => {
-    const own = poolOf(call.service);
-    const owner = owners.localOwner(call.service, call.excluded);
-    const isOwner = owner === undefined || owner === settings.hostId;
-    if (own === undefined || !(isOwner || own.task.holdsSlots())) return noOutlook;
-    if (reachOf(call.service) !== 'anywhere') return noOutlook;
-    if (own.credits.mayLeave(call.rank, call.targetAtMs - clock.nowMs())) return noOutlook;
-    return own.task.foresee(call);
-  };
-
   const placeCall: PlaceCall = (call) => {
     const own = poolOf(call.service);
     if (own === undefined) {
@@ -132,5 +137,8 @@
     return Promise.resolve(refused(failure('BL3003', detail, { retryAfterMs })));
   };
 
-  return { placeCall, foreseeCall: foresee };
+  const foreseeCall = createForesight(context, parts, {
+    ...{ poolOf, owners, reservations, reachOf, creditWaitMs },
+  });
+  return { placeCall, foreseeCall };
 }
--- a/packages/host/src/slots/poolTask.ts
+++ b/packages/host/src/slots/poolTask.ts
@@ -133,6 +133,29 @@
     });
   }
 
+  /**
+   * Waits for a credit for a call that has not asked for its place yet and gets no slot at home.
+   *
+   * @param pending - the call
+   * @param reach - where it may run
+   * @param creditWaitMs - time that it may wait; 0 where no credit can be had
+   * @param refusal - why it gets no slot at home; absent where it may not run there
+   * @param tryCredit - spends a credit at hand, where there is one
+   */
+  awaitCredit(
+    pending: PendingCall,
+    reach: CallReach,
+    creditWaitMs: number,
+    refusal: Failure | undefined,
+    tryCredit: (call: WaitingCall) => boolean,
+  ): Promise<Placement> {
+    return this.wait(pending, reach, (call) => {
+      const problem = refusal ?? refusalOf('noSlots', creditWaitMs);
+      this.waitForCredit(call, creditWaitMs, problem, tryCredit);
+      return undefined;
+    });
+  }
+
   /**
    * Foresees the refusal of a call that has not asked for its place, and counts the call as one that
    * will come.
--- a/packages/host/src/slots/slotsFeature.ts
+++ b/packages/host/src/slots/slotsFeature.ts
@@ -1,4 +1,5 @@
 import { failure } from '@buckthornlug/protocol/results/failure.js';
+import type { ForeseeCall } from '@buckthornlug/protocol/steering/placementTypes.js';
 import { okAsync } from 'neverthrow';
 
 import type { Feature, HostParts } from '../runtime/hostParts.js';
@@ -80,6 +81,15 @@
     admission.sweep();
   }, sweepMs);
 
+  const foresee: ForeseeCall = async (call) => {
+    const foreseeing = placement.foreseeCall(call);
+    ticker.wake();
+    const outlook = await foreseeing;
+    const { failure: problem } = outlook;
+    if (problem !== undefined) admission.note(call.service, { place: 'refused', failure: problem });
+    return outlook;
+  };
+
   parts.provide({
     placeCall: async (call) => {
       const placing = placement.placeCall(call);
@@ -88,13 +98,7 @@
       admission.note(call.service, placed);
       return placed;
     },
-    foreseeCall: (call) => {
-      const outlook = placement.foreseeCall(call);
-      const { failure: problem } = outlook;
-      if (problem !== undefined)
-        admission.note(call.service, { place: 'refused', failure: problem });
-      return outlook;
-    },
+    foreseeCall: foresee,
     mayRetry: retries.mayRetry,
     hedging: {
       delayMs: hedging.delayMs,
--- a/packages/protocol/src/steering/placementTypes.ts
+++ b/packages/protocol/src/steering/placementTypes.ts
@@ -59,6 +59,8 @@
       readonly place: 'host';
       readonly hostId: string;
       readonly creditId?: string;
+      /** Time after which the credit could expire before the call arrives. */
+      readonly useBeforeMs?: number;
       readonly release: (outcome: CallOutcome) => void;
     }
   | { readonly place: 'refused'; readonly failure: Failure };
@@ -70,12 +72,15 @@
 export interface CallOutlook {
   /** Refusal that the call would get now; absent where it may be taken. */
   readonly failure?: Failure;
-  /** Ends the claim on its place in line; called once, just before the call asks for its place. */
+  /** Ends what is kept for the call until it asks for its place; called when the call has ended. */
   readonly end: () => void;
 }
 
-/** Foresees a refusal before the call costs anything; counts the call as one that will come. */
-export type ForeseeCall = (call: PendingCall) => CallOutlook;
+/**
+ * Foresees a refusal before the call costs anything; counts the call as one that will come. Resolves
+ * after the time for which the call may wait for a credit.
+ */
+export type ForeseeCall = (call: PendingCall) => Promise<CallOutlook>;
 
 /** Tells whether a call whose attempt failed may be dispatched again. */
 export type MayRetry = (call: PendingCall, outcome: CallOutcome) => boolean;
--- a/packages/testkit/src/ledger/onceCallFleet.ts
+++ b/packages/testkit/src/ledger/onceCallFleet.ts
@@ -8,9 +8,14 @@
 import { startCallFleet, type CallFleet, type CallFleetOptions } from '../calls/callFleet.js';
 import { createTestDocument, inForce, testIdentityHeader } from '../fakes/testDocument.js';
 
-const zones = ['lagos-a', 'lagos-b', 'abuja-a'];
+const defaultZones = ['lagos-a', 'lagos-b', 'abuja-a'];
 
-/** Three hosts with a ledger group, one in each of three zones, and their backend servers. */
+/** What a test starts: backend servers, and the zones of the hosts where it is not one host in each. */
+export interface OnceCallFleetOptions extends Pick<CallFleetOptions, 'backendHosts' | 'meanMs'> {
+  readonly zones?: readonly string[];
+}
+
+/** Three hosts with a ledger group and their backend servers. */
 export interface OnceCallFleet extends CallFleet {
   /** Sends an order with its identity through a host. */
   readonly order: (host: number, identity: string, body?: string) => ReturnType<CallFleet['call']>;
@@ -19,11 +24,10 @@
 /**
  * Starts hosts that run once-only work.
  *
- * @param backends - backend servers
+ * @param options - backend servers and zones
  */
-export async function startOnceCallFleet(
-  backends: Pick<CallFleetOptions, 'backendHosts' | 'meanMs'>,
-): Promise<OnceCallFleet> {
+export async function startOnceCallFleet(options: OnceCallFleetOptions): Promise<OnceCallFleet> {
+  const { zones = defaultZones, ...backends } = options;
   const dataFolder = await mkdtemp(join(tmpdir(), 'bl-once-'));
   const fleet = await startCallFleet({
     hosts: zones.map((availabilityZone, index) => ({
