fix(admin): GET /v1/backends on every host and in pages; GET /v1/shifts names the region of a zone

Cause: the route of the backend servers was registered by the slots, which only entry hosts run, and answered with all of them at once. A shift of a zone carried the zone's name in the field `region`.

Change: the route is a feature of every host. It answers in pages of at most 500 (`limit`, `after`, `next`) ordered by zone, and asks only the hosts of the zones that a page needs. `buckthornlugctl backends` reads all pages. A shift of a zone has its region in `region` and the zone in `availabilityZone`; `buckthornlugctl shifts` has a column for it.

Time of a page over many hosts: not measured.

Conclusion: mended.

--- a/packages/cli/src/commands/backendsCommand.ts
+++ b/packages/cli/src/commands/backendsCommand.ts
@@ -1,6 +1,6 @@
-import { backendsReplySchema } from '@buckthornlug/protocol/admin/adminSchema.js';
 import { Command } from 'clipanion';
 
+import { readAllBackends } from '../api/readAllBackends.js';
 import { formatTable } from '../output/table.js';
 import { AdminCommand } from './adminCommand.js';
 
@@ -14,8 +14,7 @@
   });
 
   async execute(): Promise<number> {
-    const answer = await this.client().get('/v1/backends');
-    const reply = answer.map((value) => backendsReplySchema.parse(value));
+    const reply = await readAllBackends(this.client());
     return this.finish(reply, ({ backends }) =>
       formatTable(
         [
--- a/packages/cli/src/commands/shiftsCommand.ts
+++ b/packages/cli/src/commands/shiftsCommand.ts
@@ -18,10 +18,11 @@
     const reply = answer.map((value) => shiftsReplySchema.parse(value));
     return this.finish(reply, ({ shifts }) =>
       formatTable(
-        ['service', 'region', 'moved', 'target', 'step', 'held'],
+        ['service', 'region', 'zone', 'moved', 'target', 'step', 'held'],
         shifts.map((entry) => [
           entry.service,
           entry.region,
+          entry.availabilityZone ?? 'all',
           `${entry.movedPermille} permille`,
           `${entry.targetPermille} permille`,
           String(entry.step),
--- a/packages/host/src/features.ts
+++ b/packages/host/src/features.ts
@@ -7,6 +7,7 @@
 import { membershipFeature } from './membership/membershipFeature.js';
 import type { Feature } from './runtime/hostParts.js';
 import { shiftsFeature } from './shifts/shiftsFeature.js';
+import { backendsFeature } from './slots/backendsFeature.js';
 import { slotsFeature } from './slots/slotsFeature.js';
 import { submissionsFeature } from './submissions/submissionsFeature.js';
 import { timelineFeature } from './timeline/timelineFeature.js';
@@ -23,6 +24,7 @@
   ledgerFeature,
   shiftsFeature,
   slotsFeature,
+  backendsFeature,
   callsFeature,
   // The administration API comes last: it mounts the routes of the features before it.
   adminFeature,
--- a/packages/host/src/shifts/shiftRoutes.spec.ts
+++ b/packages/host/src/shifts/shiftRoutes.spec.ts
@@ -1,6 +1,7 @@
 import { readFile } from 'node:fs/promises';
 
 import { ShiftTable } from '@buckthornlug/core/shifts/shiftTable.js';
+import { shiftsReplySchema } from '@buckthornlug/protocol/admin/adminSchema.js';
 import { checkDocument } from '@buckthornlug/protocol/document/document.js';
 import test from 'ava';
 import { Hono } from 'hono';
@@ -16,6 +17,30 @@
   return { hostId: `${region}-${state}`, region, state } as HostRecord;
 }
 
+test('GET /v1/shifts names the region of an availability zone that moves', async (t) => {
+  const [service = ''] = Object.keys(document.services);
+  const region = document.network.regions.find((each) => each.availabilityZones.length > 1)!;
+  const [zone = ''] = region.availabilityZones;
+  const traffic = { [service]: { ...document.traffic[service]!, drainedZones: [zone] } };
+  const app = new Hono();
+  registerShiftRoutes(app, {
+    document: {
+      current: () => ({ version: 1, document: { ...document, traffic }, sectionVersions: {} }),
+    },
+    table: new ShiftTable(),
+    membership: () => ({
+      hosts: () => document.network.regions.map(({ id }) => hostIn(id, 'alive')),
+    }),
+    isHeld: () => false,
+  });
+  const reply = await app.request('/v1/shifts');
+  const { shifts } = shiftsReplySchema.parse(await reply.json());
+  t.deepEqual(
+    shifts.map((shift) => ({ region: shift.region, zone: shift.availabilityZone })),
+    [{ region: region.id, zone }],
+  );
+});
+
 for (const { fault, states, moving } of [
   { fault: 'none', states: ['alive', 'suspected'], moving: [] },
   { fault: 'one of its hosts failed', states: ['alive', 'failed'], moving: [] },
--- a/packages/host/src/shifts/shiftRoutes.ts
+++ b/packages/host/src/shifts/shiftRoutes.ts
@@ -1,6 +1,7 @@
 import type { ShiftTable } from '@buckthornlug/core/shifts/shiftTable.js';
-import { shiftTargets } from '@buckthornlug/core/shifts/shiftTargets.js';
+import { shiftTargets, type ShiftTarget } from '@buckthornlug/core/shifts/shiftTargets.js';
 import type { ShiftStatus } from '@buckthornlug/protocol/admin/adminSchema.js';
+import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
 import type { Hono } from 'hono';
 
 import type { DocumentView, MembershipView } from '../runtime/hostTypes.js';
@@ -14,6 +15,13 @@
   readonly isHeld: () => boolean;
 }
 
+/** Names the region of a unit, and its availability zone where it is one. */
+function placeOf({ network }: SteeringDocument, { scope, place }: ShiftTarget) {
+  if (scope === 'region') return { region: place };
+  const regionOfZone = network.regions.find((each) => each.availabilityZones.includes(place));
+  return { region: regionOfZone?.id ?? place, availabilityZone: place };
+}
+
 /** Lists every unit that has moved or is to move. */
 function listShifts(parts: ShiftRoutesParts): ShiftStatus[] {
   const inForce = parts.document.current();
@@ -27,7 +35,7 @@
     if (step === undefined && target.movedPermille === 0) continue;
     shifts.push({
       service: target.service,
-      region: target.place,
+      ...placeOf(inForce.document, target),
       movedPermille: step?.movedPermille ?? 0,
       targetPermille: target.movedPermille,
       step: step?.number ?? 0,
--- /dev/null
+++ b/packages/host/src/slots/backendsFeature.ts
@@ -0,0 +1,64 @@
+import { backendsQuerySchema } from '@buckthornlug/protocol/admin/adminSchema.js';
+import { failure } from '@buckthornlug/protocol/results/failure.js';
+import type { Hono } from 'hono';
+import { okAsync } from 'neverthrow';
+
+import { failureResponse } from '../admin/adminListener.js';
+import type { Feature, HostParts } from '../runtime/hostParts.js';
+import type { HostContext } from '../runtime/hostTypes.js';
+import { otherLiveHosts } from '../runtime/otherLiveHosts.js';
+import { readBackendsPage, type BackendsSources, type ZoneOfHosts } from './backendsPage.js';
+
+/** Zone under which hosts are asked of which only the address is known. */
+const unknownZone = '';
+
+/** Entry hosts by availability zone, this one included. */
+function entryZones({ settings }: HostContext, { membership }: HostParts): ZoneOfHosts[] {
+  const zones = new Map<string, string[]>();
+  for (const hostId of [settings.hostId, ...otherLiveHosts(membership, settings)]) {
+    const own = hostId === settings.hostId ? settings : undefined;
+    const { roles, availabilityZone } = own ?? membership.find(hostId) ?? {};
+    if (roles !== undefined && !roles.includes('entry')) continue;
+    const zone = availabilityZone ?? unknownZone;
+    const hostIds = zones.get(zone) ?? [];
+    hostIds.push(hostId);
+    zones.set(zone, hostIds);
+  }
+  return [...zones].map(([availabilityZone, hostIds]) => ({ availabilityZone, hostIds }));
+}
+
+/**
+ * Registers `GET /v1/backends`: the backend servers as their pool owners see them, page by page, and
+ * the hosts that did not answer.
+ *
+ * @param app - administration API
+ * @param sources - hosts and access to them
+ */
+export function registerBackendsRoutes(app: Hono, sources: BackendsSources): void {
+  app.get('/v1/backends', async (context) => {
+    const query = backendsQuerySchema.safeParse(context.req.query());
+    if (query.success) return context.json(await readBackendsPage(sources, query.data));
+    return failureResponse(failure('BL3010', 'limit, a whole number, and after are expected'));
+  });
+}
+
+/** Lists the backend servers of all entry hosts on any host. */
+export const backendsFeature: Feature = {
+  name: 'backends',
+  wanted: () => true,
+  start: (context, parts) => {
+    const { hostId } = context.settings;
+    parts.adminRoutes.push((app) =>
+      registerBackendsRoutes(app, {
+        zones: () => entryZones(context, parts),
+        read: (otherId) => {
+          if (otherId === hostId) return okAsync(parts.rpcHandlers.slots?.backends() ?? []);
+          return parts.peers.request(otherId, (client, signal) =>
+            client.slots.backends.query(undefined, { signal }),
+          );
+        },
+      }),
+    );
+    return okAsync({ name: 'backends', stopSteps: {} });
+  },
+};
--- a/packages/host/src/slots/backendsView.ts
+++ b/packages/host/src/slots/backendsView.ts
@@ -1,21 +1,8 @@
 import type { BackendStatus } from '@buckthornlug/protocol/admin/adminSchema.js';
-import type { Failure } from '@buckthornlug/protocol/results/failure.js';
-import type { Hono } from 'hono';
-import type { ResultAsync } from 'neverthrow';
 
 import type { Clock } from '../runtime/hostTypes.js';
 import type { PoolTask } from './poolTask.js';
 
-/** Hosts asked at once. */
-const hostsAtOnce = 64;
-
-/** Where the route gets the backend servers from. */
-export interface BackendsSources {
-  readonly readLocal: () => BackendStatus[];
-  readonly otherHosts: () => readonly string[];
-  readonly readRemote: (hostId: string) => ResultAsync<BackendStatus[], Failure>;
-}
-
 /**
  * Lists the backend servers of the pools of one host.
  *
@@ -54,8 +41,21 @@
   return one.silentMs < other.silentMs;
 }
 
-function keyOf({ service, availabilityZone, backendId }: BackendStatus): string {
-  return `${service} ${availabilityZone} ${backendId}`;
+/**
+ * Names a backend server among those of all zones.
+ *
+ * @param backend - the backend server
+ */
+export function keyOf({ service, availabilityZone, backendId }: BackendStatus): string {
+  return `${availabilityZone}/${service}/${backendId}`;
+}
+
+/** Orders backend servers by their zone, then by name. */
+function inOrder(left: BackendStatus, right: BackendStatus): number {
+  if (left.availabilityZone !== right.availabilityZone) {
+    return left.availabilityZone < right.availabilityZone ? -1 : 1;
+  }
+  return keyOf(left) < keyOf(right) ? -1 : 1;
 }
 
 /**
@@ -70,29 +70,5 @@
     const key = keyOf(backend);
     if (goesBefore(backend, merged.get(key))) merged.set(key, backend);
   }
-  return [...merged.keys()].sort().flatMap((key) => merged.get(key) ?? []);
-}
-
-/**
- * Registers `GET /v1/backends`: the backend servers as their pool owners see them, and the hosts that
- * did not answer.
- *
- * @param app - administration API
- * @param sources - local view and access to other hosts
- */
-export function registerBackendsRoutes(app: Hono, sources: BackendsSources): void {
-  app.get('/v1/backends', async (context) => {
-    const hostIds = sources.otherHosts();
-    const views = [sources.readLocal()];
-    const missingHosts: string[] = [];
-    for (let first = 0; first < hostIds.length; first += hostsAtOnce) {
-      const asked = hostIds.slice(first, first + hostsAtOnce);
-      const answers = await Promise.all(asked.map((hostId) => sources.readRemote(hostId)));
-      for (const [index, answer] of answers.entries()) {
-        if (answer.isOk()) views.push(answer.value);
-        else missingHosts.push(asked[index] ?? '');
-      }
-    }
-    return context.json({ backends: mergeBackends(views), missingHosts });
-  });
+  return [...merged.values()].sort(inOrder);
 }
--- a/packages/host/src/slots/slotsFeature.ts
+++ b/packages/host/src/slots/slotsFeature.ts
@@ -4,9 +4,8 @@
 
 import type { Feature, HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
-import { otherLiveHosts } from '../runtime/otherLiveHosts.js';
 import { createAnnouncements } from './announcements.js';
-import { listBackends, registerBackendsRoutes } from './backendsView.js';
+import { listBackends } from './backendsView.js';
 import { CreditTask } from './creditTask.js';
 import { createHedging } from './hedging.js';
 import { createPlacement, type OwnPool } from './placement.js';
@@ -60,7 +59,10 @@
     (service) => poolOf(service)?.task,
     tasks,
   );
-  const placement = createPlacement(context, parts, { poolOf, owners, links, ...retries });
+  const placement = createPlacement(context, parts, {
+    ...{ poolOf, owners, links },
+    ...retries,
+  });
 
   const isBusy = () => {
     for (const { task } of pools.values()) {
@@ -112,22 +114,8 @@
     poolOwner: owners.ownerOf,
   });
   const { rpcHandlers } = parts;
-  const readBackends = () => listBackends(settings.hostId, tasks.values(), clock);
-  parts.adminRoutes.push((app) =>
-    registerBackendsRoutes(app, {
-      readLocal: readBackends,
-      otherHosts: () =>
-        otherLiveHosts(parts.membership, settings).filter(
-          (hostId) => parts.membership.find(hostId)?.roles.includes('entry') ?? true,
-        ),
-      readRemote: (hostId) =>
-        parts.peers.request(hostId, (client, signal) =>
-          client.slots.backends.query(undefined, { signal }),
-        ),
-    }),
-  );
   rpcHandlers.slots = {
-    backends: readBackends,
+    backends: () => listBackends(settings.hostId, tasks.values(), clock),
     credits: (request) =>
       poolOf(request.service)?.credits.grant(request) ?? {
         creditIds: [],
--- a/packages/protocol/src/admin/adminSchema.ts
+++ b/packages/protocol/src/admin/adminSchema.ts
@@ -35,16 +35,32 @@
   silentMs: z.number().min(0),
 });
 
-/** `GET /v1/backends`: all hosts that answered. */
+/** Backend servers on a page of `GET /v1/backends` at most. */
+export const maxBackendsOnPage = 500;
+
+/** Query of `GET /v1/backends`. */
+export const backendsQuerySchema = z.strictObject({
+  limit: z.coerce.number().int().min(1).max(maxBackendsOnPage).default(maxBackendsOnPage),
+  /** Where the page before ended: its field `next`. */
+  after: z.string().max(256).optional(),
+});
+
+/** `GET /v1/backends`: one page out of all hosts that answered. */
 export const backendsReplySchema = z.object({
   backends: z.array(backendStatusSchema),
+  /** Hosts asked for this page that did not answer. */
   missingHosts: z.array(z.string()),
+  /** Where the next page starts; absent on the last one. */
+  next: z.string().optional(),
 });
 
 /** One shift of `GET /v1/shifts`. */
 export const shiftStatusSchema = z.object({
   service: idSchema,
+  /** Region whose traffic moves, or in which the availability zone lies. */
   region: idSchema,
+  /** Availability zone whose traffic moves; absent where that of the whole region does. */
+  availabilityZone: idSchema.optional(),
   movedPermille: z.int(),
   targetPermille: z.int(),
   step: z.int(),
@@ -72,6 +88,8 @@
 
 export type VersionReply = z.infer<typeof versionReplySchema>;
 export type HostStatus = z.infer<typeof hostStatusSchema>;
+export type BackendsQuery = z.output<typeof backendsQuerySchema>;
+export type BackendsReply = z.infer<typeof backendsReplySchema>;
 export type BackendStatus = z.infer<typeof backendStatusSchema>;
 export type ShiftStatus = z.infer<typeof shiftStatusSchema>;
 export type StatusReply = z.infer<typeof statusReplySchema>;
--- a/packages/testkit/src/slots/slotsFleet.ts
+++ b/packages/testkit/src/slots/slotsFleet.ts
@@ -2,6 +2,7 @@
 import { callsFeature } from '@buckthornlug/host/calls/callsFeature.js';
 import { membershipFeature } from '@buckthornlug/host/membership/membershipFeature.js';
 import { startHost, type RunningHost } from '@buckthornlug/host/runtime/hostRuntime.js';
+import { backendsFeature } from '@buckthornlug/host/slots/backendsFeature.js';
 import { slotsFeature } from '@buckthornlug/host/slots/slotsFeature.js';
 import { Agent, request } from 'undici';
 
@@ -22,7 +23,7 @@
   readonly stop: () => Promise<void>;
 }
 
-const features = [membershipFeature, slotsFeature, callsFeature, adminFeature];
+const features = [membershipFeature, slotsFeature, backendsFeature, callsFeature, adminFeature];
 
 /**
  * Starts hosts.
