--- /dev/null
+++ b/packages/host/src/documents/newestElsewhere.ts
@@ -0,0 +1,26 @@
+import type { ControlVersions } from '@buckthornlug/core/spreading/spreadingTypes.js';
+
+import type { HostRecord, MembershipView } from '../runtime/hostTypes.js';
+import { takesPart } from './updateSources.js';
+
+/**
+ * Finds the host with the newest document among those that hold more than this one.
+ *
+ * @param ownHostId - this host
+ * @param membership - membership as this host sees it
+ * @param have - what this host holds
+ */
+export function newestElsewhere(
+  ownHostId: string,
+  membership: Pick<MembershipView, 'hosts'>,
+  have: ControlVersions,
+): HostRecord | undefined {
+  let newest: HostRecord | undefined;
+  for (const host of membership.hosts()) {
+    if (!takesPart(host) || host.hostId === ownHostId) continue;
+    const isNewer =
+      host.documentVersion > have.version || (host.shiftRevision ?? 0) > have.shiftRevision;
+    if (isNewer && host.documentVersion >= (newest?.documentVersion ?? 0)) newest = host;
+  }
+  return newest;
+}
--- a/packages/host/src/slots/slotsFeature.ts
+++ b/packages/host/src/slots/slotsFeature.ts
@@ -112,6 +112,7 @@
     },
     receiveAnnouncement: announcements.receive,
     poolOwner: owners.ownerOf,
+    poolOwnersVersion: owners.localVersion,
   });
   const { rpcHandlers } = parts;
   rpcHandlers.slots = {
