--- a/packages/host/src/slots/slotsFeature.ts
+++ b/packages/host/src/slots/slotsFeature.ts
@@ -1,11 +1,11 @@
 import { failure } from '@buckthornlug/protocol/results/failure.js';
+import type { ForeseeCall } from '@buckthornlug/protocol/steering/placementTypes.js';
 import { okAsync } from 'neverthrow';
 
 import type { Feature, HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
-import { otherLiveHosts } from '../runtime/otherLiveHosts.js';
 import { createAnnouncements } from './announcements.js';
-import { listBackends, registerBackendsRoutes } from './backendsView.js';
+import { listBackends } from './backendsView.js';
 import { CreditTask } from './creditTask.js';
 import { createHedging } from './hedging.js';
 import { createPlacement, type OwnPool } from './placement.js';
@@ -59,7 +59,10 @@
     (service) => poolOf(service)?.task,
     tasks,
   );
-  const placement = createPlacement(context, parts, { poolOf, owners, links, ...retries });
+  const placement = createPlacement(context, parts, {
+    ...{ poolOf, owners, links },
+    ...retries,
+  });
 
   const isBusy = () => {
     for (const { task } of pools.values()) {
@@ -80,6 +83,15 @@
     admission.sweep();
   }, sweepMs);
 
+  const foresee: ForeseeCall = async (call) => {
+    const foreseeing = placement.foreseeCall(call);
+    ticker.wake();
+    const outlook = await foreseeing;
+    const { failure: problem } = outlook;
+    if (problem !== undefined) admission.note(call.service, { place: 'refused', failure: problem });
+    return outlook;
+  };
+
   parts.provide({
     placeCall: async (call) => {
       const placing = placement.placeCall(call);
@@ -88,13 +100,7 @@
       admission.note(call.service, placed);
       return placed;
     },
-    foreseeCall: (call) => {
-      const outlook = placement.foreseeCall(call);
-      const { failure: problem } = outlook;
-      if (problem !== undefined)
-        admission.note(call.service, { place: 'refused', failure: problem });
-      return outlook;
-    },
+    foreseeCall: foresee,
     mayRetry: retries.mayRetry,
     hedging: {
       delayMs: hedging.delayMs,
@@ -109,22 +115,8 @@
     poolOwnersVersion: owners.localVersion,
   });
   const { rpcHandlers } = parts;
-  const readBackends = () => listBackends(settings.hostId, tasks.values(), clock);
-  parts.adminRoutes.push((app) =>
-    registerBackendsRoutes(app, {
-      readLocal: readBackends,
-      otherHosts: () =>
-        otherLiveHosts(parts.membership, settings).filter(
-          (hostId) => parts.membership.find(hostId)?.roles.includes('entry') ?? true,
-        ),
-      readRemote: (hostId) =>
-        parts.peers.request(hostId, (client, signal) =>
-          client.slots.backends.query(undefined, { signal }),
-        ),
-    }),
-  );
   rpcHandlers.slots = {
-    backends: readBackends,
+    backends: () => listBackends(settings.hostId, tasks.values(), clock),
     credits: (request) =>
       poolOf(request.service)?.credits.grant(request) ?? {
         creditIds: [],
