perf(shifts): the leader looks for open units after changes instead of five times a second

Cause: each 200 ms the leader built the targets of every service in every region and zone, about 392,000 at the target size, to find those that differ from the committed steps. Change: ShiftPlanner keeps the open units until the document, the failed regions or the committed steps change. While steps are being committed each one is still followed by a full search.

--- a/packages/core/src/shifts/shiftPlanner.spec.ts
+++ b/packages/core/src/shifts/shiftPlanner.spec.ts
@@ -1,10 +1,12 @@
 import { checkDocument } from '@buckthornlug/protocol/document/document.js';
 import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
+import type { CommittedStep } from '@buckthornlug/protocol/shifts/shiftSchema.js';
+import assert from 'node:assert/strict';
 import test from 'ava';
 import fc from 'fast-check';
 
 import { ShiftAcknowledgements } from './shiftAcknowledgements.js';
-import { planShifts } from './shiftPlanner.js';
+import { planShifts, ShiftPlanner } from './shiftPlanner.js';
 import { ShiftTable } from './shiftTable.js';
 
 const service = 'shop';
@@ -42,6 +44,8 @@
 class Leader {
   readonly acknowledgements = new ShiftAcknowledgements();
 
+  private readonly planner = new ShiftPlanner();
+
   constructor(
     public document: SteeringDocument,
     public documentVersion: number,
@@ -49,14 +53,18 @@
 
   plan(table: ShiftTable, failed: readonly string[], nowMs: number) {
     const alive = hostIds.filter((hostId) => !failed.some((region) => hostId.endsWith(region)));
-    return planShifts({
+    const input = {
       document: this.document,
       documentVersion: this.documentVersion,
       table,
       failedRegions: new Set(failed),
-      acknowledgedAtMs: (step) => this.acknowledgements.acknowledgedAtMs(step, alive, nowMs),
+      acknowledgedAtMs: (step: CommittedStep) =>
+        this.acknowledgements.acknowledgedAtMs(step, alive, nowMs),
       nowMs,
-    });
+    };
+    const plan = this.planner.plan(input);
+    assert.deepEqual(plan, planShifts(input), 'a plan kept differs from one made anew');
+    return plan;
   }
 }
 
--- a/packages/core/src/shifts/shiftPlanner.ts
+++ b/packages/core/src/shifts/shiftPlanner.ts
@@ -59,23 +59,64 @@
   return { ...target, documentVersion, number, movedPermille: movedPermille + change };
 }
 
-/**
- * Plans the next step of each unit. No step is larger than `stepPermille`, and none comes sooner
- * than `stepIntervalMs` after the last one of the unit is acknowledged, whatever the cause.
- *
- * @param input - document, committed steps, health and time
- */
-export function planShifts(input: ShiftPlanInput): ShiftPlan {
+/** The units that have not reached their targets, in the order of the targets. */
+function openTargets(input: ShiftPlanInput): ShiftTarget[] {
+  const { document, failedRegions, table } = input;
+  return shiftTargets(document, failedRegions).filter(
+    (target) => table.movedPermille(target) !== target.movedPermille,
+  );
+}
+
+function planOpen(input: ShiftPlanInput, open: readonly ShiftTarget[]): ShiftPlan {
   const steps: ShiftStep[] = [];
   const held: HeldShift[] = [];
-  for (const target of shiftTargets(input.document, input.failedRegions)) {
+  for (const target of open) {
     const cap = input.document.traffic[target.service]?.shiftCap;
     if (cap === undefined) continue;
     const last = input.table.find(target);
-    if ((last?.movedPermille ?? 0) === target.movedPermille) continue;
     const reason = heldReason(input, last, cap.stepIntervalMs);
     if (reason === undefined) steps.push(nextStep(input, target, last, cap.stepPermille));
     else held.push({ target, reason });
   }
   return { steps, held };
 }
+
+/**
+ * Plans the next step of each unit. No step is larger than `stepPermille`, and none comes sooner
+ * than `stepIntervalMs` after the last one of the unit is acknowledged, whatever the cause.
+ *
+ * @param input - document, committed steps, health and time
+ */
+export function planShifts(input: ShiftPlanInput): ShiftPlan {
+  return planOpen(input, openTargets(input));
+}
+
+/**
+ * Plans as `planShifts` does; the units that have not reached their targets are looked for only
+ * after the document, the failed regions or the committed steps have changed.
+ */
+export class ShiftPlanner {
+  private open: readonly ShiftTarget[] = [];
+
+  private basis: string | undefined;
+
+  private document: SteeringDocument | undefined;
+
+  private table: ShiftTable | undefined;
+
+  /**
+   * Plans the next step of each unit.
+   *
+   * @param input - document, committed steps, health and time
+   */
+  plan(input: ShiftPlanInput): ShiftPlan {
+    const { document, failedRegions, table } = input;
+    const basis = `${table.changes} ${[...failedRegions].sort().join(' ')}`;
+    const isSame = document === this.document && table === this.table && basis === this.basis;
+    if (!isSame) this.open = openTargets(input);
+    this.document = document;
+    this.table = table;
+    this.basis = basis;
+    return planOpen(input, this.open);
+  }
+}
--- a/packages/core/src/shifts/shiftTable.ts
+++ b/packages/core/src/shifts/shiftTable.ts
@@ -22,11 +22,18 @@
 
   private lastRevision = 0;
 
+  private changeCount = 0;
+
   /** Number of steps committed so far. */
   get revision(): number {
     return this.lastRevision;
   }
 
+  /** Number that rises with each change of a step held here. */
+  get changes(): number {
+    return this.changeCount;
+  }
+
   find(unit: ShiftUnit): CommittedStep | undefined {
     return this.steps.get(unitKey(unit));
   }
@@ -68,6 +75,7 @@
       return err(failure('BL8002', `${moved} permille exceed a step of ${plan.stepPermille}`));
     }
     this.lastRevision += 1;
+    this.changeCount += 1;
     const committed = { ...step, revision: this.lastRevision };
     this.steps.set(unitKey(step), committed);
     return ok(committed);
@@ -83,6 +91,7 @@
     const last = this.find(step);
     if (last !== undefined && last.revision >= step.revision) return false;
     this.steps.set(unitKey(step), step);
+    this.changeCount += 1;
     this.lastRevision = Math.max(this.lastRevision, step.revision);
     return true;
   }
@@ -93,6 +102,7 @@
 
   restore(snapshot: ShiftSnapshot): void {
     this.lastRevision = snapshot.revision;
+    this.changeCount += 1;
     this.steps = new Map(snapshot.steps.map((step) => [unitKey(step), step]));
   }
 }
--- a/packages/host/src/shifts/shiftLeader.ts
+++ b/packages/host/src/shifts/shiftLeader.ts
@@ -1,5 +1,5 @@
 import { ShiftAcknowledgements } from '@buckthornlug/core/shifts/shiftAcknowledgements.js';
-import { planShifts, type HeldShift } from '@buckthornlug/core/shifts/shiftPlanner.js';
+import { ShiftPlanner, type HeldShift } from '@buckthornlug/core/shifts/shiftPlanner.js';
 import { shiftTargets } from '@buckthornlug/core/shifts/shiftTargets.js';
 import type { CommittedStep, ShiftUnit } from '@buckthornlug/protocol/shifts/shiftSchema.js';
 
@@ -22,6 +22,8 @@
 export class ShiftLeader {
   private readonly acknowledgements = new ShiftAcknowledgements();
 
+  private readonly planner = new ShiftPlanner();
+
   private wasLeader = false;
 
   private isCommitting = false;
@@ -56,7 +58,7 @@
       this.acknowledgements.note(hostId, shiftRevision);
     }
     this.acknowledgements.prune(table.all());
-    const plan = planShifts({
+    const plan = this.planner.plan({
       document: inForce.document,
       documentVersion: inForce.version,
       table,
