--- a/packages/host/src/slots/poolTask.ts
+++ b/packages/host/src/slots/poolTask.ts
@@ -26,12 +26,6 @@
 /** Longest time for which a slot waits for a sign of life of its backend server. */
 const longestSettleMs = 1000;
 const settleCheckMs = 20;
-/** Outcomes of calls that the host broke off while they ran. */
-const cutResults: ReadonlySet<CallOutcome['result']> = new Set([
-  'cancelled',
-  'timedOut',
-  'outpaced',
-]);
 const minRetryAfterMs = 50;
 const maxRetryAfterMs = 30_000;
 
@@ -139,6 +133,29 @@
     });
   }
 
+  /**
+   * Waits for a credit for a call that has not asked for its place yet and gets no slot at home.
+   *
+   * @param pending - the call
+   * @param reach - where it may run
+   * @param creditWaitMs - time that it may wait; 0 where no credit can be had
+   * @param refusal - why it gets no slot at home; absent where it may not run there
+   * @param tryCredit - spends a credit at hand, where there is one
+   */
+  awaitCredit(
+    pending: PendingCall,
+    reach: CallReach,
+    creditWaitMs: number,
+    refusal: Failure | undefined,
+    tryCredit: (call: WaitingCall) => boolean,
+  ): Promise<Placement> {
+    return this.wait(pending, reach, (call) => {
+      const problem = refusal ?? refusalOf('noSlots', creditWaitMs);
+      this.waitForCredit(call, creditWaitMs, problem, tryCredit);
+      return undefined;
+    });
+  }
+
   /**
    * Foresees the refusal of a call that has not asked for its place, and counts the call as one that
    * will come.
@@ -149,9 +166,7 @@
     const { rank } = pending;
     const nowMs = this.context.clock.nowMs();
     let aheadCalls = 0;
-    for (const [index, calls] of this.announcedByRank.entries()) {
-      if (index <= rank) aheadCalls += calls;
-    }
+    for (let index = 0; index <= rank; index += 1) aheadCalls += this.announcedByRank[index] ?? 0;
     const { reason, expectedWaitMs } = this.pool.foresee(pending, aheadCalls, nowMs);
     if (reason !== undefined) {
       return { failure: refusalOf(reason, expectedWaitMs), end: () => undefined };
@@ -261,8 +276,7 @@
       if (outcome.result === 'answered' && backend !== undefined) {
         backend.lastAnswerAtMs = this.context.clock.nowMs();
       }
-      const isCut = cutResults.has(outcome.result);
-      if (isCut && outcome.elapsedMs > 0 && backend !== undefined) this.settle(backend, giveBack);
+      if (outcome.isCut === true && backend !== undefined) this.settle(backend, giveBack);
       else giveBack();
     };
     if (call.isSettled()) {
