--- a/packages/host/src/consensus/formationGuard.ts
+++ b/packages/host/src/consensus/formationGuard.ts
@@ -96,8 +96,8 @@
    * submissions do; a request that is sent again hears the same.
    *
    * @param request - group and formation whose loss an operator accepts
-   * @returns BL2006 or BL2004 where the signer may not do so; BL5009 where the formation was never registered; BL5002 where it is not known whether
-   *   the loss was accepted
+   * @returns BL2006 or BL2004 where the signer may not do so; BL5009 where the formation was never
+   *   registered; BL5002 where it is not known whether the loss was accepted
    */
   acceptLedgerLoss(request: FormAnewRequest): ResultAsync<void, Failure> {
     const authority = this.isClusterSigned(request) ? 'cluster' : 'team';
