--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -30,8 +30,7 @@
 import { PendingReads } from './pendingReads.js';
 import { PendingReplies } from './pendingReplies.js';
 import { describeReplica } from './replicaDescription.js';
-import { encodeInSlices } from './snapshotEncoder.js';
-import { SnapshotPolicy } from './snapshotPolicy.js';
+import { SnapshotTaker } from './snapshotTaker.js';
 
 /** The task of one replica: carries out the effects of its step machine. */
 
@@ -74,9 +73,7 @@
 
   private appliedIndex = 0;
 
-  private readonly snapshots = new SnapshotPolicy();
-
-  private isEncoding = false;
+  private readonly snapshots;
 
   constructor(private readonly parts: GroupTaskParts<Command, Reply>) {
     const { context, storage } = parts;
@@ -85,6 +82,11 @@
     if (durable === undefined) throw new Error('the replica has not joined its group');
     this.replicaId = `${hostId}/${identity.incarnation}`;
     const options = consensusOptions(timing.electionTimeoutMs, timing.heartbeatMs);
+    this.snapshots = new SnapshotTaker({
+      capture: () => ({ index: this.appliedIndex, state: parts.machine.snapshot() }),
+      save: (index, data) => this.take({ kind: 'compact', index, data }),
+      log: context.log,
+    });
     this.restoreMachine(durable.snapshot);
     this.state = createReplica(this.replicaId, durable, options, context.clock.nowMs());
     this.reads = new PendingReads(context.clock, (readId) => this.take({ kind: 'read', readId }));
@@ -172,8 +174,7 @@
 
   private restoreMachine(snapshot: Snapshot): void {
     this.appliedIndex = snapshot.index;
-    this.snapshots.noteCaptured();
-    this.snapshots.noteSize(snapshot.data.byteLength);
+    this.snapshots.noteRestored(snapshot.data.byteLength);
     if (snapshot.data.byteLength > 0) this.parts.machine.restore(decodeBinary(snapshot.data));
   }
 
@@ -189,37 +190,13 @@
       this.pending.applied(index, term, reply as Reply);
     }
     this.notifyApplied();
-    setImmediate(() => this.snapshotIfDue());
+    setImmediate(() => this.snapshots.takeIfDue());
   }
 
   private notifyApplied(): void {
     for (const listener of this.listeners) listener(this.appliedIndex);
   }
 
-  private snapshotIfDue(): void {
-    if (this.isEncoding || this.isStopped || !this.snapshots.isDue()) return;
-    this.isEncoding = true;
-    this.snapshots.noteCaptured();
-    this.saveSnapshot().then(
-      () => {
-        this.isEncoding = false;
-        this.snapshotIfDue();
-      },
-      (error: unknown) => {
-        this.isEncoding = false;
-        this.parts.context.log.error('snapshotFailed', { problem: String(error) });
-      },
-    );
-  }
-
-  /** Encodes the state as it is now, in slices, and replaces the log up to here by it. */
-  private async saveSnapshot(): Promise<void> {
-    const index = this.appliedIndex;
-    const data = await encodeInSlices(this.parts.machine.snapshot());
-    this.snapshots.noteSize(data.byteLength);
-    this.take({ kind: 'compact', index, data });
-  }
-
   /** Writes what has gathered as one batch, then what gathered meanwhile. */
   private writeNext(): void {
     if (this.isWriting || this.unwritten.length === 0 || this.isStopped) return;
@@ -363,6 +340,7 @@
 
   async stop(): Promise<void> {
     this.isStopped = true;
+    this.snapshots.close();
     clearTimeout(this.ticker);
     this.outbox.close();
     this.pending.close();
