refactor(documents): members of a group and hosts that take part are found in one place

Cause: the members of the control group were looked up in four places, two of them with the bare name of the group; takesPart stood beside the one of the membership. Change: groupMembersOf with controlGroupId; takesPart of the core's membership. Measured: the specs of host/documents, testkit/documents, groups and adminApi pass.

--- a/packages/host/src/consensus/groups.ts
+++ b/packages/host/src/consensus/groups.ts
@@ -18,6 +18,7 @@
   SubmitRequest,
 } from './consensusSchema.js';
 import { FormationGuard } from './formationGuard.js';
+import { groupMembersOf } from './groupMembers.js';
 import type { GroupHandle } from './groupTypes.js';
 import { HeartbeatLink, type HeartbeatBatch } from './heartbeatLink.js';
 import { LeaderClient } from './leaderClient.js';
@@ -101,8 +102,7 @@
 
   /** Hosts of the settings that start the group. */
   memberHostIds(groupId: string): readonly string[] {
-    const group = this.context.settings.groups.find(({ id }) => id === groupId);
-    return group?.members ?? [];
+    return groupMembersOf(this.context.settings, groupId);
   }
 
   /** Hosts that hold a replica of the group now, as far as the own replica knows. */
--- a/packages/host/src/documents/documentsFeature.ts
+++ b/packages/host/src/documents/documentsFeature.ts
@@ -3,6 +3,8 @@
 import { ControlCopy } from '@buckthornlug/core/spreading/controlCopy.js';
 import { ResultAsync } from 'neverthrow';
 
+import { controlGroupId } from '../consensus/controlGroupId.js';
+import { groupMembersOf } from '../consensus/groupMembers.js';
 import type { Feature, HostParts } from '../runtime/hostParts.js';
 import type { HostContext, RunningFeature } from '../runtime/hostTypes.js';
 import { DocumentKeeper } from './documentKeeper.js';
@@ -46,7 +48,7 @@
   const kept = await keeper.load();
   parts.provide({ controlSilentMs: () => task.controlSilentMs() });
   const { rpcHandlers } = parts;
-  const members = settings.groups.find((group) => group.id === 'control')?.members ?? [];
+  const members = groupMembersOf(settings, controlGroupId);
   const sources: VersionSources = {
     membership: () => parts.membership,
     documentVersion: () => parts.document.current()?.version ?? 0,
--- a/packages/host/src/documents/documentsTask.ts
+++ b/packages/host/src/documents/documentsTask.ts
@@ -1,5 +1,6 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
+import { takesPart } from '@buckthornlug/core/membership/memberStamp.js';
 import { ControlContact } from '@buckthornlug/core/spreading/controlContact.js';
 import type { ControlCopy } from '@buckthornlug/core/spreading/controlCopy.js';
 import type {
@@ -10,6 +11,8 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, ok, type Result } from 'neverthrow';
 
+import { controlGroupId } from '../consensus/controlGroupId.js';
+import { groupMembersOf } from '../consensus/groupMembers.js';
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext, HostRecord } from '../runtime/hostTypes.js';
 import { DocumentInstaller } from './documentInstaller.js';
@@ -23,7 +26,7 @@
 import { UpdatePoller } from './updatePoller.js';
 import { UpdateServer } from './updateServer.js';
 import { newestElsewhere } from './newestElsewhere.js';
-import { controlMembersOf, takesPart, UpdateSources } from './updateSources.js';
+import { UpdateSources } from './updateSources.js';
 import { VersionReports } from './versionReports.js';
 
 /** Time that a newer version known elsewhere is given to arrive by itself. */
@@ -151,7 +154,7 @@
     const { settings } = this.context;
     return new UpdateSources({
       settings,
-      controlMembers: controlMembersOf(settings),
+      controlMembers: groupMembersOf(settings, controlGroupId),
       membership: () => this.parts.membership,
       zoneRelays: () => this.parts.membershipTask?.relaysOf(settings.availabilityZone) ?? [],
     });
@@ -167,12 +170,12 @@
     const { hostId } = this.context.settings;
     return new VersionReports({
       hostId,
-      members: controlMembersOf(this.context.settings),
+      members: groupMembersOf(this.context.settings, controlGroupId),
       held: () => this.held(),
       source: () => this.poller.source,
       isKnown: (other) => {
         const host = this.parts.membership.find(other);
-        return host !== undefined && takesPart(host);
+        return host !== undefined && takesPart(host.state);
       },
       noteVersions: ({ hostId: other, incarnation, version, shiftRevision }) => {
         const held = { documentVersion: version, shiftRevision };
--- a/packages/host/src/documents/updateSources.ts
+++ b/packages/host/src/documents/updateSources.ts
@@ -1,3 +1,4 @@
+import { takesPart } from '@buckthornlug/core/membership/memberStamp.js';
 import { SourceOrder } from '@buckthornlug/core/spreading/sources.js';
 import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 
@@ -13,24 +14,6 @@
   readonly zoneRelays: () => readonly string[];
 }
 
-/**
- * Tells whether a host can be asked for updates.
- *
- * @param host - host as the membership sees it
- */
-export function takesPart(host: HostRecord): boolean {
-  return host.state !== 'failed' && host.state !== 'left';
-}
-
-/**
- * Members of the control group by the settings.
- *
- * @param settings - settings of this host
- */
-export function controlMembersOf({ groups }: Pick<Settings, 'groups'>): readonly string[] {
-  return groups.find((group) => group.id === 'control')?.members ?? [];
-}
-
 /** The hosts that this host gets updates from; walks the membership only after it has changed. */
 export class UpdateSources {
   private readonly order: SourceOrder;
@@ -53,7 +36,9 @@
     const relays = zoneRelays();
     if (hosts !== this.hosts) {
       this.hosts = hosts;
-      this.candidates = hosts.filter((host) => takesPart(host) && host.hostId !== settings.hostId);
+      this.candidates = hosts.filter(
+        (host) => takesPart(host.state) && host.hostId !== settings.hostId,
+      );
     }
     if (this.candidates.length === 0) return settings.peers.map((peer) => peer.hostId);
     return this.order.order({ candidates: this.candidates, controlMembers, zoneRelays: relays });
--- a/packages/host/src/submissions/submissionsFeature.ts
+++ b/packages/host/src/submissions/submissionsFeature.ts
@@ -3,6 +3,7 @@
 import { okAsync } from 'neverthrow';
 
 import { controlGroupId } from '../consensus/controlGroupId.js';
+import { groupMembersOf } from '../consensus/groupMembers.js';
 import type { Feature } from '../runtime/hostParts.js';
 import { createControlGroup } from './controlGroup.js';
 import { readControl, readOnMember } from './controlReader.js';
@@ -17,8 +18,7 @@
   wanted: (settings) => settings.groups.some(({ id }) => id === controlGroupId),
   start: (context, parts) => {
     const { settings } = context;
-    const group = settings.groups.find(({ id }) => id === controlGroupId);
-    const memberHostIds = group?.members ?? [];
+    const memberHostIds = groupMembersOf(settings, controlGroupId);
     const isMember = memberHostIds.includes(settings.hostId) && settings.dataFolder !== undefined;
     const machine = createControlMachine(verifySubmission);
     const handle = parts.openGroup<
