refactor(slots): who decides on a call is asked once, zones are grouped by the shared function

Cause: foresight and placement each worked out whether the owner of a pool is elsewhere; the list of backend servers grouped hosts by zone by itself; two routes of groups parsed a signed request alike. Change: ownerElsewhere, groupByZone and answerSigned serve both sides each. The detail of BL1005 at the route of replicas reads like that of form-anew; code, status and faults are the same.

--- a/packages/host/src/consensus/groupRoutes.ts
+++ b/packages/host/src/consensus/groupRoutes.ts
@@ -4,6 +4,7 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import type { Context, Hono } from 'hono';
 import type { ResultAsync } from 'neverthrow';
+import type { z } from 'zod';
 
 import { failureResponse } from '../admin/adminListener.js';
 import type { HostGroups } from './groups.js';
@@ -14,9 +15,17 @@
   return settled.isOk() ? Response.json(settled.value) : failureResponse(settled.error);
 }
 
-async function answerFormAnew(losses: LossAcceptance, request: Context): Promise<Response> {
+/**
+ * Answers a signed request about the group that the path names; BL1005 where it is malformed or
+ * names another group.
+ */
+async function answerSigned<Body extends { readonly groupId: string }>(
+  schema: z.ZodType<Body>,
+  request: Context,
+  carryOut: (body: Body) => ResultAsync<unknown, Failure>,
+): Promise<Response> {
   const body: unknown = await request.req.json().catch(() => undefined);
-  const parsed = formAnewSchema.safeParse(body);
+  const parsed = schema.safeParse(body);
   if (!parsed.success) {
     const faults = faultsOf(parsed.error);
     return failureResponse(failure('BL1005', 'the request is not valid', { faults }));
@@ -24,21 +33,7 @@
   if (parsed.data.groupId !== request.req.param('id')) {
     return failureResponse(failure('BL1005', 'the path names another group'));
   }
-  return answer(losses.accept(parsed.data));
-}
-
-async function answerChange(groups: HostGroups, request: Context): Promise<Response> {
-  const body: unknown = await request.req.json().catch(() => undefined);
-  const parsed = signedReplicaChangeSchema.safeParse(body);
-  if (!parsed.success) {
-    const faults = faultsOf(parsed.error);
-    return failureResponse(failure('BL1005', 'the change is not valid', { faults }));
-  }
-  if (parsed.data.groupId !== request.req.param('id')) {
-    return failureResponse(failure('BL1005', 'the change is of another group'));
-  }
-  const changed = await groups.changer.request(parsed.data);
-  return changed.isOk() ? Response.json(changed.value) : failureResponse(changed.error);
+  return answer(carryOut(parsed.data));
 }
 
 /**
@@ -59,6 +54,10 @@
   app.get('/v1/groups/:id/formation', (request) =>
     answer(losses.statusOf(request.req.param('id'))),
   );
-  app.post('/v1/groups/:id/form-anew', (request) => answerFormAnew(losses, request));
-  app.post('/v1/groups/:id/replicas', (request) => answerChange(groups, request));
+  app.post('/v1/groups/:id/form-anew', (request) =>
+    answerSigned(formAnewSchema, request, (body) => losses.accept(body)),
+  );
+  app.post('/v1/groups/:id/replicas', (request) =>
+    answerSigned(signedReplicaChangeSchema, request, (body) => groups.changer.request(body)),
+  );
 }
--- a/packages/host/src/slots/backendsFeature.ts
+++ b/packages/host/src/slots/backendsFeature.ts
@@ -1,3 +1,4 @@
+import { groupByZone } from '@buckthornlug/core/lists/groupByZone.js';
 import { backendsQuerySchema } from '@buckthornlug/protocol/admin/adminSchema.js';
 import { failure } from '@buckthornlug/protocol/results/failure.js';
 import type { Hono } from 'hono';
@@ -14,17 +15,18 @@
 
 /** Entry hosts by availability zone, this one included. */
 function entryZones({ settings }: HostContext, { membership }: HostParts): ZoneOfHosts[] {
-  const zones = new Map<string, string[]>();
-  for (const hostId of [settings.hostId, ...otherLiveHosts(membership, settings)]) {
-    const own = hostId === settings.hostId ? settings : undefined;
-    const { roles, availabilityZone } = own ?? membership.find(hostId) ?? {};
-    if (roles !== undefined && !roles.includes('entry')) continue;
-    const zone = availabilityZone ?? unknownZone;
-    const hostIds = zones.get(zone) ?? [];
-    hostIds.push(hostId);
-    zones.set(zone, hostIds);
-  }
-  return [...zones].map(([availabilityZone, hostIds]) => ({ availabilityZone, hostIds }));
+  const others = otherLiveHosts(membership, settings).map((hostId) => {
+    const { roles, availabilityZone = unknownZone } = membership.find(hostId) ?? {};
+    return { hostId, roles, availabilityZone };
+  });
+  const zones = groupByZone(
+    [settings, ...others],
+    ({ roles }) => roles === undefined || roles.includes('entry'),
+  );
+  return [...zones].map(([availabilityZone, hosts]) => ({
+    availabilityZone,
+    hostIds: hosts.map(({ hostId }) => hostId),
+  }));
 }
 
 /**
--- a/packages/host/src/slots/foresight.ts
+++ b/packages/host/src/slots/foresight.ts
@@ -16,7 +16,9 @@
 const noOutlook: CallOutlook = { end: () => undefined };
 
 /** What the foresight shares with the placement. */
-export interface ForesightParts extends Pick<PlacementParts, 'poolOf' | 'owners'> {
+export interface ForesightParts extends Pick<PlacementParts, 'poolOf'> {
+  /** Owner of the pool where the decision on a call is left to another host. */
+  readonly ownerElsewhere: (call: PendingCall, own: OwnPool) => string | undefined;
   readonly reservations: Reservations;
   readonly reachOf: (service: string) => CallReach;
   readonly creditWaitMs: (call: PendingCall, own: OwnPool, reach: CallReach) => number;
@@ -38,7 +40,7 @@
   foresightParts: ForesightParts,
 ): ForeseeCall {
   const { settings, clock } = context;
-  const { poolOf, owners, reservations, reachOf, ownerWindow } = foresightParts;
+  const { poolOf, reservations, reachOf, ownerWindow } = foresightParts;
 
   const reserve = ({ requestId }: PendingCall, reservation: Reservation): CallOutlook => {
     reservations.add(requestId, reservation);
@@ -87,9 +89,7 @@
   return async (call) => {
     const own = poolOf(call.service);
     if (own === undefined) return noOutlook;
-    const owner = owners.localOwner(call.service, call.excluded);
-    const isOwner = owner === undefined || owner === settings.hostId;
-    if (isOwner || own.task.holdsSlots()) return foreseeHere(call, own);
-    return foreseeAtOwner(call, owner);
+    const owner = foresightParts.ownerElsewhere(call, own);
+    return owner === undefined ? foreseeHere(call, own) : foreseeAtOwner(call, owner);
   };
 }
--- a/packages/host/src/slots/placement.ts
+++ b/packages/host/src/slots/placement.ts
@@ -120,6 +120,13 @@
     return placeUnderCap({ ...call, targetAtMs: call.targetAtMs + linkMs }, own, 'homeOnly');
   };
 
+  /** Owner of the pool where the decision on a call is left to another host. */
+  const ownerElsewhere = (call: PendingCall, own: OwnPool): string | undefined => {
+    const owner = owners.localOwner(call.service, call.excluded);
+    const isDecidedHere = owner === settings.hostId || own.task.holdsSlots();
+    return isDecidedHere ? undefined : owner;
+  };
+
   /** Learns from how once-only work ended at the owner of the pool. */
   const noteEnd = (call: PendingCall, hostId: string, outcome: CallOutcome): void => {
     if (call.execution !== 'once' || call.attempt > 0) return;
@@ -141,16 +148,20 @@
     }
     if (call.origin === 'otherZone') return fromOtherZone(call, own);
     if (call.origin === 'caller') placementParts.noteCall(call);
-    const owner = owners.localOwner(call.service, call.excluded);
-    const isOwner = owner === undefined || owner === settings.hostId;
-    if (isOwner || own.task.holdsSlots()) return placeFromCaller(call, own);
+    const owner = ownerElsewhere(call, own);
+    if (owner === undefined) return placeFromCaller(call, own);
     if (call.origin === 'caller') return toOwner(call, owner);
     const detail = `host "${owner}" owns the pool`;
     return Promise.resolve(refused(failure('BL3003', detail, { retryAfterMs })));
   };
 
   const foreseeCall = createForesight(context, parts, {
-    ...{ poolOf, owners, reservations, reachOf, creditWaitMs, ownerWindow },
+    poolOf,
+    ownerElsewhere,
+    reservations,
+    reachOf,
+    creditWaitMs,
+    ownerWindow,
   });
   return { placeCall, foreseeCall };
 }
--- a/packages/host/src/slots/slotsFeature.ts
+++ b/packages/host/src/slots/slotsFeature.ts
@@ -59,10 +59,7 @@
     (service) => poolOf(service)?.task,
     tasks,
   );
-  const placement = createPlacement(context, parts, {
-    ...{ poolOf, owners, links },
-    ...retries,
-  });
+  const placement = createPlacement(context, parts, { poolOf, owners, links, ...retries });
 
   const isBusy = () => {
     for (const { task } of pools.values()) {
