--- a/packages/testkit/src/control/formation.spec.ts
+++ b/packages/testkit/src/control/formation.spec.ts
@@ -20,6 +20,7 @@
   FormationFleet,
   groups,
   problemOf,
+  readUntil,
   runOrder,
   teamSigner,
 } from './formationFleet.js';
@@ -27,7 +28,6 @@
 const clock = { nowMs: () => performance.now(), wallMs: () => Date.now() };
 const withoutQuorumMs = 1000;
 const registeredBoundMs = 15_000;
-const pollMs = 100;
 
 test.serial('a ledger group that lost every disk is not formed anew by itself', async (t) => {
   const all = await FormationFleet.start(t);
@@ -125,11 +125,11 @@
     const formedAs = await all.lostId('d', 'ledger-a');
     await all.loseDisks(join('groups', 'control'));
     const startedAtMs = performance.now();
-    let registeredAs = await all.lostId('d', 'ledger-a');
-    while (registeredAs === undefined && performance.now() < startedAtMs + registeredBoundMs) {
-      await delay(pollMs);
-      registeredAs = await all.lostId('d', 'ledger-a');
-    }
+    const registeredAs = await readUntil(
+      () => all.lostId('d', 'ledger-a'),
+      (lostId) => lostId !== undefined,
+      registeredBoundMs,
+    );
     t.is(registeredAs, formedAs);
     t.log(`registered after ${Math.round(performance.now() - startedAtMs)} ms`);
     await all.loseDisks(join('groups', 'ledger-a'));
--- a/packages/testkit/src/control/formationFleet.ts
+++ b/packages/testkit/src/control/formationFleet.ts
@@ -182,14 +182,35 @@
   }
 }
 
-/** Runs the work of the identity to its recorded end, once the fresh fleet has formed its groups. */
-export async function runOrder(t: ExecutionContext, all: FormationFleet): Promise<void> {
+/**
+ * Reads again and again until a value is wanted or the time is up; gives the last one.
+ *
+ * @param read - reads the value
+ * @param isWanted - tells whether to stop
+ * @param limitMs - longest wait
+ */
+export async function readUntil<Value>(
+  read: () => Promise<Value>,
+  isWanted: (value: Value) => boolean,
+  limitMs: number,
+): Promise<Value> {
   const startedAtMs = performance.now();
-  let first = await all.begin();
-  while (first.decision !== 'run' && performance.now() < startedAtMs + coldStartBoundMs) {
+  let value = await read();
+  while (!isWanted(value) && performance.now() < startedAtMs + limitMs) {
     await delay(retryMs);
-    first = await all.begin();
+    value = await read();
   }
+  return value;
+}
+
+/** Runs the work of the identity to its recorded end, once the fresh fleet has formed its groups. */
+export async function runOrder(t: ExecutionContext, all: FormationFleet): Promise<void> {
+  const startedAtMs = performance.now();
+  const first = await readUntil(
+    () => all.begin(),
+    ({ decision }) => decision === 'run',
+    coldStartBoundMs,
+  );
   t.is(first.decision, 'run', `a group is formed: ${JSON.stringify(first)}`);
   t.log(`answered after ${Math.round(performance.now() - startedAtMs)} ms`);
   if (first.decision !== 'run') return;
@@ -205,12 +226,7 @@
 }
 
 /** Problem of a group once its first member has heard of one from the control group. */
-export async function problemOf(all: FormationFleet, groupId: string): Promise<string | undefined> {
-  const startedAtMs = performance.now();
-  let code = await problemNow(all, groupId);
-  while (code === undefined && performance.now() < startedAtMs + coldStartBoundMs) {
-    await delay(retryMs);
-    code = await problemNow(all, groupId);
-  }
-  return code;
+export function problemOf(all: FormationFleet, groupId: string): Promise<string | undefined> {
+  const isKnown = (code: string | undefined) => code !== undefined;
+  return readUntil(() => problemNow(all, groupId), isKnown, coldStartBoundMs);
 }
--- a/packages/testkit/src/slots/brokenOff.spec.ts
+++ b/packages/testkit/src/slots/brokenOff.spec.ts
@@ -1,12 +1,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { callsFeature } from '@buckthornlug/host/calls/callsFeature.js';
-import { slotsFeature } from '@buckthornlug/host/slots/slotsFeature.js';
 import test from 'ava';
 
-import { startCallFleet, until, type TestCall } from '../calls/callFleet.js';
+import { until, type TestCall } from '../calls/callFleet.js';
 import type { AnswerFault } from '../fakes/fakeBackendTypes.js';
-import { createTestDocument, inForce } from '../fakes/testDocument.js';
+import { startOneSlotFleet } from './oneSlotFleet.js';
 
 /** Time after which a call that was broken off gives its slot back where its backend server is well. */
 const settleMs = 100;
@@ -49,31 +47,16 @@
 
 for (const { how, fault, endedBy, hangsUp, expected } of cases) {
   test.serial(`a slot rests after its call where the host ends the exchange: ${how}`, async (t) => {
-    const fleet = await startCallFleet({
-      hosts: [{ hostId: 'a1', region: 'lagos', availabilityZone: 'lagos-a' }],
-      document: inForce(createTestDocument({ timeLimitMs })),
-      backendHosts: [0],
-      slots: 1,
-      features: [slotsFeature, callsFeature],
-    });
-    t.teardown(() => fleet.stop());
-    const [backend] = fleet.backends;
-    const [host] = fleet.hosts;
-    const freeSlots = () => {
-      const status = host!.parts.running.find(({ name }) => name === 'slots')?.status?.();
-      const [pool] = (status?.pools ?? []) as { freeSlots: number }[];
-      return pool?.freeSlots ?? 0;
-    };
-    await until(() => freeSlots() === 1);
-    backend!.behave({ announces: false, answerFault: fault });
+    const { backend, call: send, freeSlots } = await startOneSlotFleet(t, { timeLimitMs });
+    backend.behave({ announces: false, answerFault: fault });
     const aborter = new AbortController();
     const options: TestCall = { method: 'POST', body: 'one', signal: aborter.signal };
-    const call = fleet.call(0, '/single', options).then(
+    const call = send(0, '/single', options).then(
       ({ result }) => result,
       () => 'hungUp',
     );
     if (hangsUp === true) {
-      await until(() => backend!.counts().inFlight === 1);
+      await until(() => backend.counts().inFlight === 1);
       aborter.abort();
     }
     t.is(await call, expected);
@@ -83,9 +66,9 @@
       await sleep(2 * settleMs);
       t.is(freeSlots(), 0, 'the backend server was silent');
     }
-    backend!.behave({ announces: true, answerFault: 'none' });
-    await backend!.announceNow();
+    backend.behave({ announces: true, answerFault: 'none' });
+    await backend.announceNow();
     await until(() => freeSlots() === 1);
-    t.is(backend!.counts().shed, 0);
+    t.is(backend.counts().shed, 0);
   });
 }
