feat(routing): routing documents, evacuations and registered backend servers in the control group

Cause: operators of a platform submit one whole document under a version of their own, and backend servers report to any control host without echoing lease tokens; the control group held neither. Change: schemas of the routing document and of reports; RoutingStore and BackendRegistry as parts of the control machine; of two backend servers at one address the younger counts, one that drains stays so, a silent one comes back with a later report.

--- /dev/null
+++ b/packages/core/src/registry/backendRegistry.ts
@@ -0,0 +1,152 @@
+import type {
+  BackendReport,
+  RegisteredBackend,
+} from '@buckthornlug/protocol/registry/registrySchema.js';
+
+/** Registered backend servers, as the control group commits them. */
+
+/** Records of backend servers that are gone and kept so that late reports do not bring them back. */
+const maxGoneRecords = 2000;
+
+/** Registers a backend server or changes its state. */
+export interface NoteBackendCommand {
+  readonly type: 'noteBackend';
+  readonly report: BackendReport;
+  /** Wall time of the report at the host that took it. */
+  readonly atMs: number;
+}
+
+/** Takes calls away from a backend server that left or fell silent. */
+export interface RemoveBackendCommand {
+  readonly type: 'removeBackend';
+  readonly backendId: string;
+  readonly reason: 'left' | 'silent';
+  /** Incarnation that is removed; the current one where absent. */
+  readonly bornAtMs?: number;
+}
+
+/** Reply to a command about a backend server. */
+export interface RegistryReply {
+  readonly registryRevision: number;
+}
+
+/** Whole state of the registry. */
+export interface RegistrySnapshot {
+  readonly revision: number;
+  readonly backends: readonly RegisteredBackend[];
+}
+
+function endpointKey({ endpoint }: Pick<RegisteredBackend, 'endpoint'>): string {
+  return `${endpoint.address}:${endpoint.port}`;
+}
+
+/** Holds one record for each backend server; of two at one address the younger counts. */
+export class BackendRegistry {
+  private backends = new Map<string, RegisteredBackend>();
+
+  private idByEndpoint = new Map<string, string>();
+
+  private lastRevision = 0;
+
+  revision(): number {
+    return this.lastRevision;
+  }
+
+  find(backendId: string): RegisteredBackend | undefined {
+    return this.backends.get(backendId);
+  }
+
+  /** Records changed after a revision, those of backend servers that are gone included. */
+  since(revision: number): RegisteredBackend[] {
+    return [...this.backends.values()].filter((backend) => backend.revision > revision);
+  }
+
+  /**
+   * Tells whether a report changes what the registry holds. A draining backend server stays so for
+   * the life of its process, and one that is gone does not come back; a silent one does.
+   *
+   * @param report - report of a backend server
+   * @param nowMs - wall time
+   */
+  isNews(report: BackendReport, nowMs: number): boolean {
+    const known = this.backends.get(report.backendId);
+    if (known === undefined || known.bornAtMs < report.bornAtMs) {
+      return !this.isSuperseded(report);
+    }
+    if (known.bornAtMs > report.bornAtMs || known.state === 'gone') return false;
+    if (known.state === 'silent') {
+      return report.sequence > known.sequence && !this.isSuperseded(report);
+    }
+    if (known.state === 'ready' && report.state === 'draining') return true;
+    return known.state === 'ready' && report.coldForMs > 0 && known.coldUntilMs < nowMs;
+  }
+
+  note({ report, atMs }: NoteBackendCommand): RegistryReply {
+    if (this.isNews(report, atMs)) {
+      this.removeFormerAt(report);
+      const { coldForMs, ...kept } = report;
+      this.put({ ...kept, coldUntilMs: coldForMs > 0 ? atMs + coldForMs : 0, revision: 0 });
+    }
+    return { registryRevision: this.lastRevision };
+  }
+
+  remove({ backendId, bornAtMs, reason }: RemoveBackendCommand): RegistryReply {
+    const known = this.backends.get(backendId);
+    const isMeant = known !== undefined && (bornAtMs ?? known.bornAtMs) === known.bornAtMs;
+    if (isMeant && known.state !== 'gone') {
+      // One that drained and fell silent has ended.
+      const state = reason === 'left' || known.state === 'draining' ? 'gone' : 'silent';
+      if (state !== known.state) this.put({ ...known, state });
+    }
+    return { registryRevision: this.lastRevision };
+  }
+
+  snapshot(): RegistrySnapshot {
+    return { revision: this.lastRevision, backends: [...this.backends.values()] };
+  }
+
+  restore(snapshot: RegistrySnapshot | undefined): void {
+    this.lastRevision = snapshot?.revision ?? 0;
+    this.backends = new Map();
+    this.idByEndpoint = new Map();
+    for (const backend of snapshot?.backends ?? []) {
+      this.backends.set(backend.backendId, backend);
+      if (backend.state !== 'gone') this.idByEndpoint.set(endpointKey(backend), backend.backendId);
+    }
+  }
+
+  /** Whether a younger process is registered at the address of the report. */
+  private isSuperseded(report: BackendReport): boolean {
+    const holder = this.backends.get(this.idByEndpoint.get(endpointKey(report)) ?? '');
+    return holder !== undefined && holder.bornAtMs > report.bornAtMs;
+  }
+
+  private removeFormerAt(report: BackendReport): void {
+    const formerId = this.idByEndpoint.get(endpointKey(report));
+    if (formerId === undefined || formerId === report.backendId) return;
+    const former = this.backends.get(formerId);
+    if (former !== undefined) this.put({ ...former, state: 'gone' });
+  }
+
+  private put(record: RegisteredBackend): void {
+    this.lastRevision += 1;
+    // A record that is put again moves to the end, so that the oldest stand first.
+    this.backends.delete(record.backendId);
+    this.backends.set(record.backendId, { ...record, revision: this.lastRevision });
+    const key = endpointKey(record);
+    if (record.state !== 'gone') this.idByEndpoint.set(key, record.backendId);
+    else if (this.idByEndpoint.get(key) === record.backendId) this.idByEndpoint.delete(key);
+    if (record.state === 'gone') this.forgetOldest();
+  }
+
+  private forgetOldest(): void {
+    let gone = 0;
+    for (const { state } of this.backends.values()) gone += Number(state === 'gone');
+    if (gone <= maxGoneRecords) return;
+    for (const [backendId, { state }] of this.backends) {
+      if (state !== 'gone') continue;
+      this.backends.delete(backendId);
+      return;
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/routing/routeTable.ts
@@ -0,0 +1,102 @@
+import type { Route, RoutingInForce } from '@buckthornlug/protocol/routing/routingSchema.js';
+
+/** The routing document, arranged for look-ups. */
+
+/** A compiled routing document. */
+export interface RouteTable {
+  readonly version: number;
+  /** Routes of a host name, the longest path prefix first. */
+  readonly routesByHostName: ReadonlyMap<string, readonly Route[]>;
+  readonly services: ReadonlyMap<string, RoutingInForce['services'][number]>;
+  readonly limits: RoutingInForce['limits'];
+}
+
+/**
+ * Compiles a routing document.
+ *
+ * @param document - document in force
+ */
+export function compileRoutes(document: RoutingInForce): RouteTable {
+  const routesByHostName = new Map<string, Route[]>();
+  for (const route of document.routes) {
+    const hostName = route.hostName.toLowerCase();
+    const ofHost = routesByHostName.get(hostName);
+    if (ofHost === undefined) routesByHostName.set(hostName, [route]);
+    else ofHost.push(route);
+  }
+  for (const routes of routesByHostName.values()) {
+    routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+  }
+  const services = new Map(document.services.map((service) => [service.service, service]));
+  return { version: document.version, routesByHostName, services, limits: document.limits };
+}
+
+/**
+ * Finds the route of a call: the longest prefix of its host name that begins its path.
+ *
+ * @param table - compiled document
+ * @param hostField - value of the Host header, with or without port
+ * @param path - path without query
+ */
+export function findRoute(table: RouteTable, hostField: string, path: string): Route | undefined {
+  const portAt = hostField.lastIndexOf(':');
+  const hostName = (portAt < 0 ? hostField : hostField.slice(0, portAt)).toLowerCase();
+  for (const route of table.routesByHostName.get(hostName) ?? []) {
+    if (path.startsWith(route.pathPrefix)) return route;
+  }
+  return undefined;
+}
+
+/** Credit of each target of one route. */
+type TargetCredits = Map<string, number>;
+
+/**
+ * Spreads the calls of routes over their targets by weight: smooth weighted round robin, so that any
+ * run of calls is close to the weights.
+ */
+export class TargetSpread {
+  private creditsByRoute = new Map<string, { route: Route; credits: TargetCredits }>();
+
+  /**
+   * Picks the service of the next call.
+   *
+   * @param route - route in force
+   * @returns undefined where every weight is 0
+   */
+  next(route: Route): string | undefined {
+    const [only] = route.targets;
+    if (route.targets.length === 1) return only?.service;
+    const credits = this.creditsOf(route);
+    let totalWeight = 0;
+    let best: string | undefined;
+    let bestCredit = Number.NEGATIVE_INFINITY;
+    for (const { service, weight } of route.targets) {
+      if (weight <= 0) continue;
+      totalWeight += weight;
+      const credit = (credits.get(service) ?? 0) + weight;
+      credits.set(service, credit);
+      if (credit > bestCredit) {
+        best = service;
+        bestCredit = credit;
+      }
+    }
+    if (best !== undefined) credits.set(best, bestCredit - totalWeight);
+    return best;
+  }
+
+  /** Forgets routes that the table no longer holds. */
+  prune(table: RouteTable): void {
+    const inForce = new Set([...table.routesByHostName.values()].flat());
+    for (const [routeId, { route }] of this.creditsByRoute) {
+      if (!inForce.has(route)) this.creditsByRoute.delete(routeId);
+    }
+  }
+
+  private creditsOf(route: Route): TargetCredits {
+    const known = this.creditsByRoute.get(route.routeId);
+    if (known?.route === route) return known.credits;
+    const credits: TargetCredits = new Map();
+    this.creditsByRoute.set(route.routeId, { route, credits });
+    return credits;
+  }
+}
--- /dev/null
+++ b/packages/core/src/routing/routingStore.ts
@@ -0,0 +1,96 @@
+import type { RoutingDocument } from '@buckthornlug/protocol/routing/routingSchema.js';
+
+/** The routing document and the evacuated availability zones, as the control group commits them. */
+
+/** Puts a routing document in force, unless a version at least as high is. */
+export interface ReplaceRoutingCommand {
+  readonly type: 'replaceRouting';
+  readonly document: RoutingDocument;
+}
+
+/** Begins or ends the evacuation of an availability zone. */
+export interface EvacuationCommand {
+  readonly type: 'evacuation';
+  readonly availabilityZone: string;
+  readonly isEvacuated: boolean;
+  /** Wall time of the order at the host that took it. */
+  readonly atMs: number;
+}
+
+/** Reply to a routing document or an evacuation. */
+export interface RoutingReply {
+  /** Version in force after the command. */
+  readonly routingVersion: number;
+}
+
+/** An availability zone that is or was evacuated. */
+export interface EvacuationRecord {
+  readonly availabilityZone: string;
+  readonly isEvacuated: boolean;
+  /** Wall time of the last change. */
+  readonly atMs: number;
+}
+
+/** Whole state of the store. */
+export interface RoutingSnapshot {
+  readonly document: RoutingDocument | null;
+  readonly evacuations: readonly EvacuationRecord[];
+  readonly evacuationRevision: number;
+}
+
+/** Holds the highest routing document and the evacuations. */
+export class RoutingStore {
+  private document: RoutingDocument | undefined;
+
+  private evacuations = new Map<string, EvacuationRecord>();
+
+  private revision = 0;
+
+  /** The document in force; undefined before the first one. */
+  current(): RoutingDocument | undefined {
+    return this.document;
+  }
+
+  /** Version in force; -1 before the first document. */
+  version(): number {
+    return this.document?.version ?? -1;
+  }
+
+  /** Rises with each change of an evacuation. */
+  evacuationRevision(): number {
+    return this.revision;
+  }
+
+  evacuationRecords(): readonly EvacuationRecord[] {
+    return [...this.evacuations.values()];
+  }
+
+  replace({ document }: ReplaceRoutingCommand): RoutingReply {
+    if (document.version > this.version()) this.document = document;
+    return { routingVersion: this.version() };
+  }
+
+  evacuate({ availabilityZone, isEvacuated, atMs }: EvacuationCommand): RoutingReply {
+    const isNow = this.evacuations.get(availabilityZone)?.isEvacuated ?? false;
+    if (isNow !== isEvacuated) {
+      this.evacuations.set(availabilityZone, { availabilityZone, isEvacuated, atMs });
+      this.revision += 1;
+    }
+    return { routingVersion: this.version() };
+  }
+
+  snapshot(): RoutingSnapshot {
+    return {
+      document: this.document ?? null,
+      evacuations: this.evacuationRecords(),
+      evacuationRevision: this.revision,
+    };
+  }
+
+  restore(snapshot: RoutingSnapshot | undefined): void {
+    this.document = snapshot?.document ?? undefined;
+    const records = snapshot?.evacuations ?? [];
+    this.evacuations = new Map(records.map((record) => [record.availabilityZone, record]));
+    this.revision = snapshot?.evacuationRevision ?? 0;
+  }
+}
--- a/packages/core/src/submissions/controlMachine.ts
+++ b/packages/core/src/submissions/controlMachine.ts
@@ -6,6 +6,20 @@
 } from '@buckthornlug/protocol/shifts/shiftSchema.js';
 
 import type { ReplicatedMachine } from '../consensus/replicatedMachineTypes.js';
+import {
+  BackendRegistry,
+  type NoteBackendCommand,
+  type RegistryReply,
+  type RegistrySnapshot,
+  type RemoveBackendCommand,
+} from '../registry/backendRegistry.js';
+import {
+  RoutingStore,
+  type EvacuationCommand,
+  type ReplaceRoutingCommand,
+  type RoutingReply,
+  type RoutingSnapshot,
+} from '../routing/routingStore.js';
 import { ShiftTable } from '../shifts/shiftTable.js';
 import { DocumentStore } from './documentStore.js';
 import { checkFormAnew } from './formAnewSignature.js';
@@ -36,6 +50,10 @@
   readonly registerFormation: FormationReply;
   readonly giveUpFormation: GiveUpOutcome;
   readonly findFormation: FormationReply;
+  readonly replaceRouting: RoutingReply;
+  readonly evacuation: RoutingReply;
+  readonly noteBackend: RegistryReply;
+  readonly removeBackend: RegistryReply;
 }
 
 /** A command of the control group. */
@@ -44,7 +62,11 @@
   | ShiftStepCommand
   | RegisterFormationCommand
   | GiveUpFormationCommand
-  | FindFormationCommand;
+  | FindFormationCommand
+  | ReplaceRoutingCommand
+  | EvacuationCommand
+  | NoteBackendCommand
+  | RemoveBackendCommand;
 
 /** A reply of the control group. */
 export type ControlReply = ControlReplies[keyof ControlReplies];
@@ -55,12 +77,17 @@
   /** Absent in snapshots of versions without the registry. */
   readonly formations?: readonly Formation[];
   readonly givenUpFormations?: readonly GivenUpFormations[];
+  /** Absent in snapshots of versions without routing documents. */
+  readonly routing?: RoutingSnapshot;
+  readonly registry?: RegistrySnapshot;
 }
 
 /** The machine of the control group, with read access to its parts. */
 export interface ControlMachine extends ReplicatedMachine<ControlCommand, ControlReply> {
   readonly documents: DocumentStore;
   readonly shifts: ShiftTable;
+  readonly routing: RoutingStore;
+  readonly registry: BackendRegistry;
 }
 
 function commitStep(
@@ -99,26 +126,45 @@
   const documents = new DocumentStore(verify);
   const shifts = new ShiftTable();
   const formations = new FormationRegistry();
+  const routing = new RoutingStore();
+  const registry = new BackendRegistry();
   return {
     documents,
     shifts,
+    routing,
+    registry,
     apply: (command) => {
-      if (command.type === 'submission') return documents.submit(command);
-      if (command.type === 'shiftStep') return commitStep(documents, shifts, command);
-      if (command.type === 'giveUpFormation') {
-        return giveUp(documents, formations, command);
+      switch (command.type) {
+        case 'submission':
+          return documents.submit(command);
+        case 'shiftStep':
+          return commitStep(documents, shifts, command);
+        case 'giveUpFormation':
+          return giveUp(documents, formations, command);
+        case 'findFormation':
+          return formations.find(command.groupId);
+        case 'replaceRouting':
+          return routing.replace(command);
+        case 'evacuation':
+          return routing.evacuate(command);
+        case 'noteBackend':
+          return registry.note(command);
+        case 'removeBackend':
+          return registry.remove(command);
+        default:
+          return formations.register(command.formation);
       }
-      if (command.type === 'findFormation') return formations.find(command.groupId);
-      return formations.register(command.formation);
     },
     read: (command) => formations.find('groupId' in command ? command.groupId : ''),
     snapshot: (): ControlSnapshot => {
-      const registry = formations.snapshot();
+      const formed = formations.snapshot();
       return {
         documents: documents.snapshot(),
         shifts: shifts.snapshot(),
-        formations: registry.formations,
-        givenUpFormations: registry.givenUp,
+        formations: formed.formations,
+        givenUpFormations: formed.givenUp,
+        routing: routing.snapshot(),
+        registry: registry.snapshot(),
       };
     },
     restore: (snapshot) => {
@@ -129,6 +175,8 @@
         formations: restored.formations ?? [],
         givenUp: restored.givenUpFormations ?? [],
       });
+      routing.restore(restored.routing);
+      registry.restore(restored.registry);
     },
   };
 }
--- a/packages/protocol/src/settings/settingsSchema.ts
+++ b/packages/protocol/src/settings/settingsSchema.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 
-import { endpointSchema, idSchema } from '../common/primitives.js';
+import { endpointSchema, idSchema, permilleSchema } from '../common/primitives.js';
 
 /** The settings of one host: one JSON file. Types, checks, defaults and the reference page come from it. */
 
@@ -11,14 +11,22 @@
 
 const peerSchema = z.strictObject({
   hostId: idSchema,
-  region: idSchema,
-  availabilityZone: idSchema,
+  region: idSchema.optional().describe('Learned from the host itself where absent.'),
+  availabilityZone: idSchema.optional().describe('Learned from the host itself where absent.'),
   internal: endpointSchema.describe('Listener for other hosts.'),
 });
 
 const groupSchema = z.strictObject({
   id: idSchema.describe('`control`, or the name of a ledger group.'),
   members: z.array(idSchema).min(1).describe('Hosts with a data folder that start the group.'),
+  mayForm: z
+    .boolean()
+    .optional()
+    .describe('Whether empty disks may form the group, as they may where absent.'),
+  admitsControlHosts: z
+    .boolean()
+    .optional()
+    .describe('Whether every host with the role control joins the group by itself.'),
 });
 
 const listenSchema = z.strictObject({
@@ -66,6 +74,40 @@
   leaveLookupMs: z.number().min(0).default(0).describe('Extra time a stopping host keeps serving.'),
 });
 
+const fieldName = (name: string, use: string) =>
+  z.string().toLowerCase().default(name).describe(use);
+
+/** Header fields between callers, entry hosts and registered backend servers. */
+const callFieldsSchema = z.strictObject({
+  attemptId: fieldName('x-request-id', 'Identity of a call; backend servers send it back.'),
+  timeLeftMs: fieldName('x-buckthornlug-time-left-ms', 'Time for which the caller will wait.'),
+  objectKey: fieldName('x-object-key', 'Object that the call is about.'),
+  expectedBackend: fieldName('x-expected-backend', 'Backend server that alone may run the call.'),
+  notRun: fieldName('x-not-run', 'Present where the backend server did not run the call.'),
+  load: fieldName('x-load', 'Running calls, waiting calls and slots, separated by commas.'),
+});
+
+/** Settings of hosts that serve a routing document. */
+export const routingSettingsSchema = z.strictObject({
+  regionOfZone: z.record(z.string(), z.string()).default({}).describe('Region of each zone.'),
+  reportIntervalMs: z.number().positive().default(1500).describe('Reports of backend servers.'),
+  lookupTtlMs: z.number().positive().default(2000).describe('Time a look-up may be cached.'),
+  retryPermille: z
+    .number()
+    .min(0)
+    .default(100)
+    .describe('Repeated dispatches of all hosts for each thousand calls of a service.'),
+  retryBurst: z
+    .number()
+    .min(0)
+    .default(10)
+    .describe('Repeated dispatches of all hosts on top, within one window of the budget.'),
+  maxShiftPermille: permilleSchema
+    .default(150)
+    .describe('Largest change of the share of a region that runs elsewhere, per 2 s.'),
+  callFields: callFieldsSchema.prefault({}),
+});
+
 /** Settings of one host. */
 export const settingsSchema = z.strictObject({
   hostId: idSchema,
@@ -91,6 +133,9 @@
     .describe('Keys between hosts; the first signs.'),
   announceKeys: z.array(secretKeySchema).min(1).max(4).describe('Keys of backend servers.'),
   limits: limitsSchema.prefault({}),
+  routing: routingSettingsSchema
+    .optional()
+    .describe('Serves a routing document with registered backend servers.'),
   timing: timingSchema.prefault({}),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 });
@@ -99,3 +144,6 @@
 export type Role = Settings['roles'][number];
 export type Peer = Settings['peers'][number];
 export type SecretKey = Settings['clusterKeys'][number];
+export type GroupSettings = Settings['groups'][number];
+export type RoutingSettings = NonNullable<Settings['routing']>;
+export type CallFields = RoutingSettings['callFields'];
