feat(consensus): control hosts join the control group by themselves

Cause: a process of the platform knows three seeds and no further hosts; the group grew by operators only, and an empty disk could form it at any time. Change: settings mayForm and admitsControlHosts of a group; a replica tells for how long it has known no leader that a quorum follows.

--- a/packages/core/src/consensus/replica.ts
+++ b/packages/core/src/consensus/replica.ts
@@ -197,3 +197,17 @@
   if (untilMs === undefined || state.leadership?.handOver !== undefined) return false;
   return nowMs < untilMs;
 }
+
+/**
+ * Time since a leader that a quorum follows was last known: for the leader since it heard a quorum,
+ * for the others since they heard the leader.
+ *
+ * @param state - replica
+ * @param nowMs - monotonic time
+ */
+export function leaderSilentMs(state: ReplicaState, nowMs: number): number {
+  const { leadership } = state;
+  if (leadership !== undefined) return nowMs - quorumContactMs(state, leadership);
+  if (state.leader === null) return Number.POSITIVE_INFINITY;
+  return nowMs - (state.voteBlockedUntilMs - state.options.electionTimeoutMs);
+}
--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -10,7 +10,7 @@
   Snapshot,
 } from '@buckthornlug/core/consensus/consensusTypes.js';
 import { nextDueMs } from '@buckthornlug/core/consensus/nextDue.js';
-import { holdsLease, step } from '@buckthornlug/core/consensus/replica.js';
+import { holdsLease, leaderSilentMs, step } from '@buckthornlug/core/consensus/replica.js';
 import {
   planReplicaChange,
   type ChangePlan,
@@ -309,6 +309,10 @@
     return this.state.leader === null ? undefined : hostIdOf(this.state.leader);
   }
 
+  leaderSilentMs(): number {
+    return leaderSilentMs(this.state, this.parts.context.clock.nowMs());
+  }
+
   wantsToJoin(): boolean {
     const { voters, learners } = this.state.members;
     const isMember = voters.includes(this.replicaId) || learners.includes(this.replicaId);
@@ -371,6 +375,7 @@
     onApplied: (listener) => task.onApplied(listener),
     isLeader: () => task.isLeader(),
     leaderId: () => task.leaderId(),
+    leaderSilentMs: () => task.leaderSilentMs(),
     wantsToJoin: () => task.wantsToJoin(),
     addReplica: (replicaId) =>
       task.take({ kind: 'changeMembers', change: { change: 'add', replicaId } }),
--- a/packages/host/src/consensus/groupTaskTypes.ts
+++ b/packages/host/src/consensus/groupTaskTypes.ts
@@ -42,6 +42,8 @@
   readonly onApplied: (listener: (logIndex: number) => void) => () => void;
   readonly isLeader: () => boolean;
   readonly leaderId: () => string | undefined;
+  /** Time since the replica last knew a leader that a quorum follows, in milliseconds. */
+  readonly leaderSilentMs: () => number;
   /** Whether the replica waits to be added to the group. */
   readonly wantsToJoin: () => boolean;
   readonly addReplica: (replicaId: string) => void;
--- a/packages/host/src/consensus/groupTypes.ts
+++ b/packages/host/src/consensus/groupTypes.ts
@@ -14,6 +14,8 @@
   /** Whether this host leads the group and has confirmed it within the lease of its quorum. */
   readonly isLeader: () => boolean;
   readonly leaderId: () => string | undefined;
+  /** Time since this replica knew a leader that a quorum follows; infinite on other hosts. */
+  readonly leaderSilentMs: () => number;
   /** Resolves when the local machine holds everything committed before the call; members only. */
   readonly readBarrier: (timeoutMs: number) => ResultAsync<void, Failure>;
   /** Calls back after the local machine has changed; members only. */
--- a/packages/host/src/consensus/groups.ts
+++ b/packages/host/src/consensus/groups.ts
@@ -1,5 +1,6 @@
 import type { ConsensusMessage } from '@buckthornlug/core/consensus/consensusTypes.js';
 import { hostIdOf } from '@buckthornlug/core/consensus/membership.js';
+import { takesPart } from '@buckthornlug/core/membership/memberStamp.js';
 import type { ReplicatedMachine } from '@buckthornlug/core/consensus/replicatedMachineTypes.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
@@ -18,7 +19,7 @@
   SubmitRequest,
 } from './consensusSchema.js';
 import { FormationGuard } from './formationGuard.js';
-import { groupMembersOf } from './groupMembers.js';
+import { groupMembersOf, groupSettingsOf, holdsReplica } from './groupMembers.js';
 import type { GroupHandle } from './groupTypes.js';
 import { HeartbeatLink, type HeartbeatBatch } from './heartbeatLink.js';
 import { LeaderClient } from './leaderClient.js';
@@ -111,9 +112,21 @@
     return replicas.map(({ hostId }) => hostId);
   }
 
-  /** Hosts of the group now, and those of the settings. */
+  /** Hosts of the group now, those of the settings, and those that may join by themselves. */
   private knownHostIds(groupId: string): readonly string[] {
-    return [...new Set([...this.replicaHostIds(groupId), ...this.memberHostIds(groupId)])];
+    const hostIds = [...this.replicaHostIds(groupId), ...this.memberHostIds(groupId)];
+    if (groupSettingsOf(this.context.settings, groupId)?.admitsControlHosts === true) {
+      for (const host of this.parts.membership.hosts()) {
+        if (host.roles.includes('control') && takesPart(host.state)) hostIds.push(host.hostId);
+      }
+    }
+    return [...new Set(hostIds)];
+  }
+
+  /** Whether a replica may join without an operator. */
+  private mayJoin(groupId: string, replicaId: string): boolean {
+    if (groupSettingsOf(this.context.settings, groupId)?.admitsControlHosts === true) return true;
+    return this.replicaHostIds(groupId).includes(hostIdOf(replicaId));
   }
 
   open: OpenGroup = <Command, Reply>(
@@ -123,11 +136,13 @@
     const { settings, clock } = this.context;
     const memberHostIds = this.memberHostIds(groupId);
     let replica: MemberReplica<Command, Reply> | undefined;
-    if (memberHostIds.includes(settings.hostId) && settings.dataFolder !== undefined) {
+    if (holdsReplica(settings, groupId) && settings.dataFolder !== undefined) {
       const { dataFolder } = settings;
       const { context, peers, guard, heartbeats } = this;
       const shared = { context, peers, guard, heartbeats, machine, dataFolder };
-      replica = new MemberReplica({ ...shared, groupId, memberHostIds });
+      const mayForm = groupSettingsOf(settings, groupId)?.mayForm ?? true;
+      const otherHostIds = () => this.knownHostIds(groupId).filter((id) => id !== settings.hostId);
+      replica = new MemberReplica({ ...shared, groupId, memberHostIds, mayForm, otherHostIds });
       this.replicas.set(groupId, replica as unknown as AnyReplica);
       this.starts.push(replica.start());
     }
@@ -146,6 +161,7 @@
       read: (command, timeoutMs) => client.read(command, timeoutMs),
       isLeader: () => replica?.task?.isLeader() ?? false,
       leaderId: () => client.leaderId(),
+      leaderSilentMs: () => replica?.task?.leaderSilentMs() ?? Number.POSITIVE_INFINITY,
       readBarrier: (timeoutMs) => replica?.readBarrier(timeoutMs) ?? errAsync(notMember),
       onApplied: (listener) => replica?.onApplied(listener) ?? (() => undefined),
     };
@@ -179,7 +195,7 @@
     const replica = this.replicas.get(groupId);
     const { task } = replica ?? {};
     if (task === undefined || !task.isLeader()) return notLeader(replica, groupId);
-    if (!this.replicaHostIds(groupId).includes(hostIdOf(replicaId))) {
+    if (!this.mayJoin(groupId, replicaId)) {
       return { ok: false, failure: failure('BL5005', `"${replicaId}" is of no member host`) };
     }
     task.addReplica(replicaId);
--- a/packages/host/src/consensus/memberReplica.ts
+++ b/packages/host/src/consensus/memberReplica.ts
@@ -37,6 +37,10 @@
   readonly groupId: string;
   /** Hosts that start the group. */
   readonly memberHostIds: readonly string[];
+  /** Whether empty disks may form the group. */
+  readonly mayForm: boolean;
+  /** Other hosts that hold a replica or may know one that does. */
+  readonly otherHostIds: () => readonly string[];
   readonly machine: ReplicatedMachine<Command, Reply>;
   readonly dataFolder: string;
 }
@@ -93,19 +97,16 @@
     return `${this.parts.context.settings.hostId}/${storage.stored().identity.incarnation}`;
   }
 
-  private otherMembers(): string[] {
-    const { hostId } = this.parts.context.settings;
-    return this.parts.memberHostIds.filter((id) => id !== hostId);
-  }
-
   private async askMembers(): Promise<GroupDescription[]> {
     const { peers, groupId } = this.parts;
     const answers = await Promise.all(
-      this.otherMembers().map((hostId) =>
-        peers.request(hostId, (client, signal) =>
-          client.consensus.describe.query({ groupId }, { signal }),
+      this.parts
+        .otherHostIds()
+        .map((hostId) =>
+          peers.request(hostId, (client, signal) =>
+            client.consensus.describe.query({ groupId }, { signal }),
+          ),
         ),
-      ),
     );
     return answers.flatMap((answer) => (answer.isOk() ? [answer.value] : []));
   }
@@ -147,7 +148,7 @@
     replicaId: string,
   ): Promise<Pick<Formation, 'formationId' | 'voters'> | undefined> {
     if (next.step === 'adopt') return next;
-    if (next.step === 'form') return this.claim(next.voters);
+    if (next.step === 'form' && this.parts.mayForm) return this.claim(next.voters);
     return this.parts.guard.startOf(this.parts.groupId, replicaId);
   }
 
@@ -213,11 +214,13 @@
   private async requestJoin(replicaId: string): Promise<void> {
     const { peers, groupId } = this.parts;
     await Promise.all(
-      this.otherMembers().map((hostId) =>
-        peers.request(hostId, (client, signal) =>
-          client.consensus.join.mutate({ groupId, replicaId }, { signal }),
+      this.parts
+        .otherHostIds()
+        .map((hostId) =>
+          peers.request(hostId, (client, signal) =>
+            client.consensus.join.mutate({ groupId, replicaId }, { signal }),
+          ),
         ),
-      ),
     );
   }
 
--- a/packages/host/src/runtime/staticMembership.ts
+++ b/packages/host/src/runtime/staticMembership.ts
@@ -3,7 +3,7 @@
 import type { HostRecord, MembershipView } from './hostTypes.js';
 
 /**
- * Creates a membership that holds this host and the peers of its settings, all alive. The ports of
+ * Creates a membership that holds this host and the peers whose place the settings tell, all alive. The ports of
  * the callers and administration listeners of peers are taken to be those of this host.
  *
  * @param settings - settings of this host
@@ -23,21 +23,23 @@
     admin: listen.admin,
     documentVersion: 0,
   };
-  const others = settings.peers
-    .filter((peer) => peer.hostId !== settings.hostId)
-    .map((peer): HostRecord => ({
-      hostId: peer.hostId,
-      region: peer.region,
-      availabilityZone: peer.availabilityZone,
+  const hosts = [self];
+  for (const { hostId, region, availabilityZone, internal } of settings.peers) {
+    const isPlaced = region !== undefined && availabilityZone !== undefined;
+    if (hostId === settings.hostId || !isPlaced) continue;
+    hosts.push({
+      hostId,
+      region,
+      availabilityZone,
       incarnation: 0,
       state: 'alive',
       roles: ['entry'],
-      internal: peer.internal,
-      callers: { address: peer.internal.address, port: listen.callers.port },
-      admin: { address: peer.internal.address, port: listen.admin.port },
+      internal,
+      callers: { address: internal.address, port: listen.callers.port },
+      admin: { address: internal.address, port: listen.admin.port },
       documentVersion: 0,
-    }));
-  const hosts = [self, ...others];
+    });
+  }
   return {
     self: () => self,
     hosts: () => hosts,
--- a/packages/host/src/submissions/controlGroup.ts
+++ b/packages/host/src/submissions/controlGroup.ts
@@ -21,6 +21,12 @@
 import type { GroupHandle } from '../consensus/groupTypes.js';
 import type { DocumentInForce } from '../runtime/hostTypes.js';
 
+/** Commands about routing documents, evacuations and registered backend servers. */
+export type RoutingCommand = Extract<
+  ControlCommand,
+  { readonly type: 'replaceRouting' | 'evacuation' | 'noteBackend' | 'removeBackend' }
+>;
+
 /** How far a host has come with what the control group has committed. */
 interface CommittedVersions {
   readonly version: number;
@@ -39,10 +45,17 @@
   readonly isLeader: () => boolean;
   readonly leaderId: () => string | undefined;
   readonly hasLeader: () => boolean;
+  /** Time since this member knew a leader that a quorum follows, in milliseconds. */
+  readonly leaderSilentMs: () => number;
   readonly submit: (
     command: SubmissionCommand,
     timeoutMs: number,
   ) => ResultAsync<SubmissionOutcome, Failure>;
+  /** Commits a command about routing or backend servers; such commands may be repeated. */
+  readonly commit: (
+    command: RoutingCommand,
+    timeoutMs: number,
+  ) => ResultAsync<ControlReply, Failure>;
   /** Commits a step; BL8002 for a step of an older plan. */
   readonly submitStep: (step: ShiftStep, timeoutMs: number) => ResultAsync<CommittedStep, Failure>;
   /** Registers the first formation of a ledger group; returns the one that is registered. */
@@ -92,11 +105,13 @@
     document: () => documents.current(),
     isLeader: handle.isLeader,
     leaderId: handle.leaderId,
+    leaderSilentMs: handle.leaderSilentMs,
     hasLeader: () => handle.leaderId() !== undefined,
     submit: (command, timeoutMs) =>
       handle
         .submit(command, timeoutMs)
         .andThen((reply) => ('accepted' in reply ? okAsync(reply) : errAsync(otherReply))),
+    commit: handle.submit,
     submitStep: (step, timeoutMs) =>
       handle.submit({ type: 'shiftStep', step }, timeoutMs).andThen((reply) => {
         if (!('committed' in reply)) return errAsync(otherReply);
--- a/packages/host/src/submissions/submissionsFeature.ts
+++ b/packages/host/src/submissions/submissionsFeature.ts
@@ -3,7 +3,7 @@
 import { okAsync } from 'neverthrow';
 
 import { controlGroupId } from '../consensus/controlGroupId.js';
-import { groupMembersOf } from '../consensus/groupMembers.js';
+import { groupMembersOf, holdsReplica } from '../consensus/groupMembers.js';
 import type { Feature } from '../runtime/hostParts.js';
 import { createControlGroup } from './controlGroup.js';
 import { readControl, readOnMember } from './controlReader.js';
@@ -19,7 +19,7 @@
   start: (context, parts) => {
     const { settings } = context;
     const memberHostIds = groupMembersOf(settings, controlGroupId);
-    const isMember = memberHostIds.includes(settings.hostId) && settings.dataFolder !== undefined;
+    const isMember = holdsReplica(settings, controlGroupId);
     const machine = createControlMachine(verifySubmission);
     const handle = parts.openGroup<
       Parameters<typeof machine.apply>[0],
