feat(routing): control hosts spread routing to entry hosts, and find silent backend servers

Cause: entry hosts need the document, the evacuations and the backend servers within 2.5 s of an acknowledgement, also past a control host that is frozen or cut off. Change: long polls that carry what is newer; a source that does not answer within 1 s or knows no leader is skipped. Reports are acknowledged once committed; the leader removes those that fall silent.

--- /dev/null
+++ b/packages/host/src/registry/registryTask.ts
@@ -0,0 +1,133 @@
+import type { BackendReport } from '@buckthornlug/protocol/registry/registrySchema.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
+
+import type { HeardBackends as HeardMessage } from '../routing/routingPollSchema.js';
+import type { HostParts } from '../runtime/hostParts.js';
+import type { HostContext } from '../runtime/hostTypes.js';
+import type { ControlGroup } from '../submissions/controlGroup.js';
+import { HeardBackends } from './heardBackends.js';
+
+/** Takes the reports of backend servers on a control host. */
+
+/** Interval between exchanges of what was heard, and between searches for silent ones. */
+const exchangeIntervalMs = 1000;
+/** Reports heard within this time are told to the leader; covers one lost exchange. */
+const tellWithinMs = 2500;
+/** Time without a leader from which reports are refused, so that they go to another host. */
+const maxLeaderSilentMs = 1500;
+/** Time limit of a commit; a backend server waits no longer for an acknowledgement. */
+const commitTimeoutMs = 900;
+
+/** Registers backend servers, drains them and finds those that fell silent. */
+export class RegistryTask {
+  private readonly heard: HeardBackends;
+
+  private readonly timer: NodeJS.Timeout;
+
+  private wasLeader = false;
+
+  /**
+   * @param context - context of the host
+   * @param parts - requests to the other control hosts
+   * @param control - control group
+   * @param reportIntervalMs - interval of the reports of a backend server
+   */
+  constructor(
+    private readonly context: HostContext,
+    private readonly parts: Pick<HostParts, 'peers'>,
+    private readonly control: ControlGroup,
+    reportIntervalMs: number,
+  ) {
+    this.heard = new HeardBackends(reportIntervalMs, context.clock.nowMs());
+    this.timer = setInterval(() => this.exchange(), exchangeIntervalMs);
+  }
+
+  /**
+   * Takes a report. Resolves once all control hosts will hold what it says, so that the backend
+   * server may rely on it.
+   *
+   * @param report - checked report
+   * @returns BL5001 where the host is out of contact, BL5002 where the commit is not known
+   */
+  report(report: BackendReport): ResultAsync<void, Failure> {
+    if (this.control.leaderSilentMs() > maxLeaderSilentMs) {
+      return errAsync(
+        failure('BL5001', 'the control group has no leader that this host can reach'),
+      );
+    }
+    const { clock, log, metrics } = this.context;
+    metrics.count('backend_reports_total');
+    const { registry } = this.control.machine;
+    const atMs = clock.wallMs();
+    this.heard.note(report.backendId, clock.nowMs());
+    if (!registry.isNews(report, atMs)) return okAsync(undefined);
+    const { backendId, state, sequence, service, availabilityZone, bornAtMs, coldForMs } = report;
+    const noted = { backendId, state, sequence, service, availabilityZone, bornAtMs, coldForMs };
+    return this.control
+      .commit({ type: 'noteBackend', report, atMs }, commitTimeoutMs)
+      .map(() => log.info('backendNoted', noted))
+      .mapErr((problem) => this.refused(backendId, problem));
+  }
+
+  /**
+   * Removes a backend server that leaves.
+   *
+   * @param backendId - backend server
+   */
+  leave(backendId: string): ResultAsync<void, Failure> {
+    const command = { type: 'removeBackend', backendId, reason: 'left' } as const;
+    return this.control
+      .commit(command, commitTimeoutMs)
+      .map(() => this.context.log.info('backendLeft', { backendId }))
+      .mapErr((problem) => this.refused(backendId, problem));
+  }
+
+  /** Takes what another control host has heard. */
+  takeHeard(heard: HeardMessage): void {
+    const nowMs = this.context.clock.nowMs();
+    for (const { backendId, ageMs } of heard) this.heard.note(backendId, nowMs - ageMs);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  private refused(backendId: string, problem: Failure): Failure {
+    const { code, detail } = problem;
+    this.context.log.warn('backendReportNotCommitted', { backendId, code, detail });
+    return problem;
+  }
+
+  private exchange(): void {
+    const nowMs = this.context.clock.nowMs();
+    const isLeader = this.control.isLeader();
+    if (isLeader && !this.wasLeader) this.heard.startOver(nowMs);
+    this.wasLeader = isLeader;
+    if (isLeader) this.removeSilent(nowMs);
+    else this.tellLeader(nowMs);
+  }
+
+  private removeSilent(nowMs: number): void {
+    const { registry } = this.control.machine;
+    this.heard.forget(registry);
+    for (const { backendId, bornAtMs } of this.heard.silent(registry, nowMs)) {
+      const command = { type: 'removeBackend', backendId, bornAtMs, reason: 'silent' } as const;
+      this.context.log.warn('backendSilent', { backendId, bornAtMs });
+      this.control
+        .commit(command, commitTimeoutMs)
+        .mapErr((problem) => this.refused(backendId, problem));
+    }
+  }
+
+  private tellLeader(nowMs: number): void {
+    const leaderId = this.control.leaderId();
+    const heard = this.heard.recent(tellWithinMs, nowMs);
+    if (leaderId === undefined || heard.length === 0) return;
+    this.parts.peers
+      .request(leaderId, (client, signal) => client.routing.heard.mutate(heard, { signal }))
+      .mapErr(({ code, detail }) => {
+        this.context.log.warn('heardNotTold', { leaderId, code, detail });
+      });
+  }
+}
--- /dev/null
+++ b/packages/host/src/routing/routingFeature.ts
@@ -0,0 +1,49 @@
+import { failure } from '@buckthornlug/protocol/results/failure.js';
+import { errAsync, okAsync } from 'neverthrow';
+
+import { RegistryTask } from '../registry/registryTask.js';
+import type { Feature } from '../runtime/hostParts.js';
+import { createRoutingCommands } from './routingCommands.js';
+import { RoutingServer } from './routingServer.js';
+
+/** Routing documents, evacuations and registered backend servers, on control hosts. */
+export const routingFeature: Feature = {
+  name: 'routing',
+  wanted: ({ roles, routing }) => roles.includes('control') && routing !== undefined,
+  start: (context, parts) => {
+    const { control } = parts;
+    const { routing } = context.settings;
+    if (control === undefined || routing === undefined) {
+      return errAsync(failure('BL5005', 'routing needs the control group'));
+    }
+    const { machine } = control;
+    const { wallMs } = context.clock;
+    const server = new RoutingServer({ machine, leaderSilentMs: control.leaderSilentMs, wallMs });
+    const registry = new RegistryTask(context, parts, control, routing.reportIntervalMs);
+    const endWatch = control.onChange(() => server.changed());
+    parts.rpcHandlers.routing = {
+      poll: (poll) => server.poll(poll),
+      heard: (heard) => registry.takeHeard(heard),
+    };
+    parts.provide({
+      routingCommands: createRoutingCommands(context, control),
+      reportBackend: (report) => registry.report(report),
+      removeBackend: (backendId) => registry.leave(backendId),
+    });
+    return okAsync({
+      name: 'routing',
+      stopSteps: {
+        closeTasks: () => {
+          endWatch();
+          registry.stop();
+          server.close();
+          return Promise.resolve();
+        },
+      },
+      status: () => ({
+        routingVersion: machine.routing.version(),
+        registryRevision: machine.registry.revision(),
+      }),
+    });
+  },
+};
--- /dev/null
+++ b/packages/host/src/routing/routingFollower.ts
@@ -0,0 +1,121 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+import { err, ok, type Result } from 'neverthrow';
+
+import { takesPart } from '@buckthornlug/core/membership/memberStamp.js';
+
+import type { HostParts } from '../runtime/hostParts.js';
+import type { HostContext, HostRecord } from '../runtime/hostTypes.js';
+import { routingNewsSchema, type RoutingNews, type RoutingPosition } from './routingPollSchema.js';
+
+/** Keeps the routing state of an entry host up to date. */
+
+/** Wait of a poll for news; with the time limit it bounds how long a dead source goes unnoticed. */
+const pollWaitMs = 500;
+/** Time limit of the network and the source on top of the wait. */
+const answerTimeoutMs = 500;
+/** Silence of the control group from which another source is asked. */
+const maxSourceSilentMs = 1000;
+/** Pause after every source has failed. */
+const pauseMs = 150;
+
+/** What the follower is given. */
+export interface RoutingFollowerParts {
+  readonly context: HostContext;
+  readonly parts: Pick<HostParts, 'membership' | 'peers'>;
+  readonly position: () => RoutingPosition;
+  readonly apply: (news: RoutingNews) => void;
+}
+
+/** Polls one control host after another, the nearest first. */
+export class RoutingFollower {
+  private isStopped = false;
+
+  private attempt = 0;
+
+  private failedInARow = 0;
+
+  private lastSource: string | undefined;
+
+  /**
+   * @param follower - where to ask, and who takes the news
+   */
+  constructor(private readonly follower: RoutingFollowerParts) {}
+
+  async run(): Promise<void> {
+    while (!this.isStopped) await this.askNext();
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private async askNext(): Promise<void> {
+    const sources = this.sources();
+    const source = sources[this.attempt % Math.max(1, sources.length)];
+    if (source === undefined) {
+      await delay(pauseMs);
+      return;
+    }
+    const answer = await this.ask(source);
+    if (this.isStopped) return;
+    if (answer.isErr()) {
+      await this.skip(source, sources.length, answer.error);
+      return;
+    }
+    const news = answer.value;
+    this.follower.apply(news);
+    const silentMs = news.silentMs ?? Number.POSITIVE_INFINITY;
+    if (silentMs > maxSourceSilentMs) {
+      const problem = failure('BL5001', 'the control host knows no leader');
+      await this.skip(source, sources.length, problem);
+      return;
+    }
+    this.failedInARow = 0;
+    if (this.lastSource === source) return;
+    this.lastSource = source;
+    this.follower.context.log.info('routingSourceChosen', { source });
+  }
+
+  private async skip(source: string, sourceCount: number, problem: Failure): Promise<void> {
+    const { log } = this.follower.context;
+    log.warn('routingSourceSkipped', { source, code: problem.code, detail: problem.detail });
+    this.lastSource = undefined;
+    this.attempt += 1;
+    this.failedInARow += 1;
+    if (this.failedInARow % Math.max(1, sourceCount) === 0) await delay(pauseMs);
+  }
+
+  private async ask(source: string): Promise<Result<RoutingNews, Failure>> {
+    const have = this.follower.position();
+    const waitMs = this.failedInARow > 0 ? 0 : pollWaitMs;
+    const answer = await this.follower.parts.peers.request(
+      source,
+      (client, signal) => client.routing.poll.query({ ...have, waitMs }, { signal }),
+      waitMs + answerTimeoutMs,
+    );
+    return answer.andThen((value) => {
+      const news = routingNewsSchema.safeParse(value);
+      return news.success ? ok(news.data) : err(failure('BL6003', 'the news has a wrong form'));
+    });
+  }
+
+  /** Control hosts, the nearest first; the peers of the settings where none is known. */
+  private sources(): readonly string[] {
+    const { context, parts } = this.follower;
+    const { settings } = context;
+    const distance = (host: HostRecord) => {
+      if (host.availabilityZone === settings.availabilityZone) return 0;
+      return host.region === settings.region ? 1 : 2;
+    };
+    const controlHosts = parts.membership
+      .hosts()
+      .filter((host) => host.roles.includes('control') && takesPart(host.state));
+    if (controlHosts.length === 0) return settings.peers.map(({ hostId }) => hostId);
+    return controlHosts
+      .map((host) => ({ hostId: host.hostId, key: `${distance(host)} ${host.hostId}` }))
+      .sort((left, right) => (left.key < right.key ? -1 : 1))
+      .map(({ hostId }) => hostId);
+  }
+}
--- /dev/null
+++ b/packages/host/src/routing/routingServer.ts
@@ -0,0 +1,106 @@
+import type { ControlMachine } from '@buckthornlug/core/submissions/controlMachine.js';
+
+import type { RoutingNews, RoutingPoll, RoutingPosition } from './routingPollSchema.js';
+
+/** Answers the polls of entry hosts from the committed state of a control host. */
+
+/** Time in which changes gather before waiting polls are answered. */
+const gatherMs = 15;
+
+/** What the server is given. */
+export interface RoutingServerParts {
+  readonly machine: ControlMachine;
+  readonly leaderSilentMs: () => number;
+  readonly wallMs: () => number;
+}
+
+/** A poll that waits for news. */
+interface WaitingPoll {
+  readonly poll: RoutingPoll;
+  readonly answer: () => void;
+}
+
+/** Holds polls open until there is news for them. */
+export class RoutingServer {
+  private readonly waiting = new Set<WaitingPoll>();
+
+  private gathering: NodeJS.Timeout | undefined;
+
+  /**
+   * @param parts - committed state and clocks
+   */
+  constructor(private readonly parts: RoutingServerParts) {}
+
+  /** Answers at once where there is news, else after the wait of the poll. */
+  poll(poll: RoutingPoll): Promise<RoutingNews> {
+    if (this.hasNews(poll) || poll.waitMs === 0) return Promise.resolve(this.newsFor(poll));
+    return new Promise((resolve) => {
+      let timer: NodeJS.Timeout | undefined;
+      const waiting: WaitingPoll = {
+        poll,
+        answer: () => {
+          clearTimeout(timer);
+          this.waiting.delete(waiting);
+          resolve(this.newsFor(poll));
+        },
+      };
+      timer = setTimeout(waiting.answer, poll.waitMs);
+      this.waiting.add(waiting);
+    });
+  }
+
+  /** Takes note that the committed state may have changed. */
+  changed(): void {
+    if (this.waiting.size === 0) return;
+    this.gathering ??= setTimeout(() => {
+      this.gathering = undefined;
+      for (const waiting of [...this.waiting]) {
+        if (this.hasNews(waiting.poll)) waiting.answer();
+      }
+    }, gatherMs);
+  }
+
+  /** Answers all polls that wait. */
+  close(): void {
+    clearTimeout(this.gathering);
+    for (const waiting of [...this.waiting]) waiting.answer();
+  }
+
+  private position(): RoutingPosition {
+    const { routing, registry } = this.parts.machine;
+    return {
+      routingVersion: routing.version(),
+      evacuationRevision: routing.evacuationRevision(),
+      registryRevision: registry.revision(),
+    };
+  }
+
+  private hasNews(have: RoutingPosition): boolean {
+    const held = this.position();
+    return (
+      held.routingVersion > have.routingVersion ||
+      held.evacuationRevision > have.evacuationRevision ||
+      held.registryRevision > have.registryRevision
+    );
+  }
+
+  private newsFor(have: RoutingPosition): RoutingNews {
+    const { machine, leaderSilentMs, wallMs } = this.parts;
+    const { routing, registry } = machine;
+    const position = this.position();
+    const document = routing.current();
+    const isNewer = document !== undefined && document.version > have.routingVersion;
+    const silentMs = leaderSilentMs();
+    return {
+      position,
+      // Entry hosts have no use for the operator's own form of the document.
+      ...(isNewer ? { document: { ...document, source: '' } } : {}),
+      ...(position.evacuationRevision > have.evacuationRevision
+        ? { evacuations: [...routing.evacuationRecords()] }
+        : {}),
+      backends: registry.since(have.registryRevision),
+      silentMs: Number.isFinite(silentMs) ? silentMs : null,
+      wallMs: wallMs(),
+    };
+  }
+}
--- /dev/null
+++ b/packages/host/src/routing/routingState.ts
@@ -0,0 +1,83 @@
+import { compileRoutes, type RouteTable } from '@buckthornlug/core/routing/routeTable.js';
+import type { EvacuationRecord } from '@buckthornlug/core/routing/routingStore.js';
+import type { RegisteredBackend } from '@buckthornlug/protocol/registry/registrySchema.js';
+
+import type { Clock } from '../runtime/hostTypes.js';
+import type { RoutingNews, RoutingPosition } from './routingPollSchema.js';
+
+/** What an entry host holds of the routing document, the evacuations and the backend servers. */
+export class RoutingState {
+  /** Compiled document in force; undefined before the first one has come. */
+  table: RouteTable | undefined;
+
+  readonly backends = new Map<string, RegisteredBackend>();
+
+  private evacuations = new Map<string, EvacuationRecord>();
+
+  private held: RoutingPosition = {
+    routingVersion: -1,
+    evacuationRevision: 0,
+    registryRevision: 0,
+  };
+
+  /** Difference between the own monotonic clock and the wall clock of the last source. */
+  private clockOffsetMs = 0;
+
+  /**
+   * @param clock - clock of the host
+   */
+  constructor(private readonly clock: Pick<Clock, 'nowMs'>) {}
+
+  position(): RoutingPosition {
+    return this.held;
+  }
+
+  /**
+   * Takes over what is newer.
+   *
+   * @param news - answer of a control host
+   * @returns whether anything has changed
+   */
+  apply(news: RoutingNews): boolean {
+    const { position, document, evacuations, backends, wallMs } = news;
+    this.clockOffsetMs = this.clock.nowMs() - wallMs;
+    let hasChanged = false;
+    if (document !== undefined && document.version > this.held.routingVersion) {
+      this.table = compileRoutes(document);
+      this.held = { ...this.held, routingVersion: document.version };
+      hasChanged = true;
+    }
+    if (evacuations !== undefined && position.evacuationRevision > this.held.evacuationRevision) {
+      this.evacuations = new Map(evacuations.map((one) => [one.availabilityZone, one]));
+      this.held = { ...this.held, evacuationRevision: position.evacuationRevision };
+      hasChanged = true;
+    }
+    for (const record of backends) hasChanged = this.takeBackend(record) || hasChanged;
+    if (position.registryRevision > this.held.registryRevision) {
+      this.held = { ...this.held, registryRevision: position.registryRevision };
+    }
+    return hasChanged;
+  }
+
+  /** Whether a backend server may get calls. */
+  isUsable({ state, availabilityZone }: RegisteredBackend): boolean {
+    return state === 'ready' && this.evacuations.get(availabilityZone)?.isEvacuated !== true;
+  }
+
+  /** Monotonic time until which a backend server is cold; after an evacuation its zone is cold anew. */
+  coldUntilMs({ coldUntilMs, availabilityZone, service }: RegisteredBackend): number {
+    const evacuation = this.evacuations.get(availabilityZone);
+    const startMs = this.table?.services.get(service)?.coldStartMs ?? 0;
+    const takenBackMs =
+      evacuation === undefined || evacuation.isEvacuated ? 0 : evacuation.atMs + startMs;
+    return Math.max(coldUntilMs, takenBackMs) + this.clockOffsetMs;
+  }
+
+  private takeBackend(record: RegisteredBackend): boolean {
+    const known = this.backends.get(record.backendId);
+    if (known !== undefined && known.revision >= record.revision) return false;
+    if (record.state === 'gone') this.backends.delete(record.backendId);
+    else this.backends.set(record.backendId, record);
+    return true;
+  }
+}
--- a/packages/host/src/rpc/appRouter.ts
+++ b/packages/host/src/rpc/appRouter.ts
@@ -11,6 +11,7 @@
 import { createTimelineRouter, type TimelineHandlers } from '../timeline/timelineRouter.js';
 import { createDocumentsRouter, type DocumentsHandlers } from '../documents/documentsRouter.js';
 import { createMembershipRouter, type MembershipHandlers } from '../membership/membershipRouter.js';
+import { createRoutingRouter, type RoutingHandlers } from '../routing/routingRouter.js';
 import { createPingRouter, type PingHandlers } from './pingRouter.js';
 
 /** Handlers of all procedures between hosts; each feature sets its own when it starts. */
@@ -20,6 +21,7 @@
   membership: MembershipHandlers;
   metrics: MetricsHandlers;
   ping: PingHandlers;
+  routing: RoutingHandlers;
   slots: SlotsHandlers;
   submissions: SubmissionsHandlers;
   timeline: TimelineHandlers;
@@ -36,6 +38,7 @@
     consensus: createConsensusRouter(lateHandlers(() => handlers.consensus)),
     membership: createMembershipRouter(lateHandlers(() => handlers.membership)),
     metrics: createMetricsRouter(lateHandlers(() => handlers.metrics)),
+    routing: createRoutingRouter(lateHandlers(() => handlers.routing)),
     slots: createSlotsRouter(lateHandlers(() => handlers.slots)),
     submissions: createSubmissionsRouter(lateHandlers(() => handlers.submissions)),
     timeline: createTimelineRouter(lateHandlers(() => handlers.timeline)),
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -2,6 +2,7 @@
   Announcement,
   AnnouncementReply,
 } from '@buckthornlug/protocol/announce/announceSchema.js';
+import type { BackendReport } from '@buckthornlug/protocol/registry/registrySchema.js';
 import type { Failure } from '@buckthornlug/protocol/results/failure.js';
 import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 import type {
@@ -26,6 +27,7 @@
 import type { Datagrams } from '../rpc/datagrams.js';
 import type { ForwardedCallHandler } from '../rpc/internalListener.js';
 import type { PeerClients } from '../rpc/peerClients.js';
+import type { RoutingCommands } from '../routing/routingCommands.js';
 import type { ControlGroup } from '../submissions/controlGroup.js';
 import type { RequestAuth } from '../rpc/requestAuth.js';
 import type { TableHolder } from '../table/tableHolder.js';
@@ -99,6 +101,14 @@
   shifts: ShiftHooks;
   /** Host that owns the pool of a service in a zone; undefined where not known. */
   poolOwner: (availabilityZone: string, service: string) => string | undefined;
+  /** Orders about routing; absent on hosts that are no control hosts. */
+  routingCommands: RoutingCommands | undefined;
+  /** Takes a report of a backend server; resolves once the control group holds it. */
+  reportBackend: (report: BackendReport) => ResultAsync<void, Failure>;
+  /** Removes a backend server that leaves. */
+  removeBackend: (backendId: string) => ResultAsync<void, Failure>;
+  /** Whether this host takes calls and holds what it needs to place them. */
+  isReady: () => boolean;
   /** Number that rises once owners of pools of the own zone may have changed. */
   poolOwnersVersion: () => number;
 }
--- a/packages/host/src/runtime/initialParts.ts
+++ b/packages/host/src/runtime/initialParts.ts
@@ -21,6 +21,7 @@
   const { settings, incarnation } = context;
   const auth = createRequestAuth(settings);
   const notStarted = failure('BL3003', 'the host has not started yet', { retryAfterMs: 500 });
+  const notControlHost = failure('BL5005', 'this host is no control host');
   const noLedger = failure('BL9001', 'the ledger has not started', { retryAfterMs: 1000 });
   const documents = createDocumentHolder(document);
   const parts: HostParts = {
@@ -74,6 +75,10 @@
     },
     poolOwner: () => undefined,
     poolOwnersVersion: () => 0,
+    routingCommands: undefined,
+    reportBackend: () => errAsync(notControlHost),
+    removeBackend: () => errAsync(notControlHost),
+    isReady: () => false,
     adminRoutes: [],
     running: [],
   };
