--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,7 +16,7 @@
 ].flatMap((name) => [name, `node:${name}`, `node:${name}/promises`]);
 
 export default [
-  { ignores: ['**/dist/**', 'node_modules/**', 'docs/reports/**'] },
+  { ignores: ['**/dist/**', 'node_modules/**', 'docs/reports/**', 'target/**', 'journal/**'] },
   js.configs.recommended,
   plugins.stylistic,
   plugins.importX,
