feat(placement): a region with few backend servers sends a fixed part of its objects elsewhere

Cause 2: a slot was given back under another time than it was taken, so that backend servers counted as stuck for ever and calls were turned away with costMs over 1000 at a load of 3. Change: HomeShare keeps as many objects in the region as its slots and memories bear and moves slowly; the others have one home elsewhere. Slots are given back by the time at which they were taken.

--- a/packages/core/src/placement/objectHomes.ts
+++ b/packages/core/src/placement/objectHomes.ts
@@ -1,3 +1,4 @@
+import { hashText } from '../hash/textHash.js';
 import { ObjectOrder } from './objectOrder.js';
 import type { PlacedBackend } from './placedBackend.js';
 import { maxObjects } from './recentObjects.js';
@@ -18,7 +19,7 @@
 /** A home of an object. */
 export interface ObjectHome {
   readonly backend: PlacedBackend;
-  /** Whether it is the first of its place, which all hosts send the object to. */
+  /** Whether it is the first of the place that the object belongs to, which keeps it. */
   readonly isFirst: boolean;
 }
 
@@ -44,55 +45,108 @@
   return places;
 }
 
-/** Homes of objects: one set for each zone or, where a zone keeps too few objects, for each region. */
+/** What is looked for in one place. */
+interface HomeSearch {
+  /** Homes in the place. */
+  readonly wanted: number;
+  /** Whether backend servers that handled the object lately count besides. */
+  readonly keepsTrack: boolean;
+  /** Whether the object belongs to the place, so that its first home keeps it. */
+  readonly isNear: boolean;
+}
+
+function slotsOf(backends: readonly PlacedBackend[]): number {
+  return backends.reduce((slots, { record }) => slots + record.slots, 0);
+}
+
+function homesIn(
+  order: ObjectOrder<PlacedBackend>,
+  key: string,
+  { wanted, keepsTrack, isNear }: HomeSearch,
+  isOpen: (backend: PlacedBackend) => boolean,
+): ObjectHome[] {
+  const homes: ObjectHome[] = [];
+  for (const backend of order.of(key)) {
+    if (homes.length >= wanted && !keepsTrack) break;
+    if (homes.length >= wanted && !backend.objects.has(key)) continue;
+    if (isOpen(backend)) homes.push({ backend, isFirst: isNear && homes.length === 0 });
+  }
+  return homes;
+}
+
+/** How the objects of the own region are spread. */
+export interface HomePlan {
+  /** Objects that calls were about lately. */
+  readonly seenObjects: number;
+  /** Share of them that stays in the region. */
+  readonly nearShare: number;
+}
+
+const hashRange = 2 ** 32;
+
+/**
+ * Homes of objects: in the own region one set for each zone or, where a zone keeps too few objects,
+ * one for the region; one more set in all other regions.
+ */
 export class ObjectHomes {
-  private readonly byZone: readonly Place[];
+  private readonly nearByZone: readonly Place[];
+
+  private readonly nearByRegion: readonly Place[];
+
+  private readonly farOrder: ObjectOrder<PlacedBackend>;
+
+  private readonly zoneObjects: number;
+
+  /** Objects that the backend servers of the region keep. */
+  readonly nearObjects: number;
 
-  private readonly byRegion: readonly Place[];
+  readonly nearSlots: number;
 
-  private readonly zoneBackends: number;
+  readonly allSlots: number;
 
   /**
    * @param backends - backend servers that may get calls
    */
   constructor(private readonly backends: readonly PlacedBackend[]) {
-    this.byZone = placesBy(backends, ({ record }) => record.availabilityZone);
-    this.byRegion = placesBy(backends, ({ region }) => region);
-    this.zoneBackends = backends.filter(({ distance }) => distance === 'zone').length;
+    const near = backends.filter(({ distance }) => distance !== 'far');
+    const inZone = near.filter(({ distance }) => distance === 'zone');
+    this.nearByZone = placesBy(near, ({ record }) => record.availabilityZone);
+    this.nearByRegion = placesBy(near, ({ region }) => region);
+    this.farOrder = new ObjectOrder(backends.filter(({ distance }) => distance === 'far'));
+    this.zoneObjects = inZone.length * maxObjects * plannedShare;
+    this.nearObjects = near.length * maxObjects * plannedShare;
+    this.nearSlots = slotsOf(near);
+    this.allSlots = slotsOf(backends);
   }
 
   /**
    * Backend servers that may handle a call.
    *
    * @param key - object of the call; undefined where it is about none
-   * @param objectCount - objects that calls were about lately
+   * @param plan - how objects are spread
    * @param isOpen - tells whether a backend server may get the call
    */
   of(
     key: string | undefined,
-    objectCount: number,
+    plan: HomePlan,
     isOpen: (backend: PlacedBackend) => boolean,
   ): readonly ObjectHome[] {
     if (key === undefined) {
       return this.backends.filter(isOpen).map((backend) => ({ backend, isFirst: false }));
     }
+    const isNear = hashText(`home ${key}`) < plan.nearShare * hashRange;
     const homes: ObjectHome[] = [];
-    for (const { distance, order } of this.placesFor(objectCount)) {
+    for (const { distance, order } of this.placesFor(plan)) {
       const wanted = distance === 'zone' ? nearestHomes : 1;
-      let found = 0;
-      for (const backend of order.of(key)) {
-        const isHome = found < wanted;
-        if (!isHome && (distance !== 'zone' || !backend.objects.has(key))) continue;
-        if (!isOpen(backend)) continue;
-        homes.push({ backend, isFirst: found === 0 });
-        found += 1;
-      }
+      const keepsTrack = distance === 'zone';
+      homes.push(...homesIn(order, key, { wanted, keepsTrack, isNear }, isOpen));
     }
+    const far = { wanted: isNear ? 1 : nearestHomes, keepsTrack: false, isNear: !isNear };
+    homes.push(...homesIn(this.farOrder, key, far, isOpen));
     return homes;
   }
 
-  private placesFor(objectCount: number): readonly Place[] {
-    const kept = this.zoneBackends * maxObjects * plannedShare;
-    return objectCount <= kept ? this.byZone : this.byRegion;
+  private placesFor({ seenObjects, nearShare }: HomePlan): readonly Place[] {
+    return seenObjects * nearShare <= this.zoneObjects ? this.nearByZone : this.nearByRegion;
   }
 }
--- a/packages/core/src/placement/objectPool.ts
+++ b/packages/core/src/placement/objectPool.ts
@@ -1,8 +1,15 @@
 import type { AnswerTimes } from './answerTimes.js';
 import { ColdPace, isColdSender } from './coldRate.js';
+import { HomeShare } from './homeShare.js';
 import { ObjectHomes, type ObjectHome } from './objectHomes.js';
 import type { PlacedBackend } from './placedBackend.js';
-import type { ObjectCall, PlacementDecision, PoolPlace, TurnAwayReason } from './placementTypes.js';
+import type {
+  ObjectCall,
+  PlacementDecision,
+  PoolPlace,
+  TurnAwayReason,
+  WeighedPlace,
+} from './placementTypes.js';
 import { RankShares } from './rankShares.js';
 import { RegionSpill } from './regionSpill.js';
 import { SeenObjects } from './seenObjects.js';
@@ -30,17 +37,16 @@
 /** Share of the backend servers of the region below which moves to others are not limited. */
 const lostRegionShare = 0.5;
 
+/** Entry hosts that take calls in the own place. */
+export interface EntryHosts {
+  readonly zoneHostIds: readonly string[];
+  /** Number of those in the region. */
+  readonly regionHosts: number;
+}
+
 /** A place that a call could be sent to. */
-interface Candidate {
-  readonly backend: PlacedBackend;
-  readonly isWarm: boolean;
-  readonly expectedMs: number;
-  /** Calls there and calls that wait for it. */
-  readonly load: number;
-  readonly waitMs: number;
+interface Candidate extends WeighedPlace {
   readonly hasRoom: boolean;
-  /** Expected time until the caller has the answer. */
-  readonly costMs: number;
 }
 
 /** A call that waits, and the backend server whose slot it is expected to get. */
@@ -61,9 +67,10 @@
 function turnAway<Call extends ObjectCall>(
   call: Call,
   reason: TurnAwayReason,
-  waitMs: number,
+  best?: WeighedPlace,
 ): PlacementDecision<Call> {
-  return { decision: 'turnAway', call, reason, retryAfterMs: Math.max(minRetryAfterMs, waitMs) };
+  const retryAfterMs = Math.max(minRetryAfterMs, best?.waitMs ?? 0);
+  return { decision: 'turnAway', call, reason, retryAfterMs, ...(best && { best }) };
 }
 
 /** Places the calls of one service. */
@@ -76,12 +83,18 @@
 
   private zoneHostIds: readonly string[] = [];
 
+  private regionHosts = 1;
+
+  private regions = 1;
+
   private waiting: Waiting<Call>[] = [];
 
   private homes = new ObjectHomes([]);
 
   private readonly seen = new SeenObjects();
 
+  private readonly homeShare: HomeShare;
+
   private readonly coldPaces = new Map<string, ColdPace>();
 
   private readonly spill: RegionSpill;
@@ -99,6 +112,7 @@
     nowMs: number,
   ) {
     this.spill = new RegionSpill(place.maxShift, nowMs);
+    this.homeShare = new HomeShare(place.maxShift);
   }
 
   /**
@@ -107,19 +121,21 @@
    * @param backends - those that are neither draining nor gone nor evacuated
    * @param registeredInRegion - backend servers of the own region, evacuated ones included
    * @param coldCallsPerS - rate that one of them bears while it is cold
-   * @param zoneHostIds - entry hosts of the own zone
+   * @param hosts - entry hosts of the own place
    */
   reconfigure(
     backends: readonly PlacedBackend[],
     registeredInRegion: number,
     coldCallsPerS: number,
-    zoneHostIds: readonly string[],
+    hosts: EntryHosts,
   ): void {
     this.backends = backends;
     this.registeredInRegion = registeredInRegion;
     this.coldCallsPerS = coldCallsPerS;
-    this.zoneHostIds = zoneHostIds;
+    this.zoneHostIds = hosts.zoneHostIds;
+    this.regionHosts = hosts.regionHosts;
     this.homes = new ObjectHomes(backends);
+    this.regions = new Set(backends.map(({ region }) => region)).size;
     const known = new Set(backends.map(({ record }) => record.backendId));
     for (const backendId of this.coldPaces.keys()) {
       if (!known.has(backendId)) this.coldPaces.delete(backendId);
@@ -138,7 +154,7 @@
    */
   offer(call: Call, nowMs: number): PlacementDecision<Call> {
     if (call.tried.size === 0) this.shares.noteOffered(call.rank, nowMs);
-    if (call.objectKey !== undefined) this.seen.note(call.objectKey, nowMs);
+    this.noteCall(call, nowMs);
     const decision = this.decide(call, nowMs);
     if (decision.decision === 'wait') this.waiting.push(decision);
     return decision;
@@ -165,12 +181,12 @@
 
   /** Decides on a call behind those that wait so far. */
   private decide(call: Call, nowMs: number): PlacementDecision<Call> {
-    if (nowMs >= call.deadlineAtMs) return turnAway(call, 'deadlinePassed', 0);
+    if (nowMs >= call.deadlineAtMs) return turnAway(call, 'deadlinePassed');
     const candidate = this.best(call, nowMs);
-    if (candidate === undefined) return turnAway(call, 'noBackend', 0);
+    if (candidate === undefined) return turnAway(call, 'noBackend');
     if (candidate.hasRoom) return this.send(call, candidate, nowMs);
     const lateByMs = nowMs + candidate.costMs - call.targetAtMs;
-    if (lateByMs > 0) return turnAway(call, 'targetMissed', candidate.waitMs);
+    if (lateByMs > 0) return turnAway(call, 'targetMissed', candidate);
     return { decision: 'wait', call, backend: candidate.backend };
   }
 
@@ -186,25 +202,39 @@
   }
 
   private send(call: Call, candidate: Candidate, nowMs: number): PlacementDecision<Call> {
-    const { backend, isWarm, expectedMs, load } = candidate;
+    const { backend } = candidate;
     const { backendId } = backend.record;
     if (backend.isCold(nowMs)) this.paceOf(backendId).spend(this.coldCallsPerS, nowMs);
     this.spill.note(backend.distance === 'far', nowMs);
     this.shares.noteServed(call.rank, nowMs);
     if (call.objectKey !== undefined) backend.objects.note(call.objectKey);
-    return { decision: 'send', call, backend, isWarm, expectedMs, load };
+    return { decision: 'send', call, place: candidate };
+  }
+
+  private noteCall({ objectKey, routeId, targetMs, tried }: Call, nowMs: number): void {
+    if (objectKey === undefined || tried.size > 0) return;
+    this.seen.note(objectKey, nowMs);
+    this.homeShare.noteCall();
+    const { nearSlots, allSlots, nearObjects } = this.homes;
+    const callMs = this.times.expectedMs(routeId, targetMs, true);
+    const seenObjects = this.seen.count();
+    const { regions, regionHosts: entryHosts } = this;
+    const load = { nearSlots, allSlots, regions, nearObjects, seenObjects, callMs, entryHosts };
+    this.homeShare.update(load, nowMs);
   }
 
   /** The place with the earliest answer, whether it has room now or not. */
   private best(call: Call, nowMs: number): Candidate | undefined {
     const mayLeaveRegion = this.mayLeaveRegion(nowMs);
     const isOpen = (backend: PlacedBackend) => {
-      if (backend.distance === 'far' && !mayLeaveRegion) return false;
       if (call.tried.has(backend.record.backendId)) return false;
       return isAtHome(call, backend) && this.mayGet(backend, nowMs);
     };
+    const plan = { seenObjects: this.seen.count(), nearShare: this.homeShare.value };
     let best: Candidate | undefined;
-    for (const home of this.homes.of(call.objectKey, this.seen.count(), isOpen)) {
+    for (const home of this.homes.of(call.objectKey, plan, isOpen)) {
+      const isMove = home.backend.distance === 'far' && !home.isFirst;
+      if (isMove && !mayLeaveRegion) continue;
       const candidate = this.weigh(call, home, nowMs);
       if (best === undefined || candidate.costMs < best.costMs) best = candidate;
     }
--- a/packages/core/src/placement/placedBackend.ts
+++ b/packages/core/src/placement/placedBackend.ts
@@ -107,7 +107,11 @@
     this.startedAtMs.push(nowMs);
   }
 
-  /** Takes note of the end of a call that was sent at a time. */
+  /**
+   * Takes note of the end of a call.
+   *
+   * @param startedAtMs - time that `start` was told
+   */
   end(startedAtMs: number): void {
     this.inFlight -= 1;
     const at = this.startedAtMs.indexOf(startedAtMs);
--- a/packages/core/src/placement/placementTypes.ts
+++ b/packages/core/src/placement/placementTypes.ts
@@ -21,18 +21,27 @@
 /** Why a call is turned away before it ran. */
 export type TurnAwayReason = 'noBackend' | 'targetMissed' | 'deadlinePassed';
 
+/** A place that was weighed for a call. */
+export interface WeighedPlace {
+  readonly backend: PlacedBackend;
+  /** Whether its object was handled there lately, as far as known. */
+  readonly isWarm: boolean;
+  /** Expected time of the answer without wait and link. */
+  readonly expectedMs: number;
+  /** Calls there, and calls that wait for it and go before. */
+  readonly load: number;
+  /** Expected time until a slot is free. */
+  readonly waitMs: number;
+  /** Expected time until the caller has the answer. */
+  readonly costMs: number;
+}
+
 /** What to do with a call now. */
 export type PlacementDecision<Call> =
   | {
       readonly decision: 'send';
       readonly call: Call;
-      readonly backend: PlacedBackend;
-      /** Whether its object was handled there lately, as far as known. */
-      readonly isWarm: boolean;
-      /** Expected time to the answer, without the link. */
-      readonly expectedMs: number;
-      /** Load of the backend server before the call. */
-      readonly load: number;
+      readonly place: WeighedPlace;
     }
   | {
       readonly decision: 'wait';
@@ -46,6 +55,8 @@
       readonly reason: TurnAwayReason;
       /** Time after which room is expected. */
       readonly retryAfterMs: number;
+      /** The best place that was found; absent where there was none. */
+      readonly best?: WeighedPlace;
     };
 
 /** Place of this host and rules that hold for all pools. */
--- a/packages/host/src/routedCalls/backendExchange.ts
+++ b/packages/host/src/routedCalls/backendExchange.ts
@@ -145,8 +145,13 @@
       hasFailed = true;
     };
     this.plan.agent.noteAnswer(socket, head.fields);
-    // Set before the parser sees the end of the connection, since it takes a reset for an end.
+    // libuv reports a reset that comes with the last bytes as an end; the connection has no peer then.
+    const onSocketEnd = () => {
+      hasFailed ||= socket.remoteAddress === undefined;
+    };
+    // Both run before the parser sees the end of the connection, since it takes a reset for an end.
     socket.prependListener('error', onSocketError);
+    socket.prependListener('end', onSocketEnd);
     answer.on('data', (chunk: Buffer) => {
       chunks.push(chunk);
       keptBytes += chunk.length;
@@ -164,6 +169,7 @@
     answer.on('error', (error) => this.finish({ end: 'broken', problem: error.message }));
     answer.on('close', () => {
       socket.off('error', onSocketError);
+      socket.off('end', onSocketEnd);
       this.finish({ end: 'broken', problem: 'the answer is cut short' });
     });
   }
--- a/packages/host/src/routedCalls/routedPools.ts
+++ b/packages/host/src/routedCalls/routedPools.ts
@@ -1,5 +1,5 @@
 import { AnswerTimes } from '@buckthornlug/core/placement/answerTimes.js';
-import { ObjectPool } from '@buckthornlug/core/placement/objectPool.js';
+import { ObjectPool, type EntryHosts } from '@buckthornlug/core/placement/objectPool.js';
 import { PlacedBackend, type Distance } from '@buckthornlug/core/placement/placedBackend.js';
 import type { PlacementDecision } from '@buckthornlug/core/placement/placementTypes.js';
 import type { RegisteredBackend } from '@buckthornlug/protocol/registry/registrySchema.js';
@@ -20,13 +20,24 @@
 const linkWeight = 0.2;
 const permille = 1000;
 
+/** A place whose slot is taken. */
+export type TakenPlace = Extract<PlacementDecision<RoutedCall>, { readonly decision: 'send' }> & {
+  /** Time at which the slot was taken; to be named when it is given back. */
+  readonly takenAtMs: number;
+};
+
 /** A decision that ends the wait of a call. */
-export type FinalDecision = Exclude<PlacementDecision<RoutedCall>, { readonly decision: 'wait' }>;
+export type FinalDecision =
+  TakenPlace | Extract<PlacementDecision<RoutedCall>, { readonly decision: 'turnAway' }>;
 
 /** Takes the slot of a call that is sent. */
-function carryOut(decision: FinalDecision, nowMs: number): FinalDecision {
-  if (decision.decision === 'send') decision.backend.start(nowMs);
-  return decision;
+function carryOut(
+  decision: Exclude<PlacementDecision<RoutedCall>, { readonly decision: 'wait' }>,
+  nowMs: number,
+): FinalDecision {
+  if (decision.decision === 'turnAway') return decision;
+  decision.place.backend.start(nowMs);
+  return { ...decision, takenAtMs: nowMs };
 }
 
 /** Places calls on the registered backend servers. */
@@ -60,12 +71,12 @@
     if (table === undefined) return;
     const nowMs = this.context.clock.nowMs();
     this.refreshBackends(nowMs);
-    const zoneHostIds = this.zoneHostIds();
+    const hosts = this.entryHosts();
     for (const { service, coldCallsPerS } of table.services.values()) {
       const all = [...this.backends.values()].filter(({ record }) => record.service === service);
       const usable = all.filter(({ record }) => this.state.isUsable(record));
       const inRegion = all.filter(({ distance }) => distance !== 'far').length;
-      this.poolOf(service, nowMs).reconfigure(usable, inRegion, coldCallsPerS, zoneHostIds);
+      this.poolOf(service, nowMs).reconfigure(usable, inRegion, coldCallsPerS, hosts);
     }
     for (const service of this.pools.keys()) {
       if (!table.services.has(service)) this.pools.delete(service);
@@ -102,9 +113,9 @@
     });
   }
 
-  /** Takes note that a call no longer holds its slot. */
-  release(backend: PlacedBackend, startedAtMs: number): void {
-    backend.end(startedAtMs);
+  /** Gives a slot back. */
+  release({ place, takenAtMs }: TakenPlace): void {
+    place.backend.end(takenAtMs);
     setImmediate(() => this.pump());
   }
 
@@ -148,12 +159,12 @@
     return new PlacedBackend(record, region, distance, this.linkMs[distance], coldUntilMs);
   }
 
-  private zoneHostIds(): string[] {
-    const { availabilityZone } = this.context.settings;
-    return this.parts.membership
-      .hosts()
-      .filter((host) => takesWork(host) && host.availabilityZone === availabilityZone)
-      .map(({ hostId }) => hostId);
+  private entryHosts(): EntryHosts {
+    const { availabilityZone, region } = this.context.settings;
+    const taking = this.parts.membership.hosts().filter(takesWork);
+    const inZone = taking.filter((host) => host.availabilityZone === availabilityZone);
+    const inRegion = taking.filter((host) => host.region === region);
+    return { zoneHostIds: inZone.map(({ hostId }) => hostId), regionHosts: inRegion.length };
   }
 
   private poolOf(service: string, nowMs: number): ObjectPool<RoutedCall> {
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -1,5 +1,6 @@
 import { endToEndFields, fieldValue } from '@buckthornlug/core/calls/headerFields.js';
 import type { ExchangeEnd, ReportedLoad } from '@buckthornlug/core/placement/placedBackend.js';
+import type { WeighedPlace } from '@buckthornlug/core/placement/placementTypes.js';
 import { RetryBudget } from '@buckthornlug/core/retries/retryBudget.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import type { CallFields } from '@buckthornlug/protocol/settings/settingsSchema.js';
@@ -9,7 +10,7 @@
 import type { BackendAgent } from './backendConnections.js';
 import { exchange, type ExchangeResult, type ExchangeTimes } from './backendExchange.js';
 import type { RoutedCall } from './routedCallsTypes.js';
-import type { FinalDecision, RoutedPools } from './routedPools.js';
+import type { FinalDecision, RoutedPools, TakenPlace } from './routedPools.js';
 
 /** Sends a routed call to one backend server after another until it is answered or given up. */
 
@@ -33,7 +34,6 @@
   readonly retryBurst: number;
 }
 
-type Sent = Extract<FinalDecision, { readonly decision: 'send' }>;
 type TurnedAway = Extract<FinalDecision, { readonly decision: 'turnAway' }>;
 
 /** How a call ended. */
@@ -74,6 +74,20 @@
   return failure('BL3002', 'the time limit passed before the call was sent', more);
 }
 
+/** The inputs of a placement, for the log. */
+function describePlace({ backend, isWarm, expectedMs, load, waitMs, costMs }: WeighedPlace) {
+  const { backendId, availabilityZone } = backend.record;
+  return {
+    backendId,
+    availabilityZone,
+    isWarm,
+    expectedMs: Math.round(expectedMs),
+    load: Math.round(load * 10) / 10,
+    waitMs: Math.round(waitMs),
+    costMs: Math.round(costMs),
+  };
+}
+
 /** Failure of a call whose caller or time limit ended it before it was sent. */
 function abortedBeforeSend(call: RoutedCall): Failure {
   if (call.response.destroyed) return failure('BL3017', 'the caller hung up');
@@ -104,14 +118,14 @@
     for (;;) {
       const placed = await this.parts.pools.place(call);
       if (call.signal.aborted) {
-        if (placed.decision === 'send') this.giveBack(placed);
+        if (placed.decision === 'send') this.parts.pools.release(placed);
         return { end: 'failed', failure: abortedBeforeSend(call) };
       }
       if (placed.decision === 'turnAway') {
         this.logPlacement(call, placed);
         return { end: 'failed', failure: turnedAway(placed) };
       }
-      const { backendId } = placed.backend.record;
+      const { backendId } = placed.place.backend.record;
       call.tried.add(backendId);
       const attempt = await this.attempt(call, placed, body);
       if (attempt.end === 'answered') return attempt;
@@ -143,10 +157,6 @@
     return arrivals === 0 || this.budgetOf(call.service).spend();
   }
 
-  private giveBack(placed: Sent): void {
-    this.parts.pools.release(placed.backend, this.parts.context.clock.nowMs());
-  }
-
   private requestFields(call: RoutedCall, backendId: string, body: RequestBody): string[] {
     const { fields, context } = this.parts;
     const replaced = new Set([fields.timeLeftMs, fields.expectedBackend, 'content-length']);
@@ -165,9 +175,13 @@
     return sent;
   }
 
-  private async attempt(call: RoutedCall, placed: Sent, body: RequestBody): Promise<AttemptEnd> {
+  private async attempt(
+    call: RoutedCall,
+    placed: TakenPlace,
+    body: RequestBody,
+  ): Promise<AttemptEnd> {
     const { context, agent, fields, pools } = this.parts;
-    const { backend } = placed;
+    const { backend } = placed.place;
     const { backendId, endpoint } = backend.record;
     const startedAtMs = context.clock.nowMs();
     this.logPlacement(call, placed);
@@ -187,7 +201,7 @@
       nowMs: context.clock.nowMs,
     });
     const nowMs = context.clock.nowMs();
-    pools.release(backend, startedAtMs);
+    pools.release(placed);
     if (times.isNewConnection && times.connectMs > 0) pools.noteConnect(backend, times.connectMs);
     context.metrics.count('backend_exchanges_total', { service: call.service, end: result.end });
     const end = this.judge(call, placed, result, nowMs);
@@ -198,7 +212,7 @@
 
   private judge(
     call: RoutedCall,
-    { backend }: Sent,
+    { place: { backend } }: TakenPlace,
     result: ExchangeResult,
     nowMs: number,
   ): AttemptEnd {
@@ -234,8 +248,13 @@
   }
 
   /** Learns from an exchange how the backend server does. */
-  private learn(call: RoutedCall, placed: Sent, result: ExchangeResult, elapsedMs: number): void {
-    const { backend, isWarm, expectedMs, load } = placed;
+  private learn(
+    call: RoutedCall,
+    placed: TakenPlace,
+    result: ExchangeResult,
+    elapsedMs: number,
+  ): void {
+    const { backend, isWarm, expectedMs, load } = placed.place;
     const { context, fields, pools } = this.parts;
     const nowMs = context.clock.nowMs();
     if (result.end === 'aborted' || result.end === 'notSent') return;
@@ -259,39 +278,28 @@
   }
 
   private logPlacement(call: RoutedCall, placed: FinalDecision): void {
-    const { requestId, service, routeId, rank, routingVersion } = call;
+    const { requestId, service, routeId, rank, routingVersion, objectKey } = call;
     const { log, clock, metrics } = this.parts.context;
-    const common = { requestId, service, routeId, rank, routingVersion };
-    const leftMs = Math.round(call.targetAtMs - clock.nowMs());
+    const targetLeftMs = Math.round(call.targetAtMs - clock.nowMs());
+    const common = { requestId, service, routeId, rank, routingVersion, objectKey, targetLeftMs };
     if (placed.decision === 'send') {
-      const { backend, isWarm, expectedMs, load } = placed;
-      const { backendId, availabilityZone } = backend.record;
-      log.debug('callSent', {
-        ...common,
-        backendId,
-        availabilityZone,
-        objectKey: call.objectKey,
-        isWarm,
-        expectedMs: Math.round(expectedMs),
-        load: Math.round(load * 10) / 10,
-        targetLeftMs: leftMs,
-      });
+      log.debug('callSent', { ...common, ...describePlace(placed.place) });
       return;
     }
-    const { reason, retryAfterMs } = placed;
+    const { reason, retryAfterMs, best } = placed;
     metrics.count('routed_calls_turned_away_total', { service, reason });
     log.info('callTurnedAway', {
       ...common,
       reason,
       retryAfterMs: Math.round(retryAfterMs),
-      targetLeftMs: leftMs,
+      ...(best === undefined ? {} : describePlace(best)),
       waitingCalls: this.parts.pools.waitingCalls(),
     });
   }
 
   private logAttempt(
     call: RoutedCall,
-    { backend, isWarm }: Sent,
+    { place: { backend, isWarm } }: TakenPlace,
     result: ExchangeResult,
     times: ExchangeTimes,
     elapsedMs: number,
