test(placement): decisions on values, and a replay of loads without processes

Change: tables of cases for routing documents, the registry, cold rates, shares and decoding; a replay in virtual time of callers, hosts and backend servers with slots and a memory of objects. The time under which a slot is given back has no test yet that fails on the former code; it needs an entry host with exchanges.

--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 export default {
-  files: ['packages/*/src/**/*.spec.ts'],
+  files: ['packages/*/src/**/*.spec.ts', 'platform/src/**/*.spec.ts'],
   typescript: {
     rewritePaths: {
       'packages/protocol/src/': 'packages/protocol/dist/',
@@ -7,6 +7,7 @@
       'packages/host/src/': 'packages/host/dist/',
       'packages/cli/src/': 'packages/cli/dist/',
       'packages/testkit/src/': 'packages/testkit/dist/',
+      'platform/src/': 'platform/dist/',
     },
     compile: false,
   },
--- /dev/null
+++ b/packages/core/src/placement/coldRate.spec.ts
@@ -0,0 +1,39 @@
+import test from 'ava';
+
+import { ColdPace, isColdSender } from './coldRate.js';
+
+const hostIds = ['host-1', 'host-2', 'host-3', 'host-4', 'host-5'];
+
+test('two hosts of the zone may send to a cold backend server, all agree on which', (t) => {
+  for (const backendId of ['b-1', 'b-2', 'b-3']) {
+    const senders = hostIds.filter((hostId) => isColdSender(hostId, hostIds, backendId));
+    t.is(senders.length, 2);
+  }
+});
+
+test('a host of another zone sends nothing to it', (t) => {
+  t.false(isColdSender('host-9', hostIds, 'b-1'));
+});
+
+test('two senders together stay under the rate in any second', (t) => {
+  const callsPerS = 10;
+  const sentAtMs: number[] = [];
+  for (const startMs of [0, 130]) {
+    const pace = new ColdPace();
+    for (let nowMs = startMs; nowMs < 5000; nowMs += 1) {
+      if (!pace.isOpen(nowMs)) continue;
+      pace.spend(callsPerS, nowMs);
+      sentAtMs.push(nowMs);
+    }
+  }
+  for (const fromMs of sentAtMs) {
+    const inSecond = sentAtMs.filter((atMs) => atMs >= fromMs && atMs < fromMs + 1000);
+    t.true(inSecond.length <= callsPerS);
+  }
+});
+
+test('one that bears no calls while cold gets one at most', (t) => {
+  const pace = new ColdPace();
+  pace.spend(0, 0);
+  t.false(pace.isOpen(1e9));
+});
--- /dev/null
+++ b/packages/core/src/placement/placedBackend.spec.ts
@@ -0,0 +1,68 @@
+import type { RegisteredBackend } from '@buckthornlug/protocol/registry/registrySchema.js';
+import test from 'ava';
+
+import { PlacedBackend, type Distance } from './placedBackend.js';
+
+const record: RegisteredBackend = {
+  backendId: 'b-1',
+  bornAtMs: 0,
+  service: 'desk',
+  availabilityZone: 'north-a',
+  endpoint: { address: '127.0.0.1', port: 1 },
+  slots: 4,
+  sequence: 1,
+  state: 'ready',
+  coldUntilMs: 0,
+  revision: 1,
+};
+
+function backend(distance: Distance = 'zone'): PlacedBackend {
+  return new PlacedBackend(record, 'north', distance, 0, 0);
+}
+
+test('a call counts from its start to its end', (t) => {
+  const placed = backend();
+  placed.start(1000);
+  placed.start(1100);
+  t.is(placed.load(1200), 2);
+  t.is(placed.oldestInFlightMs(1200), 200);
+  placed.end(1000);
+  t.is(placed.oldestInFlightMs(1200), 100);
+  placed.end(1100);
+  t.is(placed.load(1200), 0);
+  t.is(placed.oldestInFlightMs(5000), 0);
+});
+
+test('a reported load counts the calls of other hosts, and less with its age', (t) => {
+  const placed = backend();
+  placed.start(1000);
+  placed.noteLoad({ running: 3, waiting: 1, slots: 4 }, 1000);
+  t.is(placed.load(1000), 4);
+  t.is(placed.load(2000), 2.5);
+});
+
+test('half of the slots of a backend server elsewhere count as taken until it reports', (t) => {
+  t.is(backend('far').load(0), 2);
+  t.is(backend('zone').load(0), 0);
+});
+
+test('what speaks against a backend server is forgotten with time', (t) => {
+  const placed = backend();
+  for (let call = 0; call < 20; call += 1) placed.noteEnd({ isFailure: true, slowness: 5 }, 1000);
+  t.true(placed.failureShareNow(1000) > 0.9);
+  t.true(placed.slownessNow(1000) > 4);
+  t.true(placed.failureShareNow(31_000) < 0.01);
+  t.true(placed.slownessNow(31_000) < 1.01);
+});
+
+test('one that cannot be reached is paused for longer each time, until it answers', (t) => {
+  const placed = backend();
+  placed.pause(0);
+  t.true(placed.isPaused(499));
+  t.false(placed.isPaused(500));
+  placed.pause(500);
+  t.true(placed.isPaused(1499));
+  placed.noteEnd({ isFailure: false }, 1500);
+  placed.pause(1500);
+  t.false(placed.isPaused(2000));
+});
--- /dev/null
+++ b/packages/core/src/registry/backendRegistry.spec.ts
@@ -0,0 +1,122 @@
+import type {
+  BackendReport,
+  RegisteredBackend,
+} from '@buckthornlug/protocol/registry/registrySchema.js';
+import test from 'ava';
+
+import { BackendRegistry } from './backendRegistry.js';
+
+const base: BackendReport = {
+  backendId: 'b-1',
+  bornAtMs: 100,
+  sequence: 4,
+  service: 'desk',
+  availabilityZone: 'north-a',
+  endpoint: { address: '10.0.0.1', port: 80 },
+  slots: 3,
+  state: 'ready',
+  coldForMs: 0,
+};
+
+/** A registry after reports, in their order. */
+function after(...reports: Partial<BackendReport>[]): BackendRegistry {
+  const registry = new BackendRegistry();
+  for (const report of reports) {
+    registry.note({ type: 'noteBackend', report: { ...base, ...report }, atMs: 1000 });
+  }
+  return registry;
+}
+
+/** Each row: what happened, and the state of b-1 after it. */
+const cases: readonly {
+  readonly title: string;
+  readonly reports: readonly Partial<BackendReport>[];
+  readonly state: RegisteredBackend['state'] | undefined;
+}[] = [
+  { title: 'a first report', reports: [{}], state: 'ready' },
+  {
+    title: 'a report that it drains',
+    reports: [{}, { state: 'draining', sequence: 5 }],
+    state: 'draining',
+  },
+  {
+    title: 'a late report of before its drain',
+    reports: [{ state: 'draining', sequence: 5 }, { sequence: 4 }],
+    state: 'draining',
+  },
+  {
+    title: 'a new process under the same identity',
+    reports: [{ state: 'draining' }, { bornAtMs: 200, sequence: 1 }],
+    state: 'ready',
+  },
+  {
+    title: 'a late report of the former process',
+    reports: [
+      { bornAtMs: 200, sequence: 1 },
+      { state: 'draining', sequence: 9 },
+    ],
+    state: 'ready',
+  },
+  {
+    title: 'a younger process at its address',
+    reports: [{}, { backendId: 'b-2', bornAtMs: 200, service: 'ledger' }],
+    state: 'gone',
+  },
+  {
+    title: 'a report after a younger process took its address',
+    reports: [{ backendId: 'b-2', bornAtMs: 200 }, {}],
+    state: undefined,
+  },
+];
+
+for (const { title, reports, state } of cases) {
+  test(`${title}: ${state ?? 'not registered'}`, (t) => {
+    t.is(after(...reports).find('b-1')?.state, state);
+  });
+}
+
+test('a silent backend server comes back with a later report, one that left does not', (t) => {
+  const registry = after({});
+  registry.remove({ type: 'removeBackend', backendId: 'b-1', bornAtMs: 100, reason: 'silent' });
+  t.is(registry.find('b-1')?.state, 'silent');
+  registry.note({ type: 'noteBackend', report: { ...base, sequence: 4 }, atMs: 1000 });
+  t.is(registry.find('b-1')?.state, 'silent');
+  registry.note({ type: 'noteBackend', report: { ...base, sequence: 5 }, atMs: 1000 });
+  t.is(registry.find('b-1')?.state, 'ready');
+  registry.remove({ type: 'removeBackend', backendId: 'b-1', reason: 'left' });
+  registry.note({ type: 'noteBackend', report: { ...base, sequence: 6 }, atMs: 1000 });
+  t.is(registry.find('b-1')?.state, 'gone');
+});
+
+test('a removal that means a former process changes nothing', (t) => {
+  const registry = after({ bornAtMs: 200 });
+  registry.remove({ type: 'removeBackend', backendId: 'b-1', bornAtMs: 100, reason: 'silent' });
+  t.is(registry.find('b-1')?.state, 'ready');
+});
+
+test('a reader gets the records that changed after its revision', (t) => {
+  const registry = after({}, { backendId: 'b-2', endpoint: { address: '10.0.0.2', port: 80 } });
+  const revision = registry.revision();
+  t.deepEqual(registry.since(revision), []);
+  registry.note({ type: 'noteBackend', report: { ...base, state: 'draining' }, atMs: 1000 });
+  t.deepEqual(
+    registry.since(revision).map(({ backendId, state }) => ({ backendId, state })),
+    [{ backendId: 'b-1', state: 'draining' }],
+  );
+});
+
+test('a snapshot holds everything', (t) => {
+  const registry = after({}, { backendId: 'b-2', bornAtMs: 200 });
+  const restored = new BackendRegistry();
+  restored.restore(registry.snapshot());
+  t.deepEqual(restored.snapshot(), registry.snapshot());
+  t.false(restored.isNews({ ...base, sequence: 9 }, 1000));
+});
+
+test('one that turns cold again is news once', (t) => {
+  const registry = after({});
+  const cold = { ...base, sequence: 5, coldForMs: 3000 };
+  t.true(registry.isNews(cold, 1000));
+  registry.note({ type: 'noteBackend', report: cold, atMs: 1000 });
+  t.false(registry.isNews({ ...cold, sequence: 6, coldForMs: 1500 }, 2500));
+});
--- /dev/null
+++ b/packages/core/src/routing/routing.spec.ts
@@ -0,0 +1,119 @@
+import type { Route, RoutingDocument } from '@buckthornlug/protocol/routing/routingSchema.js';
+import { routingDocumentSchema } from '@buckthornlug/protocol/routing/routingSchema.js';
+import test from 'ava';
+
+import { compileRoutes, findRoute, TargetSpread } from './routeTable.js';
+import { RoutingStore } from './routingStore.js';
+
+function route(change: Partial<Route> = {}): Route {
+  return {
+    routeId: 'r-1',
+    hostName: 'one.example',
+    pathPrefix: '/a/',
+    targets: [{ service: 'desk', weight: 1 }],
+    execution: 'single',
+    timeLimitMs: 1000,
+    targetMs: 300,
+    rank: 0,
+    maxAttempts: 2,
+    hasAffinity: false,
+    homeRegions: [],
+    ...change,
+  };
+}
+
+function document(version: number, routes: Route[] = [route()]): RoutingDocument {
+  const service = { healthPath: '/health', connectionLimit: 10, coldStartMs: 0, coldCallsPerS: 1 };
+  return {
+    version,
+    routes,
+    services: ['desk', 'ledger'].map((name) => ({ service: name, ...service })),
+    limits: { maxHeadBytes: 1, maxBodyBytes: 1, headTimeoutMs: 1, idleTimeoutMs: 1 },
+    source: `version ${version}`,
+  };
+}
+
+test('the longest prefix of the host name takes a call', (t) => {
+  const table = compileRoutes(
+    document(1, [
+      route({ routeId: 'short' }),
+      route({ routeId: 'long', pathPrefix: '/a/b/' }),
+      route({ routeId: 'other', hostName: 'Two.example' }),
+    ]),
+  );
+  t.is(findRoute(table, 'one.example', '/a/b/c')?.routeId, 'long');
+  t.is(findRoute(table, 'ONE.example:8080', '/a/bc')?.routeId, 'short');
+  t.is(findRoute(table, 'two.example', '/a/')?.routeId, 'other');
+  t.is(findRoute(table, 'one.example', '/b/'), undefined);
+  t.is(findRoute(table, 'three.example', '/a/'), undefined);
+});
+
+test('any run of calls is spread by the weights', (t) => {
+  const split = route({
+    targets: [
+      { service: 'desk', weight: 90 },
+      { service: 'ledger', weight: 10 },
+    ],
+  });
+  const spread = new TargetSpread();
+  const picked = Array.from({ length: 50 }, () => spread.next(split));
+  t.is(picked.filter((service) => service === 'ledger').length, 5);
+  t.is(picked.slice(0, 10).filter((service) => service === 'ledger').length, 1);
+});
+
+test('a target without weight gets nothing, and a route of such targets has none', (t) => {
+  const spread = new TargetSpread();
+  const none = route({
+    targets: [
+      { service: 'desk', weight: 0 },
+      { service: 'ledger', weight: 0 },
+    ],
+  });
+  t.is(spread.next(none), undefined);
+});
+
+test('the highest version is in force, and other content under it changes nothing', (t) => {
+  const store = new RoutingStore();
+  t.is(store.replace({ type: 'replaceRouting', document: document(7) }).routingVersion, 7);
+  t.is(store.replace({ type: 'replaceRouting', document: document(4) }).routingVersion, 7);
+  const other = { ...document(7), source: 'other' };
+  t.is(store.replace({ type: 'replaceRouting', document: other }).routingVersion, 7);
+  t.is(store.current()?.source, 'version 7');
+});
+
+test('an evacuation changes the revision once, and a snapshot holds all of it', (t) => {
+  const store = new RoutingStore();
+  const begin = {
+    type: 'evacuation',
+    availabilityZone: 'north-a',
+    isEvacuated: true,
+    atMs: 5,
+  } as const;
+  store.replace({ type: 'replaceRouting', document: document(7) });
+  store.evacuate(begin);
+  store.evacuate({ ...begin, atMs: 9 });
+  t.is(store.evacuationRevision(), 1);
+  const restored = new RoutingStore();
+  restored.restore(store.snapshot());
+  t.deepEqual(restored.snapshot(), store.snapshot());
+  t.deepEqual(restored.evacuationRecords(), [
+    { availabilityZone: 'north-a', isEvacuated: true, atMs: 5 },
+  ]);
+});
+
+/** Each row: a change of a valid document that makes it invalid. */
+const faults: readonly (readonly [string, Partial<Route>])[] = [
+  ['an unknown service', { targets: [{ service: 'nowhere', weight: 1 }] }],
+  ['a weight below 0', { targets: [{ service: 'desk', weight: -1 }] }],
+  ['no time limit', { timeLimitMs: 0 }],
+  ['a time limit over ten minutes', { timeLimitMs: 600_001 }],
+  ['no attempts', { maxAttempts: 0 }],
+  ['no target', { targets: [] }],
+];
+
+for (const [title, change] of faults) {
+  test(`a document whose route has ${title} is not valid`, (t) => {
+    t.true(routingDocumentSchema.safeParse(document(1)).success);
+    t.false(routingDocumentSchema.safeParse(document(1, [route(change)])).success);
+  });
+}
--- a/packages/host/src/routedCalls/backendExchange.spec.ts
+++ b/packages/host/src/routedCalls/backendExchange.spec.ts
@@ -1,5 +1,5 @@
-import { createServer, type Server, type Socket } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
 
 import test from 'ava';
 
--- /dev/null
+++ b/packages/testkit/src/placement/placement.spec.ts
@@ -0,0 +1,93 @@
+import test from 'ava';
+
+import { replayPlacement } from './placementReplay.js';
+import type { ReplayLoad, ReplayResult, ReplayRoute, ReplayZone } from './replayTypes.js';
+
+const reads: ReplayRoute = {
+  routeId: 'reads',
+  rank: 1,
+  share: 0.7,
+  targetMs: 300,
+  timeLimitMs: 800,
+  workMs: 240,
+  objects: 64,
+};
+const holds: ReplayRoute = {
+  routeId: 'holds',
+  rank: 2,
+  share: 0.3,
+  targetMs: 600,
+  timeLimitMs: 1000,
+  workMs: 312,
+  objects: 24,
+};
+
+function zone(name: string, region: string, backends: number, callsPerS: number): ReplayZone {
+  return { zone: name, region, hosts: 2, backends, callsPerS };
+}
+
+/** Two regions of equal size whose calls would need more slots than there are if none were warm. */
+const load: ReplayLoad = {
+  zones: [
+    zone('north-a', 'north', 4, 57),
+    zone('north-b', 'north', 4, 57),
+    zone('south-a', 'south', 4, 57),
+    zone('south-b', 'south', 4, 57),
+  ],
+  routes: [reads, holds],
+  slots: 3,
+  keptObjects: 34,
+  warmPart: 0.3,
+  regionLinkMs: 3.5,
+  farLinkMs: 55,
+  durationMs: 20_000,
+  seed: 7,
+};
+
+function sumOf(results: ReadonlyMap<string, ReplayResult>, field: keyof ReplayResult): number {
+  let sum = 0;
+  for (const result of results.values()) sum += result[field];
+  return sum;
+}
+
+function shareInTarget(result: ReplayResult | undefined): number {
+  return (result?.inTarget ?? 0) / (result?.calls ?? 1);
+}
+
+test('calls run where their object was handled last', async (t) => {
+  const results = await replayPlacement(load);
+  t.true(sumOf(results, 'warmRuns') > 0.85 * sumOf(results, 'runs'));
+  t.true(sumOf(results, 'inTarget') > 0.9 * sumOf(results, 'calls'));
+});
+
+test('a region with few backend servers sends the same objects elsewhere, and they run warm', async (t) => {
+  const zones = [
+    zone('north-a', 'north', 1, 57),
+    zone('north-b', 'north', 1, 57),
+    zone('south-a', 'south', 7, 57),
+    zone('south-b', 'south', 7, 57),
+  ];
+  const results = await replayPlacement({ ...load, zones });
+  t.true(sumOf(results, 'farRuns') > 0);
+  t.true(sumOf(results, 'warmRuns') > 0.8 * sumOf(results, 'runs'));
+  t.true(sumOf(results, 'inTarget') > 0.75 * sumOf(results, 'calls'));
+});
+
+test('in a flood of one route the other one keeps its floor, and nobody waits in vain', async (t) => {
+  const troubles = [{ fromMs: 5000, toMs: 15_000, burst: { routeId: 'reads', factor: 5 } }];
+  const results = await replayPlacement({ ...load, troubles });
+  t.true(shareInTarget(results.get('holds')) > 0.5);
+  t.true(sumOf(results, 'inTarget') > 2 * sumOf(results, 'late'));
+});
+
+test('slow backend servers get few calls while they are slow', async (t) => {
+  const troubles = [{ fromMs: 5000, toMs: 15_000, slow: { backends: 3, factor: 5 } }];
+  const results = await replayPlacement({ ...load, troubles });
+  t.true(sumOf(results, 'inTarget') > 0.75 * sumOf(results, 'calls'));
+});
+
+test('the same load and seed are placed the same way', async (t) => {
+  const short = { ...load, durationMs: 3000 };
+  const [first, second] = [await replayPlacement(short), await replayPlacement(short)];
+  t.deepEqual([...first], [...second]);
+});
--- /dev/null
+++ b/packages/testkit/src/placement/placementReplay.ts
@@ -0,0 +1,281 @@
+import { AnswerTimes } from '@buckthornlug/core/placement/answerTimes.js';
+import { ObjectPool } from '@buckthornlug/core/placement/objectPool.js';
+import { PlacedBackend, type Distance } from '@buckthornlug/core/placement/placedBackend.js';
+import type { ObjectCall, PlacementDecision } from '@buckthornlug/core/placement/placementTypes.js';
+import type { RegisteredBackend } from '@buckthornlug/protocol/registry/registrySchema.js';
+
+import { createDraws, type Draws } from '../random/draws.js';
+import { VirtualTime } from '../time/virtualTime.js';
+import { ReplayBackend } from './replayBackend.js';
+import type { ReplayLoad, ReplayResult, ReplayRoute, ReplayZone } from './replayTypes.js';
+
+const service = 'desk';
+const pumpIntervalMs = 10;
+const coldCallsPerS = 10;
+const maxShift = 0.15;
+/** Part of the time left for which a caller waits at most before it returns. */
+const returnShare = 1 / 3;
+const msPerS = 1000;
+
+interface ReplayCall extends ObjectCall {
+  readonly route: ReplayRoute;
+  readonly region: string;
+  readonly isReturn: boolean;
+}
+
+interface ReplayHost {
+  readonly zone: ReplayZone;
+  readonly pool: ObjectPool<ReplayCall>;
+  readonly times: AnswerTimes;
+  isPumpScheduled: boolean;
+}
+
+type Sent = Extract<PlacementDecision<ReplayCall>, { readonly decision: 'send' }>;
+
+/** Replays a load and counts how the calls of each route ended. */
+class PlacementReplay {
+  private readonly time = new VirtualTime();
+
+  private readonly draws: Draws;
+
+  private readonly models = new Map<string, ReplayBackend>();
+
+  private readonly hosts: ReplayHost[] = [];
+
+  private readonly results = new Map<string, ReplayResult>();
+
+  constructor(private readonly load: ReplayLoad) {
+    this.draws = createDraws(load.seed);
+    const records = this.createBackends();
+    for (const zone of load.zones) {
+      for (let index = 0; index < zone.hosts; index += 1) {
+        this.hosts.push(this.createHost(zone, index, records));
+      }
+    }
+    for (const { routeId } of load.routes) {
+      this.results.set(routeId, {
+        calls: 0,
+        inTarget: 0,
+        late: 0,
+        turnedAway: 0,
+        warmRuns: 0,
+        runs: 0,
+        farRuns: 0,
+      });
+    }
+  }
+
+  async run(): Promise<ReadonlyMap<string, ReplayResult>> {
+    for (const host of this.hosts) this.scheduleArrivals(host);
+    this.scheduleTroubles();
+    await this.time.runUntil(this.load.durationMs);
+    return this.results;
+  }
+
+  private createBackends(): RegisteredBackend[] {
+    const { zones, slots, keptObjects, warmPart } = this.load;
+    const records: RegisteredBackend[] = [];
+    for (const { zone, backends } of zones) {
+      for (let index = 0; index < backends; index += 1) {
+        const backendId = `${zone}-${index}`;
+        this.models.set(backendId, new ReplayBackend(this.time, slots, keptObjects, warmPart));
+        records.push({
+          backendId,
+          bornAtMs: 0,
+          service,
+          availabilityZone: zone,
+          endpoint: { address: '127.0.0.1', port: 1 },
+          slots,
+          sequence: 1,
+          state: 'ready',
+          coldUntilMs: 0,
+          revision: 1,
+        });
+      }
+    }
+    return records;
+  }
+
+  private createHost(
+    zone: ReplayZone,
+    index: number,
+    records: readonly RegisteredBackend[],
+  ): ReplayHost {
+    const { zones } = this.load;
+    const hostId = `${zone.zone}-host-${index}`;
+    const times = new AnswerTimes();
+    const place = { hostId, availabilityZone: zone.zone, region: zone.region, maxShift };
+    const pool = new ObjectPool<ReplayCall>(place, times, 0);
+    const backends = records.map((record) => this.placed(record, zone));
+    const inRegion = backends.filter(({ distance }) => distance !== 'far').length;
+    const zoneHostIds = Array.from({ length: zone.hosts }, (_, at) => `${zone.zone}-host-${at}`);
+    const regionHosts = zones
+      .filter(({ region }) => region === zone.region)
+      .reduce((sum, { hosts }) => sum + hosts, 0);
+    pool.reconfigure(backends, inRegion, coldCallsPerS, { zoneHostIds, regionHosts });
+    return { zone, pool, times, isPumpScheduled: false };
+  }
+
+  private placed(record: RegisteredBackend, zone: ReplayZone): PlacedBackend {
+    const { zones, regionLinkMs, farLinkMs } = this.load;
+    const region = zones.find((one) => one.zone === record.availabilityZone)?.region ?? '';
+    let distance: Distance = region === zone.region ? 'region' : 'far';
+    if (record.availabilityZone === zone.zone) distance = 'zone';
+    const linkMs = { zone: 0, region: regionLinkMs, far: farLinkMs }[distance];
+    return new PlacedBackend(record, region, distance, linkMs, 0);
+  }
+
+  private scheduleArrivals(host: ReplayHost): void {
+    const { callsPerS, hosts } = host.zone;
+    const gapMs = (msPerS * hosts) / (callsPerS * this.burstOf(undefined));
+    this.time.schedule(-gapMs * Math.log(1 - this.draws.next()), () => {
+      const route = this.drawRoute();
+      const times = Math.round(this.burstOf(route.routeId));
+      for (let copy = 0; copy < times; copy += 1) this.arrive(host, route);
+      this.scheduleArrivals(host);
+    });
+  }
+
+  /** Factor on the calls of one route, or on all. */
+  private burstOf(routeId: string | undefined): number {
+    const { nowMs } = this.time;
+    for (const { fromMs, toMs, burst } of this.load.troubles ?? []) {
+      const isNow = nowMs >= fromMs && nowMs < toMs;
+      if (isNow && burst !== undefined && burst.routeId === routeId) return burst.factor;
+    }
+    return 1;
+  }
+
+  private scheduleTroubles(): void {
+    for (const { fromMs, toMs, slow } of this.load.troubles ?? []) {
+      if (slow === undefined) continue;
+      const slowed = [...this.models.values()].slice(0, slow.backends);
+      const setFactor = (factor: number) => {
+        for (const model of slowed) model.slowFactor = factor;
+      };
+      this.time.schedule(fromMs, () => setFactor(slow.factor));
+      this.time.schedule(toMs, () => setFactor(1));
+    }
+  }
+
+  private drawRoute(): ReplayRoute {
+    const { routes } = this.load;
+    let left = this.draws.next();
+    for (const route of routes) {
+      left -= route.share;
+      if (left < 0) return route;
+    }
+    return routes[0] as ReplayRoute;
+  }
+
+  private arrive(host: ReplayHost, route: ReplayRoute): void {
+    const { nowMs } = this.time;
+    const object = this.draws.below(route.objects);
+    this.resultOf(route.routeId).calls += 1;
+    this.offer(host, {
+      route,
+      region: host.zone.region,
+      isReturn: false,
+      routeId: route.routeId,
+      service,
+      objectKey: `${host.zone.region}-${route.routeId}-${object}`,
+      rank: route.rank,
+      targetMs: route.targetMs,
+      targetAtMs: nowMs + route.targetMs,
+      deadlineAtMs: nowMs + route.timeLimitMs,
+      homeRegions: [],
+      tried: new Set(),
+    });
+  }
+
+  private offer(host: ReplayHost, call: ReplayCall): void {
+    const decision = host.pool.offer(call, this.time.nowMs);
+    if (decision.decision === 'wait') this.schedulePump(host);
+    else this.carryOut(host, decision);
+  }
+
+  private schedulePump(host: ReplayHost): void {
+    const scheduled = host;
+    if (scheduled.isPumpScheduled || host.pool.waitingCalls === 0) return;
+    scheduled.isPumpScheduled = true;
+    this.time.schedule(pumpIntervalMs, () => {
+      scheduled.isPumpScheduled = false;
+      this.pump(host);
+    });
+  }
+
+  private pump(host: ReplayHost): void {
+    for (const decision of host.pool.pump(this.time.nowMs)) this.carryOut(host, decision);
+    this.schedulePump(host);
+  }
+
+  private carryOut(host: ReplayHost, decision: PlacementDecision<ReplayCall>): void {
+    if (decision.decision === 'send') this.send(host, decision);
+    if (decision.decision === 'turnAway') this.turnAway(host, decision.call, decision.retryAfterMs);
+  }
+
+  private turnAway(host: ReplayHost, call: ReplayCall, retryAfterMs: number): void {
+    const { nowMs } = this.time;
+    const leftMs = call.deadlineAtMs - nowMs;
+    if (call.isReturn || leftMs <= 0) {
+      this.resultOf(call.routeId).turnedAway += 1;
+      return;
+    }
+    this.time.schedule(Math.min(retryAfterMs, leftMs * returnShare), () =>
+      this.offer(host, {
+        ...call,
+        isReturn: true,
+        targetAtMs: this.time.nowMs + call.targetMs,
+      }),
+    );
+  }
+
+  private send(host: ReplayHost, { call, place }: Sent): void {
+    const { backend, isWarm: isExpectedWarm, expectedMs, load } = place;
+    const { backendId, slots } = backend.record;
+    const sentAtMs = this.time.nowMs;
+    const result = this.resultOf(call.routeId);
+    backend.start(sentAtMs);
+    result.runs += 1;
+    if (backend.distance === 'far') result.farRuns += 1;
+    const workMs = call.route.workMs * this.draws.between(0.8, 1.2);
+    this.time.schedule(backend.linkMs, () => {
+      this.models.get(backendId)?.run(call.objectKey ?? '', workMs, (isWarm, reported) => {
+        if (isWarm) result.warmRuns += 1;
+        this.time.schedule(backend.linkMs, () => {
+          const { nowMs } = this.time;
+          const ownMs = nowMs - sentAtMs - 2 * backend.linkMs;
+          backend.end(sentAtMs);
+          backend.noteLoad({ ...reported, slots }, nowMs);
+          const isTimed = load <= slots - 1;
+          const slowness = Math.min(10, ownMs / Math.max(1, expectedMs));
+          backend.noteEnd({ isFailure: false, ...(isTimed ? { slowness } : {}) }, nowMs);
+          if (isTimed) host.times.note(call.routeId, call.targetMs, isExpectedWarm, ownMs);
+          this.answered(call, nowMs);
+          this.pump(host);
+        });
+      });
+    });
+  }
+
+  private answered(call: ReplayCall, nowMs: number): void {
+    const result = this.resultOf(call.routeId);
+    const isInTarget = !call.isReturn && nowMs <= call.targetAtMs;
+    if (isInTarget) result.inTarget += 1;
+    else result.late += 1;
+  }
+
+  private resultOf(routeId: string): ReplayResult {
+    return this.results.get(routeId) as ReplayResult;
+  }
+}
+
+/**
+ * Replays a load against the placement of calls in virtual time.
+ *
+ * @param load - zones, routes, backend servers and troubles
+ * @returns how the calls ended, by route
+ */
+export function replayPlacement(load: ReplayLoad): Promise<ReadonlyMap<string, ReplayResult>> {
+  return new PlacementReplay(load).run();
+}
--- /dev/null
+++ b/packages/testkit/src/placement/replayTypes.ts
@@ -0,0 +1,63 @@
+/** A load that is replayed against the placement of calls, without processes or sockets. */
+
+/** One availability zone with its hosts, backend servers and callers. */
+export interface ReplayZone {
+  readonly zone: string;
+  readonly region: string;
+  readonly hosts: number;
+  readonly backends: number;
+  /** Calls of its callers a second, all routes together. */
+  readonly callsPerS: number;
+}
+
+/** One kind of calls. */
+export interface ReplayRoute {
+  readonly routeId: string;
+  readonly rank: number;
+  /** Part of the calls. */
+  readonly share: number;
+  readonly targetMs: number;
+  readonly timeLimitMs: number;
+  /** Mean time on a slot where the object was not handled lately. */
+  readonly workMs: number;
+  /** Objects of one region. */
+  readonly objects: number;
+}
+
+/** A change of the load for some time. */
+export interface ReplayTrouble {
+  readonly fromMs: number;
+  readonly toMs: number;
+  /** Factor on the calls of one route or, where absent, of all. */
+  readonly burst?: { readonly routeId?: string; readonly factor: number };
+  /** Factor on the work time of the first backend servers. */
+  readonly slow?: { readonly backends: number; readonly factor: number };
+}
+
+export interface ReplayLoad {
+  readonly zones: readonly ReplayZone[];
+  readonly routes: readonly ReplayRoute[];
+  readonly slots: number;
+  /** Objects that a backend server keeps. */
+  readonly keptObjects: number;
+  /** Part of the work time that is left where the object is kept. */
+  readonly warmPart: number;
+  readonly regionLinkMs: number;
+  readonly farLinkMs: number;
+  readonly durationMs: number;
+  readonly seed: number;
+  readonly troubles?: readonly ReplayTrouble[];
+}
+
+/** How the calls of one route ended. */
+export interface ReplayResult {
+  calls: number;
+  inTarget: number;
+  late: number;
+  turnedAway: number;
+  /** Runs whose object was kept by the backend server. */
+  warmRuns: number;
+  runs: number;
+  /** Runs in another region than the caller's. */
+  farRuns: number;
+}
