feat(placement): callers are asked to return when room is expected, spread around it

Cause: calls turned away were asked to return after 60 ms at least, mostly before the calls ahead were done, and were refused again. Change: the time asked is the expected time of the answer less that of the work, 100 ms at least, spread by a quarter.

--- a/packages/core/src/placement/objectPool.ts
+++ b/packages/core/src/placement/objectPool.ts
@@ -36,7 +36,7 @@
 /** Multiple of the expected time from which a call in flight counts as stuck. */
 const stuckFactor = 4;
 /** Shortest time after which a caller is asked to return. */
-const minRetryAfterMs = 60;
+const minRetryAfterMs = 100;
 /** Share of the backend servers of the region below which moves to others are not limited. */
 const lostRegionShare = 0.5;
 
@@ -72,7 +72,9 @@
   reason: TurnAwayReason,
   best?: WeighedPlace,
 ): PlacementDecision<Call> {
-  const retryAfterMs = Math.max(minRetryAfterMs, best?.waitMs ?? 0);
+  // Room is expected once the calls ahead are done and what makes the place dear has passed.
+  const roomInMs = best === undefined ? 0 : best.costMs - best.expectedMs;
+  const retryAfterMs = Math.max(minRetryAfterMs, roomInMs);
   return { decision: 'turnAway', call, reason, retryAfterMs, ...(best && { best }) };
 }
 
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -6,7 +6,7 @@
 import type { CallFields } from '@buckthornlug/protocol/settings/settingsSchema.js';
 
 import type { RequestBody } from '../calls/requestBody.js';
-import type { HostContext } from '../runtime/hostTypes.js';
+import type { HostContext, Random } from '../runtime/hostTypes.js';
 import type { BackendAgent } from './backendConnections.js';
 import { exchange, type ExchangeResult, type ExchangeTimes } from './backendExchange.js';
 import type { RoutedCall } from './routedCallsTypes.js';
@@ -24,6 +24,9 @@
 /** Time after which a caller may try a service again that has no backend server. */
 const noBackendRetryAfterMs = 300;
 
+/** Largest deviation of a return from the time at which room is expected, as a part of it. */
+const returnSpread = 0.25;
+
 /** What the runner is given. */
 export interface RunnerParts {
   readonly context: HostContext;
@@ -64,7 +67,13 @@
   return { running, waiting, slots };
 }
 
-function turnedAway({ reason, retryAfterMs }: TurnedAway): Failure {
+/** Spreads the return of callers around the time at which room is expected. */
+function spread(retryAfterMs: number, random: Random): number {
+  return retryAfterMs * (1 + returnSpread * (2 * random() - 1));
+}
+
+function turnedAway({ reason, retryAfterMs: roomInMs }: TurnedAway, random: Random): Failure {
+  const retryAfterMs = spread(roomInMs, random);
   const more = { retryAfterMs };
   if (reason === 'noBackend') {
     const atLeastMs = Math.max(retryAfterMs, noBackendRetryAfterMs);
@@ -123,7 +132,7 @@
       }
       if (placed.decision === 'turnAway') {
         this.logPlacement(call, placed);
-        return { end: 'failed', failure: turnedAway(placed) };
+        return { end: 'failed', failure: turnedAway(placed, this.parts.context.random) };
       }
       const { backendId } = placed.place.backend.record;
       call.tried.add(backendId);
