test(routing): a control host, an entry host and registered backend servers on loopback

Change: a fleet of two hosts with the features of the platform; kept connections are handed back to requests by the agent's own method, since an error listener stayed on each (a warning after 11 calls).

--- a/packages/host/src/routedCalls/backendConnections.ts
+++ b/packages/host/src/routedCalls/backendConnections.ts
@@ -1,4 +1,3 @@
-/* eslint class-methods-use-this: ['error', { exceptMethods: ['reuseSocket'] }] */
 import { Agent, type AgentOptions, type ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
 
@@ -53,7 +52,6 @@
   override reuseSocket(stream: Socket, request: ClientRequest): void {
     stream.off('data', dropOnData);
     stream.setTimeout(0);
-    stream.ref();
-    Object.assign(request, { reusedSocket: true });
+    super.reuseSocket(stream, request);
   }
 }
--- /dev/null
+++ b/packages/testkit/src/routing/routedFleet.ts
@@ -0,0 +1,168 @@
+import { mkdtemp, rm } from 'node:fs/promises';
+import { createServer, type IncomingMessage, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { routedFeatures } from '@buckthornlug/host/features.js';
+import { startHost, type RunningHost } from '@buckthornlug/host/runtime/hostRuntime.js';
+import type { BackendReport } from '@buckthornlug/protocol/registry/registrySchema.js';
+import type { RoutingDocument } from '@buckthornlug/protocol/routing/routingSchema.js';
+import { routingSettingsSchema } from '@buckthornlug/protocol/settings/settingsSchema.js';
+import { request } from 'undici';
+
+import { createFleetSettings } from '../fakes/hostSettings.js';
+import { timeUntil } from '../time/timeUntil.js';
+
+/** A backend server that registers, with what it was asked. */
+export interface RegisteredFake {
+  readonly report: BackendReport;
+  readonly requests: IncomingMessage['headers'][];
+  readonly server: Server;
+}
+
+/** A control host, an entry host and backend servers on loopback addresses. */
+export interface RoutedFleet {
+  readonly control: RunningHost;
+  readonly entry: RunningHost;
+  /** Starts a backend server and registers it. */
+  readonly addBackend: (
+    backendId: string,
+    answer: (request: IncomingMessage) => { readonly status: number; readonly notRun?: boolean },
+  ) => Promise<RegisteredFake>;
+  /** Sends a call to the entry host. */
+  readonly call: (
+    path: string,
+    fields?: Record<string, string>,
+  ) => Promise<{ readonly status: number; readonly body: string }>;
+  readonly stop: () => Promise<void>;
+}
+
+/**
+ * A routing document with one service and two routes.
+ *
+ * @param version - version of the document
+ */
+export function routedDocument(version: number): RoutingDocument {
+  const route = {
+    hostName: 'one.example',
+    targets: [{ service: 'desk', weight: 1 }],
+    timeLimitMs: 2000,
+    targetMs: 500,
+    rank: 0,
+    maxAttempts: 2,
+    hasAffinity: true,
+    homeRegions: [],
+  };
+  return {
+    version,
+    routes: [
+      { ...route, routeId: 'reads', pathPrefix: '/reads/', execution: 'idempotent' },
+      { ...route, routeId: 'orders', pathPrefix: '/orders/', execution: 'single' },
+    ],
+    services: [
+      {
+        service: 'desk',
+        healthPath: '/health',
+        connectionLimit: 10,
+        coldStartMs: 0,
+        coldCallsPerS: 10,
+      },
+    ],
+    limits: {
+      maxHeadBytes: 16_384,
+      maxBodyBytes: 65_536,
+      headTimeoutMs: 3000,
+      idleTimeoutMs: 5000,
+    },
+    source: `version ${version}`,
+  };
+}
+
+/** Waits until a condition holds; throws where it does not in time. */
+async function eventually(what: string, holds: () => boolean): Promise<void> {
+  if ((await timeUntil(holds)) === Infinity) throw new Error(`${what}: not in time`);
+}
+
+async function startAll(dataFolder: string): Promise<readonly RunningHost[]> {
+  const place = { region: 'north', availabilityZone: 'north-a' };
+  const [controlSettings, entrySettings] = createFleetSettings(
+    [
+      { hostId: 'c1', ...place, roles: ['control'] },
+      { hostId: 'e1', ...place },
+    ],
+    { dataFolder, groups: [{ id: 'control', members: ['c1'], admitsControlHosts: true }] },
+  );
+  const routing = routingSettingsSchema.parse({
+    regionOfZone: { 'north-a': 'north' },
+    // The backend servers of the fleet report once.
+    reportIntervalMs: 60_000,
+  });
+  const hosts: RunningHost[] = [];
+  for (const settings of [controlSettings, entrySettings]) {
+    if (settings === undefined) throw new Error('settings of a host are missing');
+    const started = await startHost({ ...settings, routing }, { features: routedFeatures });
+    hosts.push(started._unsafeUnwrap());
+  }
+  return hosts;
+}
+
+/** Starts the fleet and puts a routing document in force. */
+export async function startRoutedFleet(): Promise<RoutedFleet> {
+  const dataFolder = await mkdtemp(join(tmpdir(), 'routed-'));
+  const [control, entry] = await startAll(dataFolder);
+  if (control === undefined || entry === undefined) throw new Error('a host is missing');
+  const servers: Server[] = [];
+  const { parts } = control;
+  await eventually('a leader', () => parts.control?.isLeader() ?? false);
+  (await parts.routingCommands?.replace(routedDocument(1)))?._unsafeUnwrap();
+  await eventually('the document on the entry host', () => entry.parts.isReady());
+  const { callers } = entry.context.settings.listen;
+
+  return {
+    control,
+    entry,
+    addBackend: async (backendId, answer) => {
+      const requests: IncomingMessage['headers'][] = [];
+      const server = createServer((incoming, response) => {
+        requests.push(incoming.headers);
+        const { status, notRun } = answer(incoming);
+        const fields = { 'x-request-id': String(incoming.headers['x-request-id']) };
+        response.writeHead(status, notRun === true ? { ...fields, 'x-not-run': '1' } : fields);
+        response.end(backendId);
+      });
+      servers.push(server);
+      await new Promise<void>((resolve) => {
+        server.listen(0, callers.address, resolve);
+      });
+      const report: BackendReport = {
+        backendId,
+        bornAtMs: Date.now(),
+        sequence: 1,
+        service: 'desk',
+        availabilityZone: 'north-a',
+        endpoint: { address: callers.address, port: (server.address() as AddressInfo).port },
+        slots: 2,
+        state: 'ready',
+        coldForMs: 0,
+      };
+      (await parts.reportBackend(report))._unsafeUnwrap();
+      return { report, requests, server };
+    },
+    call: async (path, fields = {}) => {
+      const answer = await request(`http://${callers.address}:${callers.port}${path}`, {
+        headers: { host: 'one.example', 'x-request-id': 'a-1', ...fields },
+      });
+      return { status: answer.statusCode, body: await answer.body.text() };
+    },
+    stop: async () => {
+      await entry.stop();
+      await control.stop();
+      for (const server of servers) {
+        server.closeAllConnections();
+        server.close();
+      }
+      await rm(dataFolder, { recursive: true });
+    },
+  };
+}
