feat(log): bounded lines on standard output that never wait for their reader

Cause: logs went to standard error without a bound, by synchronous writes; placements of calls that were answered left no line. Change: each event has 100 lines a second, what was left out is counted in a line; lines go to standard output by one asynchronous write at a time and are dropped and counted beyond 256 KiB; callSent and exchangeEnded are logged with the inputs of the decision.

--- /dev/null
+++ b/packages/host/src/log/log.spec.ts
@@ -0,0 +1,47 @@
+import test from 'ava';
+
+import { LineBudget } from './lineBudget.js';
+import { createLog } from './log.js';
+import { createLineWriter } from './standardOutput.js';
+
+test('an event has so many lines a second, and what was left out is told', (t) => {
+  const reported: [string, number][] = [];
+  const budget = new LineBudget(2, (event, leftOut) => reported.push([event, leftOut]));
+  const written = [0, 1, 2, 3].filter((nowMs) => budget.mayWrite('refused', 5000 + nowMs));
+  t.is(written.length, 2);
+  t.true(budget.mayWrite('sent', 5004));
+  t.deepEqual(reported, []);
+  t.true(budget.mayWrite('refused', 6000));
+  t.deepEqual(reported, [['refused', 2]]);
+});
+
+test('a flood of one event leaves the lines of the others', (t) => {
+  const lines: string[] = [];
+  const log = createLog('a', 'info', (line) => lines.push(line), {
+    linesPerS: 3,
+    nowMs: () => 1000,
+  });
+  for (let call = 0; call < 100; call += 1) log.info('callSent', { call });
+  log.warn('leaderLost');
+  t.is(lines.filter((line) => line.includes('event=callSent')).length, 3);
+  t.is(lines.filter((line) => line.includes('event=leaderLost')).length, 1);
+});
+
+test('a reader that does not read costs lines, not time', (t) => {
+  let done: (error: null) => void = () => undefined;
+  const texts: string[] = [];
+  const writer = createLineWriter((text, written) => {
+    texts.push(text);
+    done = written;
+  });
+  const line = 'x'.repeat(1023);
+  for (let count = 0; count < 1000; count += 1) writer.write(line);
+  t.true(writer.dropped() > 700);
+  return new Promise<void>((resolve) => {
+    setImmediate(() => {
+      t.is(texts.length, 1);
+      done(null);
+      resolve();
+    });
+  });
+});
--- a/packages/host/src/log/log.ts
+++ b/packages/host/src/log/log.ts
@@ -1,6 +1,8 @@
 import bunyan from 'bunyan';
 import logfmt from 'logfmt';
 
+import { LineBudget } from './lineBudget.js';
+
 /** Fields of a log line; units stand in the names. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
@@ -27,17 +29,30 @@
   return logfmt.stringify(line);
 }
 
+/** Bounds of the volume of a log. */
+export interface LogBounds {
+  /** Lines of one event in a second. */
+  readonly linesPerS: number;
+  /** Monotonic time in milliseconds. */
+  readonly nowMs: () => number;
+}
+
+/** Event that tells how many lines of another one were left out. */
+const leftOutEvent = 'linesLeftOut';
+
 /**
  * Creates the log of a process.
  *
  * @param hostId - host that the lines speak of
  * @param level - lowest level that is written
  * @param write - takes each line, without its line end
+ * @param bounds - bounds of the volume; none where absent
  */
 export function createLog(
   hostId: string,
   level: 'debug' | 'info' | 'warn' | 'error',
   write: (line: string) => void,
+  bounds?: LogBounds,
 ): Log {
   const stream = {
     write: (record: Record<string, unknown>) => write(formatRecord(record)),
@@ -47,10 +62,24 @@
     hostId,
     streams: [{ type: 'raw', level, stream }],
   });
+  const budget =
+    bounds &&
+    new LineBudget(bounds.linesPerS, (event, lines) => {
+      logger.warn({ leftOut: event, lines }, leftOutEvent);
+    });
+  const writer =
+    (own: 'debug' | 'info' | 'warn' | 'error') =>
+    (event: string, fields: LogFields = {}): void => {
+      if (logger.levels(0) > bunyan.resolveLevel(own)) return;
+      if (budget !== undefined && bounds !== undefined && !budget.mayWrite(event, bounds.nowMs())) {
+        return;
+      }
+      logger[own]({ ...fields }, event);
+    };
   return {
-    debug: (event, fields = {}) => logger.debug({ ...fields }, event),
-    info: (event, fields = {}) => logger.info({ ...fields }, event),
-    warn: (event, fields = {}) => logger.warn({ ...fields }, event),
-    error: (event, fields = {}) => logger.error({ ...fields }, event),
+    debug: writer('debug'),
+    info: writer('info'),
+    warn: writer('warn'),
+    error: writer('error'),
   };
 }
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -292,7 +292,7 @@
     const targetLeftMs = Math.round(call.targetAtMs - clock.nowMs());
     const common = { requestId, service, routeId, rank, routingVersion, objectKey, targetLeftMs };
     if (placed.decision === 'send') {
-      log.debug('callSent', { ...common, ...describePlace(placed.place) });
+      log.info('callSent', { ...common, ...describePlace(placed.place) });
       return;
     }
     const { reason, retryAfterMs, best } = placed;
@@ -313,10 +313,7 @@
     times: ExchangeTimes,
     elapsedMs: number,
   ): void {
-    const isPlain = result.end === 'answered' && result.head.status < 400;
-    const { log } = this.parts.context;
-    const write = isPlain ? log.debug : log.info;
-    write('exchangeEnded', {
+    this.parts.context.log.info('exchangeEnded', {
       requestId: call.requestId,
       service: call.service,
       backendId: backend.record.backendId,
--- a/packages/host/src/runtime/hostRuntime.ts
+++ b/packages/host/src/runtime/hostRuntime.ts
@@ -6,6 +6,7 @@
 
 import { features as allFeatures } from '../features.js';
 import { createLog, type Log } from '../log/log.js';
+import { createLineWriter } from '../log/standardOutput.js';
 import { createMetrics } from '../metrics/metrics.js';
 import { createAppRouter } from '../rpc/appRouter.js';
 import { createInternalServer } from '../rpc/internalListener.js';
@@ -61,13 +62,14 @@
     limits.maxTimelineEvents,
     clock.wallMs,
   );
-  const write = overrides.writeLogLine ?? ((line) => process.stderr.write(`${line}\n`));
+  const write = overrides.writeLogLine ?? createLineWriter().write;
+  const bounds = { linesPerS: limits.maxLogLinesPerS, nowMs: clock.nowMs };
   return {
     settings,
     incarnation,
     clock,
     random: overrides.random ?? Math.random,
-    log: overrides.log ?? createLog(settings.hostId, settings.logLevel, write),
+    log: overrides.log ?? createLog(settings.hostId, settings.logLevel, write, bounds),
     record: overrides.record ?? timeline.record,
     timeline,
     metrics: createMetrics(),
--- a/packages/protocol/src/settings/settingsSchema.ts
+++ b/packages/protocol/src/settings/settingsSchema.ts
@@ -48,6 +48,11 @@
     .min(1)
     .default(134_217_728)
     .describe('Memory for bodies that are kept whole.'),
+  maxLogLinesPerS: z
+    .int()
+    .min(1)
+    .default(100)
+    .describe('Lines of one event that the log takes in a second; more are counted.'),
   maxTimelineEvents: z.int().min(16).default(20_000).describe('Events kept in memory.'),
 });
 
--- a/packages/testkit/src/ledger/onceProcesses.ts
+++ b/packages/testkit/src/ledger/onceProcesses.ts
@@ -14,7 +14,7 @@
   let output = '';
   return new Promise((resolve, reject) => {
     const timer = setTimeout(() => reject(new Error(`no start:\n${output}`)), startTimeoutMs);
-    child.stderr?.on('data', (part: Buffer) => {
+    child.stdout?.on('data', (part: Buffer) => {
       if (output.length < maxKeptOutput) output += part.toString();
       if (!output.includes('event=hostStarted')) return;
       clearTimeout(timer);
@@ -55,7 +55,7 @@
     this.starts += 1;
     await writeFile(this.settingsPath, JSON.stringify({ ...this.settings, logLevel: 'info' }));
     const child = spawn(process.execPath, [programPath, 'run', '--settings', this.settingsPath], {
-      stdio: ['ignore', 'ignore', 'pipe'],
+      stdio: ['ignore', 'pipe', 'ignore'],
     });
     this.child = child;
     await waitForStart(child);
