feat(placement): the share of objects that stay in a region follows its measured load

The share was worked out from the median of warm calls and missed cold ones, evicted objects and calls of other hosts. Change: the share moves until the region's backend servers are as busy as planned by their reported loads, or no busier than those of the other regions; without other regions every object stays.

--- a/packages/core/src/placement/objectPool.ts
+++ b/packages/core/src/placement/objectPool.ts
@@ -216,16 +216,29 @@
     return { decision: 'send', call, place: candidate };
   }
 
-  private noteCall({ objectKey, routeId, targetMs, tried }: Call, nowMs: number): void {
+  private noteCall({ objectKey, tried }: Call, nowMs: number): void {
     if (objectKey === undefined || tried.size > 0) return;
     this.seen.note(objectKey, nowMs);
-    this.homeShare.noteCall();
+    if (!this.homeShare.isDue(nowMs)) return;
     const { nearSlots, allSlots, nearObjects } = this.homes;
-    const callMs = this.times.expectedMs(routeId, targetMs, true);
+    const { regions } = this;
     const seenObjects = this.seen.count();
-    const { regions, regionHosts: entryHosts } = this;
-    const load = { nearSlots, allSlots, regions, nearObjects, seenObjects, callMs, entryHosts };
-    this.homeShare.update(load, nowMs);
+    const nearLoad = this.loadPerSlot(({ distance }) => distance !== 'far', nowMs);
+    const farLoad = this.loadPerSlot(({ distance }) => distance === 'far', nowMs);
+    const slots = { nearSlots, allSlots, regions };
+    this.homeShare.update({ ...slots, nearLoad, farLoad, nearObjects, seenObjects }, nowMs);
+  }
+
+  /** Calls at backend servers for each of their slots. */
+  private loadPerSlot(isMeant: (backend: PlacedBackend) => boolean, nowMs: number): number {
+    let load = 0;
+    let slots = 0;
+    for (const backend of this.backends) {
+      if (!isMeant(backend)) continue;
+      load += backend.load(nowMs);
+      slots += backend.record.slots;
+    }
+    return slots === 0 ? 0 : load / slots;
   }
 
   /** The place with the earliest answer, whether it has room now or not. */
