fix(routing): a host that starts asks for a confirmed document first

Change: for 600 ms after its start a host without a document passes over such sources; a replica counts as in touch with a leader once an entry of that leader's term is committed. After 600 ms the host serves with what it can get. Test: routingFollower.spec 'a host that starts passes over a control host that knows no leader' and 'that has heard of no leader for long' failed before.

--- /dev/null
+++ b/packages/core/src/consensus/leaderSilence.spec.ts
@@ -0,0 +1,59 @@
+import test from 'ava';
+
+import type { ConsensusOptions, DurableState } from './consensusTypes.js';
+import { leaderSilentMs, step } from './replica.js';
+import { createReplica, type ReplicaState } from './replicaState.js';
+
+const options: ConsensusOptions = {
+  electionTimeoutMs: 1000,
+  heartbeatMs: 150,
+  maxAppendBytes: 65_536,
+  maxAppendEntries: 512,
+  maxInFlightEntries: 4096,
+  snapshotChunkBytes: 65_536,
+  retainedEntries: 256,
+  maxUncommittedEntries: 16_384,
+};
+
+/** A disk that holds a committed command of term 1 and one of which it is not known. */
+function disk(voters: readonly string[]): DurableState {
+  const command = { kind: 'command', data: new Uint8Array([1]) } as const;
+  return {
+    hardState: { term: 1, votedFor: null },
+    snapshot: {
+      index: 1,
+      term: 1,
+      members: { voters, learners: [] },
+      data: new Uint8Array(0),
+    },
+    entries: [{ index: 2, term: 1, body: command }],
+  };
+}
+
+/** Steps a replica and syncs what it writes, unless told not to. */
+function run(state: ReplicaState, nowMs: number, isSynced = true): void {
+  const effects = step(state, { nowMs, random: 0.5 }, { kind: 'tick' });
+  const written = effects.findLast((effect) => effect.kind === 'persist');
+  if (!isSynced || written?.kind !== 'persist') return;
+  step(state, { nowMs, random: 0.5 }, { kind: 'synced', sequence: written.sequence });
+}
+
+test('a new leader knows of no leader until an entry of its term is committed', (t) => {
+  const state = createReplica('a/1', disk(['a/1']), options, 0);
+  let nowMs = 0;
+  while (state.role !== 'leader' && nowMs < 10_000) {
+    nowMs += 50;
+    run(state, nowMs);
+  }
+  t.is(state.role, 'leader');
+  t.true(state.commitIndex < 3);
+  t.is(leaderSilentMs(state, nowMs), Number.POSITIVE_INFINITY);
+  step(state, { nowMs, random: 0.5 }, { kind: 'synced', sequence: state.persistSequence });
+  t.is(state.commitIndex, 3);
+  t.is(leaderSilentMs(state, nowMs), 0);
+});
+
+test('a replica that has heard no leader since its start knows of none', (t) => {
+  const state = createReplica('a/1', disk(['a/1', 'b/1', 'c/1']), options, 0);
+  t.is(leaderSilentMs(state, 100), Number.POSITIVE_INFINITY);
+});
--- a/packages/core/src/consensus/replica.ts
+++ b/packages/core/src/consensus/replica.ts
@@ -20,6 +20,7 @@
 import { continueHandOver, startHandOver } from './handOver.js';
 import { changeMembers, promoteLearner } from './membership.js';
 import { expireForwardedReads, onReadIndex, onReadIndexReply, startRead } from './reads.js';
+import { termAt } from './replicaLog.js';
 import { broadcast, onAppend, onAppendReply, propose } from './replication.js';
 import {
   isVoter,
@@ -200,13 +201,15 @@
 
 /**
  * Time since a leader that a quorum follows was last known: for the leader since it heard a quorum,
- * for the others since they heard the leader.
+ * for the others since they heard the leader. Infinite until an entry of the leader's term is
+ * committed here, since what was committed before may lack entries until then.
  *
  * @param state - replica
  * @param nowMs - monotonic time
  */
 export function leaderSilentMs(state: ReplicaState, nowMs: number): number {
   const { leadership } = state;
+  if (termAt(state.log, state.commitIndex) !== state.term) return Number.POSITIVE_INFINITY;
   if (leadership !== undefined) return nowMs - quorumContactMs(state, leadership);
   if (state.leader === null) return Number.POSITIVE_INFINITY;
   return nowMs - (state.voteBlockedUntilMs - state.options.electionTimeoutMs);
--- a/packages/host/src/routedCalls/routedCallServer.ts
+++ b/packages/host/src/routedCalls/routedCallServer.ts
@@ -98,8 +98,9 @@
     if (accepted.isErr()) {
       const { code, detail } = accepted.error;
       context.metrics.count('requests_refused_total', { code });
-      const requestId = request.headers[acceptor.fields.attemptId];
-      context.log.info('callRefused', { requestId: String(requestId), code, detail });
+      const requestId = String(request.headers[acceptor.fields.attemptId]);
+      const { routingVersion } = acceptor.state.position();
+      context.log.info('callRefused', { requestId, code, detail, routingVersion });
       sendRefusal(response, accepted.error);
       return;
     }
--- /dev/null
+++ b/packages/host/src/routing/routingFollower.spec.ts
@@ -0,0 +1,82 @@
+import { failure } from '@buckthornlug/protocol/results/failure.js';
+import { checkSettings } from '@buckthornlug/protocol/settings/settings.js';
+import test from 'ava';
+import { errAsync, okAsync } from 'neverthrow';
+
+import type { HostParts } from '../runtime/hostParts.js';
+import { RoutingFollower } from './routingFollower.js';
+import type { RoutingNews } from './routingPollSchema.js';
+
+const settings = checkSettings({
+  hostId: 'e1',
+  region: 'north',
+  availabilityZone: 'north-a',
+  roles: ['entry'],
+  listen: {
+    callers: { address: '127.0.0.1', port: 1 },
+    internal: { address: '127.0.0.1', port: 2 },
+    admin: { address: '127.0.0.1', port: 3 },
+  },
+  peers: ['c1', 'c2', 'c3'].map((hostId, index) => ({
+    hostId,
+    internal: { address: '127.0.0.1', port: 10 + index },
+  })),
+  clusterKeys: [{ id: 'k-1', secret: '0123456789abcdef' }],
+  announceKeys: [{ id: 'k-1', secret: '0123456789abcdef' }],
+})._unsafeUnwrap();
+
+function news(routingVersion: number, silentMs: number | null): RoutingNews {
+  const position = { routingVersion, evacuationRevision: 0, registryRevision: 0 };
+  return { position, backends: [], silentMs, wallMs: 0 };
+}
+
+/** Versions in the order in which they were put in force until one is reached, or the time is up. */
+async function applied(
+  answers: Readonly<Record<string, RoutingNews | undefined>>,
+  until: number,
+  startAtMs = 0,
+): Promise<number[]> {
+  const versions: number[] = [];
+  let nowMs = 0;
+  const request = (source: string) => {
+    const answer = answers[source];
+    return answer === undefined ? errAsync(failure('BL6003', 'no answer')) : okAsync(answer);
+  };
+  const follower = new RoutingFollower({
+    context: {
+      settings,
+      clock: { nowMs: () => nowMs, wallMs: () => nowMs },
+      log: { debug() {}, info() {}, warn() {}, error() {} },
+    },
+    parts: {
+      membership: { hosts: () => [] },
+      peers: { request: request as unknown as HostParts['peers']['request'] },
+    },
+    position: () => news(versions.at(-1) ?? -1, 0).position,
+    apply: ({ position }) => {
+      versions.push(position.routingVersion);
+      if (position.routingVersion === until) follower.stop();
+    },
+  });
+  nowMs = startAtMs;
+  const limit = setTimeout(() => follower.stop(), 500);
+  await follower.run();
+  clearTimeout(limit);
+  return versions;
+}
+
+test('a host that starts passes over a control host that knows no leader', async (t) => {
+  t.deepEqual(await applied({ c1: news(33, null), c2: news(46, 20) }, 46), [46]);
+});
+
+test('a control host that has heard of no leader for long counts as one that knows none', async (t) => {
+  t.deepEqual(await applied({ c1: news(33, 1500), c2: news(46, 20) }, 46), [46]);
+});
+
+test('a host that is cut off with such control hosts takes what they hold in the end', async (t) => {
+  t.deepEqual(await applied({ c1: news(33, null) }, 33, 3000), [33]);
+});
+
+test('a source that does not answer is followed by the next one', async (t) => {
+  t.deepEqual(await applied({ c3: news(46, 20) }, 46), [46]);
+});
--- a/packages/host/src/routing/routingFollower.ts
+++ b/packages/host/src/routing/routingFollower.ts
@@ -17,13 +17,22 @@
 const answerTimeoutMs = 500;
 /** Silence of the control group from which another source is asked. */
 const maxSourceSilentMs = 1000;
+/**
+ * Time for which a host without a document passes over sources that know no leader, since what they
+ * hold may be older than what is in force; enough to ask every control host. After it the host serves
+ * with what it can get.
+ */
+const confirmedOnlyMs = 600;
 /** Pause after every source has failed. */
 const pauseMs = 150;
 
 /** What the follower is given. */
 export interface RoutingFollowerParts {
-  readonly context: HostContext;
-  readonly parts: Pick<HostParts, 'membership' | 'peers'>;
+  readonly context: Pick<HostContext, 'settings' | 'clock' | 'log'>;
+  readonly parts: {
+    readonly membership: Pick<HostParts['membership'], 'hosts'>;
+    readonly peers: Pick<HostParts['peers'], 'request'>;
+  };
   readonly position: () => RoutingPosition;
   readonly apply: (news: RoutingNews) => void;
 }
@@ -38,10 +47,14 @@
 
   private lastSource: string | undefined;
 
+  private readonly startedAtMs: number;
+
   /**
    * @param follower - where to ask, and who takes the news
    */
-  constructor(private readonly follower: RoutingFollowerParts) {}
+  constructor(private readonly follower: RoutingFollowerParts) {
+    this.startedAtMs = follower.context.clock.nowMs();
+  }
 
   async run(): Promise<void> {
     while (!this.isStopped) await this.askNext();
@@ -65,9 +78,10 @@
       return;
     }
     const news = answer.value;
-    this.follower.apply(news);
     const silentMs = news.silentMs ?? Number.POSITIVE_INFINITY;
-    if (silentMs > maxSourceSilentMs) {
+    const isConfirmed = silentMs <= maxSourceSilentMs;
+    if (isConfirmed || this.mayTakeUnconfirmed()) this.follower.apply(news);
+    if (!isConfirmed) {
       const problem = failure('BL5001', 'the control host knows no leader');
       await this.skip(source, sources.length, problem);
       return;
@@ -78,6 +92,12 @@
     this.follower.context.log.info('routingSourceChosen', { source });
   }
 
+  /** Whether news of a control host that knows no leader may be put in force. */
+  private mayTakeUnconfirmed(): boolean {
+    if (this.follower.position().routingVersion >= 0) return true;
+    return this.follower.context.clock.nowMs() - this.startedAtMs >= confirmedOnlyMs;
+  }
+
   private async skip(source: string, sourceCount: number, problem: Failure): Promise<void> {
     const { log } = this.follower.context;
     log.warn('routingSourceSkipped', { source, code: problem.code, detail: problem.detail });
