fix(calls): a call that may have run is not refused as not run after a further attempt

Cause: found by reading. An idempotent call whose first attempt broke off was placed again; where it was turned away then, or the next backend server shed it, the caller heard 503, which promises that it has not run and will not. Change: the first failure after which the call may have run is the one that the caller hears. Measured: routing/mayHaveRun.spec, red before (503 for 502), green after.

--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -124,28 +124,36 @@
     this.budgetOf(call.service).noteCall();
     let arrivals = 0;
     let unsent = 0;
+    // Once an attempt may have run the call, no later one makes it a call that has not run.
+    let mayHaveRun: Failure | undefined;
+    const failed = (problem: Failure, backendId?: string): RoutedEnd => ({
+      end: 'failed',
+      failure: mayHaveRun ?? problem,
+      ...(backendId === undefined ? {} : { backendId }),
+    });
     for (;;) {
       const placed = await this.parts.pools.place(call);
       if (call.signal.aborted) {
         if (placed.decision === 'send') this.parts.pools.release(placed);
-        return { end: 'failed', failure: abortedBeforeSend(call) };
+        return failed(abortedBeforeSend(call));
       }
       if (placed.decision === 'turnAway') {
         this.logPlacement(call, placed);
-        return { end: 'failed', failure: turnedAway(placed, this.parts.context.random) };
+        return failed(turnedAway(placed, this.parts.context.random));
       }
       const { backendId } = placed.place.backend.record;
       call.tried.add(backendId);
       const attempt = await this.attempt(call, placed, body);
       if (attempt.end === 'answered') return attempt;
-      if (attempt.end === 'givenUp') return { end: 'failed', failure: attempt.failure, backendId };
+      if (attempt.end === 'givenUp') return failed(attempt.failure, backendId);
+      if (attempt.end === 'unknown') mayHaveRun ??= attempt.failure;
       const hasArrived = attempt.end === 'unknown' || attempt.arrived;
       arrivals += Number(hasArrived);
       unsent += Number(!hasArrived);
       const isSafe = attempt.end === 'notRun' || call.route.execution === 'idempotent';
       const mayRepeat = isSafe && body.form === 'whole' && unsent <= maxUnsent;
       if (!mayRepeat || arrivals >= call.route.maxAttempts || !this.maySpend(call, arrivals)) {
-        return { end: 'failed', failure: attempt.failure, backendId };
+        return failed(attempt.failure, backendId);
       }
       this.parts.context.metrics.count('routed_calls_retried_total', { service: call.service });
     }
