refactor(calls): calls in flight are counted in one place, a lost region is found once per change

Cause: read-through of the change. The routed path counted its calls in flight and waited for the last as CallServer did; each placement counted the region's backend servers anew, though they change only with the routing state; the bound of 600 s on a call's timer could not be reached, since a route's limit has it. Change: CallsInFlight serves both servers, ObjectPool works out the lost region when it is reconfigured, the bound is gone. Behaviour stays as it is. Measured: tsc and eslint clean; 64 tests of placement, routing, calls, planned stop and exchanges passed.

--- a/packages/core/src/placement/objectPool.ts
+++ b/packages/core/src/placement/objectPool.ts
@@ -82,7 +82,8 @@
 export class ObjectPool<Call extends ObjectCall> {
   private backends: readonly PlacedBackend[] = [];
 
-  private registeredInRegion = 0;
+  /** Whether the region has lost so many backend servers that moves to others are not limited. */
+  private hasLostRegion = true;
 
   private coldCallsPerS = 0;
 
@@ -135,11 +136,12 @@
     hosts: EntryHosts,
   ): void {
     this.backends = backends;
-    this.registeredInRegion = registeredInRegion;
     this.coldCallsPerS = coldCallsPerS;
     this.zoneHostIds = hosts.zoneHostIds;
     this.regionHosts = hosts.regionHosts;
     this.homes = new ObjectHomes(backends);
+    const inRegion = backends.filter(({ distance }) => distance !== 'far').length;
+    this.hasLostRegion = inRegion === 0 || inRegion < registeredInRegion * lostRegionShare;
     this.regions = new Set(backends.map(({ region }) => region)).size;
     const known = new Set(backends.map(({ record }) => record.backendId));
     for (const backendId of this.coldPaces.keys()) {
@@ -243,7 +245,7 @@
 
   /** The place with the earliest answer, whether it has room now or not. */
   private best(call: Call, nowMs: number): Candidate | undefined {
-    const mayLeaveRegion = this.mayLeaveRegion(nowMs);
+    const mayLeaveRegion = this.hasLostRegion || this.spill.mayMove(nowMs);
     const isOpen = (backend: PlacedBackend) => {
       if (call.tried.has(backend.record.backendId)) return false;
       return isAtHome(call, backend) && this.mayGet(backend, nowMs);
@@ -259,12 +261,6 @@
     return best;
   }
 
-  private mayLeaveRegion(nowMs: number): boolean {
-    const inRegion = this.backends.filter(({ distance }) => distance !== 'far').length;
-    if (inRegion < this.registeredInRegion * lostRegionShare || inRegion === 0) return true;
-    return this.spill.mayMove(nowMs);
-  }
-
   private mayGet(backend: PlacedBackend, nowMs: number): boolean {
     if (backend.isPaused(nowMs)) return false;
     if (backend.isCold(nowMs)) {
--- a/packages/host/src/calls/callServer.ts
+++ b/packages/host/src/calls/callServer.ts
@@ -7,6 +7,7 @@
 import { createStreamingSink } from './answerSinks.js';
 import { watchCall, type CallAbort } from './callAbort.js';
 import { createCallLabels } from './callLabels.js';
+import { CallsInFlight } from './callsInFlight.js';
 import type { RunCall } from './callRunner.js';
 import type { AcceptedCall } from './callTypes.js';
 import { identityOf, runOnce } from './onceWork.js';
@@ -44,8 +45,7 @@
   runCall: RunCall,
 ): CallServer {
   const { limits } = context.settings;
-  let inFlight = 0;
-  const idleWaiters = new Set<() => void>();
+  const inFlight = new CallsInFlight();
 
   const runWithBody = async (
     call: AcceptedCall,
@@ -98,14 +98,8 @@
     });
   };
 
-  const endCall = () => {
-    inFlight -= 1;
-    if (inFlight > 0) return;
-    for (const resume of idleWaiters) resume();
-  };
-
   const serveToEnd = async (call: AcceptedCall): Promise<void> => {
-    inFlight += 1;
+    inFlight.begin();
     const timeLeftMs = call.deadlineAtMs - context.clock.nowMs();
     const isOnce = call.callClass.execution === 'once';
     const abort = watchCall(call.response, timeLeftMs, !isOnce);
@@ -123,7 +117,7 @@
       sendRefusal(call.response, failure('BL3018', detail), { requestId: call.requestId });
     } finally {
       abort.dispose();
-      endCall();
+      inFlight.end();
     }
   };
 
@@ -133,18 +127,7 @@
         context.log.error('callDefect', { detail: String(error) });
       });
     },
-    callsInFlight: () => inFlight,
-    whenIdle: (timeoutMs) =>
-      new Promise((resolve) => {
-        if (inFlight === 0) {
-          resolve();
-          return;
-        }
-        const timer = setTimeout(resolve, timeoutMs);
-        idleWaiters.add(() => {
-          clearTimeout(timer);
-          resolve();
-        });
-      }),
+    callsInFlight: () => inFlight.count,
+    whenIdle: (timeoutMs) => inFlight.whenIdle(timeoutMs),
   };
 }
--- /dev/null
+++ b/packages/host/src/calls/callsInFlight.ts
@@ -0,0 +1,32 @@
+/** Counts the calls of a host that are in flight, and tells when none is left. */
+export class CallsInFlight {
+  private inFlight = 0;
+
+  private readonly idleWaiters = new Set<() => void>();
+
+  get count(): number {
+    return this.inFlight;
+  }
+
+  begin(): void {
+    this.inFlight += 1;
+  }
+
+  end(): void {
+    this.inFlight -= 1;
+    if (this.inFlight > 0) return;
+    for (const resume of this.idleWaiters) resume();
+  }
+
+  /** Resolves when no call is in flight, or after the time given. */
+  whenIdle(timeoutMs: number): Promise<void> {
+    if (this.inFlight === 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, timeoutMs);
+      this.idleWaiters.add(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+}
--- a/packages/host/src/routedCalls/routedCallServer.ts
+++ b/packages/host/src/routedCalls/routedCallServer.ts
@@ -3,6 +3,7 @@
 import { endToEndFields, fieldValue } from '@buckthornlug/core/calls/headerFields.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 
+import { CallsInFlight } from '../calls/callsInFlight.js';
 import { breakAnswer, sendRefusal } from '../calls/refusal.js';
 import { receiveBody } from '../calls/requestBody.js';
 import type { HostContext } from '../runtime/hostTypes.js';
@@ -13,9 +14,6 @@
 
 /** Serves the calls of callers on an entry host. */
 
-/** Longest time for which a caller is waited for before its call is given up. */
-const longestCallMs = 600_000;
-
 /** How far a planned stop has got. */
 export type StopProgress = 'serving' | 'leaving' | 'finishing';
 
@@ -51,9 +49,7 @@
 
 /** Takes calls and counts those in flight. */
 export class RoutedCallServer {
-  private inFlight = 0;
-
-  private readonly idleWaiters = new Set<() => void>();
+  readonly inFlight = new CallsInFlight();
 
   /**
    * @param parts - acceptor and runner
@@ -75,22 +71,6 @@
     });
   }
 
-  callsInFlight(): number {
-    return this.inFlight;
-  }
-
-  /** Resolves when no call is in flight, or after the time given. */
-  whenIdle(timeoutMs: number): Promise<void> {
-    if (this.inFlight === 0) return Promise.resolve();
-    return new Promise((resolve) => {
-      const timer = setTimeout(resolve, timeoutMs);
-      this.idleWaiters.add(() => {
-        clearTimeout(timer);
-        resolve();
-      });
-    });
-  }
-
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { context, acceptor } = this.parts;
     const controller = new AbortController();
@@ -105,9 +85,9 @@
       return;
     }
     const call = accepted.value;
-    this.inFlight += 1;
+    this.inFlight.begin();
     const timeLeftMs = call.deadlineAtMs - context.clock.nowMs();
-    const timer = setTimeout(() => controller.abort(), Math.min(longestCallMs, timeLeftMs));
+    const timer = setTimeout(() => controller.abort(), timeLeftMs);
     const onClose = () => {
       if (!response.writableFinished) controller.abort();
     };
@@ -117,7 +97,7 @@
     } finally {
       clearTimeout(timer);
       if (response.writableEnded) response.off('close', onClose);
-      this.endCall();
+      this.inFlight.end();
     }
   }
 
@@ -156,10 +136,4 @@
     log.info('callRefused', { requestId, service, routeId, code, detail, backendId, elapsedMs });
     sendRefusal(call.response, problem, { hasFractionalRetry: true });
   }
-
-  private endCall(): void {
-    this.inFlight -= 1;
-    if (this.inFlight > 0) return;
-    for (const resume of this.idleWaiters) resume();
-  }
 }
--- a/packages/host/src/routedCalls/routedCallsFeature.ts
+++ b/packages/host/src/routedCalls/routedCallsFeature.ts
@@ -76,7 +76,7 @@
       finishCalls: async () => {
         progress = 'finishing';
         const closed = closeServer(server);
-        await calls.whenIdle(settings.timing.stopGraceMs);
+        await calls.inFlight.whenIdle(settings.timing.stopGraceMs);
         server.closeAllConnections();
         await closed;
       },
@@ -88,7 +88,7 @@
         agent.destroy();
       },
     },
-    status: () => ({ callsInFlight: calls.callsInFlight(), progress, ...state.position() }),
+    status: () => ({ callsInFlight: calls.inFlight.count, progress, ...state.position() }),
   };
   return listen(server, settings.listen.callers).andThen(() => okAsync(running));
 }
