--- a/packages/core/src/placement/objectPool.ts
+++ b/packages/core/src/placement/objectPool.ts
@@ -231,13 +231,14 @@
     this.homeShare.update({ ...slots, nearLoad, farLoad, nearObjects, seenObjects }, nowMs);
   }
 
-  /** Calls at backend servers for each of their slots. */
+  /** Calls at backend servers for each of their slots, by those that reported lately. */
   private loadPerSlot(isMeant: (backend: PlacedBackend) => boolean, nowMs: number): number {
     let load = 0;
     let slots = 0;
     for (const backend of this.backends) {
-      if (!isMeant(backend)) continue;
-      load += backend.load(nowMs);
+      const reported = isMeant(backend) ? backend.reportedLoad(nowMs) : undefined;
+      if (reported === undefined) continue;
+      load += reported;
       slots += backend.record.slots;
     }
     return slots === 0 ? 0 : load / slots;
--- a/packages/core/src/placement/placedBackend.ts
+++ b/packages/core/src/placement/placedBackend.ts
@@ -13,6 +13,8 @@
 const forgiveHalfLifeMs = 3000;
 /** Age at which a reported load counts half as much as a new one. */
 const loadHalfLifeMs = 300;
+/** Age up to which a reported load says how busy a place is; a host asks one backend server of many rarely. */
+const maxReportAgeMs = 1500;
 /** First pause after a backend server could not be reached; each further one doubles it. */
 const firstPauseMs = 500;
 const maxPauseMs = 8000;
@@ -41,6 +43,8 @@
 
   private othersInFlight = 0;
 
+  private reportedCalls = 0;
+
   private reportedAtMs = Number.NEGATIVE_INFINITY;
 
   private slowness = 1;
@@ -85,6 +89,11 @@
     return this.inFlight + this.othersInFlight * fresh + unknown * (1 - fresh);
   }
 
+  /** Calls of all hosts that it reported last; undefined where that was too long ago. */
+  reportedLoad(nowMs: number): number | undefined {
+    return nowMs - this.reportedAtMs <= maxReportAgeMs ? this.reportedCalls : undefined;
+  }
+
   /** Factor on the expected time of an answer. */
   slownessNow(nowMs: number): number {
     return 1 + (this.slowness - 1) * this.forgiven(nowMs);
@@ -120,7 +129,8 @@
 
   /** Takes note of the load that came with an answer; the answered call counts no longer. */
   noteLoad({ running, waiting }: ReportedLoad, nowMs: number): void {
-    this.othersInFlight = Math.max(0, running + waiting - this.inFlight);
+    this.reportedCalls = running + waiting;
+    this.othersInFlight = Math.max(0, this.reportedCalls - this.inFlight);
     this.reportedAtMs = nowMs;
   }
 
--- a/packages/testkit/src/placement/placement.spec.ts
+++ b/packages/testkit/src/placement/placement.spec.ts
@@ -40,6 +40,7 @@
   warmPart: 0.3,
   regionLinkMs: 3.5,
   farLinkMs: 55,
+  keepAliveMs: 4000,
   durationMs: 20_000,
   seed: 7,
 };
@@ -73,6 +74,33 @@
   t.true(sumOf(results, 'inTarget') > 0.75 * sumOf(results, 'calls'));
 });
 
+test('many hosts that each see few answers keep a small region from taking more than it can run', async (t) => {
+  const many = (name: string, region: string, backends: number) => ({
+    ...zone(name, region, backends, 200),
+    hosts: 12,
+  });
+  const zones = [
+    many('north-a', 'north', 15),
+    many('north-b', 'north', 15),
+    many('south-a', 'south', 72),
+    many('south-b', 'south', 72),
+  ];
+  const slow = { targetMs: 500, timeLimitMs: 1200, workMs: 720 };
+  const routes = [
+    { ...reads, ...slow, objects: 292 },
+    { ...holds, ...slow, targetMs: 1200, workMs: 960, objects: 126 },
+  ];
+  const results = await replayPlacement({
+    ...load,
+    zones,
+    routes,
+    keptObjects: 17,
+    warmPart: 0.25,
+    countFromMs: 8000,
+  });
+  t.true(sumOf(results, 'inTarget') > 0.9 * sumOf(results, 'calls'));
+});
+
 test('in a flood of one route the other one keeps its floor, and nobody waits in vain', async (t) => {
   const troubles = [{ fromMs: 5000, toMs: 15_000, burst: { routeId: 'reads', factor: 5 } }];
   const results = await replayPlacement({ ...load, troubles });
--- a/packages/testkit/src/placement/placementReplay.ts
+++ b/packages/testkit/src/placement/placementReplay.ts
@@ -27,6 +27,8 @@
   readonly zone: ReplayZone;
   readonly pool: ObjectPool<ReplayCall>;
   readonly times: AnswerTimes;
+  /** Times since which connections have been idle, the latest last, by backend server. */
+  readonly idleSinceMs: Map<string, number[]>;
   isPumpScheduled: boolean;
 }
 
@@ -52,7 +54,11 @@
         this.hosts.push(this.createHost(zone, index, records));
       }
     }
-    for (const { routeId } of load.routes) {
+    this.clearResults();
+  }
+
+  private clearResults(): void {
+    for (const { routeId } of this.load.routes) {
       this.results.set(routeId, {
         calls: 0,
         inTarget: 0,
@@ -61,6 +67,7 @@
         warmRuns: 0,
         runs: 0,
         farRuns: 0,
+        newConnections: 0,
       });
     }
   }
@@ -68,6 +75,7 @@
   async run(): Promise<ReadonlyMap<string, ReplayResult>> {
     for (const host of this.hosts) this.scheduleArrivals(host);
     this.scheduleTroubles();
+    this.time.schedule(this.load.countFromMs ?? 0, () => this.clearResults());
     await this.time.runUntil(this.load.durationMs);
     return this.results;
   }
@@ -113,7 +121,7 @@
       .filter(({ region }) => region === zone.region)
       .reduce((sum, { hosts }) => sum + hosts, 0);
     pool.reconfigure(backends, inRegion, coldCallsPerS, { zoneHostIds, regionHosts });
-    return { zone, pool, times, isPumpScheduled: false };
+    return { zone, pool, times, idleSinceMs: new Map(), isPumpScheduled: false };
   }
 
   private placed(record: RegisteredBackend, zone: ReplayZone): PlacedBackend {
@@ -239,13 +247,16 @@
     result.runs += 1;
     if (backend.distance === 'far') result.farRuns += 1;
     const workMs = call.route.workMs * this.draws.between(0.8, 1.2);
-    this.time.schedule(backend.linkMs, () => {
+    const connectMs = this.connectMs(host, backend);
+    if (connectMs !== undefined) result.newConnections += 1;
+    this.time.schedule((connectMs ?? 0) + backend.linkMs, () => {
       this.models.get(backendId)?.run(call.objectKey ?? '', workMs, (isWarm, reported) => {
         if (isWarm) result.warmRuns += 1;
         this.time.schedule(backend.linkMs, () => {
           const { nowMs } = this.time;
-          const ownMs = nowMs - sentAtMs - 2 * backend.linkMs;
+          const ownMs = nowMs - sentAtMs - (connectMs ?? 0) - 2 * backend.linkMs;
           backend.end(sentAtMs);
+          host.idleSinceMs.get(backendId)?.push(nowMs);
           backend.noteLoad({ ...reported, slots }, nowMs);
           const isTimed = load <= slots - 1;
           const slowness = Math.min(10, ownMs / Math.max(1, expectedMs));
@@ -258,6 +269,15 @@
     });
   }
 
+  /** Takes a kept connection; time that a new one takes where there is none. */
+  private connectMs(host: ReplayHost, { record, linkMs }: PlacedBackend): number | undefined {
+    const idle = host.idleSinceMs.get(record.backendId) ?? [];
+    host.idleSinceMs.set(record.backendId, idle);
+    const sinceMs = idle.pop();
+    const isKept = sinceMs !== undefined && this.time.nowMs - sinceMs < this.load.keepAliveMs;
+    return isKept ? undefined : 2 * linkMs;
+  }
+
   private answered(call: ReplayCall, nowMs: number): void {
     const result = this.resultOf(call.routeId);
     const isInTarget = !call.isReturn && nowMs <= call.targetAtMs;
--- a/packages/testkit/src/placement/replayTypes.ts
+++ b/packages/testkit/src/placement/replayTypes.ts
@@ -44,7 +44,11 @@
   readonly warmPart: number;
   readonly regionLinkMs: number;
   readonly farLinkMs: number;
+  /** Time for which an idle connection is kept. */
+  readonly keepAliveMs: number;
   readonly durationMs: number;
+  /** Time from which calls are counted, once each object has had its first run; 0 where absent. */
+  readonly countFromMs?: number;
   readonly seed: number;
   readonly troubles?: readonly ReplayTrouble[];
 }
@@ -60,4 +64,6 @@
   runs: number;
   /** Runs in another region than the caller's. */
   farRuns: number;
+  /** Connections opened for the runs. */
+  newConnections: number;
 }
