feat(placement): calls whose time limit passes are learned from, and silence does not count as idleness

Backend servers that had not answered lately counted as idle (own zone) or half taken (elsewhere). Change: what an exchange teaches is decided in core/placement/exchangeLessons, for the host and the replay alike; a passed time limit counts as slow and failed. The load of a place stands in for backend servers without a report, and fades by half a second without any. The replay has queues that shed, time limits and second attempts.

--- a/packages/core/src/placement/objectPool.ts
+++ b/packages/core/src/placement/objectPool.ts
@@ -2,7 +2,7 @@
 import { ColdPace, isColdSender } from './coldRate.js';
 import { HomeShare } from './homeShare.js';
 import { ObjectHomes, type HomePlan, type ObjectHome } from './objectHomes.js';
-import type { PlacedBackend } from './placedBackend.js';
+import type { Distance, PlacedBackend } from './placedBackend.js';
 import type {
   ObjectCall,
   PlacementDecision,
@@ -37,6 +37,13 @@
 const stuckFactor = 4;
 /** Shortest time after which a caller is asked to return. */
 const minRetryAfterMs = 100;
+/** Load of each slot that is assumed of a place until its backend servers have reported. */
+const firstUsualLoad: Readonly<Record<Distance, number>> = { zone: 0, region: 0.5, far: 0.5 };
+/**
+ * Factor on that load for each second in which none of them has reported. A place that gets no calls
+ * empties; its load must not go on to turn away the calls that would show it.
+ */
+const unreportedFactor = 0.5;
 /** Share of the backend servers of the region below which moves to others are not limited. */
 const lostRegionShare = 0.5;
 
@@ -97,6 +104,8 @@
 
   private homes = new ObjectHomes([]);
 
+  private usualLoad = firstUsualLoad;
+
   private readonly seen = new SeenObjects();
 
   private readonly homeShare: HomeShare;
@@ -225,14 +234,25 @@
     const { nearSlots, allSlots, nearObjects } = this.homes;
     const { regions } = this;
     const seenObjects = this.seen.count();
-    const nearLoad = this.loadPerSlot(({ distance }) => distance !== 'far', nowMs);
-    const farLoad = this.loadPerSlot(({ distance }) => distance === 'far', nowMs);
+    this.updateUsualLoad(nowMs);
+    const { region: nearLoad, far: farLoad } = this.usualLoad;
     const slots = { nearSlots, allSlots, regions };
     this.homeShare.update({ ...slots, nearLoad, farLoad, nearObjects, seenObjects }, nowMs);
   }
 
-  /** Calls at backend servers for each of their slots, by those that reported lately. */
-  private loadPerSlot(isMeant: (backend: PlacedBackend) => boolean, nowMs: number): number {
+  private updateUsualLoad(nowMs: number): void {
+    const near = this.reportedPerSlot(({ distance }) => distance !== 'far', nowMs);
+    const far = this.reportedPerSlot(({ distance }) => distance === 'far', nowMs);
+    const { region: formerNear, far: formerFar } = this.usualLoad;
+    const nearLoad = near ?? formerNear * unreportedFactor;
+    this.usualLoad = { zone: nearLoad, region: nearLoad, far: far ?? formerFar * unreportedFactor };
+  }
+
+  /** Calls for each slot of the backend servers that reported lately; undefined where none did. */
+  private reportedPerSlot(
+    isMeant: (backend: PlacedBackend) => boolean,
+    nowMs: number,
+  ): number | undefined {
     let load = 0;
     let slots = 0;
     for (const backend of this.backends) {
@@ -241,7 +261,7 @@
       load += reported;
       slots += backend.record.slots;
     }
-    return slots === 0 ? 0 : load / slots;
+    return slots === 0 ? undefined : load / slots;
   }
 
   /** The place with the earliest answer, whether it has room now or not. */
@@ -287,7 +307,7 @@
     const usualMs = this.times.expectedMs(call.routeId, call.targetMs, isWarm);
     const expectedMs = usualMs * backend.slownessNow(nowMs);
     const waiting = this.waitingFor(backend, call.rank);
-    const load = backend.load(nowMs) + waiting;
+    const load = backend.load(nowMs, this.usualLoad[backend.distance]) + waiting;
     const { slots } = backend.record;
     const limit = slots + queuedAtBackend + (call.rank === 0 ? extraForMostUrgent : 0);
     const hasRoom = load <= limit;
--- a/packages/core/src/placement/placedBackend.spec.ts
+++ b/packages/core/src/placement/placedBackend.spec.ts
@@ -24,12 +24,12 @@
   const placed = backend();
   placed.start(1000);
   placed.start(1100);
-  t.is(placed.load(1200), 2);
+  t.is(placed.load(1200, 0), 2);
   t.is(placed.oldestInFlightMs(1200), 200);
   placed.end(1000);
   t.is(placed.oldestInFlightMs(1200), 100);
   placed.end(1100);
-  t.is(placed.load(1200), 0);
+  t.is(placed.load(1200, 0), 0);
   t.is(placed.oldestInFlightMs(5000), 0);
 });
 
@@ -37,13 +37,17 @@
   const placed = backend();
   placed.start(1000);
   placed.noteLoad({ running: 3, waiting: 1, slots: 4 }, 1000);
-  t.is(placed.load(1000), 4);
-  t.is(placed.load(1300), 2.5);
+  t.is(placed.load(1000, 0), 4);
+  t.is(placed.load(1300, 0), 2.5);
 });
 
-test('half of the slots of a backend server elsewhere count as taken until it reports', (t) => {
-  t.is(backend('far').load(0), 2);
-  t.is(backend('zone').load(0), 0);
+test('a backend server that reported long ago counts as loaded as its place', (t) => {
+  t.is(backend('far').load(0, 0.5), 2);
+  t.is(backend('zone').load(0, 0), 0);
+  const placed = backend();
+  placed.noteLoad({ running: 0, waiting: 0, slots: 4 }, 1000);
+  t.is(placed.load(1000, 1.5), 0);
+  t.is(placed.load(1300, 1.5), 3);
 });
 
 test('what speaks against a backend server is forgotten with time', (t) => {
--- a/packages/core/src/placement/placedBackend.ts
+++ b/packages/core/src/placement/placedBackend.ts
@@ -82,11 +82,16 @@
     return nowMs < this.pausedUntilMs;
   }
 
-  /** Calls that run or wait there, as far as known; half of the slots where nothing is reported. */
-  load(nowMs: number): number {
+  /**
+   * Calls that run or wait there, as far as known.
+   *
+   * @param nowMs - monotonic time
+   * @param usualPerSlot - load of each slot of its place, which holds where it reported long ago
+   */
+  load(nowMs: number, usualPerSlot: number): number {
     const fresh = 0.5 ** ((nowMs - this.reportedAtMs) / loadHalfLifeMs);
-    const unknown = this.distance === 'zone' ? 0 : this.record.slots / 2;
-    return this.inFlight + this.othersInFlight * fresh + unknown * (1 - fresh);
+    const usual = usualPerSlot * this.record.slots;
+    return this.inFlight + this.othersInFlight * fresh + usual * (1 - fresh);
   }
 
   /** Calls of all hosts that it reported last; undefined where that was too long ago. */
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -1,5 +1,9 @@
 import { endToEndFields, fieldValue } from '@buckthornlug/core/calls/headerFields.js';
-import type { ExchangeEnd, ReportedLoad } from '@buckthornlug/core/placement/placedBackend.js';
+import {
+  learnFromExchange,
+  type ExchangeOutcome,
+} from '@buckthornlug/core/placement/exchangeLessons.js';
+import type { ReportedLoad } from '@buckthornlug/core/placement/placedBackend.js';
 import type { WeighedPlace } from '@buckthornlug/core/placement/placementTypes.js';
 import { RetryBudget } from '@buckthornlug/core/retries/retryBudget.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
@@ -67,6 +71,22 @@
   return { running, waiting, slots };
 }
 
+/** What the end of an exchange tells of the backend server; undefined where it tells nothing. */
+function lessonOf(
+  call: RoutedCall,
+  result: ExchangeResult,
+  fields: CallFields,
+): ExchangeOutcome['end'] | undefined {
+  if (result.end === 'notSent') return undefined;
+  if (result.end === 'broken') return 'failed';
+  if (result.end === 'aborted') {
+    return result.wasSent && !call.response.destroyed ? 'timedOut' : undefined;
+  }
+  const { status, fields: answer } = result.head;
+  if (status === misdirectedStatus || status >= leastErrorStatus) return 'failed';
+  return fieldValue(answer, fields.notRun) === undefined ? 'answered' : 'notRun';
+}
+
 /** Spreads the return of callers around the time at which room is expected. */
 function spread(retryAfterMs: number, random: Random): number {
   return retryAfterMs * (1 + returnSpread * (2 * random() - 1));
@@ -267,31 +287,16 @@
   /** Learns from an exchange how the backend server does. */
   private learn(
     call: RoutedCall,
-    placed: TakenPlace,
+    { place }: TakenPlace,
     result: ExchangeResult,
     elapsedMs: number,
   ): void {
-    const { backend, isWarm, expectedMs, load } = placed.place;
     const { context, fields, pools } = this.parts;
-    const nowMs = context.clock.nowMs();
-    if (result.end === 'aborted' || result.end === 'notSent') return;
-    if (result.end === 'broken') {
-      backend.noteEnd({ isFailure: true }, nowMs);
-      return;
-    }
-    const { status, fields: answer } = result.head;
-    const reported = loadOf(answer, fields.load);
-    if (reported !== undefined) backend.noteLoad(reported, nowMs);
-    const isNotRun = fieldValue(answer, fields.notRun) !== undefined;
-    const isFailure = status >= leastErrorStatus || status === misdirectedStatus;
-    const hadSlot = load <= backend.record.slots - 1;
-    const ownMs = Math.max(1, elapsedMs - 2 * backend.linkMs);
-    const isTimed = hadSlot && !isFailure && !isNotRun;
-    const end: ExchangeEnd = isTimed
-      ? { isFailure, slowness: Math.min(10, ownMs / Math.max(1, expectedMs)) }
-      : { isFailure };
-    backend.noteEnd(end, nowMs);
-    if (isTimed) pools.times.note(call.routeId, call.targetMs, isWarm, ownMs);
+    const end = lessonOf(call, result, fields);
+    if (end === undefined) return;
+    const reported = 'head' in result ? loadOf(result.head.fields, fields.load) : undefined;
+    const outcome = { end, elapsedMs, ...(reported === undefined ? {} : { reported }) };
+    learnFromExchange(pools.times, call, place, outcome, context.clock.nowMs());
   }
 
   private logPlacement(call: RoutedCall, placed: FinalDecision): void {
--- a/packages/testkit/src/placement/placement.spec.ts
+++ b/packages/testkit/src/placement/placement.spec.ts
@@ -35,9 +35,7 @@
     zone('south-b', 'south', 4, 57),
   ],
   routes: [reads, holds],
-  slots: 3,
-  keptObjects: 34,
-  warmPart: 0.3,
+  backend: { slots: 3, queuedCalls: 9, keptObjects: 34, warmPart: 0.3 },
   regionLinkMs: 3.5,
   farLinkMs: 55,
   keepAliveMs: 4000,
@@ -94,8 +92,7 @@
     ...load,
     zones,
     routes,
-    keptObjects: 17,
-    warmPart: 0.25,
+    backend: { ...load.backend, keptObjects: 17, warmPart: 0.25 },
     countFromMs: 8000,
   });
   t.true(sumOf(results, 'inTarget') > 0.9 * sumOf(results, 'calls'));
@@ -128,6 +125,12 @@
   t.true(sumOf(results, 'inTarget') > 0.9 * sumOf(results, 'calls'));
 });
 
+test('soon after a flood calls are served as before it', async (t) => {
+  const troubles = [{ fromMs: 5000, toMs: 12_000, burst: { factor: 5 } }];
+  const results = await replayPlacement({ ...load, troubles, countFromMs: 15_000 });
+  t.true(sumOf(results, 'inTarget') > 0.9 * sumOf(results, 'calls'));
+});
+
 test('the same load and seed are placed the same way', async (t) => {
   const short = { ...load, durationMs: 3000 };
   const [first, second] = [await replayPlacement(short), await replayPlacement(short)];
--- a/packages/testkit/src/placement/placementReplay.ts
+++ b/packages/testkit/src/placement/placementReplay.ts
@@ -1,4 +1,8 @@
 import { AnswerTimes } from '@buckthornlug/core/placement/answerTimes.js';
+import {
+  learnFromExchange,
+  type ExchangeOutcome,
+} from '@buckthornlug/core/placement/exchangeLessons.js';
 import { ObjectPool } from '@buckthornlug/core/placement/objectPool.js';
 import { PlacedBackend, type Distance } from '@buckthornlug/core/placement/placedBackend.js';
 import type { ObjectCall, PlacementDecision } from '@buckthornlug/core/placement/placementTypes.js';
@@ -6,7 +10,7 @@
 
 import { createDraws, type Draws } from '../random/draws.js';
 import { VirtualTime } from '../time/virtualTime.js';
-import { ReplayBackend } from './replayBackend.js';
+import { ReplayBackend, type ReplayReport } from './replayBackend.js';
 import type { ReplayLoad, ReplayResult, ReplayRoute, ReplayZone } from './replayTypes.js';
 
 const service = 'desk';
@@ -15,6 +19,8 @@
 const maxShift = 0.15;
 /** Part of the time left for which a caller waits at most before it returns. */
 const returnShare = 1 / 3;
+/** Backend servers that one call is sent to at most. */
+const maxAttempts = 2;
 const msPerS = 1000;
 
 interface ReplayCall extends ObjectCall {
@@ -64,6 +70,7 @@
         inTarget: 0,
         late: 0,
         turnedAway: 0,
+        timedOut: 0,
         warmRuns: 0,
         runs: 0,
         farRuns: 0,
@@ -81,19 +88,19 @@
   }
 
   private createBackends(): RegisteredBackend[] {
-    const { zones, slots, keptObjects, warmPart } = this.load;
+    const { zones, backend } = this.load;
     const records: RegisteredBackend[] = [];
     for (const { zone, backends } of zones) {
       for (let index = 0; index < backends; index += 1) {
         const backendId = `${zone}-${index}`;
-        this.models.set(backendId, new ReplayBackend(this.time, slots, keptObjects, warmPart));
+        this.models.set(backendId, new ReplayBackend(this.time, backend));
         records.push({
           backendId,
           bornAtMs: 0,
           service,
           availabilityZone: zone,
           endpoint: { address: '127.0.0.1', port: 1 },
-          slots,
+          slots: backend.slots,
           sequence: 1,
           state: 'ready',
           coldUntilMs: 0,
@@ -239,7 +246,7 @@
   }
 
   private send(host: ReplayHost, { call, place }: Sent): void {
-    const { backend, isWarm: isExpectedWarm, expectedMs, load } = place;
+    const { backend } = place;
     const { backendId, slots } = backend.record;
     const sentAtMs = this.time.nowMs;
     const result = this.resultOf(call.routeId);
@@ -249,24 +256,53 @@
     const workMs = call.route.workMs * this.draws.between(0.8, 1.2);
     const connectMs = this.connectMs(host, backend);
     if (connectMs !== undefined) result.newConnections += 1;
+    const end = (nowMs: number) => {
+      backend.end(sentAtMs);
+      host.idleSinceMs.get(backendId)?.push(nowMs);
+    };
+    const learn = (how: ExchangeOutcome['end'], report?: ReplayReport) => {
+      const { nowMs } = this.time;
+      const elapsedMs = nowMs - sentAtMs - (connectMs ?? 0);
+      const reported = report === undefined ? {} : { reported: { ...report, slots } };
+      learnFromExchange(host.times, call, place, { end: how, elapsedMs, ...reported }, nowMs);
+    };
+    let breakOff = () => {};
+    let isOver = false;
     this.time.schedule((connectMs ?? 0) + backend.linkMs, () => {
-      this.models.get(backendId)?.run(call.objectKey ?? '', workMs, (isWarm, reported) => {
-        if (isWarm) result.warmRuns += 1;
+      if (isOver) return;
+      const model = this.models.get(backendId) as ReplayBackend;
+      breakOff = model.run(call.objectKey ?? '', workMs, (run) => {
         this.time.schedule(backend.linkMs, () => {
+          if (isOver) return;
+          isOver = true;
           const { nowMs } = this.time;
-          const ownMs = nowMs - sentAtMs - (connectMs ?? 0) - 2 * backend.linkMs;
-          backend.end(sentAtMs);
-          host.idleSinceMs.get(backendId)?.push(nowMs);
-          backend.noteLoad({ ...reported, slots }, nowMs);
-          const isTimed = load <= slots - 1;
-          const slowness = Math.min(10, ownMs / Math.max(1, expectedMs));
-          backend.noteEnd({ isFailure: false, ...(isTimed ? { slowness } : {}) }, nowMs);
-          if (isTimed) host.times.note(call.routeId, call.targetMs, isExpectedWarm, ownMs);
+          end(nowMs);
+          learn(run.end === 'done' ? 'answered' : 'failed', run.report);
+          if (run.end === 'shed') {
+            this.offerAgain(host, call, backendId);
+            return;
+          }
+          if (run.isWarm) result.warmRuns += 1;
           this.answered(call, nowMs);
           this.pump(host);
         });
       });
     });
+    this.time.schedule(Math.max(0, call.deadlineAtMs - sentAtMs), () => {
+      if (isOver) return;
+      isOver = true;
+      breakOff();
+      backend.end(sentAtMs);
+      learn('timedOut');
+      result.timedOut += 1;
+    });
+  }
+
+  /** Offers a call that did not run to another backend server, or gives it up. */
+  private offerAgain(host: ReplayHost, call: ReplayCall, backendId: string): void {
+    const tried = new Set([...call.tried, backendId]);
+    if (tried.size < maxAttempts) this.offer(host, { ...call, tried });
+    else this.resultOf(call.routeId).turnedAway += 1;
   }
 
   /** Takes a kept connection; time that a new one takes where there is none. */
--- a/packages/testkit/src/placement/replayBackend.ts
+++ b/packages/testkit/src/placement/replayBackend.ts
@@ -1,10 +1,33 @@
 import type { VirtualTime } from '../time/virtualTime.js';
 
+/** How a modelled backend server works. */
+export interface ReplayBackendModel {
+  /** Calls that run at the same time. */
+  readonly slots: number;
+  /** Calls that wait for a slot; further ones are shed. */
+  readonly queuedCalls: number;
+  /** Objects that it keeps. */
+  readonly keptObjects: number;
+  /** Part of the work time that is left for an object that it keeps. */
+  readonly warmPart: number;
+}
+
+/** Load that it reports with an answer. */
+export interface ReplayReport {
+  readonly running: number;
+  readonly waiting: number;
+}
+
+/** How a call ended there. */
+export type ReplayRun =
+  | { readonly end: 'done'; readonly isWarm: boolean; readonly report: ReplayReport }
+  | { readonly end: 'shed'; readonly report: ReplayReport };
+
 /** A modelled backend server: slots, a queue, and a memory of the objects that it handled last. */
 export class ReplayBackend {
   private readonly kept = new Set<string>();
 
-  private readonly queue: (() => void)[] = [];
+  private queue: (() => void)[] = [];
 
   private running = 0;
 
@@ -13,15 +36,11 @@
 
   /**
    * @param time - virtual time
-   * @param slots - calls that run at the same time
-   * @param keptObjects - objects that it keeps
-   * @param warmPart - part of the work time that is left for an object that it keeps
+   * @param model - slots, queue and memory
    */
   constructor(
     private readonly time: VirtualTime,
-    private readonly slots: number,
-    private readonly keptObjects: number,
-    private readonly warmPart: number,
+    private readonly model: ReplayBackendModel,
   ) {}
 
   /**
@@ -29,31 +48,46 @@
    *
    * @param objectKey - object of the call
    * @param workMs - time of the work where the object is not kept
-   * @param done - told whether the object was kept, and of the load before the answer
+   * @param done - told how it ended, unless it was broken off
+   * @returns breaks the call off, where it is still there
    */
-  run(
-    objectKey: string,
-    workMs: number,
-    done: (isWarm: boolean, load: { running: number; waiting: number }) => void,
-  ): void {
+  run(objectKey: string, workMs: number, done: (run: ReplayRun) => void): () => void {
+    let isOver = false;
+    let hasStarted = false;
+    const end = () => {
+      isOver = true;
+      this.running -= 1;
+      this.queue.shift()?.();
+    };
     const start = () => {
+      hasStarted = true;
       this.running += 1;
       const isWarm = this.kept.has(objectKey);
-      this.keep(objectKey);
-      this.time.schedule(workMs * this.slowFactor * (isWarm ? this.warmPart : 1), () => {
-        this.running -= 1;
-        this.queue.shift()?.();
-        done(isWarm, { running: this.running, waiting: this.queue.length });
+      this.time.schedule(workMs * this.slowFactor * (isWarm ? this.model.warmPart : 1), () => {
+        if (isOver) return;
+        this.keep(objectKey);
+        end();
+        done({ end: 'done', isWarm, report: this.report() });
       });
     };
-    if (this.running < this.slots) start();
-    else this.queue.push(start);
+    if (this.running < this.model.slots) start();
+    else if (this.queue.length < this.model.queuedCalls) this.queue.push(start);
+    else done({ end: 'shed', report: this.report() });
+    return () => {
+      if (isOver) return;
+      if (hasStarted) end();
+      this.queue = this.queue.filter((waiting) => waiting !== start);
+    };
+  }
+
+  private report(): ReplayReport {
+    return { running: this.running, waiting: this.queue.length };
   }
 
   private keep(objectKey: string): void {
     this.kept.delete(objectKey);
     this.kept.add(objectKey);
-    if (this.kept.size <= this.keptObjects) return;
+    if (this.kept.size <= this.model.keptObjects) return;
     const [oldest] = this.kept;
     if (oldest !== undefined) this.kept.delete(oldest);
   }
--- a/packages/testkit/src/placement/replayTypes.ts
+++ b/packages/testkit/src/placement/replayTypes.ts
@@ -1,3 +1,5 @@
+import type { ReplayBackendModel } from './replayBackend.js';
+
 /** A load that is replayed against the placement of calls, without processes or sockets. */
 
 /** One availability zone with its hosts, backend servers and callers. */
@@ -37,11 +39,8 @@
 export interface ReplayLoad {
   readonly zones: readonly ReplayZone[];
   readonly routes: readonly ReplayRoute[];
-  readonly slots: number;
-  /** Objects that a backend server keeps. */
-  readonly keptObjects: number;
-  /** Part of the work time that is left where the object is kept. */
-  readonly warmPart: number;
+  /** Model of each backend server. */
+  readonly backend: ReplayBackendModel;
   readonly regionLinkMs: number;
   readonly farLinkMs: number;
   /** Time for which an idle connection is kept. */
@@ -59,6 +58,8 @@
   inTarget: number;
   late: number;
   turnedAway: number;
+  /** Calls broken off at a backend server when their time limit passed. */
+  timedOut: number;
   /** Runs whose object was kept by the backend server. */
   warmRuns: number;
   runs: number;
--- a/packages/testkit/src/time/virtualTime.ts
+++ b/packages/testkit/src/time/virtualTime.ts
@@ -1,6 +1,5 @@
 interface ScheduledEvent {
   readonly atMs: number;
-  readonly sequence: number;
   readonly run: () => void;
 }
 
@@ -13,9 +12,8 @@
 
 /** A time that moves from event to event, so that a test of minutes takes milliseconds. */
 export class VirtualTime {
-  private events: ScheduledEvent[] = [];
-
-  private sequence = 0;
+  /** The next event last. */
+  private readonly events: ScheduledEvent[] = [];
 
   private timeMs = 0;
 
@@ -24,8 +22,15 @@
   }
 
   schedule(delayMs: number, run: () => void): void {
-    this.sequence += 1;
-    this.events.push({ atMs: this.timeMs + delayMs, sequence: this.sequence, run });
+    const event = { atMs: this.timeMs + delayMs, run };
+    let low = 0;
+    let high = this.events.length;
+    while (low < high) {
+      const middle = Math.floor((low + high) / 2);
+      if (this.events[middle]!.atMs > event.atMs) low = middle + 1;
+      else high = middle;
+    }
+    this.events.splice(low, 0, event);
   }
 
   /** Runs events until none is left or the given time has come. */
@@ -41,17 +46,7 @@
   }
 
   private takeNext(untilMs: number): ScheduledEvent | undefined {
-    let first: ScheduledEvent | undefined;
-    for (const event of this.events) {
-      const isEarlier =
-        first === undefined ||
-        event.atMs < first.atMs ||
-        (event.atMs === first.atMs && event.sequence < first.sequence);
-      if (isEarlier) first = event;
-    }
-    if (first === undefined || first.atMs > untilMs) return undefined;
-    const taken = first;
-    this.events = this.events.filter((event) => event !== taken);
-    return taken;
+    const next = this.events.at(-1);
+    return next === undefined || next.atMs > untilMs ? undefined : this.events.pop();
   }
 }
