fix(routing): entry hosts learn of backend servers in answers that a slow link carries in time

Change: 64 records in an answer, the earliest changes first; once every source has failed the time limit doubles.

--- a/packages/core/src/registry/backendRegistry.spec.ts
+++ b/packages/core/src/registry/backendRegistry.spec.ts
@@ -105,6 +105,19 @@
   );
 });
 
+test('a reader of a part gets the earliest changes, whatever was registered first', (t) => {
+  const at = (address: string) => ({ endpoint: { address, port: 80 } });
+  const registry = after(
+    {},
+    { backendId: 'b-2', ...at('10.0.0.2') },
+    { backendId: 'b-3', ...at('10.0.0.3') },
+    { state: 'draining', sequence: 5 },
+  );
+  const read = (revision: number) => registry.since(revision, 2).map(({ backendId }) => backendId);
+  t.deepEqual(read(0), ['b-2', 'b-3']);
+  t.deepEqual(read(registry.since(0, 2).at(-1)?.revision ?? 0), ['b-1']);
+});
+
 test('a snapshot holds everything', (t) => {
   const registry = after({}, { backendId: 'b-2', bornAtMs: 200 });
   const restored = new BackendRegistry();
--- a/packages/core/src/registry/backendRegistry.ts
+++ b/packages/core/src/registry/backendRegistry.ts
@@ -56,9 +56,18 @@
     return this.backends.get(backendId);
   }
 
-  /** Records changed after a revision, those of backend servers that are gone included. */
-  since(revision: number): RegisteredBackend[] {
-    return [...this.backends.values()].filter((backend) => backend.revision > revision);
+  /**
+   * Records changed after a revision, the earliest change first, those of backend servers that are
+   * gone included.
+   *
+   * @param revision - revision that is known
+   * @param limit - largest number of records
+   */
+  since(revision: number, limit = Number.POSITIVE_INFINITY): RegisteredBackend[] {
+    return [...this.backends.values()]
+      .filter((backend) => backend.revision > revision)
+      .sort((left, right) => left.revision - right.revision)
+      .slice(0, limit);
   }
 
   /**
--- a/packages/host/src/routing/routingFollower.spec.ts
+++ b/packages/host/src/routing/routingFollower.spec.ts
@@ -35,10 +35,12 @@
   answers: Readonly<Record<string, RoutingNews | undefined>>,
   until: number,
   startAtMs = 0,
+  onRequest: (timeoutMs: number) => void = () => {},
 ): Promise<number[]> {
   const versions: number[] = [];
   let nowMs = 0;
-  const request = (source: string) => {
+  const request = (source: string, _send: unknown, timeoutMs: number) => {
+    onRequest(timeoutMs);
     const answer = answers[source];
     return answer === undefined ? errAsync(failure('BL6003', 'no answer')) : okAsync(answer);
   };
@@ -80,3 +82,9 @@
 test('a source that does not answer is followed by the next one', async (t) => {
   t.deepEqual(await applied({ c3: news(46, 20) }, 46), [46]);
 });
+
+test('once no source has answered in time each is given longer', async (t) => {
+  const limitsMs: number[] = [];
+  await applied({}, 0, 0, (limitMs) => limitsMs.push(limitMs));
+  t.deepEqual(limitsMs.slice(0, 6), [1000, 500, 500, 1000, 1000, 1000]);
+});
--- a/packages/host/src/routing/routingFollower.ts
+++ b/packages/host/src/routing/routingFollower.ts
@@ -15,6 +15,11 @@
 const pollWaitMs = 500;
 /** Time limit of the network and the source on top of the wait. */
 const answerTimeoutMs = 500;
+/**
+ * Times that this limit is doubled, once each time every source has failed: a large document on a
+ * slow or crowded link takes longer than the silence that shows a dead source.
+ */
+const maxDoublings = 3;
 /** Silence of the control group from which another source is asked. */
 const maxSourceSilentMs = 1000;
 /**
@@ -71,7 +76,7 @@
       await delay(pauseMs);
       return;
     }
-    const answer = await this.ask(source);
+    const answer = await this.ask(source, this.timeoutMs(sources.length));
     if (this.isStopped) return;
     if (answer.isErr()) {
       await this.skip(source, sources.length, answer.error);
@@ -107,13 +112,18 @@
     if (this.failedInARow % Math.max(1, sourceCount) === 0) await delay(pauseMs);
   }
 
-  private async ask(source: string): Promise<Result<RoutingNews, Failure>> {
+  private timeoutMs(sourceCount: number): number {
+    const failedRounds = Math.floor(this.failedInARow / Math.max(1, sourceCount));
+    return answerTimeoutMs * 2 ** Math.min(maxDoublings, failedRounds);
+  }
+
+  private async ask(source: string, timeoutMs: number): Promise<Result<RoutingNews, Failure>> {
     const have = this.follower.position();
     const waitMs = this.failedInARow > 0 ? 0 : pollWaitMs;
     const answer = await this.follower.parts.peers.request(
       source,
       (client, signal) => client.routing.poll.query({ ...have, waitMs }, { signal }),
-      waitMs + answerTimeoutMs,
+      waitMs + timeoutMs,
     );
     return answer.andThen((value) => {
       const news = routingNewsSchema.safeParse(value);
--- a/packages/host/src/routing/routingServer.ts
+++ b/packages/host/src/routing/routingServer.ts
@@ -7,9 +7,16 @@
 /** Time in which changes gather before waiting polls are answered. */
 const gatherMs = 15;
 
+/**
+ * Records of backend servers in one answer. On a link of 2 Mbit/s, the slowest of the deployments, so
+ * many take about a tenth of a second; an answer that takes longer than the poll's time limit would be
+ * asked for again and again, and leave no room for the calls.
+ */
+const maxBackendsInNews = 64;
+
 /** What the server is given. */
 export interface RoutingServerParts {
-  readonly machine: ControlMachine;
+  readonly machine: Pick<ControlMachine, 'routing' | 'registry'>;
   readonly leaderSilentMs: () => number;
   readonly wallMs: () => number;
 }
@@ -91,14 +98,17 @@
     const document = routing.current();
     const isNewer = document !== undefined && document.version > have.routingVersion;
     const silentMs = leaderSilentMs();
+    const backends = registry.since(have.registryRevision, maxBackendsInNews);
+    const isCut = backends.length === maxBackendsInNews;
+    const registryRevision = isCut ? (backends.at(-1)?.revision ?? 0) : position.registryRevision;
     return {
-      position,
+      position: { ...position, registryRevision },
       // Entry hosts have no use for the operator's own form of the document.
       ...(isNewer ? { document: { ...document, source: '' } } : {}),
       ...(position.evacuationRevision > have.evacuationRevision
         ? { evacuations: [...routing.evacuationRecords()] }
         : {}),
-      backends: registry.since(have.registryRevision),
+      backends,
       silentMs: Number.isFinite(silentMs) ? silentMs : null,
       wallMs: wallMs(),
     };
