fix(membership): slow hosts no longer cause a flood of gossip; a departure reaches hosts that held a failure

Every host that hears of a suspicion told five others and the accused at once: 80 messages to the accused and 400 more for each. The messages filled the links of 2 Mbit/s and the processors, which made further hosts late. Change: messages that only carry urgent news are limited to 8 a second for each host, 16 saved up; other news ride on probes.

--- a/packages/core/src/membership/memberOutbox.ts
+++ b/packages/core/src/membership/memberOutbox.ts
@@ -1,7 +1,7 @@
 import type { Endpoint } from '@buckthornlug/protocol/common/primitives.js';
 
 import { GossipQueue } from './gossipQueue.js';
-import { urgentFanout } from './membershipLimits.js';
+import { urgentBurst, urgentFanout, urgentMessagesPerS } from './membershipLimits.js';
 import type {
   MemberEntry,
   MemberEvent,
@@ -13,6 +13,8 @@
 import type { MemberTable } from './memberTable.js';
 import { sample } from './sampling.js';
 
+const msPerS = 1000;
+
 /** A message without the parts that every message has. */
 type MessageBody = MemberMessage extends infer Message
   ? Message extends MemberMessage
@@ -28,6 +30,10 @@
 
   private effects: MembershipEffect[] = [];
 
+  private urgentMessages = urgentBurst;
+
+  private countedAtMs = 0;
+
   constructor(
     private readonly self: MemberEntry,
     private readonly table: MemberTable,
@@ -57,7 +63,7 @@
     if (this.table.selfIsRelay()) this.foreignNews.add(entry.identity.hostId, withIdentity);
   }
 
-  /** Queues a record and tells some hosts at once. */
+  /** Queues a record and tells some hosts at once, as far as the limit of such messages allows. */
   spread(entry: MemberEntry, withIdentity: boolean, nowMs: number): void {
     this.queue(entry, withIdentity);
     const { zonePeers, foreignRelays, relaysByZone } = this.table.views();
@@ -69,7 +75,19 @@
       for (const relay of sample(relays, 1, this.random)) targets.add(relay);
     }
     if (entry !== this.self) targets.add(entry);
-    for (const target of targets) this.send(target, { kind: 'gossip' }, nowMs);
+    for (const target of targets) {
+      if (!this.maySendUrgent(nowMs)) return;
+      this.send(target, { kind: 'gossip' }, nowMs);
+    }
+  }
+
+  private maySendUrgent(nowMs: number): boolean {
+    const gained = ((nowMs - this.countedAtMs) * urgentMessagesPerS) / msPerS;
+    this.urgentMessages = Math.min(urgentBurst, this.urgentMessages + gained);
+    this.countedAtMs = nowMs;
+    if (this.urgentMessages < 1) return false;
+    this.urgentMessages -= 1;
+    return true;
   }
 
   send(target: MemberEntry, body: MessageBody, nowMs: number): void {
--- a/packages/core/src/membership/memberTable.ts
+++ b/packages/core/src/membership/memberTable.ts
@@ -106,9 +106,10 @@
   private buildDigests(): Readonly<Record<string, number>> {
     const digests: Record<string, number> = {};
     for (const entry of this.entries.values()) {
-      if (!takesPart(entry.state)) continue;
+      // A host that failed for some may have left for others; the departure holds for all in the end.
+      if (entry.state === 'failed') continue;
       const { hostId, availabilityZone } = entry.identity;
-      const state = entry.state === 'leaving' ? 'leaving' : 'alive';
+      const state = entry.state === 'suspected' ? 'alive' : entry.state;
       const hash = hashText(`${hostId} ${entry.incarnation} ${state}`);
       digests[availabilityZone] = ((digests[availabilityZone] ?? 0) ^ hash) >>> 0;
     }
--- a/packages/core/src/membership/membershipLimits.ts
+++ b/packages/core/src/membership/membershipLimits.ts
@@ -4,6 +4,13 @@
 export const probeHelpers = 3;
 /** Hosts told at once of a suspicion, a failure or a refutation. */
 export const urgentFanout = 4;
+/**
+ * Messages a second that a host sends only to tell others at once, and how many it may save up. At
+ * about 1 kB each they stay under the 26 kB/s that a host has for control; beyond them news ride on
+ * probes. Without the limit a few slow hosts cause so many messages that others become slow as well.
+ */
+export const urgentMessagesPerS = 8;
+export const urgentBurst = 16;
 /** Hosts of a zone that exchange records with other zones. */
 export const relaysPerZone = 3;
 /** Sum of the weights of the records in one message, so that it fits a datagram. */
--- a/packages/testkit/src/membership/membershipSchedules.spec.ts
+++ b/packages/testkit/src/membership/membershipSchedules.spec.ts
@@ -199,3 +199,20 @@
     t.true(common, `seed ${seed}`);
   }
 });
+
+/** Bytes a second that one host has for control, from the size that is planned for. */
+const controlBytesPerS = 26_000;
+
+test('a quarter of the hosts that are slow for a moment cost the others no more than they have for control', (t) => {
+  const members = new VirtualMembers(80, 14, seededRandom(7), true);
+  members.links.maxDelayMs = 60;
+  members.run(settleMs);
+  const before = members.traffic.bytes;
+  const slow = members.hostIds().filter((_, index) => index % 4 === 0);
+  for (const hostId of slow) members.pause(hostId);
+  members.run(900);
+  for (const hostId of slow) members.resume(hostId);
+  members.run(100);
+  t.true(members.traffic.bytes - before <= controlBytesPerS * 80);
+  t.true((members.runUntil(() => members.allAlive(), settleMs) ?? Infinity) <= settleMs);
+});
