--- a/packages/testkit/src/ledger/onceProcessFaults.ts
+++ b/packages/testkit/src/ledger/onceProcessFaults.ts
@@ -2,7 +2,7 @@
 
 import { relaysOf, type HostRelays } from '../fakes/hostRelays.js';
 import type { Draws } from '../random/draws.js';
-import type { OnceHostProcess } from './onceProcesses.js';
+import type { OnceHostProcess } from './onceHostProcess.js';
 
 /** What was done to the hosts. */
 export interface OnceFaultCounts {
--- a/packages/testkit/src/ledger/onceProcessFleet.ts
+++ b/packages/testkit/src/ledger/onceProcessFleet.ts
@@ -8,7 +8,7 @@
 import { createTestDocument, testService } from '../fakes/testDocument.js';
 import { OnceDocumentChanges } from './onceDocumentChanges.js';
 import { OnceDevices } from './onceDevice.js';
-import { OnceHostProcess } from './onceProcesses.js';
+import { OnceHostProcess } from './onceHostProcess.js';
 
 const zones = ['lagos-a', 'lagos-b', 'abuja-a'];
 const ledgerGroups = ['ledger-a', 'ledger-b'];
--- a/packages/testkit/src/ledger/onceProcessRounds.ts
+++ b/packages/testkit/src/ledger/onceProcessRounds.ts
@@ -7,7 +7,7 @@
 import { DeviceOrder } from './deviceOrder.js';
 import { OnceProcessFaults, type OnceFaultCounts } from './onceProcessFaults.js';
 import { OnceProcessFleet, orderTimeLimitMs } from './onceProcessFleet.js';
-import type { OnceHostProcess } from './onceProcesses.js';
+import type { OnceHostProcess } from './onceHostProcess.js';
 
 /** What rounds over real processes showed. */
 export interface OnceProcessResult extends OnceFaultCounts {
