--- a/packages/core/src/placement/exchangeLessons.spec.ts
+++ b/packages/core/src/placement/exchangeLessons.spec.ts
@@ -2,31 +2,14 @@
 
 import { AnswerTimes } from './answerTimes.js';
 import { learnFromExchange, type ExchangeOutcome } from './exchangeLessons.js';
-import { PlacedBackend } from './placedBackend.js';
+import { sampleBackend } from './sampleBackend.js';
 
 const call = { routeId: 'reads', targetMs: 1000 };
 const nowMs = 5000;
 
 /** What is known after some exchanges of one kind, with the time that was expected at first. */
 function afterExchanges(outcome: ExchangeOutcome, count: number, load = 0) {
-  const backend = new PlacedBackend(
-    {
-      backendId: 'b-1',
-      bornAtMs: 0,
-      service: 'desk',
-      availabilityZone: 'north-a',
-      endpoint: { address: '127.0.0.1', port: 1 },
-      slots: 4,
-      sequence: 1,
-      state: 'ready',
-      coldUntilMs: 0,
-      revision: 1,
-    },
-    'north',
-    'zone',
-    0,
-    0,
-  );
+  const backend = sampleBackend();
   const times = new AnswerTimes();
   const firstMs = times.expectedMs(call.routeId, call.targetMs, false);
   const place = { backend, isWarm: false, expectedMs: firstMs, load, waitMs: 0, costMs: firstMs };
--- a/packages/core/src/placement/placedBackend.spec.ts
+++ b/packages/core/src/placement/placedBackend.spec.ts
@@ -1,27 +1,9 @@
-import type { RegisteredBackend } from '@buckthornlug/protocol/registry/registrySchema.js';
 import test from 'ava';
 
-import { PlacedBackend, type Distance } from './placedBackend.js';
-
-const record: RegisteredBackend = {
-  backendId: 'b-1',
-  bornAtMs: 0,
-  service: 'desk',
-  availabilityZone: 'north-a',
-  endpoint: { address: '127.0.0.1', port: 1 },
-  slots: 4,
-  sequence: 1,
-  state: 'ready',
-  coldUntilMs: 0,
-  revision: 1,
-};
-
-function backend(distance: Distance = 'zone'): PlacedBackend {
-  return new PlacedBackend(record, 'north', distance, 0, 0);
-}
+import { sampleBackend } from './sampleBackend.js';
 
 test('a call counts from its start to its end', (t) => {
-  const placed = backend();
+  const placed = sampleBackend();
   placed.start(1000);
   placed.start(1100);
   t.is(placed.load(1200, 0), 2);
@@ -34,7 +16,7 @@
 });
 
 test('a reported load counts the calls of other hosts, and less with its age', (t) => {
-  const placed = backend();
+  const placed = sampleBackend();
   placed.start(1000);
   placed.noteLoad({ running: 3, waiting: 1, slots: 4 }, 1000);
   t.is(placed.load(1000, 0), 4);
@@ -42,16 +24,16 @@
 });
 
 test('a backend server that reported long ago counts as loaded as its place', (t) => {
-  t.is(backend('far').load(0, 0.5), 2);
-  t.is(backend('zone').load(0, 0), 0);
-  const placed = backend();
+  t.is(sampleBackend('far').load(0, 0.5), 2);
+  t.is(sampleBackend('zone').load(0, 0), 0);
+  const placed = sampleBackend();
   placed.noteLoad({ running: 0, waiting: 0, slots: 4 }, 1000);
   t.is(placed.load(1000, 1.5), 0);
   t.is(placed.load(1300, 1.5), 3);
 });
 
 test('what speaks against a backend server is forgotten with time', (t) => {
-  const placed = backend();
+  const placed = sampleBackend();
   for (let call = 0; call < 20; call += 1) placed.noteEnd({ isFailure: true, slowness: 5 }, 1000);
   t.true(placed.failureShareNow(1000) > 0.9);
   t.true(placed.slownessNow(1000) > 4);
@@ -60,7 +42,7 @@
 });
 
 test('one that cannot be reached is paused for longer each time, until it answers', (t) => {
-  const placed = backend();
+  const placed = sampleBackend();
   placed.pause(0);
   t.true(placed.isPaused(499));
   t.false(placed.isPaused(500));
