fix(testkit): one listener ends all processes of a test

Cause: each process of a soak added a listener of its own to the end of the process that started it; two soaks at a time went over the limit of ten (MaxListenersExceededWarning). Change: the processes that run stand in one set. Measured: not run yet with two soaks; the next soak shows it.

--- a/packages/testkit/src/processes/managedProcess.ts
+++ b/packages/testkit/src/processes/managedProcess.ts
@@ -6,6 +6,12 @@
 const startTimeoutMs = 15_000;
 const maxKeptOutput = 200_000;
 
+/** Processes that were started and have not ended; none outlives the one that started them. */
+const running = new Set<ChildProcess>();
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+
 /** What is started. */
 export interface ManagedProgram {
   /** Arguments of Node.js: the program and its own arguments. */
@@ -73,11 +79,9 @@
       env: { ...process.env, ...environment },
     });
     this.child = child;
-    // A test that ends by itself or by a signal leaves no process behind.
-    const killWithParent = () => child.kill('SIGKILL');
-    process.once('exit', killWithParent);
+    running.add(child);
     child.once('close', () => {
-      process.off('exit', killWithParent);
+      running.delete(child);
       if (this.child === child) this.child = undefined;
     });
     if (logPath !== undefined) child.stdout.pipe(createWriteStream(logPath, { flags: 'a' }));
