--- a/packages/host/src/routing/routingFollower.spec.ts
+++ b/packages/host/src/routing/routingFollower.spec.ts
@@ -30,24 +30,20 @@
   return { position, backends: [], silentMs, wallMs: 0 };
 }
 
-/** Versions in the order in which they were put in force until one is reached, or the time is up. */
-async function applied(
-  answers: Readonly<Record<string, RoutingNews | undefined>>,
-  until: number,
-  startAtMs = 0,
-  onRequest: (timeoutMs: number) => void = () => {},
-): Promise<number[]> {
-  const versions: number[] = [];
-  let nowMs = 0;
-  const request = (source: string, _send: unknown, timeoutMs: number) => {
-    onRequest(timeoutMs);
-    const answer = answers[source];
-    return answer === undefined ? errAsync(failure('BL6003', 'no answer')) : okAsync(answer);
-  };
+/** Answers a poll of a source. */
+type AnswerPoll = (source: string, send: unknown, timeoutMs: number) => unknown;
+
+/** Follower that puts versions on a list and stops after the last one. */
+function followerOf(
+  request: AnswerPoll,
+  nowMs: () => number,
+  versions: number[],
+  isLast: (version: number) => boolean,
+): RoutingFollower {
   const follower = new RoutingFollower({
     context: {
       settings,
-      clock: { nowMs: () => nowMs, wallMs: () => nowMs },
+      clock: { nowMs, wallMs: nowMs },
       log: { debug() {}, info() {}, warn() {}, error() {} },
     },
     parts: {
@@ -57,9 +53,28 @@
     position: () => news(versions.at(-1) ?? -1, 0).position,
     apply: ({ position }) => {
       versions.push(position.routingVersion);
-      if (position.routingVersion === until) follower.stop();
+      if (isLast(position.routingVersion)) follower.stop();
     },
   });
+  return follower;
+}
+
+/** Versions in the order in which they were put in force until one is reached, or the time is up. */
+async function applied(
+  answers: Readonly<Record<string, RoutingNews | undefined>>,
+  until: number,
+  startAtMs = 0,
+  onRequest: (timeoutMs: number) => void = () => {},
+): Promise<number[]> {
+  const versions: number[] = [];
+  let nowMs = 0;
+  const request = (source: string, _send: unknown, timeoutMs: number) => {
+    onRequest(timeoutMs);
+    const answer = answers[source];
+    return answer === undefined ? errAsync(failure('BL6003', 'no answer')) : okAsync(answer);
+  };
+  const isLast = (version: number) => version === until;
+  const follower = followerOf(request, () => nowMs, versions, isLast);
   nowMs = startAtMs;
   const limit = setTimeout(() => follower.stop(), 500);
   await follower.run();
@@ -88,3 +103,26 @@
   await applied({}, 0, 0, (limitMs) => limitsMs.push(limitMs));
   t.deepEqual(limitsMs.slice(0, 6), [1000, 500, 500, 1000, 1000, 1000]);
 });
+
+test('a host comes back to the nearest source some seconds after that failed', async (t) => {
+  const asked: string[] = [];
+  let nowMs = 0;
+  const versions: number[] = [];
+  const request = (source: string) => {
+    asked.push(source);
+    nowMs += 500;
+    const isDark = source === 'c1' && nowMs < 5000;
+    return isDark ? errAsync(failure('BL6003', 'no answer')) : okAsync(news(asked.length, 20));
+  };
+  const follower = followerOf(
+    request,
+    () => nowMs,
+    versions,
+    (version) => version === 60,
+  );
+  await follower.run();
+  t.deepEqual(asked.slice(0, 3), ['c1', 'c2', 'c2']);
+  t.is(asked.at(-1), 'c1');
+  const backAt = asked.lastIndexOf('c2') + 1;
+  t.true(backAt * 500 <= 15_000, `asked again after ${backAt} polls`);
+});
--- a/packages/host/src/routing/routingFollower.ts
+++ b/packages/host/src/routing/routingFollower.ts
@@ -7,6 +7,7 @@
 
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext, HostRecord } from '../runtime/hostTypes.js';
+import { SourceChoice } from './sourceChoice.js';
 import { routingNewsSchema, type RoutingNews, type RoutingPosition } from './routingPollSchema.js';
 
 /** Keeps the routing state of an entry host up to date. */
@@ -42,11 +43,11 @@
   readonly apply: (news: RoutingNews) => void;
 }
 
-/** Polls one control host after another, the nearest first. */
+/** Polls the nearest control host that answers, and comes back to a nearer one after a while. */
 export class RoutingFollower {
   private isStopped = false;
 
-  private attempt = 0;
+  private readonly choice = new SourceChoice();
 
   private failedInARow = 0;
 
@@ -71,7 +72,7 @@
 
   private async askNext(): Promise<void> {
     const sources = this.sources();
-    const source = sources[this.attempt % Math.max(1, sources.length)];
+    const source = this.choice.choose(sources, this.follower.context.clock.nowMs());
     if (source === undefined) {
       await delay(pauseMs);
       return;
@@ -107,7 +108,7 @@
     const { log } = this.follower.context;
     log.warn('routingSourceSkipped', { source, code: problem.code, detail: problem.detail });
     this.lastSource = undefined;
-    this.attempt += 1;
+    this.choice.failed(source, this.follower.context.clock.nowMs());
     this.failedInARow += 1;
     if (this.failedInARow % Math.max(1, sourceCount) === 0) await delay(pauseMs);
   }
@@ -119,7 +120,8 @@
 
   private async ask(source: string, timeoutMs: number): Promise<Result<RoutingNews, Failure>> {
     const have = this.follower.position();
-    const waitMs = this.failedInARow > 0 ? 0 : pollWaitMs;
+    const isOther = this.lastSource !== undefined && this.lastSource !== source;
+    const waitMs = this.failedInARow > 0 || isOther ? 0 : pollWaitMs;
     const answer = await this.follower.parts.peers.request(
       source,
       (client, signal) => client.routing.poll.query({ ...have, waitMs }, { signal }),
