--- a/packages/core/src/placement/objectHomes.ts
+++ b/packages/core/src/placement/objectHomes.ts
@@ -12,10 +12,19 @@
 
 /** The backend servers of one place. */
 interface Place {
+  readonly name: string;
   readonly distance: PlacedBackend['distance'];
   readonly order: ObjectOrder<PlacedBackend>;
 }
 
+/** Order of a place; the former one where its backend servers are the same, since it knows objects. */
+function orderOf(
+  backends: readonly PlacedBackend[],
+  former: ObjectOrder<PlacedBackend> | undefined,
+): ObjectOrder<PlacedBackend> {
+  return former?.isOf(backends) === true ? former : new ObjectOrder(backends);
+}
+
 /** A home of an object. */
 export interface ObjectHome {
   readonly backend: PlacedBackend;
@@ -26,6 +35,7 @@
 function placesBy(
   backends: readonly PlacedBackend[],
   nameOf: (backend: PlacedBackend) => string,
+  former: readonly Place[],
 ): Place[] {
   const byName = new Map<string, PlacedBackend[]>();
   for (const backend of backends) {
@@ -35,12 +45,13 @@
     else ofPlace.push(backend);
   }
   const places: Place[] = [];
-  for (const ofPlace of byName.values()) {
+  for (const [name, ofPlace] of byName) {
     const [first] = ofPlace;
     if (first === undefined) continue;
     const isNear = ofPlace.some(({ distance }) => distance === 'zone');
     const distance = isNear ? 'zone' : first.distance;
-    places.push({ distance, order: new ObjectOrder(ofPlace) });
+    const before = former.find((place) => place.name === name);
+    places.push({ name, distance, order: orderOf(ofPlace, before?.order) });
   }
   return places;
 }
@@ -106,13 +117,19 @@
 
   /**
    * @param backends - backend servers that may get calls
+   * @param former - homes before a change
    */
-  constructor(private readonly backends: readonly PlacedBackend[]) {
+  constructor(
+    private readonly backends: readonly PlacedBackend[],
+    former?: ObjectHomes,
+  ) {
     const near = backends.filter(({ distance }) => distance !== 'far');
     const inZone = near.filter(({ distance }) => distance === 'zone');
-    this.nearByZone = placesBy(near, ({ record }) => record.availabilityZone);
-    this.nearByRegion = placesBy(near, ({ region }) => region);
-    this.farOrder = new ObjectOrder(backends.filter(({ distance }) => distance === 'far'));
+    const byZone = former?.nearByZone ?? [];
+    this.nearByZone = placesBy(near, ({ record }) => record.availabilityZone, byZone);
+    this.nearByRegion = placesBy(near, ({ region }) => region, former?.nearByRegion ?? []);
+    const far = backends.filter(({ distance }) => distance === 'far');
+    this.farOrder = orderOf(far, former?.farOrder);
     this.zoneObjects = inZone.length * maxObjects * plannedShare;
     this.nearObjects = near.length * maxObjects * plannedShare;
     this.nearSlots = slotsOf(near);
--- a/packages/core/src/placement/objectOrder.ts
+++ b/packages/core/src/placement/objectOrder.ts
@@ -19,6 +19,12 @@
    */
   constructor(private readonly backends: readonly Backend[]) {}
 
+  /** Whether it orders just these backend servers. */
+  isOf(backends: readonly Backend[]): boolean {
+    if (backends.length !== this.backends.length) return false;
+    return backends.every((backend, index) => backend === this.backends[index]);
+  }
+
   /**
    * Backend servers in the order in which they should handle an object.
    *
--- a/packages/core/src/placement/objectPool.ts
+++ b/packages/core/src/placement/objectPool.ts
@@ -148,7 +148,7 @@
     this.coldCallsPerS = coldCallsPerS;
     this.zoneHostIds = hosts.zoneHostIds;
     this.regionHosts = hosts.regionHosts;
-    this.homes = new ObjectHomes(backends);
+    this.homes = new ObjectHomes(backends, this.homes);
     const inRegion = backends.filter(({ distance }) => distance !== 'far').length;
     this.hasLostRegion = inRegion === 0 || inRegion < registeredInRegion * lostRegionShare;
     this.regions = new Set(backends.map(({ region }) => region)).size;
--- a/packages/host/src/routedCalls/routedCallsFeature.ts
+++ b/packages/host/src/routedCalls/routedCallsFeature.ts
@@ -61,7 +61,7 @@
   const following = follower.run().catch((error: unknown) => {
     context.log.error('routingFollowerDefect', { detail: String(error) });
   });
-  const endWatch = parts.membership.onChange(() => pools.refresh());
+  const endWatch = parts.membership.onChange(() => pools.membershipChanged());
   parts.provide({
     isReady: () => progress === 'serving' && state.table !== undefined,
   });
--- a/packages/host/src/routedCalls/routedPools.ts
+++ b/packages/host/src/routedCalls/routedPools.ts
@@ -40,6 +40,10 @@
   return { ...decision, takenAtMs: nowMs };
 }
 
+function hostsText({ zoneHostIds, regionHosts }: EntryHosts): string {
+  return `${regionHosts} ${zoneHostIds.join(' ')}`;
+}
+
 /** Places calls on the registered backend servers. */
 export class RoutedPools {
   readonly times = new AnswerTimes();
@@ -54,6 +58,8 @@
 
   private pumpTimer: NodeJS.Timeout | undefined;
 
+  private knownHosts: EntryHosts = { zoneHostIds: [], regionHosts: 0 };
+
   /**
    * @param context - context of the host
    * @param parts - membership
@@ -65,6 +71,14 @@
     private readonly state: RoutingState,
   ) {}
 
+  /**
+   * Takes over the membership after a change. Most of its changes say which versions hosts hold, or
+   * concern other regions; they would cost a look at each backend server.
+   */
+  membershipChanged(): void {
+    if (hostsText(this.entryHosts()) !== hostsText(this.knownHosts)) this.refresh();
+  }
+
   /** Takes over the routing state and the membership after a change. */
   refresh(): void {
     const { table } = this.state;
@@ -72,6 +86,7 @@
     const nowMs = this.context.clock.nowMs();
     this.refreshBackends(nowMs);
     const hosts = this.entryHosts();
+    this.knownHosts = hosts;
     for (const { service, coldCallsPerS } of table.services.values()) {
       const all = [...this.backends.values()].filter(({ record }) => record.service === service);
       const usable = all.filter(({ record }) => this.state.isUsable(record));
