--- a/packages/host/src/routedCalls/routedPools.ts
+++ b/packages/host/src/routedCalls/routedPools.ts
@@ -1,4 +1,5 @@
 import { AnswerTimes } from '@buckthornlug/core/placement/answerTimes.js';
+import { LookPace } from '@buckthornlug/core/placement/lookPace.js';
 import { ObjectPool, type EntryHosts } from '@buckthornlug/core/placement/objectPool.js';
 import { PlacedBackend, type Distance } from '@buckthornlug/core/placement/placedBackend.js';
 import type { PlacementDecision } from '@buckthornlug/core/placement/placementTypes.js';
@@ -12,7 +13,7 @@
 
 /** The pools of an entry host: one for each service of the routing document. */
 
-/** Interval in which waiting calls are looked at. */
+/** Shortest interval in which waiting calls are looked at where no slot became free. */
 const pumpIntervalMs = 10;
 /** One-way delays that are assumed until connections have shown them. */
 const assumedLinkMs: Readonly<Record<Distance, number>> = { zone: 0.5, region: 4, far: 50 };
@@ -58,6 +59,10 @@
 
   private pumpTimer: NodeJS.Timeout | undefined;
 
+  private isPumpDue = false;
+
+  private readonly pace = new LookPace();
+
   private knownHosts: EntryHosts = { zoneHostIds: [], regionHosts: 0 };
 
   /**
@@ -131,7 +136,7 @@
   /** Gives a slot back. */
   release({ place, takenAtMs }: TakenPlace): void {
     place.backend.end(takenAtMs);
-    setImmediate(() => this.pump());
+    if (this.settle.size > 0) this.pumpSoon();
   }
 
   /** Takes note of the time that a new connection took. */
@@ -206,14 +211,33 @@
         if (decision.decision !== 'wait') this.finish(carryOut(decision, nowMs));
       }
     }
+    this.pace.note(nowMs, this.context.clock.nowMs());
     this.schedulePump();
   }
 
+  /** Looks at the waiting calls after a slot became free, once the pace allows it. */
+  private pumpSoon(): void {
+    if (this.pace.pauseMs(this.context.clock.nowMs()) > 0) {
+      this.schedulePump();
+      return;
+    }
+    this.isPumpDue = true;
+    setImmediate(() => {
+      if (!this.isPumpDue) return;
+      this.isPumpDue = false;
+      this.pump();
+    });
+  }
+
   private schedulePump(): void {
     if (this.pumpTimer !== undefined || this.settle.size === 0) return;
-    this.pumpTimer = setTimeout(() => {
-      this.pumpTimer = undefined;
-      this.pump();
-    }, pumpIntervalMs);
+    const pauseMs = this.pace.pauseMs(this.context.clock.nowMs());
+    this.pumpTimer = setTimeout(
+      () => {
+        this.pumpTimer = undefined;
+        this.pump();
+      },
+      Math.max(pumpIntervalMs, pauseMs),
+    );
   }
 }
