--- /dev/null
+++ b/packages/host/src/rpc/requestLink.spec.ts
@@ -0,0 +1,34 @@
+import { createTRPCClient } from '@trpc/client';
+import test from 'ava';
+import { Agent } from 'undici';
+
+import type { AppRouter } from './appRouter.js';
+import { createRequestLink } from './requestLink.js';
+
+/** Time in which a request that was broken off must have ended; the connection would wait for 10 s. */
+const endedWithinMs = 2000;
+
+test('a request that is broken off ends while its connection is still being made', async (t) => {
+  const dispatcher = new Agent({ connect: () => undefined });
+  t.teardown(() => dispatcher.destroy());
+  const client = createTRPCClient<AppRouter>({
+    links: [
+      createRequestLink({
+        dispatcher,
+        origin: 'http://127.0.0.1:1',
+        toHostId: 'a-dark-host',
+        sign: () => ({}),
+        readClock: () => '',
+        observeClock: () => undefined,
+      }),
+    ],
+  });
+  const limit = new AbortController();
+  const asked = client.ping.ping.query(undefined, { signal: limit.signal });
+  setTimeout(() => limit.abort(new Error('no reply in 20 ms')), 20);
+  const late = new Promise((resolve) => {
+    setTimeout(resolve, endedWithinMs, 'late');
+  });
+  const end = await Promise.race([asked.catch((error: Error) => error.message), late]);
+  t.is(end, 'no reply in 20 ms');
+});
--- a/packages/host/src/rpc/requestLink.ts
+++ b/packages/host/src/rpc/requestLink.ts
@@ -66,6 +66,10 @@
   return () =>
     ({ op }) =>
       observable((observer) => {
+        const { signal } = op;
+        const onAbort = () => observer.error(TRPCClientError.from(signal?.reason as Error));
+        // undici looks at the signal only once the connection is made, which takes seconds to a dark host.
+        signal?.addEventListener('abort', onAbort);
         send(parts, op).then(
           (reply) => {
             if ('result' in reply) {
@@ -77,5 +81,6 @@
           },
           (error: unknown) => observer.error(TRPCClientError.from(error as Error)),
         );
+        return () => signal?.removeEventListener('abort', onAbort);
       });
 }
