--- a/packages/core/src/credits/linkBudget.ts
+++ b/packages/core/src/credits/linkBudget.ts
@@ -1,3 +1,5 @@
+import { RateBudget } from '../rates/rateBudget.js';
+
 /** Limit in bytes per second on one direction of a link; a host has its fixed part of it. */
 
 /** Time over which unused bytes are kept. */
@@ -6,9 +8,7 @@
 
 /** A token bucket of bytes. */
 export class LinkBudget {
-  private tokensBytes: number;
-
-  private filledAtMs: number;
+  private readonly budget: RateBudget;
 
   /**
    * @param bytesPerS - part of the link limit that this host may use
@@ -18,8 +18,7 @@
     readonly bytesPerS: number,
     nowMs: number,
   ) {
-    this.tokensBytes = (bytesPerS * burstMs) / msPerS;
-    this.filledAtMs = nowMs;
+    this.budget = new RateBudget(bytesPerS, (bytesPerS * burstMs) / msPerS, nowMs);
   }
 
   /**
@@ -29,12 +28,6 @@
    * @param nowMs - current time
    */
   spend(bytes: number, nowMs: number): boolean {
-    const passedMs = Math.max(0, nowMs - this.filledAtMs);
-    const limit = Math.max(bytes, (this.bytesPerS * burstMs) / msPerS);
-    this.filledAtMs = nowMs;
-    this.tokensBytes = Math.min(limit, this.tokensBytes + (this.bytesPerS * passedMs) / msPerS);
-    if (this.tokensBytes < bytes) return false;
-    this.tokensBytes -= bytes;
-    return true;
+    return this.budget.spend(bytes, nowMs);
   }
 }
--- a/packages/core/src/membership/memberOutbox.ts
+++ b/packages/core/src/membership/memberOutbox.ts
@@ -1,5 +1,6 @@
 import type { Endpoint } from '@buckthornlug/protocol/common/primitives.js';
 
+import { RateBudget } from '../rates/rateBudget.js';
 import { GossipQueue } from './gossipQueue.js';
 import { urgentBurst, urgentFanout, urgentMessagesPerS } from './membershipLimits.js';
 import type {
@@ -13,8 +14,6 @@
 import type { MemberTable } from './memberTable.js';
 import { sample } from './sampling.js';
 
-const msPerS = 1000;
-
 /** A message without the parts that every message has. */
 type MessageBody = MemberMessage extends infer Message
   ? Message extends MemberMessage
@@ -30,9 +29,7 @@
 
   private effects: MembershipEffect[] = [];
 
-  private urgentMessages = urgentBurst;
-
-  private countedAtMs = 0;
+  private readonly urgentMessages = new RateBudget(urgentMessagesPerS, urgentBurst, 0);
 
   constructor(
     private readonly self: MemberEntry,
@@ -76,20 +73,11 @@
     }
     if (entry !== this.self) targets.add(entry);
     for (const target of targets) {
-      if (!this.maySendUrgent(nowMs)) return;
+      if (!this.urgentMessages.spend(1, nowMs)) return;
       this.send(target, { kind: 'gossip' }, nowMs);
     }
   }
 
-  private maySendUrgent(nowMs: number): boolean {
-    const gained = ((nowMs - this.countedAtMs) * urgentMessagesPerS) / msPerS;
-    this.urgentMessages = Math.min(urgentBurst, this.urgentMessages + gained);
-    this.countedAtMs = nowMs;
-    if (this.urgentMessages < 1) return false;
-    this.urgentMessages -= 1;
-    return true;
-  }
-
   send(target: MemberEntry, body: MessageBody, nowMs: number): void {
     const { hostId, internal, availabilityZone } = target.identity;
     const inZone = availabilityZone === this.self.identity.availabilityZone;
--- a/packages/host/src/routedCalls/routedPools.ts
+++ b/packages/host/src/routedCalls/routedPools.ts
@@ -1,3 +1,4 @@
+import { sameNames } from '@buckthornlug/core/lists/sameNames.js';
 import { AnswerTimes } from '@buckthornlug/core/placement/answerTimes.js';
 import { LookPace } from '@buckthornlug/core/placement/lookPace.js';
 import { ObjectPool, type EntryHosts } from '@buckthornlug/core/placement/objectPool.js';
@@ -41,10 +42,6 @@
   return { ...decision, takenAtMs: nowMs };
 }
 
-function hostsText({ zoneHostIds, regionHosts }: EntryHosts): string {
-  return `${regionHosts} ${zoneHostIds.join(' ')}`;
-}
-
 /** Places calls on the registered backend servers. */
 export class RoutedPools {
   readonly times = new AnswerTimes();
@@ -81,7 +78,11 @@
    * concern other regions; they would cost a look at each backend server.
    */
   membershipChanged(): void {
-    if (hostsText(this.entryHosts()) !== hostsText(this.knownHosts)) this.refresh();
+    const { zoneHostIds, regionHosts } = this.entryHosts();
+    const isSame =
+      regionHosts === this.knownHosts.regionHosts &&
+      sameNames(zoneHostIds, this.knownHosts.zoneHostIds);
+    if (!isSame) this.refresh();
   }
 
   /** Takes over the routing state and the membership after a change. */
@@ -221,9 +222,9 @@
       this.schedulePump();
       return;
     }
+    if (this.isPumpDue) return;
     this.isPumpDue = true;
     setImmediate(() => {
-      if (!this.isPumpDue) return;
       this.isPumpDue = false;
       this.pump();
     });
--- a/packages/host/src/rpc/internalListener.ts
+++ b/packages/host/src/rpc/internalListener.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
 import { formatHybridTime } from '@buckthornlug/core/timeline/hybridClock.js';
-import { clockHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
+import { clockHeader, procedurePathPrefix } from '@buckthornlug/protocol/calls/callHeaders.js';
 
 import type { Failure } from '@buckthornlug/protocol/results/failure.js';
 
@@ -13,7 +13,6 @@
 import { observeClockHeader } from '../timeline/clockHeader.js';
 import type { TimelineRecorder } from '../timeline/timelineRecorder.js';
 
-const rpcPrefix = '/rpc/';
 /** Room for the header fields that a forwarding host adds to the head of a call. */
 const addedHeadBytes = 8192;
 const keepAliveTimeoutMs = 60_000;
@@ -72,7 +71,7 @@
     parts.router,
     {
       method: request.method ?? '',
-      path: url.slice(rpcPrefix.length, queryAt < 0 ? undefined : queryAt),
+      path: url.slice(procedurePathPrefix.length, queryAt < 0 ? undefined : queryAt),
       query: queryAt < 0 ? '' : url.slice(queryAt + 1),
       body: body.unwrapOr(''),
     },
@@ -107,7 +106,7 @@
 export function createInternalServer(parts: InternalListenerParts): Server {
   const maxHeaderSize = parts.maxHeadBytes + addedHeadBytes;
   const server = createServer({ maxHeaderSize }, (request, response) => {
-    if (!request.url?.startsWith(rpcPrefix)) {
+    if (!request.url?.startsWith(procedurePathPrefix)) {
       answerForwardedCall(parts, request, response);
       return;
     }
--- a/packages/host/src/rpc/requestLink.ts
+++ b/packages/host/src/rpc/requestLink.ts
@@ -1,4 +1,4 @@
-import { clockHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
+import { clockHeader, procedurePathPrefix } from '@buckthornlug/protocol/calls/callHeaders.js';
 import { TRPCClientError, type Operation, type TRPCLink } from '@trpc/client';
 import { observable } from '@trpc/server/observable';
 import type { Dispatcher } from 'undici';
@@ -30,11 +30,12 @@
   readonly body: string;
 }
 
-function wireRequestOf({ type, path, input }: Operation): WireRequest {
-  const text = input === undefined ? undefined : JSON.stringify(input);
-  if (type === 'mutation') return { method: 'POST', path: `/rpc/${path}`, body: text ?? '' };
-  const query = text === undefined ? '' : `?input=${encodeURIComponent(text)}`;
-  return { method: 'GET', path: `/rpc/${path}${query}`, body: '' };
+function wireRequestOf({ type, path: name, input }: Operation): WireRequest {
+  const path = procedurePathPrefix + name;
+  const text = input === undefined ? '' : JSON.stringify(input);
+  if (type === 'mutation') return { method: 'POST', path, body: text };
+  const query = text === '' ? '' : `?input=${encodeURIComponent(text)}`;
+  return { method: 'GET', path: path + query, body: '' };
 }
 
 async function send(parts: RequestLinkParts, operation: Operation): Promise<Reply> {
--- a/packages/protocol/src/calls/callHeaders.ts
+++ b/packages/protocol/src/calls/callHeaders.ts
@@ -6,6 +6,9 @@
 export const announcePath = `${reservedPathPrefix}announce`;
 export const healthPath = `${reservedPathPrefix}health`;
 
+/** Prefix of the paths of procedures between hosts. */
+export const procedurePathPrefix = '/rpc/';
+
 /** Numbered result code of a refusal. */
 export const resultCodeHeader = 'x-buckthornlug-code';
 /** What a refusal proves: `notRun`, `ran` or `unknown`. */
