--- a/packages/testkit/src/ledger/onceCallFleet.ts
+++ b/packages/testkit/src/ledger/onceCallFleet.ts
@@ -14,7 +14,7 @@
 } from '../calls/callFleet.js';
 import { createTestDocument, inForce, testIdentityHeader } from '../fakes/testDocument.js';
 
-const maxResends = 50;
+const maxOrders = 50;
 const resendDelayMs = 100;
 const defaultZones = ['lagos-a', 'lagos-b', 'abuja-a'];
 
@@ -27,10 +27,22 @@
 export interface OnceCallFleet extends CallFleet {
   /** Sends an order with its identity through a host. */
   readonly order: (host: number, identity: string, body?: string) => ReturnType<CallFleet['call']>;
+  /** Sends an order until a reply ends it; gives the last reply after fifty. */
+  readonly orderUntil: (
+    host: number,
+    identity: string,
+    isOver: (reply: TestReply) => boolean,
+    body?: string,
+  ) => Promise<TestReply>;
   /** Sends an order again, repeatedly while its refusal says that its state cannot be told now. */
   readonly resend: (host: number, identity: string) => Promise<TestReply>;
 }
 
+/** Whether a backend server's answer came. */
+export function isAnswered({ result }: TestReply): boolean {
+  return result === 'answered';
+}
+
 /**
  * Starts hosts that run once-only work.
  *
@@ -61,17 +73,23 @@
       headers: { [testIdentityHeader]: identity },
       body,
     });
+  const orderUntil: OnceCallFleet['orderUntil'] = async (host, identity, isOver, body) => {
+    for (let orders = 1; ; orders += 1) {
+      const reply = await order(host, identity, body);
+      if (isOver(reply) || orders === maxOrders) return reply;
+      await delay(resendDelayMs);
+    }
+  };
   return {
     ...fleet,
     order,
-    resend: async (host, identity) => {
-      for (let resends = 1; ; resends += 1) {
-        const reply = await order(host, identity);
-        const isTold = reply.status !== 503 || reply.execution !== 'unknown';
-        if (isTold || resends === maxResends) return reply;
-        await delay(resendDelayMs);
-      }
-    },
+    orderUntil,
+    resend: (host, identity) =>
+      orderUntil(
+        host,
+        identity,
+        ({ status, execution }) => status !== 503 || execution !== 'unknown',
+      ),
     stop: async () => {
       await fleet.stop();
       await rm(dataFolder, { recursive: true });
--- a/packages/testkit/src/ledger/onceCalls.spec.ts
+++ b/packages/testkit/src/ledger/onceCalls.spec.ts
@@ -2,10 +2,9 @@
 
 import test from 'ava';
 
+import type { TestReply } from '../calls/callFleet.js';
 import { startOnceCallFleet } from './onceCallFleet.js';
 
-const maxResends = 50;
-const resendDelayMs = 100;
 /** Refusals as not run that docs/ERRORS.md asks callers to send again: no room, or no quorum of the ledger. */
 const resentResults: readonly string[] = ['BL3002', 'BL9001'];
 const fleet = await startOnceCallFleet({ backendHosts: [0, 1, 2] });
@@ -13,12 +12,9 @@
 test.after.always(fleet.stop);
 
 /** Sends an order; again while it is refused as not run. */
-async function order(host: number, identity: string, body?: string) {
-  for (let resends = 0; ; resends += 1) {
-    const reply = await fleet.order(host, identity, body);
-    if (!resentResults.includes(reply.result) || resends === maxResends) return reply;
-    await delay(resendDelayMs);
-  }
+function order(host: number, identity: string, body?: string) {
+  const isOver = ({ result }: TestReply) => !resentResults.includes(result);
+  return fleet.orderUntil(host, identity, isOver, body);
 }
 
 function executionsOf(identity: string): number {
--- a/packages/testkit/src/ledger/onceFlood.spec.ts
+++ b/packages/testkit/src/ledger/onceFlood.spec.ts
@@ -3,7 +3,7 @@
 import test from 'ava';
 
 import type { TestReply } from '../calls/callFleet.js';
-import { startOnceCallFleet } from './onceCallFleet.js';
+import { isAnswered, startOnceCallFleet } from './onceCallFleet.js';
 
 const floodCalls = 400;
 const floodIntervalMs = 3;
@@ -11,7 +11,7 @@
 const commitsPerRefusedCall = 0.4;
 
 const fleet = await startOnceCallFleet({ backendHosts: [0], meanMs: 60 });
-const { order, resend } = fleet;
+const { order, orderUntil, resend } = fleet;
 
 test.after.always(fleet.stop);
 
@@ -24,11 +24,7 @@
 }
 
 test('a flood of once-only work costs commits only for the calls that the pool takes', async (t) => {
-  let first = await order(0, 'order-first');
-  for (let tries = 0; tries < 50 && first.result !== 'answered'; tries += 1) {
-    await delay(100);
-    first = await order(0, 'order-first');
-  }
+  const first = await orderUntil(0, 'order-first', isAnswered);
   t.is(first.result, 'answered');
 
   const before = commits();
--- a/packages/testkit/src/ledger/onceFloodPlaces.spec.ts
+++ b/packages/testkit/src/ledger/onceFloodPlaces.spec.ts
@@ -5,6 +5,7 @@
 import type { TestReply } from '../calls/callFleet.js';
 import { testService } from '../fakes/testDocument.js';
 import {
+  isAnswered,
   startOnceCallFleet,
   type OnceCallFleet,
   type OnceCallFleetOptions,
@@ -73,22 +74,13 @@
   },
 ];
 
-async function untilAnswered(fleet: OnceCallFleet, host: number): Promise<TestReply> {
-  let reply = await fleet.order(host, 'order-first');
-  for (let tries = 0; tries < 50 && reply.result !== 'answered'; tries += 1) {
-    await delay(100);
-    reply = await fleet.order(host, 'order-first');
-  }
-  return reply;
-}
-
 for (const { name, fleet: options, host: hostOf, prepare } of cases) {
   test.serial(`a flood of once-only work costs few commits: ${name}`, async (t) => {
     const fleet = await startOnceCallFleet(options);
     t.teardown(fleet.stop);
     prepare?.(fleet);
     const host = hostOf(fleet);
-    const first = await untilAnswered(fleet, host);
+    const first = await fleet.orderUntil(host, 'order-first', isAnswered);
     t.is(first.result, 'answered');
 
     const before = commitsOf(fleet);
