feat(routedCalls): obey leaving announcements, requested pauses and work times of backend servers

Cause: a backend server may say in an answer that it leaves, ask with 503 and Retry-After for a pause, and report how long work takes on its machine now. Change: a leaving answer takes that incarnation out of use for the whole host at once (core: LeavingBackends) and is committed as a drain through the nearest control host; a pause keeps every call of the host away, counts in the Retry-After of callers that no backend server can take; the fourth figure of a load report weighs in the forecast with a half-life of 250 ms.

--- a/packages/core/src/placement/affinityPool.ts
+++ b/packages/core/src/placement/affinityPool.ts
@@ -80,13 +80,17 @@
   return distance === 'region' ? leaveZonePenaltyMs : leaveRegionPenaltyMs;
 }
 
+/**
+ * @param returnInMs - time until a backend server is available again; used if there is no best one
+ */
 function turnAway<Call extends PlaceableCall>(
   call: Call,
   reason: TurnAwayReason,
   best?: ScoredBackend,
+  returnInMs = 0,
 ): PlacementDecision<Call> {
   // Capacity is expected once the calls ahead have ended and the penalties of the candidate are gone.
-  const roomInMs = best === undefined ? 0 : best.costMs - best.expectedMs;
+  const roomInMs = best === undefined ? returnInMs : best.costMs - best.expectedMs;
   const retryAfterMs = Math.max(minRetryAfterMs, roomInMs);
   return { decision: 'turnAway', call, reason, retryAfterMs, ...(best && { best }) };
 }
@@ -205,7 +209,9 @@
   private decide(call: Call, nowMs: number): PlacementDecision<Call> {
     if (nowMs >= call.deadlineAtMs) return turnAway(call, 'deadlinePassed');
     const candidate = this.bestCandidate(call, nowMs);
-    if (candidate === undefined) return turnAway(call, 'noBackend');
+    if (candidate === undefined) {
+      return turnAway(call, 'noBackend', undefined, this.nextReturnInMs(call, nowMs));
+    }
     if (candidate.hasRoom) return this.send(call, candidate, nowMs);
     const lateByMs = nowMs + candidate.costMs - call.targetAtMs;
     if (lateByMs > 0) return turnAway(call, 'targetMissed', candidate);
@@ -295,8 +301,18 @@
     return best;
   }
 
+  /** Time until the first backend server that may serve the call ends its backoff or pause. */
+  private nextReturnInMs(call: Call, nowMs: number): number {
+    let earliestMs = Number.POSITIVE_INFINITY;
+    for (const backend of this.backends) {
+      if (!isInHomeRegion(call, backend)) continue;
+      earliestMs = Math.min(earliestMs, Math.max(nowMs, backend.returnsAtMs()));
+    }
+    return Number.isFinite(earliestMs) ? earliestMs - nowMs : 0;
+  }
+
   private isAvailable(backend: TrackedBackend, nowMs: number): boolean {
-    if (backend.isBackingOff(nowMs)) return false;
+    if (backend.isBackingOff(nowMs) || backend.isPaused(nowMs)) return false;
     if (backend.isCold(nowMs)) {
       const { backendId } = backend.record;
       if (!maySendToColdBackend(this.place.hostId, this.zoneHostIds, backendId)) return false;
@@ -319,7 +335,7 @@
     const isWarm =
       objectKey !== undefined && (preferred.isPrimary || backend.warmObjects.has(objectKey));
     const typicalMs = this.times.expectedMs(call.routeId, call.targetMs, isWarm);
-    const expectedMs = typicalMs * backend.slownessAt(nowMs);
+    const expectedMs = typicalMs * backend.slownessAt(nowMs) * backend.workTimeFactorAt(nowMs);
     const waiting = this.waitingAhead(backend, call.rank);
     const load = backend.load(nowMs, this.loadPerSlot[backend.distance]) + waiting;
     const { slots } = backend.record;
--- a/packages/core/src/placement/exchangeFeedback.ts
+++ b/packages/core/src/placement/exchangeFeedback.ts
@@ -1,6 +1,6 @@
 import type { AnswerTimeEstimates } from './answerTimeEstimates.js';
 import type { PlaceableCall, ScoredBackend } from './placementTypes.js';
-import type { ReportedLoad } from './trackedBackend.js';
+import type { ReportedLoad } from './reportedLoad.js';
 
 /**
  * Updates the state of a backend server and the answer time estimates of a route after an exchange.
--- a/packages/core/src/placement/trackedBackend.ts
+++ b/packages/core/src/placement/trackedBackend.ts
@@ -1,5 +1,6 @@
 import type { RegisteredBackend } from '@buckthornlug/protocol/registry/registrySchema.js';
 
+import type { ReportedLoad } from './reportedLoad.js';
 import { WarmObjects } from './warmObjects.js';
 
 /** State of a registered backend server, as an entry host tracks it. */
@@ -13,6 +14,8 @@
 const penaltyHalfLifeMs = 3000;
 /** Age at which a reported load counts half as much as a new one. */
 const reportHalfLifeMs = 300;
+/** Age at which a reported work time factor has moved half of the way back to the usual time. */
+const workTimeHalfLifeMs = 250;
 /**
  * Age up to which a reported load counts for the load of a group of backend servers; where there are
  * many of them, a host rarely calls any single one.
@@ -22,13 +25,6 @@
 const initialBackoffMs = 500;
 const maxBackoffMs = 8000;
 
-/** Load that a backend server reported with an answer. */
-export interface ReportedLoad {
-  readonly running: number;
-  readonly waiting: number;
-  readonly slots: number;
-}
-
 /** Outcome of an exchange, for the health of the backend server. */
 export interface HealthSample {
   readonly isFailure: boolean;
@@ -50,6 +46,10 @@
 
   private reportedAtMs = Number.NEGATIVE_INFINITY;
 
+  private workTimeFactor = 1;
+
+  private workTimeReportedAtMs = 0;
+
   private slowness = 1;
 
   private failureShare = 0;
@@ -60,6 +60,8 @@
 
   private consecutiveBackoffs = 0;
 
+  private pausedUntilMs = Number.NEGATIVE_INFINITY;
+
   private readonly startTimesMs: number[] = [];
 
   /**
@@ -85,6 +87,16 @@
     return nowMs < this.backoffUntilMs;
   }
 
+  /** Whether it has asked this host to send it nothing for now. */
+  isPaused(nowMs: number): boolean {
+    return nowMs < this.pausedUntilMs;
+  }
+
+  /** Time at which its backoff and the pause it asked for are over. */
+  returnsAtMs(): number {
+    return Math.max(this.backoffUntilMs, this.pausedUntilMs);
+  }
+
   /**
    * Estimated number of calls that run or wait there. The older the last report, the more the default
    * load counts.
@@ -105,6 +117,15 @@
     return nowMs - this.reportedAtMs <= maxReportAgeMs ? this.reportedCalls : undefined;
   }
 
+  /**
+   * Reported factor on the time that work takes there now. Other work on its machine comes and goes
+   * within a second, so the report decays to 1 quickly.
+   */
+  workTimeFactorAt(nowMs: number): number {
+    const reportWeight = 0.5 ** ((nowMs - this.workTimeReportedAtMs) / workTimeHalfLifeMs);
+    return 1 + (this.workTimeFactor - 1) * reportWeight;
+  }
+
   /** Factor on the expected answer time, which decays to 1. */
   slownessAt(nowMs: number): number {
     return 1 + (this.slowness - 1) * this.penaltyDecay(nowMs);
@@ -139,7 +160,11 @@
   }
 
   /** Records the load reported with an answer, which no longer includes the answered call. */
-  recordLoad({ running, waiting }: ReportedLoad, nowMs: number): void {
+  recordLoad({ running, waiting, workTimeFactor }: ReportedLoad, nowMs: number): void {
+    if (workTimeFactor !== undefined) {
+      this.workTimeFactor = workTimeFactor;
+      this.workTimeReportedAtMs = nowMs;
+    }
     this.reportedCalls = running + waiting;
     this.otherHostsInFlight = Math.max(0, this.reportedCalls - this.inFlight);
     this.reportedAtMs = nowMs;
@@ -167,6 +192,13 @@
     this.consecutiveBackoffs += 1;
   }
 
+  /**
+   * Sends it nothing for the time it asked for; an earlier request for a longer time stays in force.
+   */
+  pauseUntil(untilMs: number): void {
+    this.pausedUntilMs = Math.max(this.pausedUntilMs, untilMs);
+  }
+
   private penaltyDecay(nowMs: number): number {
     return 0.5 ** ((nowMs - this.penaltiesUpdatedAtMs) / penaltyHalfLifeMs);
   }
--- a/packages/host/src/registry/registryTask.ts
+++ b/packages/host/src/registry/registryTask.ts
@@ -2,7 +2,7 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
 
-import type { BackendReportAges } from '../routing/routingPollSchema.js';
+import type { BackendReportAges, LeavingBackend } from '../routing/routingPollSchema.js';
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
 import type { ControlGroup } from '../submissions/controlGroup.js';
@@ -81,6 +81,31 @@
       .mapErr((problem) => this.refused(backendId, problem));
   }
 
+  /**
+   * Drains a backend server that announced its departure in an answer. Rejects if the control group
+   * did not commit it, so that the reporting host tries another control host.
+   */
+  async drainLeaving({ backendId, bornAtMs }: LeavingBackend): Promise<void> {
+    const known = this.control.machine.registry.find(backendId);
+    if (known === undefined || known.bornAtMs !== bornAtMs || known.state !== 'ready') return;
+    const { service, availabilityZone, endpoint, slots, sequence } = known;
+    const report: BackendReport = {
+      backendId,
+      bornAtMs,
+      service,
+      availabilityZone,
+      endpoint,
+      slots,
+      sequence,
+      state: 'draining',
+      coldForMs: 0,
+    };
+    const command = { type: 'noteBackend', report, atMs: this.context.clock.wallMs() } as const;
+    const committed = await this.control.commit(command, commitTimeoutMs);
+    if (committed.isErr()) throw new Error(this.refused(backendId, committed.error).detail);
+    this.context.log.info('leavingBackendDrained', { backendId, bornAtMs });
+  }
+
   /** Records the reports that another control host has forwarded. */
   recordForwardedReports(ages: BackendReportAges): void {
     const nowMs = this.context.clock.nowMs();
--- a/packages/host/src/routedCalls/routedCallsFeature.ts
+++ b/packages/host/src/routedCalls/routedCallsFeature.ts
@@ -8,6 +8,8 @@
 
 import { createEntryServer } from '../calls/callersListener.js';
 import { RoutingFollower } from '../routing/routingFollower.js';
+import { reportLeavingBackend } from '../routing/leavingReporter.js';
+import type { LeavingBackend } from '../routing/routingPollSchema.js';
 import { RoutingState } from '../routing/routingState.js';
 import type { Feature, HostParts } from '../runtime/hostParts.js';
 import type { HostContext, RunningFeature } from '../runtime/hostTypes.js';
@@ -31,7 +33,20 @@
   const agent = new BackendAgent();
   const pools = new RoutedPools(context, parts, state);
   const { callFields, retryPermille, retryBurst } = routing;
-  const runner = new RoutedRunner({ context, pools, agent, callFields, retryPermille, retryBurst });
+  const reportLeaving = (backend: LeavingBackend) => {
+    reportLeavingBackend({ context, parts }, backend).catch((error: unknown) => {
+      context.log.error('leavingReportDefect', { detail: String(error) });
+    });
+  };
+  const runner = new RoutedRunner({
+    context,
+    pools,
+    agent,
+    callFields,
+    retryPermille,
+    retryBurst,
+    reportLeaving,
+  });
   const acceptor = { context, state, targetSelector, callFields };
   const callServer = new RoutedCallServer({ context, acceptor, runner, progress: () => progress });
   const server = createEntryServer(settings.limits, {
--- a/packages/host/src/routedCalls/routedPools.ts
+++ b/packages/host/src/routedCalls/routedPools.ts
@@ -1,6 +1,7 @@
 import { sameNames } from '@buckthornlug/core/lists/sameNames.js';
 import { AnswerTimeEstimates } from '@buckthornlug/core/placement/answerTimeEstimates.js';
 import { QueueScanPacer } from '@buckthornlug/core/placement/queueScanPacer.js';
+import { LeavingBackends } from '@buckthornlug/core/placement/leavingBackends.js';
 import { AffinityPool, type EntryHosts } from '@buckthornlug/core/placement/affinityPool.js';
 import { TrackedBackend, type Distance } from '@buckthornlug/core/placement/trackedBackend.js';
 import type { PlacementDecision } from '@buckthornlug/core/placement/placementTypes.js';
@@ -61,6 +62,8 @@
 
   private readonly scanPacer = new QueueScanPacer();
 
+  private readonly leaving = new LeavingBackends();
+
   /** Entry hosts at the last refresh. */
   private lastEntryHosts: EntryHosts = { zoneHostIds: [], regionHostCount: 0 };
 
@@ -95,7 +98,9 @@
       const registered = [...this.backends.values()].filter(
         ({ record }) => record.service === service,
       );
-      const usable = registered.filter(({ record }) => this.state.isUsable(record));
+      const usable = registered.filter(
+        ({ record }) => this.state.isUsable(record) && !this.leaving.isLeaving(record),
+      );
       const inRegion = registered.filter(({ distance }) => distance !== 'far').length;
       this.getOrCreatePool(service, nowMs).reconfigure(usable, inRegion, coldCallsPerS, hosts);
     }
@@ -105,6 +110,17 @@
     this.dispatchWaiting();
   }
 
+  /**
+   * Takes a backend server out of use that announced its departure, for all calls of this host.
+   *
+   * @returns whether it is its first announcement
+   */
+  markLeaving({ record }: TrackedBackend): boolean {
+    const isFirst = this.leaving.record(record);
+    if (isFirst) this.refresh();
+    return isFirst;
+  }
+
   /** Number of entry hosts that take calls, at least 1. */
   entryHostCount(): number {
     return Math.max(1, this.parts.membership.hosts().filter(acceptsNewWork).length);
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -1,24 +1,33 @@
 import { endToEndFields, fieldValue } from '@buckthornlug/core/calls/headerFields.js';
+import { parseRetryAfterMs } from '@buckthornlug/core/calls/retryAfter.js';
 import {
   recordExchange,
   type ExchangeOutcome,
 } from '@buckthornlug/core/placement/exchangeFeedback.js';
-import type { ReportedLoad } from '@buckthornlug/core/placement/trackedBackend.js';
+import { parseReportedLoad } from '@buckthornlug/core/placement/reportedLoad.js';
 import type { ScoredBackend } from '@buckthornlug/core/placement/placementTypes.js';
+import type { TrackedBackend } from '@buckthornlug/core/placement/trackedBackend.js';
 import { RetryBudget } from '@buckthornlug/core/retries/retryBudget.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import type { CallFields } from '@buckthornlug/protocol/settings/settingsSchema.js';
 
 import type { RequestBody } from '../calls/requestBody.js';
+import type { LeavingBackend } from '../routing/routingPollSchema.js';
 import type { HostContext, Random } from '../runtime/hostTypes.js';
 import type { BackendAgent } from './backendConnections.js';
-import { exchange, type ExchangeResult, type ExchangeTimes } from './backendExchange.js';
+import {
+  exchange,
+  type AnswerHead,
+  type ExchangeResult,
+  type ExchangeTimes,
+} from './backendExchange.js';
 import type { RoutedCall } from './routedCallsTypes.js';
 import type { FinalDecision, RoutedPools, AcquiredSlot } from './routedPools.js';
 
 /** Sends a routed call to one backend server after another until it is answered or fails. */
 
 const misdirectedStatus = 421;
+const unavailableStatus = 503;
 const minErrorStatus = 500;
 /** Time limit for a new connection, without its round trips. */
 const baseConnectTimeoutMs = 250;
@@ -40,6 +49,8 @@
   readonly callFields: CallFields;
   readonly retryPermille: number;
   readonly retryBurst: number;
+  /** Tells the control hosts that a backend server announced its departure. */
+  readonly reportLeaving: (backend: LeavingBackend) => void;
 }
 
 type TurnAwayDecision = Extract<FinalDecision, { readonly decision: 'turnAway' }>;
@@ -63,16 +74,6 @@
   /** The caller hung up or the time limit passed. */
   | { readonly end: 'givenUp'; readonly failure: Failure };
 
-/** Parses a load report `running,waiting,slots`; undefined if it is absent or invalid. */
-function parseReportedLoad(fields: readonly string[], name: string): ReportedLoad | undefined {
-  const [running, waiting, slots] = (fieldValue(fields, name) ?? '').split(',').map(Number);
-  if (running === undefined || waiting === undefined || slots === undefined) return undefined;
-  if (![running, waiting, slots].every((value) => Number.isFinite(value) && value >= 0)) {
-    return undefined;
-  }
-  return { running, waiting, slots };
-}
-
 /** Classifies an exchange for the health of the backend server; undefined if it says nothing. */
 function classifyExchange(
   call: RoutedCall,
@@ -99,12 +100,13 @@
   { reason, retryAfterMs: capacityExpectedInMs }: TurnAwayDecision,
   random: Random,
 ): Failure {
-  const retryAfterMs = addJitter(capacityExpectedInMs, random);
-  const options = { retryAfterMs };
   if (reason === 'noBackend') {
-    const lengthenedMs = Math.max(retryAfterMs, notRunRetryAfterMs);
-    return failure('BL3003', 'no backend server can take the call', { retryAfterMs: lengthenedMs });
+    // The time is known rather than estimated, so a caller that returned earlier would be refused again.
+    const returnMs = Math.max(capacityExpectedInMs, notRunRetryAfterMs);
+    const retryAfterMs = returnMs * (1 + retryJitterFraction * random());
+    return failure('BL3003', 'no backend server can take the call', { retryAfterMs });
   }
+  const options = { retryAfterMs: addJitter(capacityExpectedInMs, random) };
   if (reason === 'targetMissed') return failure('BL3002', 'the target cannot be met', options);
   return failure('BL3002', 'the time limit passed before the call was sent', options);
 }
@@ -249,12 +251,34 @@
     pools.release(slot);
     if (times.isNewConnection && times.connectMs > 0) pools.recordConnect(backend, times.connectMs);
     context.metrics.count('backend_exchanges_total', { service: call.service, end: result.end });
+    if ('head' in result) this.obeyAnswer(backend, result.head, nowMs);
     const outcome = this.toAttemptOutcome(call, slot, result, nowMs);
     this.recordFeedback(call, slot, result, nowMs - startedAtMs - times.connectMs);
     this.logAttempt(call, slot, result, times, nowMs - startedAtMs);
     return outcome;
   }
 
+  /**
+   * Follows what a backend server asks for in an answer: no more calls because it is leaving, or
+   * none for some time. An answer of another process at its address asks nothing of it.
+   */
+  private obeyAnswer(backend: TrackedBackend, head: AnswerHead, nowMs: number): void {
+    const { context, callFields, pools, reportLeaving } = this.parts;
+    const { backendId, bornAtMs } = backend.record;
+    if (head.status === misdirectedStatus) return;
+    if (fieldValue(head.fields, callFields.leaving) !== undefined && pools.markLeaving(backend)) {
+      context.log.info('backendLeaving', { backendId, bornAtMs });
+      reportLeaving({ backendId, bornAtMs });
+    }
+    if (head.status !== unavailableStatus) return;
+    const retryAfter = fieldValue(head.fields, 'retry-after');
+    const pauseMs = parseRetryAfterMs(retryAfter, context.clock.wallMs());
+    if (pauseMs === undefined) return;
+    backend.pauseUntil(nowMs + pauseMs);
+    context.metrics.count('backend_pauses_total', { service: backend.record.service });
+    context.log.info('backendPaused', { backendId, pauseMs: Math.round(pauseMs) });
+  }
+
   /**
    * Derives the outcome of an attempt. Backs off from a backend server that could not be reached or
    * answered that the request was misdirected.
@@ -308,7 +332,9 @@
     const end = classifyExchange(call, result, callFields);
     if (end === undefined) return;
     const reported =
-      'head' in result ? parseReportedLoad(result.head.fields, callFields.load) : undefined;
+      'head' in result
+        ? parseReportedLoad(fieldValue(result.head.fields, callFields.load))
+        : undefined;
     const outcome = { end, elapsedMs, ...(reported === undefined ? {} : { reported }) };
     recordExchange(pools.answerTimes, call, candidate, outcome, context.clock.nowMs());
   }
--- a/packages/host/src/routing/routingFeature.ts
+++ b/packages/host/src/routing/routingFeature.ts
@@ -24,6 +24,7 @@
     parts.rpcHandlers.routing = {
       poll: (poll) => server.poll(poll),
       heard: (ages) => registry.recordForwardedReports(ages),
+      leaving: (backend) => registry.drainLeaving(backend),
     };
     parts.provide({
       routingCommands: createRoutingCommands(context, control),
--- a/packages/host/src/routing/routingFollower.ts
+++ b/packages/host/src/routing/routingFollower.ts
@@ -3,10 +3,9 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, ok, type Result } from 'neverthrow';
 
-import { isParticipating } from '@buckthornlug/core/membership/memberStamp.js';
-
 import type { HostParts } from '../runtime/hostParts.js';
-import type { HostContext, HostRecord } from '../runtime/hostTypes.js';
+import type { HostContext } from '../runtime/hostTypes.js';
+import { controlHostsByDistance } from './controlSources.js';
 import { SourceSelector } from './sourceSelector.js';
 import {
   routingUpdateSchema,
@@ -75,7 +74,8 @@
   }
 
   private async pollNextSource(): Promise<void> {
-    const sources = this.sourcesByDistance();
+    const { context, parts } = this.dependencies;
+    const sources = controlHostsByDistance(context.settings, parts.membership.hosts());
     const source = this.sourceSelector.choose(sources, this.dependencies.context.clock.nowMs());
     if (source === undefined) {
       await delay(allFailedPauseMs);
@@ -141,22 +141,4 @@
         : err(failure('BL6003', 'the routing update does not match its schema'));
     });
   }
-
-  /** Control hosts, the nearest first; the peers of the settings if none is known. */
-  private sourcesByDistance(): readonly string[] {
-    const { context, parts } = this.dependencies;
-    const { settings } = context;
-    const distance = (host: HostRecord) => {
-      if (host.availabilityZone === settings.availabilityZone) return 0;
-      return host.region === settings.region ? 1 : 2;
-    };
-    const controlHosts = parts.membership
-      .hosts()
-      .filter((host) => host.roles.includes('control') && isParticipating(host.state));
-    if (controlHosts.length === 0) return settings.peers.map(({ hostId }) => hostId);
-    return controlHosts
-      .map((host) => ({ hostId: host.hostId, key: `${distance(host)} ${host.hostId}` }))
-      .sort((left, right) => (left.key < right.key ? -1 : 1))
-      .map(({ hostId }) => hostId);
-  }
 }
--- a/packages/host/src/routing/routingPollSchema.ts
+++ b/packages/host/src/routing/routingPollSchema.ts
@@ -43,7 +43,14 @@
   z.strictObject({ backendId: z.string(), ageMs: z.number().min(0) }),
 );
 
+/** An incarnation of a backend server that announced its departure in an answer. */
+export const leavingBackendSchema = z.strictObject({
+  backendId: z.string(),
+  bornAtMs: z.number(),
+});
+
 export type RoutingPosition = z.infer<typeof routingPositionSchema>;
 export type RoutingPoll = z.infer<typeof routingPollSchema>;
 export type RoutingUpdate = z.infer<typeof routingUpdateSchema>;
+export type LeavingBackend = z.infer<typeof leavingBackendSchema>;
 export type BackendReportAges = z.infer<typeof backendReportAgesSchema>;
--- a/packages/host/src/routing/routingRouter.ts
+++ b/packages/host/src/routing/routingRouter.ts
@@ -2,16 +2,19 @@
 
 import {
   backendReportAgesSchema,
+  leavingBackendSchema,
   routingPollSchema,
   type BackendReportAges,
+  type LeavingBackend,
   type RoutingUpdate,
   type RoutingPoll,
 } from './routingPollSchema.js';
 
-/** Handlers of control hosts for polls and for forwarded reports of backend servers. */
+/** Handlers of control hosts for polls and for what other hosts report of backend servers. */
 export interface RoutingHandlers {
   readonly poll: (poll: RoutingPoll) => Promise<RoutingUpdate>;
   readonly heard: (ages: BackendReportAges) => void;
+  readonly leaving: (backend: LeavingBackend) => Promise<void>;
 }
 
 /** Builds the routing procedures. */
@@ -21,5 +24,8 @@
     heard: rpcProcedure
       .input(backendReportAgesSchema)
       .mutation(({ input }) => handlers.heard(input)),
+    leaving: rpcProcedure
+      .input(leavingBackendSchema)
+      .mutation(({ input }) => handlers.leaving(input)),
   });
 }
--- a/packages/protocol/src/settings/settingsSchema.ts
+++ b/packages/protocol/src/settings/settingsSchema.ts
@@ -135,8 +135,9 @@
   notRun: headerFieldName('x-not-run', 'Present if the backend server did not run the call.'),
   load: headerFieldName(
     'x-load',
-    'Numbers of running calls, waiting calls and slots, separated by commas.',
+    'Numbers of running calls, waiting calls and slots, separated by commas; a fourth figure is the time that work takes now, in percent of the usual time.',
   ),
+  leaving: headerFieldName('x-leaving', 'Present if the backend server is about to leave.'),
 });
 
 /** Settings of hosts that serve a routing document. */
--- a/packages/testkit/src/placement/placementReplay.ts
+++ b/packages/testkit/src/placement/placementReplay.ts
@@ -96,7 +96,7 @@
     for (const { zone, backends } of zones) {
       for (let index = 0; index < backends; index += 1) {
         const backendId = `${zone}-${index}`;
-        this.models.set(backendId, new ReplayBackend(this.time, backend));
+        this.models.set(backendId, new ReplayBackend(this.time, backend, this.draws.next));
         records.push({
           backendId,
           bornAtMs: 0,
--- a/packages/testkit/src/placement/replayBackend.ts
+++ b/packages/testkit/src/placement/replayBackend.ts
@@ -10,12 +10,26 @@
   readonly keptObjects: number;
   /** Part of the work time that is left for an object that it keeps. */
   readonly warmPart: number;
+  /** Other work on its machine; none where absent. */
+  readonly otherWork?: OtherWork;
+}
+
+/** Spells in which other work on the machine of a backend server slows down its calls. */
+export interface OtherWork {
+  /** Part of the time that the spells take. */
+  readonly share: number;
+  readonly spellMs: number;
+  /** Factor on the time of calls that start in a spell. */
+  readonly factor: number;
+  /** Whether the backend server reports the factor with its answers. */
+  readonly isReported: boolean;
 }
 
 /** Load that it reports with an answer. */
 export interface ReplayReport {
   readonly running: number;
   readonly waiting: number;
+  readonly workTimeFactor?: number;
 }
 
 /** How a call ended there. */
@@ -34,14 +48,32 @@
   /** Factor on the time of its work. */
   slowFactor = 1;
 
+  private otherWorkFactor = 1;
+
   /**
    * @param time - virtual time
    * @param model - slots, queue and memory
+   * @param draw - random numbers in [0, 1), for the spells of other work
    */
   constructor(
     private readonly time: VirtualTime,
     private readonly model: ReplayBackendModel,
-  ) {}
+    private readonly draw: () => number,
+  ) {
+    if (model.otherWork !== undefined) this.scheduleOtherWork(model.otherWork);
+  }
+
+  private scheduleOtherWork(otherWork: OtherWork): void {
+    const { share, spellMs, factor } = otherWork;
+    const pauseMs = spellMs * (1 / share - 1);
+    this.time.schedule(2 * pauseMs * this.draw(), () => {
+      this.otherWorkFactor = factor;
+      this.time.schedule(2 * spellMs * this.draw(), () => {
+        this.otherWorkFactor = 1;
+        this.scheduleOtherWork(otherWork);
+      });
+    });
+  }
 
   /**
    * Runs a call once a slot is free.
@@ -63,7 +95,8 @@
       hasStarted = true;
       this.running += 1;
       const isWarm = this.kept.has(objectKey);
-      this.time.schedule(workMs * this.slowFactor * (isWarm ? this.model.warmPart : 1), () => {
+      const factor = this.slowFactor * this.otherWorkFactor * (isWarm ? this.model.warmPart : 1);
+      this.time.schedule(workMs * factor, () => {
         if (isOver) return;
         this.keep(objectKey);
         end();
@@ -81,7 +114,9 @@
   }
 
   private report(): ReplayReport {
-    return { running: this.running, waiting: this.queue.length };
+    const load = { running: this.running, waiting: this.queue.length };
+    const isReported = this.model.otherWork?.isReported === true;
+    return isReported ? { ...load, workTimeFactor: this.otherWorkFactor } : load;
   }
 
   private keep(objectKey: string): void {
--- a/packages/testkit/src/routing/routedFleet.ts
+++ b/packages/testkit/src/routing/routedFleet.ts
@@ -21,6 +21,14 @@
   readonly server: Server;
 }
 
+/** Answer of a fake backend server. */
+export interface FakeAnswer {
+  readonly status: number;
+  readonly notRun?: boolean;
+  /** Further header fields. */
+  readonly fields?: Readonly<Record<string, string>>;
+}
+
 /** A control host, an entry host and backend servers on loopback addresses. */
 export interface RoutedFleet {
   readonly control: RunningHost;
@@ -28,13 +36,13 @@
   /** Starts a backend server and registers it. */
   readonly addBackend: (
     backendId: string,
-    answer: (request: IncomingMessage) => { readonly status: number; readonly notRun?: boolean },
+    answer: (request: IncomingMessage) => FakeAnswer,
   ) => Promise<RegisteredFake>;
   /** Sends a call to the entry host. */
   readonly call: (
     path: string,
     fields?: Record<string, string>,
-  ) => Promise<{ readonly status: number; readonly body: string }>;
+  ) => Promise<{ readonly status: number; readonly body: string; readonly retryAfter?: string }>;
   readonly stop: () => Promise<void>;
 }
 
@@ -126,8 +134,9 @@
       const requests: IncomingMessage['headers'][] = [];
       const server = createServer((incoming, response) => {
         requests.push(incoming.headers);
-        const { status, notRun } = answer(incoming);
-        const fields = { 'x-request-id': String(incoming.headers['x-request-id']) };
+        const { status, notRun, fields: answerFields } = answer(incoming);
+        const requestId = String(incoming.headers['x-request-id']);
+        const fields = { 'x-request-id': requestId, ...answerFields };
         response.writeHead(status, notRun === true ? { ...fields, 'x-not-run': '1' } : fields);
         response.end(backendId);
       });
@@ -153,7 +162,13 @@
       const answer = await request(`http://${callers.address}:${callers.port}${path}`, {
         headers: { host: 'one.example', 'x-request-id': 'a-1', ...fields },
       });
-      return { status: answer.statusCode, body: await answer.body.text() };
+      const retryAfter = answer.headers['retry-after'];
+      const body = await answer.body.text();
+      return {
+        status: answer.statusCode,
+        body,
+        ...(typeof retryAfter === 'string' ? { retryAfter } : {}),
+      };
     },
     stop: async () => {
       await entry.stop();
