feat(placement): one backend server of the region for objects with few calls, estimates that learn first runs

Cause: each zone chose its own backend server for an object, and a preferred one counted as warm before it had ever run the object. Change: objects whose first run misses the target and that get less than one call a second in a zone are handled by one backend server for the whole region; an object counts as run only after an answer; a first run for this host counts for the nearer estimate; estimates move further on their first answers.

--- a/packages/core/src/placement/affinityPool.ts
+++ b/packages/core/src/placement/affinityPool.ts
@@ -49,6 +49,12 @@
  * calls empty, and their last known load must not keep turning away the calls that would show it.
  */
 const unreportedDecay = 0.5;
+/**
+ * Calls a second and object in a zone from which the zone keeps the object warm itself. Below it, one
+ * backend server of the region handles the object for all zones: the first run at a further one would
+ * be late, and too few calls would follow before the object is evicted or the backend server replaced.
+ */
+const ownCopyCallsPerS = 1;
 /** Share of the region's registered backend servers below which spillover is not limited. */
 const degradedRegionShare = 0.5;
 
@@ -235,7 +241,6 @@
     if (backend.isCold(nowMs)) this.pacerOf(backendId).recordSend(this.coldCallsPerS, nowMs);
     this.spillover.record(backend.distance === 'far', nowMs);
     this.servedShares.recordServed(call.rank, nowMs);
-    if (call.objectKey !== undefined) backend.warmObjects.record(call.objectKey);
     return { decision: 'send', call, place: candidate };
   }
 
@@ -290,7 +295,7 @@
       if (call.tried.has(backend.record.backendId)) return false;
       return isInHomeRegion(call, backend) && this.isAvailable(backend, nowMs);
     };
-    const spread = this.objectSpread();
+    const spread = this.objectSpread(call);
     let best: Candidate | undefined;
     for (const preferred of this.preferredBackends.select(call.objectKey, spread, isEligible)) {
       const isSpill = preferred.backend.distance === 'far' && !preferred.isPrimary;
@@ -332,8 +337,8 @@
   private score(call: Call, preferred: PreferredBackend, nowMs: number): Candidate {
     const { backend } = preferred;
     const { objectKey } = call;
-    const isWarm =
-      objectKey !== undefined && (preferred.isPrimary || backend.warmObjects.has(objectKey));
+    const hasRunObject = objectKey !== undefined && backend.warmObjects.has(objectKey);
+    const isWarm = hasRunObject || (objectKey !== undefined && preferred.isPrimary);
     const typicalMs = this.times.expectedMs(call.routeId, call.targetMs, isWarm);
     const expectedMs = typicalMs * backend.slownessAt(nowMs) * backend.workTimeFactorAt(nowMs);
     const waiting = this.waitingAhead(backend, call.rank);
@@ -342,7 +347,7 @@
     const limit = slots + maxQueuedAtBackend + (call.rank === 0 ? extraQueuedForMostUrgent : 0);
     const hasRoom = load <= limit;
     // Calls that wait at other hosts for the same slots are unknown; each host is assumed to have as many.
-    const waitingElsewhere = waiting * (this.hostsSharing(backend) - 1);
+    const waitingElsewhere = waiting * (this.hostsSharing(call, backend) - 1);
     const callsAhead = Math.max(0, load + waitingElsewhere - slots + 1);
     const waitMs = (callsAhead * expectedMs) / slots;
     // A call in flight for much longer than expected shows that the backend server is stuck.
@@ -351,18 +356,25 @@
     const evictionMs = objectKey === undefined || isWarm ? 0 : this.evictionCostMs(call);
     const overheadMs = 2 * backend.linkMs + distancePenaltyMs(backend) + evictionMs;
     const costMs = overheadMs + waitMs + expectedMs + stuckMs + failureMs;
-    return { backend, isWarm, expectedMs, load, waitMs, hasRoom, costMs };
+    return { backend, isWarm, hasRunObject, expectedMs, load, waitMs, hasRoom, costMs };
   }
 
   /** Number of entry hosts whose calls compete for the slots of a backend server. */
-  private hostsSharing({ distance }: TrackedBackend): number {
+  private hostsSharing(call: Call, { distance }: TrackedBackend): number {
     if (distance === 'far') return 1;
-    const isSharedByRegion = this.preferredBackends.isGroupedByRegion(this.objectSpread());
+    const isSharedByRegion = this.preferredBackends.isGroupedByRegion(this.objectSpread(call));
     return Math.max(1, isSharedByRegion ? this.regionHostCount : this.zoneHostIds.length);
   }
 
-  private objectSpread(): ObjectSpread {
-    return { activeObjects: this.activeObjects.count(), regionShare: this.objectShare.value };
+  private objectSpread({ routeId, targetMs }: Call): ObjectSpread {
+    const zoneCallsPerS =
+      this.activeObjects.callsPerObjectAndS() * Math.max(1, this.zoneHostIds.length);
+    const isFirstRunLate = this.times.expectedMs(routeId, targetMs, false) > targetMs;
+    return {
+      activeObjects: this.activeObjects.count(),
+      regionShare: this.objectShare.value,
+      isSharedByRegion: isFirstRunLate && zoneCallsPerS < ownCopyCallsPerS,
+    };
   }
 
   /** Number of calls that wait for a backend server and are served before a new call of this rank. */
--- a/packages/core/src/placement/answerTimeEstimates.ts
+++ b/packages/core/src/placement/answerTimeEstimates.ts
@@ -1,22 +1,35 @@
 /** Estimates of answer times, learned from the answers of each route. */
 
 /** Initial estimate for a cold object, as a share of the latency objective of the route. */
-const initialColdShare = 0.8;
+const initialColdShare = 1.1;
 /** Initial estimate for a warm object, as a share of the latency objective of the route. */
 const initialWarmShare = 0.3;
-/** Largest change of an estimate by one answer, as a share of the estimate. */
-const maxStepShare = 0.04;
+/** Largest change of a settled estimate by one answer, as a share of the estimate. */
+const settledStepShare = 0.04;
+/** Largest change of an estimate by its first answer; it falls as the reciprocal of their number. */
+const firstStepShare = 0.3;
+
+interface Estimate {
+  ms: number;
+  samples: number;
+}
 
 interface RouteEstimates {
-  warmMs: number;
-  coldMs: number;
+  readonly warm: Estimate;
+  readonly cold: Estimate;
 }
 
-/** Moves the estimate of a median towards a sample by a limited step, so that outliers count no more. */
-function stepTowards(estimateMs: number, sampleMs: number): number {
-  const stepMs = Math.max(1, estimateMs * maxStepShare);
-  if (Math.abs(sampleMs - estimateMs) <= stepMs) return sampleMs;
-  return sampleMs > estimateMs ? estimateMs + stepMs : estimateMs - stepMs;
+/**
+ * Moves the estimate of a median towards a sample by a limited step, so that outliers count no more.
+ * The first answers move it further, since the initial value is a guess.
+ */
+function stepTowards(estimate: Estimate, sampleMs: number): void {
+  const updated = estimate;
+  updated.samples += 1;
+  const stepShare = Math.max(settledStepShare, firstStepShare / updated.samples);
+  const stepMs = Math.max(1, estimate.ms * stepShare);
+  const differenceMs = sampleMs - estimate.ms;
+  updated.ms += Math.sign(differenceMs) * Math.min(stepMs, Math.abs(differenceMs));
 }
 
 /**
@@ -33,21 +46,29 @@
    * @param isWarm - whether the object of the call is warm at the backend server
    */
   expectedMs(routeId: string, targetMs: number, isWarm: boolean): number {
-    const times = this.estimatesOf(routeId, targetMs);
-    return isWarm ? Math.min(times.warmMs, times.coldMs) : times.coldMs;
+    const { warm, cold } = this.estimatesOf(routeId, targetMs);
+    return isWarm ? Math.min(warm.ms, cold.ms) : cold.ms;
   }
 
-  /** Records the time of an answer to a call that did not wait for a slot. */
-  record(routeId: string, targetMs: number, isWarm: boolean, elapsedMs: number): void {
-    const times = this.estimatesOf(routeId, targetMs);
-    if (isWarm) times.warmMs = stepTowards(times.warmMs, elapsedMs);
-    else times.coldMs = stepTowards(times.coldMs, elapsedMs);
+  /**
+   * Records the time of an answer to a call that did not wait for a slot.
+   *
+   * @param isWarm - whether the object was warm; undefined if another host may have warmed it, and
+   *   then the time counts for the estimate that it is nearer to
+   */
+  record(routeId: string, targetMs: number, isWarm: boolean | undefined, elapsedMs: number): void {
+    const { warm, cold } = this.estimatesOf(routeId, targetMs);
+    const wasWarm = isWarm ?? elapsedMs < Math.sqrt(warm.ms * cold.ms);
+    stepTowards(wasWarm ? warm : cold, elapsedMs);
   }
 
   private estimatesOf(routeId: string, targetMs: number): RouteEstimates {
     const known = this.byRoute.get(routeId);
     if (known !== undefined) return known;
-    const created = { warmMs: targetMs * initialWarmShare, coldMs: targetMs * initialColdShare };
+    const created = {
+      warm: { ms: targetMs * initialWarmShare, samples: 0 },
+      cold: { ms: targetMs * initialColdShare, samples: 0 },
+    };
     this.byRoute.set(routeId, created);
     return created;
   }
--- a/packages/core/src/placement/exchangeFeedback.spec.ts
+++ b/packages/core/src/placement/exchangeFeedback.spec.ts
@@ -4,7 +4,7 @@
 import { recordExchange, type ExchangeOutcome } from './exchangeFeedback.js';
 import { sampleBackend } from './sampleBackend.js';
 
-const call = { routeId: 'reads', targetMs: 1000 };
+const call = { routeId: 'reads', targetMs: 1000, objectKey: undefined };
 const nowMs = 5000;
 
 /** State after a number of exchanges with the same outcome, and the time expected before them. */
@@ -12,7 +12,15 @@
   const backend = sampleBackend();
   const times = new AnswerTimeEstimates();
   const firstMs = times.expectedMs(call.routeId, call.targetMs, false);
-  const place = { backend, isWarm: false, expectedMs: firstMs, load, waitMs: 0, costMs: firstMs };
+  const place = {
+    backend,
+    isWarm: false,
+    hasRunObject: false,
+    expectedMs: firstMs,
+    load,
+    waitMs: 0,
+    costMs: firstMs,
+  };
   for (let index = 0; index < count; index += 1) {
     recordExchange(times, call, place, outcome, nowMs);
   }
@@ -45,3 +53,32 @@
   t.is(expectedMs, firstMs);
   t.is(backend.failureShareAt(nowMs), 0);
 });
+
+test('only an answer shows that a backend server has run an object', (t) => {
+  const backend = sampleBackend();
+  const times = new AnswerTimeEstimates();
+  const place = {
+    backend,
+    isWarm: true,
+    hasRunObject: false,
+    expectedMs: 300,
+    load: 0,
+    waitMs: 0,
+    costMs: 300,
+  };
+  const objectCall = { ...call, objectKey: 'box-1' };
+  recordExchange(times, objectCall, place, { end: 'timedOut', elapsedMs: 2500 }, nowMs);
+  t.false(backend.warmObjects.has('box-1'));
+  recordExchange(times, objectCall, place, { end: 'answered', elapsedMs: 900 }, nowMs);
+  t.true(backend.warmObjects.has('box-1'));
+});
+
+test('a slow first run of an object raises the estimate of first runs, not that of later ones', (t) => {
+  const times = new AnswerTimeEstimates();
+  const warmMs = times.expectedMs('reads', 1000, true);
+  for (let run = 0; run < 20; run += 1) times.record('reads', 1000, undefined, 2000);
+  t.is(times.expectedMs('reads', 1000, true), warmMs);
+  t.true(times.expectedMs('reads', 1000, false) > 1500);
+  for (let run = 0; run < 20; run += 1) times.record('reads', 1000, undefined, 400);
+  t.true(Math.abs(times.expectedMs('reads', 1000, true) - 400) < 100);
+});
--- a/packages/core/src/placement/exchangeFeedback.ts
+++ b/packages/core/src/placement/exchangeFeedback.ts
@@ -32,12 +32,14 @@
  */
 export function recordExchange(
   estimates: AnswerTimeEstimates,
-  call: Pick<PlaceableCall, 'routeId' | 'targetMs'>,
-  { backend, isWarm, expectedMs, load }: ScoredBackend,
+  call: Pick<PlaceableCall, 'routeId' | 'targetMs' | 'objectKey'>,
+  { backend, hasRunObject, expectedMs, load }: ScoredBackend,
   { end, elapsedMs, reported }: ExchangeOutcome,
   nowMs: number,
 ): void {
   if (reported !== undefined) backend.recordLoad(reported, nowMs);
+  const { objectKey } = call;
+  if (end === 'answered' && objectKey !== undefined) backend.warmObjects.record(objectKey);
   const hadSlot = load <= backend.record.slots - 1;
   const isTimingUsable = hadSlot && (end === 'answered' || end === 'timedOut');
   const isFailure = end === 'failed' || end === 'timedOut';
@@ -48,5 +50,7 @@
   const processingMs = Math.max(1, elapsedMs - 2 * backend.linkMs);
   const slowness = Math.min(maxSlowness, processingMs / Math.max(1, expectedMs));
   backend.recordHealth({ isFailure, slowness }, nowMs);
-  estimates.record(call.routeId, call.targetMs, isWarm, processingMs);
+  // The first run for this host may be a later one, after calls of other hosts.
+  const wasWarm = hasRunObject || objectKey === undefined ? hasRunObject : undefined;
+  estimates.record(call.routeId, call.targetMs, wasWarm, processingMs);
 }
--- a/packages/core/src/placement/placementTypes.ts
+++ b/packages/core/src/placement/placementTypes.ts
@@ -26,6 +26,8 @@
   readonly backend: TrackedBackend;
   /** Whether the object of the call is taken to be warm there. */
   readonly isWarm: boolean;
+  /** Whether an answer to this host has shown that it handled the object recently. */
+  readonly hasRunObject: boolean;
   /** Expected answer time, without waiting and network delay. */
   readonly expectedMs: number;
   /** Calls at the backend server, and calls that wait for it and are served before this one. */
--- a/packages/core/src/placement/preferredBackends.spec.ts
+++ b/packages/core/src/placement/preferredBackends.spec.ts
@@ -5,7 +5,7 @@
 import { sampleBackend } from './sampleBackend.js';
 import { TrackedBackend, type Distance } from './trackedBackend.js';
 
-const spread = { activeObjects: 0, regionShare: 1 };
+const spread = { activeObjects: 0, regionShare: 1, isSharedByRegion: false };
 const keys = ['object-1', 'object-2', 'object-3'];
 
 /** Backend servers of three zones; `onIdRead` is called each time the id of one is read. */
--- a/packages/core/src/placement/preferredBackends.ts
+++ b/packages/core/src/placement/preferredBackends.ts
@@ -94,13 +94,16 @@
   readonly activeObjects: number;
   /** Share of the objects that the region handles itself, 0 to 1. */
   readonly regionShare: number;
+  /** Whether the zones of a region share one set of backend servers for an object. */
+  readonly isSharedByRegion: boolean;
 }
 
 const hashRange = 2 ** 32;
 
 /**
  * Preferred backend servers of objects: in this host's region a set for each zone or, if the zone
- * cannot keep its objects warm, one set for the region; besides, one set over all other regions.
+ * cannot keep its objects warm or a set for each is not worth it, one set for the region; besides,
+ * one set over all other regions.
  */
 export class PreferredBackends {
   private readonly zoneGroups: readonly BackendGroup[];
@@ -176,9 +179,9 @@
     return selected;
   }
 
-  /** Whether objects are spread over the whole region, since the zone cannot keep all of them warm. */
-  isGroupedByRegion({ activeObjects, regionShare }: ObjectSpread): boolean {
-    return activeObjects * regionShare > this.zoneObjectCapacity;
+  /** Whether objects are spread over the whole region instead of each zone. */
+  isGroupedByRegion({ activeObjects, regionShare, isSharedByRegion }: ObjectSpread): boolean {
+    return isSharedByRegion || activeObjects * regionShare > this.zoneObjectCapacity;
   }
 
   private groupsFor(spread: ObjectSpread): readonly BackendGroup[] {
--- a/packages/testkit/src/placement/placement.spec.ts
+++ b/packages/testkit/src/placement/placement.spec.ts
@@ -131,6 +131,52 @@
   t.true(sumOf(results, 'inTarget') > 0.9 * sumOf(results, 'calls'));
 });
 
+/** Three regions, two of them with few backend servers, whose objects get a few calls in all. */
+const fewCalls: ReplayLoad = {
+  ...load,
+  zones: [
+    { ...zone('north-a', 'north', 3, 3.6), hosts: 2 },
+    { ...zone('north-b', 'north', 3, 3.6), hosts: 1 },
+    { ...zone('east-a', 'east', 1, 3.6), hosts: 2 },
+    { ...zone('east-b', 'east', 1, 3.6), hosts: 1 },
+    { ...zone('south-a', 'south', 2, 3.6), hosts: 1 },
+    { ...zone('south-b', 'south', 2, 3.6), hosts: 1 },
+  ],
+  routes: [{ ...reads, share: 1, targetMs: 800, timeLimitMs: 1500, workMs: 990, objects: 24 }],
+  backend: { slots: 3, queuedCalls: 9, keptObjects: 25, warmPart: 0.3 },
+  regionLinkMs: 3.9,
+  durationMs: 32_000,
+};
+
+test('an object with few calls whose first run is late runs at few backend servers', async (t) => {
+  const objects = 24 * 3;
+  for (const seed of [1, 2, 3, 4]) {
+    const results = await replayPlacement({ ...fewCalls, seed });
+    const firstRuns = sumOf(results, 'runs') - sumOf(results, 'warmRuns');
+    t.true(firstRuns <= 2 * objects, `seed ${seed}: ${firstRuns} first runs`);
+  }
+});
+
+test('reports of other work on the machines of backend servers bring more calls into target', async (t) => {
+  const [route] = fewCalls.routes;
+  const routes = [{ ...(route as ReplayRoute), targetMs: 600, timeLimitMs: 1200, workMs: 750 }];
+  const zones = fewCalls.zones.map((one) => ({ ...one, callsPerS: 17 }));
+  const inTarget = { withReports: 0, withoutReports: 0 };
+  for (const seed of [1, 2, 3, 4, 5, 6]) {
+    const otherWork = { share: 0.13, spellMs: 500, factor: 2.5 };
+    const replay = async (isReported: boolean) => {
+      const backend = { ...fewCalls.backend, slots: 5, otherWork: { ...otherWork, isReported } };
+      return sumOf(
+        await replayPlacement({ ...fewCalls, routes, zones, backend, seed }),
+        'inTarget',
+      );
+    };
+    inTarget.withReports += await replay(true);
+    inTarget.withoutReports += await replay(false);
+  }
+  t.true(inTarget.withReports > inTarget.withoutReports, JSON.stringify(inTarget));
+});
+
 test('the same load and seed are placed the same way', async (t) => {
   const short = { ...load, durationMs: 3000 };
   const [first, second] = [await replayPlacement(short), await replayPlacement(short)];
