--- a/packages/core/src/registry/backendRegistry.spec.ts
+++ b/packages/core/src/registry/backendRegistry.spec.ts
@@ -141,3 +141,17 @@
   registry.recordReport({ type: 'noteBackend', report: cold, atMs: 1000 });
   t.false(registry.isChange({ ...cold, sequence: 6, coldForMs: 1500 }, 2500));
 });
+
+test('a departure that overtakes the first report of its process keeps that report out', (t) => {
+  const registry = registryAfter({ bornAtMs: 100 });
+  registry.remove({ type: 'removeBackend', backendId: 'b-1', bornAtMs: 200, reason: 'left' });
+  t.is(registry.find('b-1')?.state, 'gone');
+  registry.recordReport({ type: 'noteBackend', report: { ...base, bornAtMs: 200 }, atMs: 1000 });
+  t.is(registry.find('b-1')?.state, 'gone');
+});
+
+test('a late departure of a former process does not remove the one that runs', (t) => {
+  const registry = registryAfter({ bornAtMs: 100 }, { bornAtMs: 200, sequence: 1 });
+  registry.remove({ type: 'removeBackend', backendId: 'b-1', bornAtMs: 100, reason: 'left' });
+  t.is(registry.find('b-1')?.state, 'ready');
+});
--- a/packages/core/src/registry/backendRegistry.ts
+++ b/packages/core/src/registry/backendRegistry.ts
@@ -103,6 +103,11 @@
 
   remove({ backendId, bornAtMs, reason }: RemoveBackendCommand): RegistryReply {
     const known = this.backends.get(backendId);
+    if (known !== undefined && bornAtMs !== undefined && bornAtMs > known.bornAtMs) {
+      // The report of a later incarnation has not arrived, and must not register it any more.
+      this.store({ ...known, bornAtMs, state: 'gone' });
+      return { registryRevision: this.lastRevision };
+    }
     const isMatchingProcess =
       known !== undefined && (bornAtMs ?? known.bornAtMs) === known.bornAtMs;
     if (isMatchingProcess && known.state !== 'gone') {
--- a/packages/host/src/registry/registryTask.ts
+++ b/packages/host/src/registry/registryTask.ts
@@ -20,6 +20,11 @@
  * Time without a leader after which reports are refused, so that they go to another control host.
  */
 const maxLeaderSilentMs = 1500;
+/**
+ * Time by which a backend server may claim to start later than now, for clocks that differ. A start
+ * further ahead would outrank all later incarnations at its address.
+ */
+const maxStartAheadMs = 600_000;
 /** Time limit of a commit; a backend server does not wait longer for an acknowledgement. */
 const commitTimeoutMs = 900;
 
@@ -49,10 +54,15 @@
    * it and the backend server may rely on it.
    *
    * @param report - validated report
-   * @returns BL5001 if this host has no contact with a leader, BL5002 if the outcome of the commit
-   *   is not known
+   * @returns BL4001 for a start in the future, BL5001 if this host has no contact with a leader,
+   *   BL5002 if the outcome of the commit is not known
    */
   report(report: BackendReport): ResultAsync<void, Failure> {
+    if (report.bornAtMs > this.context.clock.wallMs() + maxStartAheadMs) {
+      return errAsync(
+        this.refused(report.backendId, failure('BL4001', 'the start is in the future')),
+      );
+    }
     if (this.control.leaderSilentMs() > maxLeaderSilentMs) {
       return errAsync(
         failure('BL5001', 'the control group has no leader that this host can reach'),
@@ -72,9 +82,14 @@
       .mapErr((problem) => this.refused(backendId, problem));
   }
 
-  /** Removes a backend server that leaves. */
-  removeBackend(backendId: string): ResultAsync<void, Failure> {
-    const command = { type: 'removeBackend', backendId, reason: 'left' } as const;
+  /**
+   * Removes a backend server that leaves.
+   *
+   * @param bornAtMs - its incarnation; the registered one if undefined
+   */
+  removeBackend(backendId: string, bornAtMs?: number): ResultAsync<void, Failure> {
+    const incarnation = bornAtMs === undefined ? {} : { bornAtMs };
+    const command = { type: 'removeBackend', backendId, reason: 'left', ...incarnation } as const;
     return this.control
       .commit(command, commitTimeoutMs)
       .map(() => this.context.log.info('backendLeft', { backendId }))
--- a/packages/host/src/routing/routingFeature.ts
+++ b/packages/host/src/routing/routingFeature.ts
@@ -29,7 +29,7 @@
     parts.provide({
       routingCommands: createRoutingCommands(context, control),
       reportBackend: (report) => registry.report(report),
-      removeBackend: (backendId) => registry.removeBackend(backendId),
+      removeBackend: (backendId, bornAtMs) => registry.removeBackend(backendId, bornAtMs),
     });
     return okAsync({
       name: 'routing',
--- a/packages/host/src/routing/routingFollower.spec.ts
+++ b/packages/host/src/routing/routingFollower.spec.ts
@@ -44,6 +44,7 @@
     context: {
       settings,
       clock: { nowMs, wallMs: nowMs },
+      metrics: { count: () => undefined } as never,
       log: { debug() {}, info() {}, warn() {}, error() {} },
     },
     parts: {
--- a/packages/host/src/routing/routingFollower.ts
+++ b/packages/host/src/routing/routingFollower.ts
@@ -1,17 +1,14 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
-import { err, ok, type Result } from 'neverthrow';
+import type { Result } from 'neverthrow';
 
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
 import { controlHostsByDistance } from './controlSources.js';
+import { decodeRoutingUpdate } from './decodeRoutingUpdate.js';
 import { SourceSelector } from './sourceSelector.js';
-import {
-  routingUpdateSchema,
-  type RoutingUpdate,
-  type RoutingPosition,
-} from './routingPollSchema.js';
+import type { RoutingUpdate, RoutingPosition } from './routingPollSchema.js';
 
 /** Keeps the routing state of an entry host up to date. */
 
@@ -40,7 +37,7 @@
 
 /** Dependencies of `RoutingFollower`. */
 export interface RoutingFollowerParts {
-  readonly context: Pick<HostContext, 'settings' | 'clock' | 'log'>;
+  readonly context: Pick<HostContext, 'settings' | 'clock' | 'log' | 'metrics'>;
   readonly parts: {
     readonly membership: Pick<HostParts['membership'], 'hosts'>;
     readonly peers: Pick<HostParts['peers'], 'request'>;
@@ -134,11 +131,15 @@
       (client, signal) => client.routing.poll.query({ ...position, waitMs }, { signal }),
       waitMs + timeoutMs,
     );
+    const { context } = this.dependencies;
     return answer.andThen((value) => {
-      const update = routingUpdateSchema.safeParse(value);
-      return update.success
-        ? ok(update.data)
-        : err(failure('BL6003', 'the routing update does not match its schema'));
+      return decodeRoutingUpdate(value).map(({ update, skippedRecords }) => {
+        if (skippedRecords > 0) {
+          context.log.warn('backendRecordsSkipped', { source, skippedRecords });
+          context.metrics.count('backend_records_skipped_total');
+        }
+        return update;
+      });
     });
   }
 }
--- a/packages/host/src/runtime/hostParts.ts
+++ b/packages/host/src/runtime/hostParts.ts
@@ -105,8 +105,8 @@
   routingCommands: RoutingCommands | undefined;
   /** Records a report of a backend server; resolves once the control group holds it. */
   reportBackend: (report: BackendReport) => ResultAsync<void, Failure>;
-  /** Removes a backend server that leaves. */
-  removeBackend: (backendId: string) => ResultAsync<void, Failure>;
+  /** Removes an incarnation of a backend server that leaves; the registered one if none is named. */
+  removeBackend: (backendId: string, bornAtMs?: number) => ResultAsync<void, Failure>;
   /** Whether this host accepts calls and has the state that it needs to place them. */
   isReady: () => boolean;
   /** Counter that increases whenever owners of pools in the own zone may have changed. */
--- a/packages/protocol/src/common/primitives.ts
+++ b/packages/protocol/src/common/primitives.ts
@@ -10,7 +10,11 @@
 /** A numeric IP address, not a host name. */
 export const ipAddressSchema = z
   .string()
-  .refine((text) => ipaddr.isValid(text), 'must be an IP address in numbers')
+  .refine(
+    // The library also accepts old forms of IPv4 addresses, such as a single number.
+    (text) => ipaddr.IPv4.isValidFourPartDecimal(text) || ipaddr.IPv6.isValid(text),
+    'must be an IP address in numbers',
+  )
   .describe('Numeric IPv4 or IPv6 address.');
 
 /** A TCP port. */
