--- a/packages/host/src/routing/routingFollower.ts
+++ b/packages/host/src/routing/routingFollower.ts
@@ -132,14 +132,12 @@
       waitMs + timeoutMs,
     );
     const { context } = this.dependencies;
-    return answer.andThen((value) => {
-      return decodeRoutingUpdate(value).map(({ update, skippedRecords }) => {
+    return answer.andThen((value) => decodeRoutingUpdate(value).map(({ update, skippedRecords }) => {
         if (skippedRecords > 0) {
           context.log.warn('backendRecordsSkipped', { source, skippedRecords });
           context.metrics.count('backend_records_skipped_total');
         }
         return update;
-      });
-    });
+      }));
   }
 }
