fix(membership, consensus): fewer bytes between zones and regions

Each new document version was gossiped for every host by every host (up to 64 hosts): 6.2 MB in ten seconds for 45 hosts against 1.2 MB at rest. Above 64 hosts the first document of a host was not gossiped at all, so that look-ups knew only some of the ready hosts. A joining replica was sent the same entries with each heartbeat until its first reply.

--- a/packages/core/src/consensus/replicaState.ts
+++ b/packages/core/src/consensus/replicaState.ts
@@ -21,6 +21,11 @@
   nextIndex: number;
   /** Whether the matching part of its log is unknown; `nextIndex` then advances only on a reply. */
   isProbing: boolean;
+  /**
+   * Next index of the last probe that carried entries. Repeated probes carry none: a link that delays
+   * the first one would have to carry the same entries again with each heartbeat.
+   */
+  probedIndex?: number;
   /** Highest round acknowledged in this term. */
   ackedRound: number;
   /** Send time, by the leader's clock, of the newest acknowledged message. */
--- a/packages/core/src/consensus/replication.ts
+++ b/packages/core/src/consensus/replication.ts
@@ -92,7 +92,10 @@
   return firstIndex;
 }
 
-/** Sends the next entries to a replica whose matching entry is unknown. */
+/**
+ * Sends the next entries to a replica whose matching entry is unknown; without entries if an earlier
+ * probe carried them.
+ */
 function sendProbe(
   state: ReplicaState,
   leadership: Leadership,
@@ -100,7 +103,12 @@
   progress: Progress,
 ): void {
   const { maxAppendEntries, maxAppendBytes } = state.options;
-  const entries = entriesFrom(state.log, progress.nextIndex, maxAppendEntries, maxAppendBytes);
+  const { nextIndex, probedIndex } = progress;
+  const isRepeated = probedIndex === nextIndex;
+  const entries = isRepeated
+    ? []
+    : entriesFrom(state.log, nextIndex, maxAppendEntries, maxAppendBytes);
+  if (entries.length > 0) progress.probedIndex = nextIndex;
   sendAppend(state, leadership, to, progress, entries);
 }
 
--- a/packages/core/src/membership/memberProbes.ts
+++ b/packages/core/src/membership/memberProbes.ts
@@ -7,6 +7,7 @@
   maxVerificationsPerInterval,
   reconnectIntervalMs,
   ringProbesPerInterval,
+  roundsPerRemoteProbe,
   seedsPerJoinAttempt,
   suspectProbeIntervalMs,
   timeoutExtensionDecay,
@@ -32,6 +33,8 @@
 
   private nextSuspectProbesMs = 0;
 
+  private probeRounds = 0;
+
   private timeoutExtensionMs = 0;
 
   private nextReconnectMs: number;
@@ -145,7 +148,8 @@
     const { zonePeers, remoteRelays } = this.table.views();
     const targets = new Set(this.ringTargets(zonePeers));
     const candidates = [...zonePeers];
-    if (this.table.isSelfRelay()) {
+    this.probeRounds += 1;
+    if (this.table.isSelfRelay() && this.probeRounds % roundsPerRemoteProbe === 0) {
       for (const target of this.ringTargets(remoteRelays)) targets.add(target);
       candidates.push(...remoteRelays);
     }
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -122,8 +122,9 @@
 
   /** Raises the versions of the control group's state that this host holds. */
   setVersions(held: HeldVersions, nowMs: number): MembershipEffect[] {
+    const isGossiped = this.mayGossipVersions(this.self);
     const isChanged = this.raiseVersions(this.self, held);
-    if (isChanged && this.mayGossipVersions()) this.outbox.disseminate(this.self, false, nowMs);
+    if (isChanged && isGossiped) this.outbox.disseminate(this.self, false, nowMs);
     return this.outbox.takeEffects();
   }
 
@@ -207,8 +208,9 @@
   }
 
   private updateVersions(entry: MemberEntry, held: HeldVersions): void {
+    const isGossiped = this.mayGossipVersions(entry);
     this.raiseVersions(entry, held);
-    if (this.mayGossipVersions()) this.outbox.enqueue(entry, false);
+    if (isGossiped) this.outbox.enqueue(entry, false);
   }
 
   /** Raises the versions of an entry; returns whether one of them changed. */
@@ -223,7 +225,9 @@
     return true;
   }
 
-  private mayGossipVersions(): boolean {
+  /** Whether a change of the versions in an entry is gossiped; hosts without a document get no callers. */
+  private mayGossipVersions({ documentVersion }: HeldVersions): boolean {
+    if (documentVersion === 0) return true;
     return this.table.views().participantCount <= maxHostsForVersionGossip;
   }
 
--- a/packages/core/src/membership/membershipLimits.ts
+++ b/packages/core/src/membership/membershipLimits.ts
@@ -46,8 +46,13 @@
 export const departedRetentionMs = 24 * 3600 * 1000;
 /** Gap between two ticks above which the process was stalled and its timeouts prove nothing. */
 export const minStallMs = 250;
-/** Number of hosts up to which changes of held versions are gossiped. */
-export const maxHostsForVersionGossip = 64;
+/**
+ * Number of hosts up to which every change of a held version is gossiped. The bytes grow with the
+ * square of the hosts; beyond it only the first version that a host holds is gossiped.
+ */
+export const maxHostsForVersionGossip = 12;
+/** Probe rounds between two in which relays probe hosts of other zones. */
+export const roundsPerRemoteProbe = 2;
 /** Unreachable hosts of another zone from which the whole zone counts as cut off. */
 export const minUnreachableHostsOfCutZone = 6;
 /** Time after the start during which records from a sync are not forwarded. */
--- a/packages/testkit/src/membership/membershipSchedules.spec.ts
+++ b/packages/testkit/src/membership/membershipSchedules.spec.ts
@@ -217,3 +217,27 @@
   t.true(members.traffic.bytes - before <= controlBytesPerS * 80);
   t.true((members.runUntil(() => members.allAlive(), settleMs) ?? Infinity) <= settleMs);
 });
+
+test('that a host holds its first document is known everywhere soon, also among many hosts', (t) => {
+  const members = settled(80, 10, 3);
+  members.setVersion('h7', 1);
+  const isKnown = () =>
+    members.hostIds().every((by) => members.machine(by).find('h7')?.documentVersion === 1);
+  const tookMs = members.runUntil(isKnown, settleMs);
+  t.true(tookMs !== undefined && tookMs <= detectionBoundMs, `${tookMs} ms`);
+});
+
+test('a new document version on every host costs 45 hosts hardly more than they send at rest', (t) => {
+  const members = new VirtualMembers(45, 5, seededRandom(4), true);
+  for (const hostId of members.hostIds()) members.setVersion(hostId, 1);
+  members.run(30_000);
+  const bytesOf = (changeVersions: boolean) => {
+    const before = members.traffic.bytes;
+    if (changeVersions) for (const hostId of members.hostIds()) members.setVersion(hostId, 2);
+    members.run(settleMs);
+    return members.traffic.bytes - before;
+  };
+  const atRest = bytesOf(false);
+  const afterChange = bytesOf(true);
+  t.true(afterChange < 1.1 * atRest, `${afterChange} bytes against ${atRest}`);
+});
