fix(routing, placement): time limits of polls, first runs taken for slowness

Causes: - Answers of control hosts that know no leader lengthened the time limit of polls like silence does, up to 4 s. Change: only polls without an answer lengthen the limit; a first run is compared with first runs. Measured: both new tests fail before (routingFollower.spec, exchangeFeedback.spec).

--- a/packages/core/src/placement/affinityPool.ts
+++ b/packages/core/src/placement/affinityPool.ts
@@ -340,7 +340,8 @@
     const hasRunObject = objectKey !== undefined && backend.warmObjects.has(objectKey);
     const isWarm = hasRunObject || (objectKey !== undefined && preferred.isPrimary);
     const typicalMs = this.times.expectedMs(call.routeId, call.targetMs, isWarm);
-    const expectedMs = typicalMs * backend.slownessAt(nowMs) * backend.workTimeFactorAt(nowMs);
+    const workTimeFactor = backend.workTimeFactorAt(nowMs);
+    const expectedMs = typicalMs * backend.slownessAt(nowMs) * workTimeFactor;
     const waiting = this.waitingAhead(backend, call.rank);
     const load = backend.load(nowMs, this.loadPerSlot[backend.distance]) + waiting;
     const { slots } = backend.record;
@@ -356,7 +357,16 @@
     const evictionMs = objectKey === undefined || isWarm ? 0 : this.evictionCostMs(call);
     const overheadMs = 2 * backend.linkMs + distancePenaltyMs(backend) + evictionMs;
     const costMs = overheadMs + waitMs + expectedMs + stuckMs + failureMs;
-    return { backend, isWarm, hasRunObject, expectedMs, load, waitMs, hasRoom, costMs };
+    return {
+      backend,
+      isWarm,
+      hasRunObject,
+      expectedMs,
+      load,
+      waitMs,
+      hasRoom,
+      costMs,
+    };
   }
 
   /** Number of entry hosts whose calls compete for the slots of a backend server. */
--- a/packages/core/src/placement/answerTimeEstimates.ts
+++ b/packages/core/src/placement/answerTimeEstimates.ts
@@ -55,11 +55,20 @@
    *
    * @param isWarm - whether the object was warm; undefined if another host may have warmed it, and
    *   then the time counts for the estimate that it is nearer to
+   * @returns the estimate before the answer, to which its time compares
    */
-  record(routeId: string, targetMs: number, isWarm: boolean | undefined, elapsedMs: number): void {
+  record(
+    routeId: string,
+    targetMs: number,
+    isWarm: boolean | undefined,
+    elapsedMs: number,
+  ): number {
     const { warm, cold } = this.estimatesOf(routeId, targetMs);
     const wasWarm = isWarm ?? elapsedMs < Math.sqrt(warm.ms * cold.ms);
-    stepTowards(wasWarm ? warm : cold, elapsedMs);
+    const estimate = wasWarm ? warm : cold;
+    const previousMs = estimate.ms;
+    stepTowards(estimate, elapsedMs);
+    return previousMs;
   }
 
   private estimatesOf(routeId: string, targetMs: number): RouteEstimates {
--- a/packages/core/src/placement/exchangeFeedback.spec.ts
+++ b/packages/core/src/placement/exchangeFeedback.spec.ts
@@ -82,3 +82,22 @@
   for (let run = 0; run < 20; run += 1) times.record('reads', 1000, undefined, 400);
   t.true(Math.abs(times.expectedMs('reads', 1000, true) - 400) < 100);
 });
+
+test('a first run that takes its usual time does not make a backend server look slow', (t) => {
+  const backend = sampleBackend();
+  const times = new AnswerTimeEstimates();
+  for (let run = 0; run < 20; run += 1) times.record('reads', 1000, false, 1400);
+  for (let run = 0; run < 20; run += 1) times.record('reads', 1000, true, 300);
+  const place = {
+    backend,
+    isWarm: true,
+    hasRunObject: false,
+    expectedMs: 300,
+    load: 0,
+    waitMs: 0,
+    costMs: 300,
+  };
+  const objectCall = { ...call, objectKey: 'box-1' };
+  recordExchange(times, objectCall, place, { end: 'answered', elapsedMs: 1400 }, nowMs);
+  t.true(Math.abs(backend.slownessAt(nowMs) - 1) < 0.05);
+});
--- a/packages/core/src/placement/exchangeFeedback.ts
+++ b/packages/core/src/placement/exchangeFeedback.ts
@@ -48,9 +48,11 @@
     return;
   }
   const processingMs = Math.max(1, elapsedMs - 2 * backend.linkMs);
-  const slowness = Math.min(maxSlowness, processingMs / Math.max(1, expectedMs));
-  backend.recordHealth({ isFailure, slowness }, nowMs);
   // The first run for this host may be a later one, after calls of other hosts.
   const wasWarm = hasRunObject || objectKey === undefined ? hasRunObject : undefined;
-  estimates.record(call.routeId, call.targetMs, wasWarm, processingMs);
+  const typicalMs = estimates.record(call.routeId, call.targetMs, wasWarm, processingMs);
+  // A first run is no sign of a slow backend server, although a later one was expected.
+  const comparedMs = wasWarm === undefined ? Math.max(expectedMs, typicalMs) : expectedMs;
+  const slowness = processingMs / Math.max(1, comparedMs);
+  backend.recordHealth({ isFailure, slowness: Math.min(maxSlowness, slowness) }, nowMs);
 }
--- a/packages/host/src/routing/routingFollower.spec.ts
+++ b/packages/host/src/routing/routingFollower.spec.ts
@@ -111,6 +111,18 @@
   t.deepEqual(limitsMs.slice(0, 6), [1000, 500, 500, 1000, 1000, 1000]);
 });
 
+test('answers of sources that know no leader do not lengthen the time limit of a poll', async (t) => {
+  const limitsMs: number[] = [];
+  const answers = {
+    c1: createUpdate(33, null),
+    c2: createUpdate(33, null),
+    c3: createUpdate(33, null),
+  };
+  await collectAppliedVersions(answers, 46, 0, (limitMs) => limitsMs.push(limitMs));
+  t.true(limitsMs.length > 6);
+  t.deepEqual(new Set(limitsMs.slice(1)), new Set([500]));
+});
+
 test('a host returns to the nearest source seconds after that source failed', async (t) => {
   const polledSources: string[] = [];
   let nowMs = 0;
--- a/packages/host/src/routing/routingFollower.ts
+++ b/packages/host/src/routing/routingFollower.ts
@@ -20,8 +20,9 @@
 /** Time limit for the network and the source, on top of the wait. */
 const baseAnswerTimeoutMs = 500;
 /**
- * Largest number of doublings of the time limit, one each time all sources have failed. A large
+ * Largest number of doublings of the time limit, one each time no source has answered. A large
  * document on a slow or congested link takes longer than the limit that detects a dead source.
+ * Answers of sources that know no leader are quick and lengthen nothing.
  */
 const maxTimeoutDoublings = 3;
 /** Longest time without leader contact of a source before another source is polled. */
@@ -52,8 +53,12 @@
 
   private readonly sourceSelector = new SourceSelector();
 
+  /** Polls since the last update of a source that knows a leader. */
   private consecutiveFailures = 0;
 
+  /** Polls since the last answer, whatever it said. */
+  private unansweredPolls = 0;
+
   private currentSource: string | undefined;
 
   private readonly startedAtMs: number;
@@ -81,9 +86,11 @@
     const answer = await this.pollSource(source, this.timeoutMs(sources.length));
     if (this.isStopped) return;
     if (answer.isErr()) {
+      this.unansweredPolls += 1;
       await this.skipSource(source, sources.length, answer.error);
       return;
     }
+    this.unansweredPolls = 0;
     const update = answer.value;
     const silentMs = update.silentMs ?? Number.POSITIVE_INFINITY;
     const isConfirmed = silentMs <= maxLeaderSilentMs;
@@ -115,7 +122,7 @@
   }
 
   private timeoutMs(sourceCount: number): number {
-    const failedRounds = Math.floor(this.consecutiveFailures / Math.max(1, sourceCount));
+    const failedRounds = Math.floor(this.unansweredPolls / Math.max(1, sourceCount));
     return baseAnswerTimeoutMs * 2 ** Math.min(maxTimeoutDoublings, failedRounds);
   }
 
@@ -132,12 +139,14 @@
       waitMs + timeoutMs,
     );
     const { context } = this.dependencies;
-    return answer.andThen((value) => decodeRoutingUpdate(value).map(({ update, skippedRecords }) => {
+    return answer.andThen((value) =>
+      decodeRoutingUpdate(value).map(({ update, skippedRecords }) => {
         if (skippedRecords > 0) {
           context.log.warn('backendRecordsSkipped', { source, skippedRecords });
           context.metrics.count('backend_records_skipped_total');
         }
         return update;
-      }));
+      }),
+    );
   }
 }
