--- a/packages/testkit/src/routing/routedFleet.ts
+++ b/packages/testkit/src/routing/routedFleet.ts
@@ -8,7 +8,10 @@
 import { startHost, type RunningHost } from '@buckthornlug/host/runtime/hostRuntime.js';
 import type { BackendReport } from '@buckthornlug/protocol/registry/registrySchema.js';
 import type { RoutingDocument } from '@buckthornlug/protocol/routing/routingSchema.js';
-import { routingSettingsSchema } from '@buckthornlug/protocol/settings/settingsSchema.js';
+import {
+  routingSettingsSchema,
+  type Settings,
+} from '@buckthornlug/protocol/settings/settingsSchema.js';
 import { request } from 'undici';
 
 import { createFleetSettings } from '../fakes/hostSettings.js';
@@ -37,8 +40,10 @@
 
 /** A control host, an entry host and backend servers on loopback addresses. */
 export interface RoutedFleet {
-  readonly control: RunningHost;
-  readonly entry: RunningHost;
+  control: RunningHost;
+  entry: RunningHost;
+  /** Stops both hosts and starts them again with the same settings and disk. */
+  readonly restart: () => Promise<void>;
   /** Starts a backend server and registers it. */
   readonly addBackend: (
     backendId: string,
@@ -111,7 +116,7 @@
   if ((await timeUntil(holds)) === Infinity) throw new Error(`${what}: not in time`);
 }
 
-async function startAll(dataFolder: string): Promise<readonly RunningHost[]> {
+function createSettings(dataFolder: string): readonly Settings[] {
   const place = { region: 'north', availabilityZone: 'north-a' };
   const [controlSettings, entrySettings] = createFleetSettings(
     [
@@ -125,10 +130,22 @@
     // The backend servers of the fleet report once.
     reportIntervalMs: 60_000,
   });
+  if (controlSettings === undefined || entrySettings === undefined) {
+    throw new Error('settings of a host are missing');
+  }
+  return [
+    { ...controlSettings, routing },
+    { ...entrySettings, routing },
+  ];
+}
+
+async function startAll(
+  dataFolder: string,
+  allSettings = createSettings(dataFolder),
+): Promise<readonly RunningHost[]> {
   const hosts: RunningHost[] = [];
-  for (const settings of [controlSettings, entrySettings]) {
-    if (settings === undefined) throw new Error('settings of a host are missing');
-    const started = await startHost({ ...settings, routing }, { features: routedFeatures });
+  for (const settings of allSettings) {
+    const started = await startHost(settings, { features: routedFeatures });
     hosts.push(started._unsafeUnwrap());
   }
   return hosts;
@@ -146,9 +163,23 @@
   await eventually('the document on the entry host', () => entry.parts.isReady());
   const { callers } = entry.context.settings.listen;
 
-  return {
+  const fleet: RoutedFleet = {
     control,
     entry,
+    restart: async () => {
+      await fleet.entry.stop();
+      await fleet.control.stop();
+      const [startedControl, startedEntry] = await startAll(dataFolder, [
+        fleet.control.context.settings,
+        fleet.entry.context.settings,
+      ]);
+      if (startedControl === undefined || startedEntry === undefined) {
+        throw new Error('a host is missing');
+      }
+      fleet.control = startedControl;
+      fleet.entry = startedEntry;
+      await eventually('the document on the entry host', () => startedEntry.parts.isReady());
+    },
     addBackend: async (backendId, answer) => {
       const requests: IncomingMessage['headers'][] = [];
       const cancelled: string[] = [];
@@ -181,7 +212,7 @@
         state: 'ready',
         coldForMs: 0,
       };
-      (await parts.reportBackend(report))._unsafeUnwrap();
+      (await fleet.control.parts.reportBackend(report))._unsafeUnwrap();
       return { report, requests, cancelled, server };
     },
     call: async (path, fields = {}) => {
@@ -197,8 +228,8 @@
       };
     },
     stop: async () => {
-      await entry.stop();
-      await control.stop();
+      await fleet.entry.stop();
+      await fleet.control.stop();
       for (const server of servers) {
         server.closeAllConnections();
         server.close();
@@ -206,4 +237,5 @@
       await rm(dataFolder, { recursive: true });
     },
   };
+  return fleet;
 }
