--- a/packages/core/src/placement/affinityPool.ts
+++ b/packages/core/src/placement/affinityPool.ts
@@ -1,6 +1,7 @@
 import { ActiveObjects } from './activeObjects.js';
 import type { AnswerTimeEstimates } from './answerTimeEstimates.js';
 import { ColdCallPacer, maySendToColdBackend } from './coldBackendPacing.js';
+import { LoadPerSlot } from './loadPerSlot.js';
 import type {
   PlaceableCall,
   PlacementDecision,
@@ -16,7 +17,7 @@
 import { RegionObjectShare } from './regionObjectShare.js';
 import { RegionSpillover } from './regionSpillover.js';
 import { ServedShares } from './servedShares.js';
-import type { Distance, TrackedBackend } from './trackedBackend.js';
+import type { TrackedBackend } from './trackedBackend.js';
 
 /**
  * Places the calls of one service on an entry host, for a load that exceeds the slots for minutes. A
@@ -42,13 +43,6 @@
 const stuckFactor = 4;
 /** Shortest time after which a caller is asked to retry. */
 const minRetryAfterMs = 100;
-/** Load per slot that is assumed at a distance until backend servers there have reported. */
-const initialLoadPerSlot: Readonly<Record<Distance, number>> = { zone: 0, region: 0.5, far: 0.5 };
-/**
- * Factor on the load per slot for each second without a recent report. Backend servers that get no
- * calls empty, and their last known load must not keep turning away the calls that would show it.
- */
-const unreportedDecay = 0.5;
 /**
  * Calls a second and object in a zone from which the zone keeps the object warm itself. Below it, one
  * backend server of the region handles the object for all zones: the first run at a further one would
@@ -120,7 +114,7 @@
 
   private preferredBackends = new PreferredBackends([]);
 
-  private loadPerSlot = initialLoadPerSlot;
+  private readonly loadPerSlot = new LoadPerSlot();
 
   private readonly activeObjects = new ActiveObjects();
 
@@ -251,8 +245,9 @@
     const { regionSlots, totalSlots, regionObjectCapacity } = this.preferredBackends;
     const { regions } = this;
     const activeObjects = this.activeObjects.count();
-    this.updateLoadPerSlot(nowMs);
-    const { region: regionLoadPerSlot, far: otherLoadPerSlot } = this.loadPerSlot;
+    this.loadPerSlot.update(this.backends, nowMs);
+    const regionLoadPerSlot = this.loadPerSlot.at('region');
+    const otherLoadPerSlot = this.loadPerSlot.at('far');
     const slots = { regionSlots, totalSlots, regions };
     this.objectShare.update(
       { ...slots, regionLoadPerSlot, otherLoadPerSlot, regionObjectCapacity, activeObjects },
@@ -260,34 +255,6 @@
     );
   }
 
-  private updateLoadPerSlot(nowMs: number): void {
-    const reportedNear = this.reportedLoadPerSlot(({ distance }) => distance !== 'far', nowMs);
-    const reportedFar = this.reportedLoadPerSlot(({ distance }) => distance === 'far', nowMs);
-    const { region: previousNear, far: previousFar } = this.loadPerSlot;
-    const near = reportedNear ?? previousNear * unreportedDecay;
-    this.loadPerSlot = {
-      zone: near,
-      region: near,
-      far: reportedFar ?? previousFar * unreportedDecay,
-    };
-  }
-
-  /** Calls per slot of the backend servers with a recent report; undefined if there are none. */
-  private reportedLoadPerSlot(
-    isIncluded: (backend: TrackedBackend) => boolean,
-    nowMs: number,
-  ): number | undefined {
-    let load = 0;
-    let slots = 0;
-    for (const backend of this.backends) {
-      const reported = isIncluded(backend) ? backend.reportedLoad(nowMs) : undefined;
-      if (reported === undefined) continue;
-      load += reported;
-      slots += backend.record.slots;
-    }
-    return slots === 0 ? undefined : load / slots;
-  }
-
   /** The candidate with the lowest cost, whether it has room now or not. */
   private bestCandidate(call: Call, nowMs: number): Candidate | undefined {
     const maySpill = this.isRegionDegraded || this.spillover.maySpill(nowMs);
@@ -343,7 +310,7 @@
     const workTimeFactor = backend.workTimeFactorAt(nowMs);
     const expectedMs = typicalMs * backend.slownessAt(nowMs) * workTimeFactor;
     const waiting = this.waitingAhead(backend, call.rank);
-    const load = backend.load(nowMs, this.loadPerSlot[backend.distance]) + waiting;
+    const load = backend.load(nowMs, this.loadPerSlot.at(backend.distance)) + waiting;
     const { slots } = backend.record;
     const limit = slots + maxQueuedAtBackend + (call.rank === 0 ? extraQueuedForMostUrgent : 0);
     const hasRoom = load <= limit;
