--- a/packages/host/src/routedCalls/routedCallServer.ts
+++ b/packages/host/src/routedCalls/routedCallServer.ts
@@ -16,7 +16,7 @@
 /** Serves routed calls on an entry host. */
 
 /** Retry delay of calls that another host, or a less busy connection, can take at once. */
-const finishingRetryAfterMs = 50;
+const immediateRetryAfterMs = 50;
 
 /**
  * Phase of a planned stop of the host: `leaving` still serves calls but closes their connections,
@@ -81,14 +81,14 @@
     const open = admitted.request;
     if (admitted.admission === 'tooMany') {
       const problem = failure('BL3002', 'too many unanswered calls on the connection', {
-        retryAfterMs: finishingRetryAfterMs,
+        retryAfterMs: immediateRetryAfterMs,
       });
       this.refuseUnrouted(request, response, open, problem);
       return;
     }
     if (this.parts.progress() === 'finishing') {
       const problem = failure('BL3016', 'the host is stopping', {
-        retryAfterMs: finishingRetryAfterMs,
+        retryAfterMs: immediateRetryAfterMs,
       });
       this.refuseUnrouted(request, response, open, problem);
       return;
