refactor(placement): decide once a call how its objects are spread

Cause: the spread of objects was computed again for each candidate of a call, in the hot path of placement; two tests of the feedback held the same place. Change: bestCandidate passes the spread on; the tests share preferredPlace. Assertions are unchanged.

--- a/packages/core/src/placement/affinityPool.ts
+++ b/packages/core/src/placement/affinityPool.ts
@@ -267,7 +267,7 @@
     for (const preferred of this.preferredBackends.select(call.objectKey, spread, isEligible)) {
       const isSpill = preferred.backend.distance === 'far' && !preferred.isPrimary;
       if (isSpill && !maySpill) continue;
-      const candidate = this.score(call, preferred, nowMs);
+      const candidate = this.score(call, preferred, spread, nowMs);
       if (best === undefined || candidate.costMs < best.costMs) best = candidate;
     }
     return best;
@@ -301,7 +301,12 @@
     return created;
   }
 
-  private score(call: Call, preferred: PreferredBackend, nowMs: number): Candidate {
+  private score(
+    call: Call,
+    preferred: PreferredBackend,
+    spread: ObjectSpread,
+    nowMs: number,
+  ): Candidate {
     const { backend } = preferred;
     const { objectKey } = call;
     const hasRunObject = objectKey !== undefined && backend.warmObjects.has(objectKey);
@@ -315,7 +320,7 @@
     const limit = slots + maxQueuedAtBackend + (call.rank === 0 ? extraQueuedForMostUrgent : 0);
     const hasRoom = load <= limit;
     // Calls that wait at other hosts for the same slots are unknown; each host is assumed to have as many.
-    const waitingElsewhere = waiting * (this.hostsSharing(call, backend) - 1);
+    const waitingElsewhere = waiting * (this.hostsSharing(spread, backend) - 1);
     const callsAhead = Math.max(0, load + waitingElsewhere - slots + 1);
     const waitMs = (callsAhead * expectedMs) / slots;
     // A call in flight for much longer than expected shows that the backend server is stuck.
@@ -337,9 +342,9 @@
   }
 
   /** Number of entry hosts whose calls compete for the slots of a backend server. */
-  private hostsSharing(call: Call, { distance }: TrackedBackend): number {
+  private hostsSharing(spread: ObjectSpread, { distance }: TrackedBackend): number {
     if (distance === 'far') return 1;
-    const isSharedByRegion = this.preferredBackends.isGroupedByRegion(this.objectSpread(call));
+    const isSharedByRegion = this.preferredBackends.isGroupedByRegion(spread);
     return Math.max(1, isSharedByRegion ? this.regionHostCount : this.zoneHostIds.length);
   }
 
--- a/packages/core/src/placement/exchangeFeedback.spec.ts
+++ b/packages/core/src/placement/exchangeFeedback.spec.ts
@@ -2,11 +2,28 @@
 
 import { AnswerTimeEstimates } from './answerTimeEstimates.js';
 import { recordExchange, type ExchangeOutcome } from './exchangeFeedback.js';
+import type { ScoredBackend } from './placementTypes.js';
 import { sampleBackend } from './sampleBackend.js';
+import type { TrackedBackend } from './trackedBackend.js';
 
 const call = { routeId: 'reads', targetMs: 1000, objectKey: undefined };
 const nowMs = 5000;
 
+const objectCall = { ...call, objectKey: 'box-1' };
+
+/** A backend server that is preferred for an object, which it has not run for this host yet. */
+function preferredPlace(backend: TrackedBackend): ScoredBackend {
+  return {
+    backend,
+    isWarm: true,
+    hasRunObject: false,
+    expectedMs: 300,
+    load: 0,
+    waitMs: 0,
+    costMs: 300,
+  };
+}
+
 /** State after a number of exchanges with the same outcome, and the time expected before them. */
 function afterExchanges(outcome: ExchangeOutcome, count: number, load = 0) {
   const backend = sampleBackend();
@@ -57,16 +74,7 @@
 test('only an answer shows that a backend server has run an object', (t) => {
   const backend = sampleBackend();
   const times = new AnswerTimeEstimates();
-  const place = {
-    backend,
-    isWarm: true,
-    hasRunObject: false,
-    expectedMs: 300,
-    load: 0,
-    waitMs: 0,
-    costMs: 300,
-  };
-  const objectCall = { ...call, objectKey: 'box-1' };
+  const place = preferredPlace(backend);
   recordExchange(times, objectCall, place, { end: 'timedOut', elapsedMs: 2500 }, nowMs);
   t.false(backend.warmObjects.has('box-1'));
   recordExchange(times, objectCall, place, { end: 'answered', elapsedMs: 900 }, nowMs);
@@ -88,16 +96,7 @@
   const times = new AnswerTimeEstimates();
   for (let run = 0; run < 20; run += 1) times.record('reads', 1000, false, 1400);
   for (let run = 0; run < 20; run += 1) times.record('reads', 1000, true, 300);
-  const place = {
-    backend,
-    isWarm: true,
-    hasRunObject: false,
-    expectedMs: 300,
-    load: 0,
-    waitMs: 0,
-    costMs: 300,
-  };
-  const objectCall = { ...call, objectKey: 'box-1' };
+  const place = preferredPlace(backend);
   recordExchange(times, objectCall, place, { end: 'answered', elapsedMs: 1400 }, nowMs);
   t.true(Math.abs(backend.slownessAt(nowMs) - 1) < 0.05);
 });
