--- a/packages/host/src/consensus/groupRoutes.ts
+++ b/packages/host/src/consensus/groupRoutes.ts
@@ -6,7 +6,7 @@
 import type { ResultAsync } from 'neverthrow';
 import type { z } from 'zod';
 
-import { failureResponse } from '../admin/adminListener.js';
+import { failureResponse } from '../admin/adminResponses.js';
 import type { HostGroups } from './groups.js';
 import type { LossAcceptance } from './lossAcceptance.js';
 
--- a/packages/host/src/documents/versionsRoutes.ts
+++ b/packages/host/src/documents/versionsRoutes.ts
@@ -6,7 +6,7 @@
 import type { Hono } from 'hono';
 import { z } from 'zod';
 
-import { failureResponse } from '../admin/adminListener.js';
+import { failureResponse } from '../admin/adminResponses.js';
 import type { HostRecord, MembershipView, RunningFeature } from '../runtime/hostTypes.js';
 
 /** State that the routes read. */
--- a/packages/host/src/slots/backendsFeature.ts
+++ b/packages/host/src/slots/backendsFeature.ts
@@ -4,7 +4,7 @@
 import type { Hono } from 'hono';
 import { okAsync } from 'neverthrow';
 
-import { failureResponse } from '../admin/adminListener.js';
+import { failureResponse } from '../admin/adminResponses.js';
 import type { Feature, HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
 import { listOtherHosts } from '../runtime/listOtherHosts.js';
--- a/packages/host/src/submissions/submissionRoutes.ts
+++ b/packages/host/src/submissions/submissionRoutes.ts
@@ -15,7 +15,7 @@
 import type { Context, Hono } from 'hono';
 import { err, ok, type Result, type ResultAsync } from 'neverthrow';
 
-import { failureResponse } from '../admin/adminListener.js';
+import { failureResponse } from '../admin/adminResponses.js';
 
 /** Reads and commits on the control group that the routes use. */
 export interface SubmissionRouteParts {
