fix(consensus): a joining replica asks the leader, not every control host

Every waiting replica asked all others every 0.3 s, and only the leader can answer. Change: JoinRequester asks one host, follows the leader it names, and keeps it.

--- a/packages/host/src/consensus/memberReplica.ts
+++ b/packages/host/src/consensus/memberReplica.ts
@@ -18,6 +18,7 @@
 import { startGroupTask } from './groupTask.js';
 import type { GroupTask } from './groupTaskTypes.js';
 import type { HeartbeatLink } from './heartbeatLink.js';
+import { JoinRequester } from './joinRequester.js';
 import type { GroupStorage } from './storageTypes.js';
 
 /** Replica of a group on this host: opens its folder, forms or joins the group, runs its task. */
@@ -67,7 +68,17 @@
 
   task: GroupTask<Command, Reply> | undefined;
 
-  constructor(private readonly parts: MemberReplicaParts<Command, Reply>) {}
+  private readonly joinRequester: JoinRequester;
+
+  constructor(private readonly parts: MemberReplicaParts<Command, Reply>) {
+    const { peers, groupId, otherHostIds, context } = parts;
+    this.joinRequester = new JoinRequester({
+      peers,
+      groupId,
+      otherHostIds,
+      random: context.random,
+    });
+  }
 
   /** Opens the folder, then starts the task or the attempts to form or join the group. */
   async start(): Promise<void> {
@@ -199,26 +210,12 @@
   private pollJoin(): void {
     const { task } = this;
     if (task === undefined || this.isStopped || !task.isWaitingToJoin()) return;
-    this.requestJoin(task.replicaId).finally(() => {
+    this.joinRequester.request(task.replicaId).finally(() => {
       if (this.isStopped) return;
       this.pollTimer = setTimeout(() => this.pollJoin(), joinPollIntervalMs);
     });
   }
 
-  /** Sends the request to all other hosts of the group; the leader adds the replica. */
-  private async requestJoin(replicaId: string): Promise<void> {
-    const { peers, groupId } = this.parts;
-    await Promise.all(
-      this.parts
-        .otherHostIds()
-        .map((hostId) =>
-          peers.request(hostId, (client, signal) =>
-            client.consensus.join.mutate({ groupId, replicaId }, { signal }),
-          ),
-        ),
-    );
-  }
-
   /** Registers a listener for changes of the machine, also before the task starts. */
   onApplied(listener: (logIndex: number) => void): () => void {
     this.listeners.add(listener);
