feat(rpc): compress long bodies between hosts

Change: answers of procedures of 1 kB and more are compressed for a host that asks for it, request bodies once the host has said that it takes them, so that hosts of the former build understand all they get. Limits hold for the decompressed length.

--- a/packages/host/src/rpc/internalListener.ts
+++ b/packages/host/src/rpc/internalListener.ts
@@ -7,6 +7,12 @@
 
 import { sendRefusal } from '../calls/refusal.js';
 import type { AppRouter } from './appRouter.js';
+import {
+  compressBody,
+  compressedCoding,
+  isWorthCompressing,
+  listsCompressedCoding,
+} from './bodyCompression.js';
 import { runProcedure } from './procedureAnswer.js';
 import type { RequestAuth } from './requestAuth.js';
 import { readRpcBody } from './rpcBody.js';
@@ -81,11 +87,18 @@
     },
     { fromHostId: sender.value },
   );
+  const isCompressed =
+    isWorthCompressing(text) && listsCompressedCoding(request.headers['accept-encoding']);
+  const answer = isCompressed ? compressBody(text) : Buffer.from(text);
+  const couldCompress = isWorthCompressing(body.unwrapOr(''));
   response.writeHead(status, {
     'content-type': 'application/json',
-    'content-length': Buffer.byteLength(text),
+    'content-length': answer.byteLength,
+    ...(isCompressed ? { 'content-encoding': compressedCoding } : {}),
+    // Tells the sender of a long body that the next one may be compressed.
+    ...(couldCompress ? { 'accept-encoding': compressedCoding } : {}),
   });
-  response.end(text);
+  response.end(answer);
 }
 
 function answerForwardedCall(
--- a/packages/host/src/rpc/requestLink.ts
+++ b/packages/host/src/rpc/requestLink.ts
@@ -4,7 +4,15 @@
 import type { Dispatcher } from 'undici';
 
 import type { AppRouter } from './appRouter.js';
+import {
+  compressBody,
+  compressedCoding,
+  decompressBody,
+  isWorthCompressing,
+  listsCompressedCoding,
+} from './bodyCompression.js';
 import type { RequestAuth } from './requestAuth.js';
+import { maxRpcBodyBytes } from './rpcBody.js';
 
 /** Connections, signature and clock of the link to one host. */
 export interface RequestLinkParts {
@@ -38,23 +46,48 @@
   return { method: 'GET', path: path + query, body: '' };
 }
 
-async function send(parts: RequestLinkParts, operation: Operation): Promise<ProcedureReply> {
+/** What a host has said about the bodies that it takes. */
+interface PeerCodings {
+  takesCompressed: boolean;
+}
+
+async function readReply({ headers, body }: Dispatcher.ResponseData): Promise<ProcedureReply> {
+  if (!listsCompressedCoding(headers['content-encoding'])) {
+    return (await body.json()) as ProcedureReply;
+  }
+  const bytes = Buffer.from(await body.arrayBuffer());
+  const text = decompressBody(bytes, maxRpcBodyBytes);
+  if (text.isErr()) throw new Error(text.error.detail);
+  return JSON.parse(text.value) as ProcedureReply;
+}
+
+async function send(
+  parts: RequestLinkParts,
+  operation: Operation,
+  codings: PeerCodings,
+): Promise<ProcedureReply> {
   const { dispatcher, origin, toHostId, sign, readClock, observeClock } = parts;
   const { method, path, body } = toWireRequest(operation);
+  const isCompressed = codings.takesCompressed && isWorthCompressing(body);
   const reply = await dispatcher.request({
     origin,
     method,
     path,
     headers: {
+      'accept-encoding': compressedCoding,
       ...(body === '' ? {} : { 'content-type': 'application/json' }),
+      ...(isCompressed ? { 'content-encoding': compressedCoding } : {}),
       [clockHeader]: readClock(),
       ...sign({ toHostId, method, path, body }),
     },
-    body: body === '' ? null : body,
+    body: isCompressed ? compressBody(body) : body || null,
     signal: operation.signal ?? null,
   });
   observeClock(reply.headers[clockHeader]);
-  return (await reply.body.json()) as ProcedureReply;
+  if (listsCompressedCoding(reply.headers['accept-encoding'])) {
+    Object.assign(codings, { takesCompressed: true });
+  }
+  return readReply(reply);
 }
 
 /**
@@ -63,6 +96,7 @@
  * request itself.
  */
 export function createRequestLink(parts: RequestLinkParts): TRPCLink<AppRouter> {
+  const codings: PeerCodings = { takesCompressed: false };
   return () =>
     ({ op }) =>
       observable((observer) => {
@@ -70,7 +104,7 @@
         const onAbort = () => observer.error(TRPCClientError.from(signal?.reason as Error));
         // undici observes the signal only after connecting, which takes seconds if the host is down.
         signal?.addEventListener('abort', onAbort);
-        send(parts, op).then(
+        send(parts, op, codings).then(
           (reply) => {
             if ('result' in reply) {
               observer.next({ result: { type: 'data', data: reply.result.data } });
--- a/packages/host/src/rpc/rpcBody.ts
+++ b/packages/host/src/rpc/rpcBody.ts
@@ -3,11 +3,13 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, ok, type Result } from 'neverthrow';
 
-/** Largest body of a request between hosts. */
-const maxRpcBodyBytes = 64 * 1024 * 1024;
+import { decompressBody, listsCompressedCoding } from './bodyCompression.js';
+
+/** Largest body between hosts, compressed or not. */
+export const maxRpcBodyBytes = 64 * 1024 * 1024;
 
 /**
- * Reads the whole body of a request between hosts.
+ * Reads the whole body of a request between hosts, and decompresses it if it is compressed.
  *
  * @returns the body, or BL3007 if it is too large; rejects if the sender aborts the request
  */
@@ -19,5 +21,8 @@
     if (size > maxRpcBodyBytes) return err(failure('BL3007', 'a request between hosts'));
     chunks.push(chunk);
   }
-  return ok(Buffer.concat(chunks).toString('utf8'));
+  const bytes = Buffer.concat(chunks);
+  return listsCompressedCoding(request.headers['content-encoding'])
+    ? decompressBody(bytes, maxRpcBodyBytes)
+    : ok(bytes.toString('utf8'));
 }
