fix(routedCalls): an answer of endless zeros before a chunk size ends at once

Cause: the test of it failed in one of two runs of all tests (36,986,880 bytes more where 25,165,824 are allowed, 495 MB read in two seconds) and 5 of 6 times alone: the HTTP parser takes zeros before a chunk size without end and without a call, so the exchange read until the time limit of the call, and read buffers piled up between collections. Sending from one buffer in place of copies changed nothing (30 to 36 MB), so it is not the stand-in. Its failed assertion left the server of the test open: the worker did not exit, and ava gave up after three minutes of silence without naming a test. Change: bytes behind the head of an answer are limited by the body that they carry.

--- a/packages/host/src/routedCalls/backendExchange.ts
+++ b/packages/host/src/routedCalls/backendExchange.ts
@@ -14,6 +14,15 @@
 /** Informational answers before the final one after which a backend server counts as faulty. */
 const maxInformationalAnswers = 8;
 
+/**
+ * Bytes behind the head of an answer that may be no body: chunk sizes and the like. The HTTP parser limits
+ * each of them but the zeros that may precede a chunk size, which a faulty backend server can send
+ * without end.
+ */
+const maxFramingBytes = 256 * 1024;
+/** Bytes behind the head for each byte of the body; chunks of one byte take six. */
+const maxBytesPerBodyByte = 16;
+
 /** A request to a backend server. */
 export interface ExchangePlan {
   readonly agent: BackendAgent;
@@ -161,6 +170,15 @@
     const onSocketEnd = () => {
       hasSocketFailed ||= socket.remoteAddress === undefined;
     };
+    let bytesBehindHead = 0;
+    const onSocketData = (chunk: Buffer) => {
+      bytesBehindHead += chunk.length;
+      if (this.isDone) return;
+      if (bytesBehindHead <= maxFramingBytes + maxBytesPerBodyByte * buffer.length) return;
+      this.request.destroy(new Error('bytes without end that belong to no body'));
+    };
+    // It runs after the parser, which has delivered the part of the body by then.
+    socket.on('data', onSocketData);
     // Both must run before the HTTP parser handles the end, since it takes a reset for an end.
     socket.prependListener('error', onSocketError);
     socket.prependListener('end', onSocketEnd);
@@ -184,6 +202,7 @@
       this.plan.signal.removeEventListener('abort', this.onAbort);
       socket.off('error', onSocketError);
       socket.off('end', onSocketEnd);
+      socket.off('data', onSocketData);
       this.finish({ end: 'broken', problem: 'the answer was truncated' });
     });
   }
