fix(consensus, admin): dark hosts do not hold up a joining replica, failed loads are logged

Cause: reading the change again: one random host was asked at a time, so one that does not answer cost a second of each round; a request of an operator whose handler could not be loaded was dropped without a line. Change: three hosts are asked at once, the first that knows the leader counts; the failure is logged. Measured: 56 tests of consensus, replaced hosts and formation pass; the test of hosts that never answer fails on the former code.

--- a/packages/host/src/admin/adminFeature.ts
+++ b/packages/host/src/admin/adminFeature.ts
@@ -10,7 +10,9 @@
       const { createAdminApp } = await import('./adminApp.js');
       return createAdminApp(parts.adminRoutes, context.log);
     };
-    return listenAdmin(context.settings.listen.admin, loadHandler).map((listener) => ({
+    const onFailure = (problem: string) => context.log.error('adminRequestFailed', { problem });
+    const { admin } = context.settings.listen;
+    return listenAdmin(admin, loadHandler, onFailure).map((listener) => ({
       name: 'admin',
       stopSteps: { closeListeners: listener.close },
     }));
--- a/packages/host/src/admin/adminListener.ts
+++ b/packages/host/src/admin/adminListener.ts
@@ -27,18 +27,21 @@
  * @param endpoint - address and port
  * @param loadHandler - called at the first request. A host that serves no operator does not load the
  *   web framework, which takes a fifth of the processor time of a start
+ * @param onFailure - called with the problem of a request that could not be answered
  * @returns the listener, or BL1004 if the address cannot be bound
  */
 export function listenAdmin(
   endpoint: Endpoint,
   loadHandler: () => Promise<HandleAdminRequest>,
+  onFailure: (problem: string) => void,
 ): ResultAsync<AdminListener, Failure> {
   let loading: Promise<HandleAdminRequest> | undefined;
   const server = createServer((request, response) => {
     loading ??= loadHandler();
     loading
       .then((handle) => handle(request, response))
-      .catch(() => {
+      .catch((error: unknown) => {
+        onFailure(String(error));
         response.destroy();
       });
   });
--- a/packages/host/src/consensus/joinRequester.ts
+++ b/packages/host/src/consensus/joinRequester.ts
@@ -1,15 +1,17 @@
+import { sample } from '@buckthornlug/core/membership/sampling.js';
+
 import type { PeerClients } from '../rpc/peerClients.js';
 import type { Random } from '../runtime/hostTypes.js';
 import type { LeaderReply } from './consensusSchema.js';
 
 /**
- * Asks the leader of a group to add a replica. Only the leader can, so one host is asked at a time:
- * the leader that the last answer named, or a random host. When dozens of control hosts start
- * together, requests of each to all the others would exceed all other traffic between regions.
+ * Asks the leader of a group to add a replica. Only the leader can, so a few random hosts are asked who
+ * leads, and then the leader alone. When dozens of control hosts start together, requests of each to all
+ * the others would exceed all other traffic between regions.
  */
 
-/** Requests of one round: a host that names the leader, and the leader. */
-const maxRequestsPerRound = 2;
+/** Hosts asked at a time while no leader is known; some of them may be out of reach. */
+const hostsPerSearch = 3;
 
 /** Dependencies of `JoinRequester`. */
 export interface JoinRequesterParts {
@@ -25,21 +27,24 @@
 
   constructor(private readonly parts: JoinRequesterParts) {}
 
-  /** Sends the requests of one round. */
+  /** Finds the leader if it is not known, and asks it; does nothing else while there is none. */
   async request(replicaId: string): Promise<void> {
-    for (let requests = 0; requests < maxRequestsPerRound; requests += 1) {
-      const target = this.leaderId ?? this.randomHostId();
-      if (target === undefined) return;
-      const reply = await this.ask(target, replicaId);
-      if (reply?.ok === true) return;
-      this.leaderId = reply?.leaderId === target ? undefined : reply?.leaderId;
-      if (this.leaderId === undefined) return;
-    }
+    this.leaderId ??= await this.findLeader(replicaId);
+    if (this.leaderId === undefined) return;
+    const reply = await this.ask(this.leaderId, replicaId);
+    if (reply?.ok !== true) this.leaderId = undefined;
   }
 
-  private randomHostId(): string | undefined {
-    const hostIds = this.parts.otherHostIds();
-    return hostIds[Math.floor(this.parts.random() * hostIds.length)];
+  /** The leader according to the first of some hosts that knows one. */
+  private async findLeader(replicaId: string): Promise<string | undefined> {
+    const hostIds = sample(this.parts.otherHostIds(), hostsPerSearch, this.parts.random);
+    const answers = hostIds.map(async (hostId) => {
+      const reply = await this.ask(hostId, replicaId);
+      const leaderId = reply?.ok === true ? hostId : reply?.leaderId;
+      if (leaderId === undefined) throw new Error(`"${hostId}" names no leader`);
+      return leaderId;
+    });
+    return Promise.any(answers).catch(() => undefined);
   }
 
   private async ask(hostId: string, replicaId: string): Promise<LeaderReply | undefined> {
