--- a/packages/core/src/consensus/leaderSilence.spec.ts
+++ b/packages/core/src/consensus/leaderSilence.spec.ts
@@ -1,19 +1,9 @@
 import test from 'ava';
 
-import type { ConsensusOptions, DurableState } from './consensusTypes.js';
+import type { DurableState } from './consensusTypes.js';
 import { leaderSilentMs, step } from './replica.js';
 import { createReplica, type ReplicaState } from './replicaState.js';
-
-const options: ConsensusOptions = {
-  electionTimeoutMs: 1000,
-  heartbeatMs: 150,
-  maxAppendBytes: 65_536,
-  maxAppendEntries: 512,
-  maxInFlightEntries: 4096,
-  snapshotChunkBytes: 65_536,
-  retainedEntries: 256,
-  maxUncommittedEntries: 16_384,
-};
+import { sampleOptions } from './sampleOptions.js';
 
 /** Snapshot up to index 1, and a command of term 1 at index 2 that may not be committed. */
 function durableState(voters: readonly string[]): DurableState {
@@ -39,7 +29,7 @@
 }
 
 test('a new leader reports no leader contact until an entry of its term is committed', (t) => {
-  const state = createReplica('a/1', durableState(['a/1']), options, 0);
+  const state = createReplica('a/1', durableState(['a/1']), sampleOptions, 0);
   let nowMs = 0;
   while (state.role !== 'leader' && nowMs < 10_000) {
     nowMs += 50;
@@ -54,6 +44,6 @@
 });
 
 test('a replica without a message from a leader since its start reports no leader contact', (t) => {
-  const state = createReplica('a/1', durableState(['a/1', 'b/1', 'c/1']), options, 0);
+  const state = createReplica('a/1', durableState(['a/1', 'b/1', 'c/1']), sampleOptions, 0);
   t.is(leaderSilentMs(state, 100), Number.POSITIVE_INFINITY);
 });
--- a/packages/core/src/consensus/repeatedProbes.spec.ts
+++ b/packages/core/src/consensus/repeatedProbes.spec.ts
@@ -1,25 +1,15 @@
 import test from 'ava';
 
-import type { ConsensusEffect, ConsensusOptions, DurableState } from './consensusTypes.js';
+import type { ConsensusEffect, DurableState } from './consensusTypes.js';
 import { step } from './replica.js';
 import { createReplica } from './replicaState.js';
+import { sampleOptions } from './sampleOptions.js';
 
 /**
  * Probes of a replica whose log is unknown to the leader. Over a slow link, entries that came with
  * every heartbeat until the first reply made up most of what a joining replica was sent.
  */
 
-const options: ConsensusOptions = {
-  electionTimeoutMs: 1000,
-  heartbeatMs: 150,
-  maxAppendBytes: 65_536,
-  maxAppendEntries: 512,
-  maxInFlightEntries: 4096,
-  snapshotChunkBytes: 65_536,
-  retainedEntries: 256,
-  maxUncommittedEntries: 16_384,
-};
-
 const durable: DurableState = {
   hardState: { term: 1, votedFor: null },
   snapshot: {
@@ -40,7 +30,7 @@
 }
 
 test('a probe that is repeated before its reply carries no entries', (t) => {
-  const state = createReplica('a/1', durable, options, 0);
+  const state = createReplica('a/1', durable, sampleOptions, 0);
   let nowMs = 0;
   const advance = (untilMs: number): ConsensusEffect[] => {
     const effects: ConsensusEffect[] = [];
--- /dev/null
+++ b/packages/core/src/consensus/sampleOptions.ts
@@ -0,0 +1,13 @@
+import type { ConsensusOptions } from './consensusTypes.js';
+
+/** Options of replicas in tests. */
+export const sampleOptions: ConsensusOptions = {
+  electionTimeoutMs: 1000,
+  heartbeatMs: 150,
+  maxAppendBytes: 65_536,
+  maxAppendEntries: 512,
+  maxInFlightEntries: 4096,
+  snapshotChunkBytes: 65_536,
+  retainedEntries: 256,
+  maxUncommittedEntries: 16_384,
+};
--- a/packages/host/src/calls/refusal.ts
+++ b/packages/host/src/calls/refusal.ts
@@ -13,6 +13,8 @@
 import { provenExecutionStatus, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { resultCodes } from '@buckthornlug/protocol/results/resultCodes.js';
 
+import { hasBody } from './requestBody.js';
+
 /** Retry time of temporary refusals that name none. */
 const defaultRetryAfterMs = 1000;
 const msPerS = 1000;
@@ -72,9 +74,8 @@
  * Whether a part of the request body has not arrived. A request without a body has not, although
  * Node.js marks it as complete only after its handler has run.
  */
-export function hasUnreadBody({ complete, headers }: IncomingMessage): boolean {
-  if (complete) return false;
-  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+export function hasUnreadBody(request: IncomingMessage): boolean {
+  return !request.complete && hasBody(request);
 }
 
 /**
--- a/packages/host/src/calls/requestBody.ts
+++ b/packages/host/src/calls/requestBody.ts
@@ -18,7 +18,7 @@
 }
 
 /** Whether a request has a body, according to its header fields. */
-function hasBody(request: IncomingMessage): boolean {
+export function hasBody(request: IncomingMessage): boolean {
   if (request.headers['transfer-encoding'] !== undefined) return true;
   return (parseContentLength(request) ?? 0) > 0;
 }
--- a/packages/host/src/rpc/internalListener.ts
+++ b/packages/host/src/rpc/internalListener.ts
@@ -75,6 +75,7 @@
     return;
   }
   exchangeClocks(parts.timeline, request, response);
+  const requestText = body.unwrapOr('');
   const url = request.url ?? '/';
   const queryAt = url.indexOf('?');
   const { status, text } = await runProcedure(
@@ -83,20 +84,19 @@
       method: request.method ?? '',
       path: url.slice(procedurePathPrefix.length, queryAt < 0 ? undefined : queryAt),
       query: queryAt < 0 ? '' : url.slice(queryAt + 1),
-      body: body.unwrapOr(''),
+      body: requestText,
     },
     { fromHostId: sender.value },
   );
   const isCompressed =
     isWorthCompressing(text) && listsCompressedCoding(request.headers['accept-encoding']);
-  const answer = isCompressed ? compressBody(text) : Buffer.from(text);
-  const couldCompress = isWorthCompressing(body.unwrapOr(''));
+  const answer = isCompressed ? compressBody(text) : text;
   response.writeHead(status, {
     'content-type': 'application/json',
-    'content-length': answer.byteLength,
+    'content-length': Buffer.byteLength(answer),
     ...(isCompressed ? { 'content-encoding': compressedCoding } : {}),
     // Tells the sender of a long body that this host takes compressed ones.
-    ...(couldCompress ? { 'accept-encoding': compressedCoding } : {}),
+    ...(isWorthCompressing(requestText) ? { 'accept-encoding': compressedCoding } : {}),
   });
   response.end(answer);
 }
