--- a/review/harness/standIns.js
+++ b/review/harness/standIns.js
@@ -221,7 +221,8 @@
     }
     this.running += 1;
     this.fleet.record(`worker ${id}: runs ${attemptId} ${incoming.method} ${incoming.url}`);
-    this.runs.push({ attemptId, path: incoming.url, body, atMs: performance.now() });
+    const { method, url: path } = incoming;
+    this.runs.push({ attemptId, method, path, body, atMs: performance.now() });
     this.stamps += 1;
     const stamp = `${id}.${this.stamps}`;
     const run = this.options.run ?? this.answer.bind(this);
