--- a/review/harness/fleet.js
+++ b/review/harness/fleet.js
@@ -29,7 +29,7 @@
 export const zoneNames = Object.keys(zones);
 
 /** Bounds of the settings; those of trekpole-edge. */
-export const bounds = [
+const trekpoleBounds = [
   'seedLag=3s',
   'reuseAfter=2s',
   'contact=4000ms',
@@ -130,7 +130,7 @@
       heartbeat: '1500ms',
       contracts: ['base', 'drain', 'config', 'cost', 'retry', 'recover', 'places'],
       faultTolerance: { machines: 1, zones: 1, regions: 1 },
-      bounds,
+      bounds: fleet.bounds,
       configMode: 'highest',
     };
     const settingsPath = join(fleet.folder, `${this.name}.json`);
@@ -202,7 +202,8 @@
   }
 
   /** Starts the processes, and waits until every one of them listens. */
-  async start({ controls = 3, entries = 1 } = {}) {
+  async start({ controls = 3, entries = 1, bounds = trekpoleBounds } = {}) {
+    this.bounds = bounds;
     this.network = await findNetwork();
     this.folder = await mkdtemp(join(tmpdir(), 'bl-review-'));
     this.controls = [];
