--- a/review/harness/fleet.js
+++ b/review/harness/fleet.js
@@ -79,7 +79,7 @@
 async function findNetwork() {
   for (;;) {
     const network = `127.${randomInt(10, 250)}.${randomInt(1, 250)}`;
-    const hosts = [10, 11, 12, 30, 31];
+    const hosts = [10, 11, 12, 13, 14, 15, 30, 31];
     const free = await Promise.all(hosts.map((host) => isFree(`${network}.${host}`, 7720)));
     if (free.every(Boolean)) return network;
   }
@@ -94,6 +94,7 @@
     this.ip = `${fleet.network}.${(role === 'control' ? 10 : 30) + index}`;
     this.name = `${role}-${index}`;
     this.starts = 0;
+    this.isBootstrap = true;
     this.child = undefined;
     /** Exit code and signal of each end that this script did not cause. */
     this.unexpectedEnds = [];
@@ -122,7 +123,7 @@
         : { front: this.address('front'), readiness: this.address('readiness') },
       internalPorts: [7720, 7735],
       seeds: fleet.controls.slice(0, 3).map((host) => host.address('control')),
-      bootstrap: this.starts === 0,
+      bootstrap: this.isBootstrap && this.starts === 0,
       lossCounts: isControl,
       dataDir,
       discovery: 'registration',
@@ -160,6 +161,15 @@
     });
   }
 
+  async waitUntilListening() {
+    const endAtMs = performance.now() + startTimeoutMs;
+    const port = this.role === 'control' ? ports.control : ports.front;
+    while (await isFree(this.ip, port)) {
+      if (performance.now() > endAtMs) throw new Error(`${this.name} does not listen`);
+      await delay(50);
+    }
+  }
+
   signal(name) {
     this.child?.kill(name);
   }
@@ -215,14 +225,7 @@
       this.entries.push(new HostProcess(this, 'entry', index));
     }
     for (const host of this.hosts()) await host.start();
-    const endAtMs = performance.now() + startTimeoutMs;
-    for (const host of this.hosts()) {
-      const port = host.role === 'control' ? ports.control : ports.front;
-      while (await isFree(host.ip, port)) {
-        if (performance.now() > endAtMs) throw new Error(`${host.name} does not listen`);
-        await delay(50);
-      }
-    }
+    for (const host of this.hosts()) await host.waitUntilListening();
     this.record(`started ${controls} control and ${entries} entry processes`);
   }
 
@@ -230,6 +233,28 @@
     return [...this.controls, ...this.entries];
   }
 
+  /**
+   * Adds a control process at a new address with an empty disk, in the zone of an existing one.
+   *
+   * @param index - number of the new process; it has the zone of the process three before it
+   */
+  async addControl(index) {
+    const host = new HostProcess(this, 'control', index);
+    host.isBootstrap = false;
+    this.controls.push(host);
+    await host.start();
+    await host.waitUntilListening();
+    this.record(`${host.name} was added in ${host.zone} at ${host.ip}`);
+    return host;
+  }
+
+  /** Stops a control process for good, as planned. */
+  async removeControl(host, graceMs) {
+    this.record(`platform: SIGTERM to ${host.name}, which is removed`);
+    await host.terminate(graceMs);
+    this.controls = this.controls.filter((each) => each !== host);
+  }
+
   /** Calls a function when the fleet stops. */
   onStop(close) {
     this.closers.push(close);
