--- a/review/harness/fleet.js
+++ b/review/harness/fleet.js
@@ -201,6 +201,8 @@
   constructor(caseFolder) {
     this.recordPath = join(caseFolder, 'record.txt');
     this.lines = [];
+    this.controls = [];
+    this.entries = [];
     this.startedAtMs = performance.now();
     this.closers = [];
   }
@@ -216,11 +218,9 @@
     this.bounds = bounds;
     this.network = await findNetwork();
     this.folder = await mkdtemp(join(tmpdir(), 'bl-review-'));
-    this.controls = [];
     for (let index = 0; index < controls; index += 1) {
       this.controls.push(new HostProcess(this, 'control', index));
     }
-    this.entries = [];
     for (let index = 0; index < entries; index += 1) {
       this.entries.push(new HostProcess(this, 'entry', index));
     }
@@ -266,7 +266,9 @@
     await Promise.all(this.hosts().map((host) => host.kill()));
     for (const close of this.closers) await close();
     await writeFile(this.recordPath, `${this.lines.join('\n')}\n`);
-    if (process.env.KEEP_LOGS === undefined) await rm(this.folder, { recursive: true });
+    if (this.folder === undefined) return;
+    if (process.env.KEEP_LOGS === undefined)
+      await rm(this.folder, { recursive: true, force: true });
     else process.stderr.write(`logs: ${this.folder}\n`);
   }
 }
@@ -293,7 +295,11 @@
   } catch (error) {
     fleet.record(`the case could not run: ${error.stack}`);
   }
-  await fleet.stop();
+  try {
+    await fleet.stop();
+  } catch {
+    status = 2;
+  }
   clearTimeout(timeLimit);
   process.exit(status);
 }
