chore(review): records name files relative to the repository

Cause: the record of case 1 held a stack trace with the folder of the build. Change: the harness leaves the folder out.

--- a/review/harness/fleet.js
+++ b/review/harness/fleet.js
@@ -210,7 +210,8 @@
   /** Adds a line to the record. */
   record(text) {
     const atS = ((performance.now() - this.startedAtMs) / 1000).toFixed(3);
-    this.lines.push(`${atS.padStart(8)} ${text}`);
+    const relative = text.replaceAll(`file://${repository}`, '').replaceAll(repository, '');
+    this.lines.push(`${atS.padStart(8)} ${relative}`);
   }
 
   /** Starts the processes, and waits until every one of them listens. */
