fix(consensus): hosts that are gone leave a group that admits control hosts

Callers saw: after planned replacements of control hosts no change was acknowledged and every read of the desired state ended with 503, for good. Cause: each control host that joins votes, and a voter left only by a new disk of its own host or by an operator. Six founders and six successors need a quorum of seven, and six run. Change: the leader removes the replica that has been silent longest (silentReplicas.ts), one change at a time, while the replicas that answer bear the losses of the settings by themselves. A host that was only away asks once a second to be added again, with its log. Learners that are gone are removed too. Why it works: quorums consist of hosts that run; below twice the losses and one nobody is removed; two quorums that follow each other share a voter.

--- a/packages/core/src/consensus/consensusTypes.ts
+++ b/packages/core/src/consensus/consensusTypes.ts
@@ -44,6 +44,26 @@
   readonly entries: readonly LogEntry[];
 }
 
+/** Place of a host. */
+export interface ReplicaPlace {
+  readonly availabilityZone: string;
+  readonly region: string;
+}
+
+/** When replicas that do not answer leave a group without an operator. */
+export interface ReplacementOptions {
+  /** Time for which a replica answers no message before it is removed. */
+  readonly silentMs: number;
+  /** Losses that the voters bear, each by itself: hosts, or availability zones, or regions. */
+  readonly losses: {
+    readonly hosts: number;
+    readonly availabilityZones: number;
+    readonly regions: number;
+  };
+  /** Place of a host; undefined if it is not known. */
+  readonly placeOf: (hostId: string) => ReplicaPlace | undefined;
+}
+
 /** Timing and sizes of a group. */
 export interface ConsensusOptions {
   /** Shortest election timeout; a random part of up to 50% is added to it. */
@@ -58,6 +78,8 @@
   readonly retainedEntries: number;
   /** Maximum number of uncommitted entries; a leader refuses proposals beyond it. */
   readonly maxUncommittedEntries: number;
+  /** Absent if replicas are removed by an operator or by a new disk of their host only. */
+  readonly replacement?: ReplacementOptions;
 }
 
 interface MessageBase {
@@ -225,6 +247,11 @@
   | { readonly kind: 'refused'; readonly proposalId: number; readonly reason: RefusalReason }
   | { readonly kind: 'readReady'; readonly readId: number; readonly index: number }
   | { readonly kind: 'readFailed'; readonly readId: number }
+  | {
+      readonly kind: 'silentReplicaRemoved';
+      readonly replicaId: ReplicaId;
+      readonly silentMs: number;
+    }
   | { readonly kind: 'changeRefused'; readonly reason: RefusalReason }
   | { readonly kind: 'membersChanged'; readonly members: Members; readonly index: number }
   | {
--- a/packages/core/src/consensus/membership.ts
+++ b/packages/core/src/consensus/membership.ts
@@ -54,7 +54,8 @@
   return { voters, learners: [...without(members.learners, isOnSameHost), replicaId] };
 }
 
-function changeRefusalReason(state: ReplicaState): RefusalReason | undefined {
+/** Why no change of the members can start now; undefined if one can. */
+export function changeRefusalReason(state: ReplicaState): RefusalReason | undefined {
   const { leadership } = state;
   if (leadership === undefined || leadership.handOver !== undefined) return 'notLeader';
   if (state.membersIndex > state.commitIndex) return 'changePending';
@@ -62,7 +63,8 @@
   return undefined;
 }
 
-function appendMembers(state: ReplicaState, leadership: Leadership, members: Members): void {
+/** Appends a change of the members and sends it. */
+export function appendMembers(state: ReplicaState, leadership: Leadership, members: Members): void {
   appendAsLeader(state, [{ kind: 'members', members }]);
   adoptMembers(state, latestMembers(state.log, lastIndexOf(state.log)));
   for (const id of peersOf(state)) sendPendingEntries(state, leadership, id);
--- a/packages/core/src/consensus/replica.ts
+++ b/packages/core/src/consensus/replica.ts
@@ -30,6 +30,7 @@
   finishStep,
   type ReplicaState,
 } from './replicaState.js';
+import { removeSilentReplica } from './silentReplicas.js';
 import { compact, onSnapshotChunk, onSnapshotReply } from './snapshots.js';
 
 /** State machine of one replica: each step takes one input and returns effects. */
@@ -56,7 +57,9 @@
   if (leadership !== undefined) {
     promoteLearner(state);
     continueHandOver(state);
-    if (state.nowMs >= leadership.nextHeartbeatMs) broadcast(state, leadership);
+    if (state.nowMs < leadership.nextHeartbeatMs) return;
+    removeSilentReplica(state);
+    broadcast(state, leadership);
     return;
   }
   if (state.electionDeadlineMs === 0) resetElectionDeadline(state);
--- a/packages/core/src/consensus/replicaChanges.spec.ts
+++ b/packages/core/src/consensus/replicaChanges.spec.ts
@@ -19,7 +19,8 @@
 const nowMs = 1000;
 
 function progressAckedAt(ackedSentAtMs: number): Progress {
-  return { matchIndex: 0, nextIndex: 1, isProbing: false, ackedRound: 1, ackedSentAtMs };
+  const tracked = { matchIndex: 0, nextIndex: 1, isProbing: false, trackedSinceMs: 0 };
+  return { ...tracked, ackedRound: 1, ackedSentAtMs };
 }
 
 /** A leader `a/1` with recent acknowledgements from `answeringIds` only. */
--- a/packages/core/src/consensus/replicaState.ts
+++ b/packages/core/src/consensus/replicaState.ts
@@ -26,6 +26,8 @@
    * the first one would have to carry the same entries again with each heartbeat.
    */
   probedIndex?: number;
+  /** Time since which the leader sends it messages. */
+  readonly trackedSinceMs: number;
   /** Highest round acknowledged in this term. */
   ackedRound: number;
   /** Send time, by the leader's clock, of the newest acknowledged message. */
--- a/packages/core/src/consensus/replication.ts
+++ b/packages/core/src/consensus/replication.ts
@@ -32,6 +32,7 @@
     matchIndex: 0,
     nextIndex: lastIndexOf(state.log) + 1,
     isProbing: true,
+    trackedSinceMs: state.nowMs,
     ackedRound: 0,
     ackedSentAtMs: Number.NEGATIVE_INFINITY,
   };
--- a/packages/host/src/consensus/consensusOptions.ts
+++ b/packages/host/src/consensus/consensusOptions.ts
@@ -1,13 +1,18 @@
-import type { ConsensusOptions } from '@buckthornlug/core/consensus/consensusTypes.js';
+import type {
+  ConsensusOptions,
+  ReplacementOptions,
+} from '@buckthornlug/core/consensus/consensusTypes.js';
 
 /**
- * Creates the options that all groups of a host share.
+ * Creates the options of a group.
  *
  * @param electionTimeoutMs - shortest election timeout
+ * @param replacement - when replicas of hosts that are gone are removed; never if absent
  */
 export function createConsensusOptions(
   electionTimeoutMs: number,
   heartbeatMs: number,
+  replacement?: ReplacementOptions,
 ): ConsensusOptions {
   return {
     electionTimeoutMs,
@@ -18,5 +23,6 @@
     snapshotChunkBytes: 512 * 1024,
     retainedEntries: 256,
     maxUncommittedEntries: 16_384,
+    ...(replacement === undefined ? {} : { replacement }),
   };
 }
--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -81,7 +81,11 @@
     const { identity, durable } = storage.stored();
     if (durable === undefined) throw new Error('the replica has not joined its group');
     this.replicaId = `${hostId}/${identity.incarnation}`;
-    const options = createConsensusOptions(timing.electionTimeoutMs, timing.heartbeatMs);
+    const options = createConsensusOptions(
+      timing.electionTimeoutMs,
+      timing.heartbeatMs,
+      parts.replacement,
+    );
     this.snapshotTaker = new SnapshotTaker({
       capture: () => ({ index: this.appliedIndex, state: parts.machine.snapshot() }),
       save: (index, data) => this.handleInput({ kind: 'compact', index, data }),
@@ -166,6 +170,9 @@
       } else if (effect.leader === null && role === 'follower') {
         context.record({ kind: 'leaderLost', detail: { groupId, term } });
       }
+    } else if (effect.kind === 'silentReplicaRemoved') {
+      const { replicaId, silentMs } = effect;
+      context.log.info('silentReplicaRemoved', { groupId, replicaId, silentMs });
     } else if (effect.kind === 'membersChanged') {
       const voters = effect.members.voters.join(',');
       const learners = effect.members.learners.join(',');
@@ -318,10 +325,17 @@
     return leaderSilentMs(this.state, this.parts.context.clock.nowMs());
   }
 
-  isWaitingToJoin(): boolean {
+  private isMember(): boolean {
     const { voters, learners } = this.state.members;
-    const isMember = voters.includes(this.replicaId) || learners.includes(this.replicaId);
-    return !isMember && lastIndexOf(this.state.log) === 0;
+    return voters.includes(this.replicaId) || learners.includes(this.replicaId);
+  }
+
+  isWaitingToJoin(): boolean {
+    return !this.isMember() && lastIndexOf(this.state.log) === 0;
+  }
+
+  mayBeRemoved(): boolean {
+    return this.state.leader === null || !this.isMember();
   }
 
   planChange(requested: RequestedChange): ChangePlan {
@@ -382,6 +396,7 @@
     leaderId: () => task.leaderId(),
     leaderSilentMs: () => task.leaderSilentMs(),
     isWaitingToJoin: () => task.isWaitingToJoin(),
+    mayBeRemoved: () => task.mayBeRemoved(),
     addReplica: (replicaId) =>
       task.handleInput({ kind: 'changeMembers', change: { change: 'add', replicaId } }),
     changeMembers: (change) => task.handleInput({ kind: 'changeMembers', change }),
--- a/packages/host/src/consensus/groupTaskTypes.ts
+++ b/packages/host/src/consensus/groupTaskTypes.ts
@@ -1,6 +1,7 @@
 import type {
   ConsensusMessage,
   MembershipChange,
+  ReplacementOptions,
 } from '@buckthornlug/core/consensus/consensusTypes.js';
 import type { ChangePlan, RequestedChange } from '@buckthornlug/core/consensus/replicaChanges.js';
 import type { ReplicatedMachine } from '@buckthornlug/core/consensus/replicatedMachineTypes.js';
@@ -18,6 +19,8 @@
   readonly groupId: string;
   readonly machine: ReplicatedMachine<Command, Reply>;
   readonly storage: GroupStorage;
+  /** When replicas of hosts that are gone are removed; never if absent. */
+  readonly replacement?: ReplacementOptions | undefined;
   readonly sendBatch: SendBatch;
   readonly sendHeartbeats: SendHeartbeats;
 }
@@ -44,8 +47,13 @@
   readonly leaderId: () => string | undefined;
   /** Time since the replica last knew a leader that a quorum follows, in milliseconds. */
   readonly leaderSilentMs: () => number;
-  /** Whether the replica waits to be added to the group. */
+  /** Whether the replica has an empty log and waits to be added to the group. */
   readonly isWaitingToJoin: () => boolean;
+  /**
+   * Whether the replica may have been removed from the group while it was stopped or cut off: it is no
+   * member according to its own log, or it knows no leader.
+   */
+  readonly mayBeRemoved: () => boolean;
   readonly addReplica: (replicaId: string) => void;
   /** Starts a planned change. */
   readonly changeMembers: (change: MembershipChange) => void;
--- a/packages/host/src/consensus/groups.ts
+++ b/packages/host/src/consensus/groups.ts
@@ -1,4 +1,7 @@
-import type { ConsensusMessage } from '@buckthornlug/core/consensus/consensusTypes.js';
+import type {
+  ConsensusMessage,
+  ReplacementOptions,
+} from '@buckthornlug/core/consensus/consensusTypes.js';
 import { hostIdOf } from '@buckthornlug/core/consensus/membership.js';
 import { isParticipating } from '@buckthornlug/core/membership/memberStamp.js';
 import type { ReplicatedMachine } from '@buckthornlug/core/consensus/replicatedMachineTypes.js';
@@ -128,6 +131,13 @@
     return this.replicaHostIds(groupId).includes(hostIdOf(replicaId));
   }
 
+  /** When replicas of a group are removed without an operator; undefined if never. */
+  private replacementOf(groupId: string): ReplacementOptions | undefined {
+    const group = findGroupSettings(this.context.settings, groupId);
+    if (group?.admitsControlHosts !== true || group.replacement === undefined) return undefined;
+    return { ...group.replacement, placeOf: (hostId) => this.parts.membership.find(hostId) };
+  }
+
   open: OpenGroup = <Command, Reply>(
     groupId: string,
     machine: ReplicatedMachine<Command, Reply>,
@@ -140,8 +150,16 @@
       const { context, peers, formationGuard, heartbeatLink } = this;
       const shared = { context, peers, formationGuard, heartbeatLink, machine, dataFolder };
       const mayForm = findGroupSettings(settings, groupId)?.mayForm ?? true;
+      const replacement = this.replacementOf(groupId);
       const otherHostIds = () => this.knownHostIds(groupId).filter((id) => id !== settings.hostId);
-      replica = new MemberReplica({ ...shared, groupId, configuredHostIds, mayForm, otherHostIds });
+      replica = new MemberReplica({
+        ...shared,
+        groupId,
+        configuredHostIds,
+        mayForm,
+        replacement,
+        otherHostIds,
+      });
       this.replicas.set(groupId, replica as unknown as AnyReplica);
       this.startPromises.push(replica.start());
     }
--- a/packages/host/src/consensus/memberReplica.ts
+++ b/packages/host/src/consensus/memberReplica.ts
@@ -2,7 +2,10 @@
 import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
 
-import type { ConsensusMessage } from '@buckthornlug/core/consensus/consensusTypes.js';
+import type {
+  ConsensusMessage,
+  ReplacementOptions,
+} from '@buckthornlug/core/consensus/consensusTypes.js';
 import type { Formation } from '@buckthornlug/core/submissions/formationRegistry.js';
 import type { ReplicatedMachine } from '@buckthornlug/core/consensus/replicatedMachineTypes.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
@@ -25,6 +28,8 @@
 
 const formationPollIntervalMs = 150;
 const joinPollIntervalMs = 300;
+/** Interval at which a replica that may have been removed asks to be added again. */
+const rejoinPollIntervalMs = 1000;
 const barrierPollIntervalMs = 10;
 const groupsFolderName = 'groups';
 
@@ -38,6 +43,8 @@
   readonly groupId: string;
   /** Hosts that the settings list as members; they form the group. */
   readonly configuredHostIds: readonly string[];
+  /** When replicas of hosts that are gone are removed; never if absent. */
+  readonly replacement: ReplacementOptions | undefined;
   /** Whether hosts with empty disks may form the group. */
   readonly mayForm: boolean;
   /** Other hosts that hold a replica of the group or may know one that does. */
@@ -182,6 +189,7 @@
       groupId,
       machine,
       storage,
+      replacement: this.parts.replacement,
       sendBatch: (hostId, messages) => this.sendBatch(hostId, formationId, messages),
       sendHeartbeats: (hostId, messages) =>
         heartbeatLink?.send(hostId, groupId, formationId, messages) ?? false,
@@ -190,7 +198,7 @@
       for (const listener of this.listeners) listener(logIndex);
     });
     context.log.info('replicaStarted', { groupId, replicaId: this.task.replicaId });
-    if (this.task.isWaitingToJoin()) this.pollJoin();
+    this.pollJoin();
   }
 
   private async sendBatch(
@@ -207,12 +215,22 @@
     this.task?.deliver(decodeBase64(sent.value.answers) as ConsensusMessage[]);
   }
 
+  /**
+   * Asks to be added to the group while that may be needed. A replica with a log asks only where replicas
+   * are removed without an operator: the place of its host may have been given away while it was cut off.
+   */
   private pollJoin(): void {
     const { task } = this;
-    if (task === undefined || this.isStopped || !task.isWaitingToJoin()) return;
-    this.joinRequester.request(task.replicaId).finally(() => {
+    if (task === undefined || this.isStopped) return;
+    const isNew = task.isWaitingToJoin();
+    const isRemovable = this.parts.replacement !== undefined;
+    if (!isNew && !isRemovable) return;
+    const shallAsk = isNew || task.mayBeRemoved();
+    const asked = shallAsk ? this.joinRequester.request(task.replicaId) : Promise.resolve();
+    const intervalMs = isNew ? joinPollIntervalMs : rejoinPollIntervalMs;
+    asked.finally(() => {
       if (this.isStopped) return;
-      this.pollTimer = setTimeout(() => this.pollJoin(), joinPollIntervalMs);
+      this.pollTimer = setTimeout(() => this.pollJoin(), intervalMs);
     });
   }
 
--- a/packages/protocol/src/settings/settingsSchema.ts
+++ b/packages/protocol/src/settings/settingsSchema.ts
@@ -19,6 +19,22 @@
   internal: endpointSchema.describe('Listener for other hosts.'),
 });
 
+const lossesSchema = z.strictObject({
+  hosts: z.int().min(0).describe('Hosts, wherever they are.'),
+  availabilityZones: z.int().min(0).describe('Whole availability zones.'),
+  regions: z.int().min(0).describe('Whole regions.'),
+});
+
+const replacementSchema = z.strictObject({
+  silentMs: z
+    .number()
+    .positive()
+    .describe('Time for which a replica answers nothing before it is removed.'),
+  losses: lossesSchema.describe(
+    'Losses that the replicas which answer must bear, each by itself, before one is removed.',
+  ),
+});
+
 const groupSchema = z.strictObject({
   id: idSchema.describe('`control`, or the name of a ledger group.'),
   members: z
@@ -33,6 +49,11 @@
     .boolean()
     .optional()
     .describe('Whether every host with the role control joins the group automatically.'),
+  replacement: replacementSchema
+    .optional()
+    .describe(
+      'When replicas of hosts that are gone leave a group that admits control hosts; never if absent.',
+    ),
 });
 
 const listenSchema = z.strictObject({
