fix(routing): a late copy of an order undoes no later order

Callers saw: an evacuation that was acknowledged was undone for good, without an order, by the end of an earlier one that its operator had given up on; requests ran in the evacuated zone. Cause: a process that stood still reads such an order later, and a forwarded command may be proposed late. The state machine took any order that arrives. Change: an order carries the last change of its zone that its receiver knew, and is refused if the zone has changed since (BL5013, 503) unless it is in force. After a gap in its own time a host bases orders on what it knew before the gap. The receiver asks a quorum, then looks whether the caller is still there, before it proposes. A departure of a backend server without incarnation is matched at its receipt, not at its commit. GET /v1/routing shows the evacuated zones. Why it works: a sender that gave up sends the order elsewhere first, so that what is acknowledged later is a change after the base of the late copy, wherever that is held up.

--- a/packages/core/src/routing/routing.spec.ts
+++ b/packages/core/src/routing/routing.spec.ts
@@ -101,6 +101,34 @@
   ]);
 });
 
+test('a late copy of an order does not undo an order that was acknowledged after it', (t) => {
+  const store = new RoutingStore();
+  const order = (isEvacuated: boolean, atMs: number, baseAtMs: number) =>
+    store.setEvacuation({
+      type: 'evacuation',
+      availabilityZone: 'north-a',
+      isEvacuated,
+      atMs,
+      baseAtMs,
+    });
+  order(true, 10, 0);
+  order(false, 20, 10);
+  order(true, 30, 20);
+  const late = order(false, 15, 10);
+  t.true(late.isSuperseded);
+  t.true(store.evacuationRecords()[0]?.isEvacuated);
+  const resent = order(true, 40, 20);
+  t.is(resent.isSuperseded, undefined, 'an order that is in force is acknowledged again');
+});
+
+test('each change of a zone has a higher number, also if the clock of a host is behind', (t) => {
+  const store = new RoutingStore();
+  const order = { type: 'evacuation', availabilityZone: 'north-a' } as const;
+  store.setEvacuation({ ...order, isEvacuated: true, atMs: 10 });
+  store.setEvacuation({ ...order, isEvacuated: false, atMs: 4 });
+  t.is(store.evacuationChanges().get('north-a'), 11);
+});
+
 /** Each row: a fault, and the change of a valid route that introduces it. */
 const faults: readonly (readonly [string, Partial<Route>])[] = [
   ['an unknown service', { targets: [{ service: 'nowhere', weight: 1 }] }],
--- a/packages/core/src/routing/routingStore.ts
+++ b/packages/core/src/routing/routingStore.ts
@@ -1,5 +1,7 @@
 import type { RoutingDocument } from '@buckthornlug/protocol/routing/routingSchema.js';
 
+import { neverChanged } from './orderBases.js';
+
 /** State of the control group: the routing document and the evacuated availability zones. */
 
 /** Puts a routing document in force unless the same or a higher version is in force already. */
@@ -15,19 +17,26 @@
   readonly isEvacuated: boolean;
   /** Wall time of the order, read at the host that received it. */
   readonly atMs: number;
+  /**
+   * Last change of the zone that the receiving host knew, as in `evacuationChanges`. The order is refused if
+   * the zone has changed since; absent in orders of releases before this guard.
+   */
+  readonly baseAtMs?: number;
 }
 
 /** Reply to `ReplaceRoutingCommand` and `EvacuationCommand`. */
 export interface RoutingReply {
   /** Version in force after the command. */
   readonly routingVersion: number;
+  /** Whether the command was refused, since what it rests on has changed. */
+  readonly isSuperseded?: boolean;
 }
 
 /** An availability zone that is or was evacuated. */
 export interface EvacuationRecord {
   readonly availabilityZone: string;
   readonly isEvacuated: boolean;
-  /** Wall time of the last change. */
+  /** Wall time of the last change; increases with each change of the zone. */
   readonly atMs: number;
 }
 
@@ -70,13 +79,26 @@
     return { routingVersion: this.version() };
   }
 
-  setEvacuation({ availabilityZone, isEvacuated, atMs }: EvacuationCommand): RoutingReply {
-    const wasEvacuated = this.evacuations.get(availabilityZone)?.isEvacuated ?? false;
-    if (wasEvacuated !== isEvacuated) {
-      this.evacuations.set(availabilityZone, { availabilityZone, isEvacuated, atMs });
-      this.revision += 1;
+  /** Last change of each zone. */
+  evacuationChanges(): ReadonlyMap<string, number> {
+    const records = this.evacuationRecords();
+    return new Map(records.map(({ availabilityZone, atMs }) => [availabilityZone, atMs]));
+  }
+
+  /** An order that is in force already is acknowledged, whatever it is based on. */
+  setEvacuation(command: EvacuationCommand): RoutingReply {
+    const { availabilityZone, isEvacuated, atMs, baseAtMs } = command;
+    const known = this.evacuations.get(availabilityZone);
+    const routingVersion = this.version();
+    if ((known?.isEvacuated ?? false) === isEvacuated) return { routingVersion };
+    const changedAtMs = known?.atMs ?? neverChanged;
+    if (baseAtMs !== undefined && baseAtMs !== changedAtMs) {
+      return { routingVersion, isSuperseded: true };
     }
-    return { routingVersion: this.version() };
+    const record = { availabilityZone, isEvacuated, atMs: Math.max(atMs, changedAtMs + 1) };
+    this.evacuations.set(availabilityZone, record);
+    this.revision += 1;
+    return { routingVersion };
   }
 
   snapshot(): RoutingSnapshot {
--- a/packages/host/src/registry/registryTask.ts
+++ b/packages/host/src/registry/registryTask.ts
@@ -83,13 +83,22 @@
   }
 
   /**
-   * Removes a backend server that leaves.
+   * Removes a backend server that leaves. The command names an incarnation, so that a copy that is committed
+   * late does not remove a later one.
    *
-   * @param bornAtMs - its incarnation; the registered one if undefined
+   * @param bornAtMs - its incarnation; the one that is registered now if undefined
+   * @returns BL5001 if no incarnation is named or known, or nothing was proposed; BL5002 if the outcome of
+   *   the commit is not known
    */
-  removeBackend(backendId: string, bornAtMs?: number): ResultAsync<void, Failure> {
-    const incarnation = bornAtMs === undefined ? {} : { bornAtMs };
-    const command = { type: 'removeBackend', backendId, reason: 'left', ...incarnation } as const;
+  removeBackend(
+    backendId: string,
+    bornAtMs = this.control.machine.registry.find(backendId)?.bornAtMs,
+  ): ResultAsync<void, Failure> {
+    if (bornAtMs === undefined) {
+      const problem = failure('BL5001', `this host knows no backend server "${backendId}"`);
+      return errAsync(this.refused(backendId, problem));
+    }
+    const command = { type: 'removeBackend', backendId, bornAtMs, reason: 'left' } as const;
     return this.control
       .commit(command, commitTimeoutMs)
       .map(() => this.context.log.info('backendLeft', { backendId }))
--- a/packages/host/src/routing/routingCommands.ts
+++ b/packages/host/src/routing/routingCommands.ts
@@ -1,3 +1,4 @@
+import type { OrderBases } from '@buckthornlug/core/routing/orderBases.js';
 import type { RoutingDocument } from '@buckthornlug/protocol/routing/routingSchema.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, errAsync, ok, type ResultAsync } from 'neverthrow';
@@ -19,10 +20,18 @@
    * @returns BL5001 if nothing was proposed, BL5002 if the outcome is not known
    */
   readonly replace: (document: RoutingDocument) => ResultAsync<void, Failure>;
-  /** Begins or ends the evacuation of an availability zone; idempotent. */
+  /**
+   * Begins or ends the evacuation of an availability zone; idempotent. An order is taken only while its caller
+   * waits for it and the zone has not changed since the order was received.
+   *
+   * @param isWanted - whether the caller still waits; asked once a quorum has been reached
+   * @returns BL5001 if nothing was proposed, BL5002 if the outcome is not known, BL5013 if the order was
+   *   not taken
+   */
   readonly setEvacuation: (
     availabilityZone: string,
     isEvacuated: boolean,
+    isWanted?: () => boolean,
   ) => ResultAsync<void, Failure>;
   /**
    * Reads the newest routing document, confirmed by a quorum.
@@ -32,10 +41,15 @@
   readonly read: () => ResultAsync<RoutingDocument, Failure>;
 }
 
-/** Creates the commands of a control host. */
+/**
+ * Creates the commands of a control host.
+ *
+ * @param bases - what the host knew when it received an order
+ */
 export function createRoutingCommands(
   context: HostContext,
   control: ControlGroup,
+  bases: Pick<OrderBases, 'baseOf'>,
 ): RoutingCommands {
   const { log, clock, metrics } = context;
   const { routing } = control.machine;
@@ -52,6 +66,10 @@
     };
     return control
       .commit(command, commandTimeoutMs)
+      .andThen((reply) => {
+        const isSuperseded = 'isSuperseded' in reply && reply.isSuperseded === true;
+        return isSuperseded ? err(failure('BL5013', 'the zone has changed since')) : ok(undefined);
+      })
       .map(() => recordOutcome('committed'))
       .mapErr((problem) => {
         recordOutcome(problem.code);
@@ -65,11 +83,19 @@
       const fields = { version, heldVersion: routing.version(), routes: routes.length };
       return commit({ type: 'replaceRouting', document }, 'routingReplaced', fields);
     },
-    setEvacuation: (availabilityZone, isEvacuated) => {
-      const atMs = clock.wallMs();
-      const command = { type: 'evacuation', availabilityZone, isEvacuated, atMs } as const;
-      return commit(command, isEvacuated ? 'evacuationBegun' : 'evacuationEnded', {
-        availabilityZone,
+    setEvacuation: (availabilityZone, isEvacuated, isWanted = () => true) => {
+      const event = isEvacuated ? 'evacuationBegun' : 'evacuationEnded';
+      const changes = routing.evacuationChanges();
+      const baseAtMs = bases.baseOf(availabilityZone, changes, clock.nowMs());
+      const order = { type: 'evacuation', availabilityZone, isEvacuated, baseAtMs } as const;
+      // A caller that has left is known to have once its connection has been read up to its end, which the
+      // exchange with a quorum leaves time for.
+      return control.readBarrier(commandTimeoutMs).andThen(() => {
+        if (!isWanted()) {
+          log.warn('orderGivenUp', { event, availabilityZone, baseAtMs });
+          return errAsync(failure('BL5013', 'the caller has left'));
+        }
+        return commit({ ...order, atMs: clock.wallMs() }, event, { availabilityZone, baseAtMs });
       });
     },
     read: () => {
--- a/packages/host/src/routing/routingFeature.ts
+++ b/packages/host/src/routing/routingFeature.ts
@@ -1,3 +1,5 @@
+import { OrderBases } from '@buckthornlug/core/routing/orderBases.js';
+import type { ControlMachine } from '@buckthornlug/core/submissions/controlMachine.js';
 import { failure } from '@buckthornlug/protocol/results/failure.js';
 import { errAsync, okAsync } from 'neverthrow';
 
@@ -6,6 +8,20 @@
 import { createRoutingCommands } from './routingCommands.js';
 import { RoutingServer } from './routingServer.js';
 
+const basesIntervalMs = 100;
+/** Callers wait for at least a second before they give an order up. */
+const orderBasesOptions = { maxGapMs: 400, settleMs: 1000 };
+
+/** Routing state as this host holds it. */
+function describeRouting({ routing, registry }: ControlMachine) {
+  const evacuated = routing.evacuationRecords().filter(({ isEvacuated }) => isEvacuated);
+  return {
+    routingVersion: routing.version(),
+    registryRevision: registry.revision(),
+    evacuatedZones: evacuated.map(({ availabilityZone }) => availabilityZone),
+  };
+}
+
 /** Serves routing documents, evacuations and backend registrations, on control hosts. */
 export const routingFeature: Feature = {
   name: 'routing',
@@ -20,14 +36,23 @@
     const { wallMs } = context.clock;
     const server = new RoutingServer({ machine, leaderSilentMs: control.leaderSilentMs, wallMs });
     const registry = new RegistryTask(context, parts, control, routing.reportIntervalMs);
+    const bases = new OrderBases(orderBasesOptions, context.clock.nowMs());
+    const basesTimer = setInterval(() => {
+      const changes = machine.routing.evacuationChanges();
+      const gapMs = bases.observe(changes, context.clock.nowMs());
+      if (gapMs !== undefined) context.log.warn('processStoodStill', { gapMs });
+    }, basesIntervalMs);
     const unsubscribe = control.onChange(() => server.changed());
     parts.rpcHandlers.routing = {
       poll: (poll) => server.poll(poll),
       heard: (ages) => registry.recordForwardedReports(ages),
       leaving: (backend) => registry.drainLeaving(backend),
     };
+    parts.adminRoutes.push((app) =>
+      app.get('/v1/routing', (request) => request.json(describeRouting(machine))),
+    );
     parts.provide({
-      routingCommands: createRoutingCommands(context, control),
+      routingCommands: createRoutingCommands(context, control, bases),
       reportBackend: (report) => registry.report(report),
       removeBackend: (backendId, bornAtMs) => registry.removeBackend(backendId, bornAtMs),
     });
@@ -35,16 +60,14 @@
       name: 'routing',
       stopSteps: {
         closeTasks: () => {
+          clearInterval(basesTimer);
           unsubscribe();
           registry.stop();
           server.close();
           return Promise.resolve();
         },
       },
-      status: () => ({
-        routingVersion: machine.routing.version(),
-        registryRevision: machine.registry.revision(),
-      }),
+      status: () => describeRouting(machine),
     });
   },
 };
--- a/packages/protocol/src/results/resultCodes.ts
+++ b/packages/protocol/src/results/resultCodes.ts
@@ -310,6 +310,13 @@
     meaning: 'The change of the replicas has no valid signature, or is more than 5 minutes old.',
     action: 'Check the cluster key and the clock; request the change again.',
   },
+  BL5013: {
+    httpStatus: 503,
+    executionStatus: 'notRun',
+    meaning:
+      'The order was not taken: its caller has left, or the state has changed since it was received.',
+    action: 'Send the order again if it is still wanted.',
+  },
 
   BL6001: {
     httpStatus: 401,
