fix(calls): a stopping host takes no call that could outlast it

Callers saw: orders that were sent late in the grace period of a planned stop were accepted and passed on, and their connections ended without an answer. Change: a host that stops accepts and dispatches a call only if its time limit ends before the host does; calls that may be repeated also while look-ups of before may name it. Others are refused at once (BL3016, 503). At its end the host answers what is in flight. The product's own path has the same rule. Why it works: an accepted call ends at its time limit at the latest, which lies inside the grace period.

--- a/packages/host/src/calls/callsFeature.ts
+++ b/packages/host/src/calls/callsFeature.ts
@@ -1,6 +1,11 @@
 import type { ServerResponse } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 
+import {
+  mayTakeCall,
+  type StopPlan,
+  type StoppableCall,
+} from '@buckthornlug/core/calls/stopAdmission.js';
 import { failure } from '@buckthornlug/protocol/results/failure.js';
 import type { ResultAsync } from 'neverthrow';
 import type { Failure } from '@buckthornlug/protocol/results/failure.js';
@@ -15,6 +20,7 @@
 import { createCallersServer, type RequestHandler } from './callersListener.js';
 import { createCallRunner } from './callRunner.js';
 import { createCallServer } from './callServer.js';
+import type { AcceptedCall } from './callTypes.js';
 import { createConnections } from './connections.js';
 import { createDispatch } from './dispatch.js';
 import { toRefusalBeforeLedger } from './onceWork.js';
@@ -38,6 +44,11 @@
   return services.reduce((longest, service) => Math.max(longest, service.lookupTtlMs), 0);
 }
 
+/** The ledger answers a call with an identity again, so that only single calls must not be repeated. */
+function toStoppable({ callClass, deadlineAtMs }: AcceptedCall): StoppableCall {
+  return { mayRepeat: callClass.execution !== 'single', deadlineAtMs };
+}
+
 function createHealthEndpoint(
   context: HostContext,
   parts: HostParts,
@@ -56,6 +67,7 @@
 function startCalls(context: HostContext, parts: HostParts): ResultAsync<RunningFeature, Failure> {
   const { settings, clock, metrics } = context;
   let progress: StopProgress = 'serving';
+  let stopPlan: StopPlan | undefined;
   const connections = createConnections(clock.nowMs);
   const acceptor = createCallAcceptor(context, parts);
   const runCall = createCallRunner(context, parts, createDispatch(context, parts, connections));
@@ -72,7 +84,9 @@
   ) => {
     if (progress !== 'serving') response.setHeader('connection', 'close');
     const accepted = accept();
-    if (progress === 'finishing') {
+    const nowMs = context.clock.nowMs();
+    const mayTake = accepted.isErr() || mayTakeCall(stopPlan, toStoppable(accepted.value), nowMs);
+    if (progress === 'finishing' || !mayTake) {
       const stopping = failure('BL3016', 'the host is stopping');
       sendRefusal(
         response,
@@ -110,8 +124,15 @@
         progress = 'leaving';
         lookupAnswers.invalidate();
         const maxLookupTtlMs = findMaxLookupTtlMs(parts);
-        if (maxLookupTtlMs > 0)
-          await delay(maxLookupTtlMs + leavePropagationMs + settings.timing.leaveLookupMs);
+        const { leaveLookupMs, stopGraceMs } = settings.timing;
+        const lookupsMs = maxLookupTtlMs > 0 ? maxLookupTtlMs + leavePropagationMs : 0;
+        const leavingMs = maxLookupTtlMs > 0 ? lookupsMs + leaveLookupMs : 0;
+        const nowMs = context.clock.nowMs();
+        stopPlan = {
+          callersKnowAtMs: nowMs + lookupsMs,
+          endsAtMs: nowMs + leavingMs + stopGraceMs,
+        };
+        await delay(leavingMs);
       },
       finishCalls: async () => {
         progress = 'finishing';
--- a/packages/host/src/routedCalls/routedCallServer.ts
+++ b/packages/host/src/routedCalls/routedCallServer.ts
@@ -13,7 +13,7 @@
 import type { ExchangeResult } from './backendExchange.js';
 import { CallerConnections, type OpenRequest } from './callerConnections.js';
 import type { RoutedCall } from './routedCallsTypes.js';
-import type { RoutedRunner } from './routedRunner.js';
+import { stoppingFailure, type MayTakeRoutedCall, type RoutedRunner } from './routedRunner.js';
 
 /** Serves routed calls on an entry host. */
 
@@ -32,6 +32,8 @@
   readonly acceptor: AcceptorParts;
   readonly runner: RoutedRunner;
   readonly progress: () => StopProgress;
+  /** Whether the host ends late enough to take a call. */
+  readonly mayTake: MayTakeRoutedCall;
 }
 
 function sendAnswer(
@@ -67,19 +69,30 @@
 
   private readonly connections = new CallerConnections();
 
+  private readonly controllers = new Set<CallController>();
+
   constructor(private readonly parts: RoutedCallServerParts) {}
 
-  /** Serves a request, or refuses it with BL3016 if the host is finishing. */
+  /** Ends the calls in flight: those that were not sent are refused, the others have an unknown outcome. */
+  endCalls(): void {
+    for (const controller of [...this.controllers]) controller.abort(new CallAborted('stopping'));
+  }
+
+  /** Serves a request, or refuses it with BL3016 if the host is finishing or could end before the call. */
   handleRequest(request: IncomingMessage, response: ServerResponse): void {
     const controller = new CallController();
     const admitted = this.connections.admit(
       request,
       response,
       () => controller.abort(new CallAborted('cancelled')),
-      () => this.inFlight.end(),
+      () => {
+        this.controllers.delete(controller);
+        this.inFlight.end();
+      },
     );
     if (admitted.admission === 'ignored') return;
     this.inFlight.begin();
+    this.controllers.add(controller);
     const open = admitted.request;
     if (admitted.admission === 'tooMany') {
       const problem = failure('BL3002', 'too many unanswered calls on the connection', {
@@ -89,10 +102,7 @@
       return;
     }
     if (this.parts.progress() === 'finishing') {
-      const problem = failure('BL3016', 'the host is stopping', {
-        retryAfterMs: immediateRetryAfterMs,
-      });
-      this.refuseUnrouted(request, response, open, problem);
+      this.refuseUnrouted(request, response, open, stoppingFailure());
       return;
     }
     this.serve(request, response, open, controller).catch((error: unknown) => {
@@ -115,6 +125,10 @@
       return;
     }
     const call = accepted.value;
+    if (!this.parts.mayTake(call)) {
+      this.refuse(call, open, stoppingFailure());
+      return;
+    }
     const timeLeftMs = call.deadlineAtMs - context.clock.nowMs();
     // It also ends an answer that is still being streamed, which a faulty backend server may never end.
     const timer = setTimeout(() => controller.abort(new CallAborted('timedOut')), timeLeftMs);
--- a/packages/host/src/routedCalls/routedCallsFeature.ts
+++ b/packages/host/src/routedCalls/routedCallsFeature.ts
@@ -1,5 +1,6 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
+import { mayTakeCall, type StopPlan } from '@buckthornlug/core/calls/stopAdmission.js';
 import { TargetSelector } from '@buckthornlug/core/routing/routeTable.js';
 import { routingSettingsSchema } from '@buckthornlug/protocol/settings/settingsSchema.js';
 import { okAsync, type ResultAsync } from 'neverthrow';
@@ -17,7 +18,7 @@
 import { BackendAgent } from './backendConnections.js';
 import { RoutedCallServer, type StopProgress } from './routedCallServer.js';
 import { RoutedPools } from './routedPools.js';
-import { RoutedRunner } from './routedRunner.js';
+import { RoutedRunner, type MayTakeRoutedCall } from './routedRunner.js';
 
 /** Serves calls on an entry host as the routing document says. */
 
@@ -31,6 +32,11 @@
   const { settings, clock } = context;
   const routing = settings.routing ?? routingSettingsSchema.parse({});
   let progress: StopProgress = 'serving';
+  let stopPlan: StopPlan | undefined;
+  const mayTake: MayTakeRoutedCall = ({ route, deadlineAtMs }) => {
+    const mayRepeat = route.execution === 'idempotent';
+    return mayTakeCall(stopPlan, { mayRepeat, deadlineAtMs }, clock.nowMs());
+  };
   const state = new RoutingState(clock);
   const targetSelector = new TargetSelector();
   const agent = new BackendAgent();
@@ -49,9 +55,16 @@
     retryPermille,
     retryBurst,
     reportLeaving,
+    mayTake,
   });
   const acceptor = { context, state, targetSelector, callFields };
-  const callServer = new RoutedCallServer({ context, acceptor, runner, progress: () => progress });
+  const callServer = new RoutedCallServer({
+    context,
+    acceptor,
+    runner,
+    progress: () => progress,
+    mayTake,
+  });
   const server = createEntryServer(settings.limits, {
     call: (request, response) => callServer.handleRequest(request, response),
     onRefused: (code) => context.metrics.count('requests_refused_total', { code }),
@@ -88,13 +101,21 @@
     name: 'routedCalls',
     stopSteps: {
       leaveLookups: async () => {
+        const { leaveLookupMs, stopGraceMs } = settings.timing;
+        const nowMs = clock.nowMs();
+        stopPlan = {
+          callersKnowAtMs: nowMs + routing.lookupTtlMs,
+          endsAtMs: nowMs + leaveLookupMs + stopGraceMs,
+        };
         progress = 'leaving';
-        await delay(settings.timing.leaveLookupMs);
+        await delay(leaveLookupMs);
       },
       finishCalls: async () => {
         progress = 'finishing';
         const closed = closeServer(server);
-        await callServer.inFlight.whenIdle(settings.timing.stopGraceMs);
+        const leftMs = (stopPlan?.endsAtMs ?? 0) - clock.nowMs();
+        await callServer.inFlight.whenIdle(Math.max(0, leftMs));
+        callServer.endCalls();
         // Closing at once would reset connections whose last answer the caller has not read yet.
         await Promise.race([closed, delay(lastAnswersMs, undefined, { ref: false })]);
         server.closeAllConnections();
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -11,6 +11,7 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import type { CallFields } from '@buckthornlug/protocol/settings/settingsSchema.js';
 
+import { CallAborted } from '../calls/callAborted.js';
 import type { RequestBody } from '../calls/requestBody.js';
 import type { LeavingBackend } from '../routing/routingPollSchema.js';
 import type { HostContext, Random } from '../runtime/hostTypes.js';
@@ -41,6 +42,17 @@
 /** Largest random deviation of a retry delay, as a fraction of the delay. */
 const retryJitterFraction = 0.25;
 
+/** Retry delay of a call that another host can take at once. */
+const otherHostRetryAfterMs = 50;
+
+/** Whether this host may take or dispatch a call; false if it is stopping and could end before the call. */
+export type MayTakeRoutedCall = (call: Pick<RoutedCall, 'route' | 'deadlineAtMs'>) => boolean;
+
+/** Failure of a call that was not sent, since the host is stopping. */
+export function stoppingFailure(): Failure {
+  return failure('BL3016', 'the host is stopping', { retryAfterMs: otherHostRetryAfterMs });
+}
+
 /** Dependencies and limits of `RoutedRunner`. */
 export interface RunnerParts {
   readonly context: HostContext;
@@ -51,6 +63,7 @@
   readonly retryBurst: number;
   /** Tells the control hosts that a backend server announced its departure. */
   readonly reportLeaving: (backend: LeavingBackend) => void;
+  readonly mayTake: MayTakeRoutedCall;
 }
 
 type TurnAwayDecision = Extract<FinalDecision, { readonly decision: 'turnAway' }>;
@@ -125,9 +138,14 @@
   };
 }
 
+function isStoppedByHost({ signal }: RoutedCall): boolean {
+  return signal.reason instanceof CallAborted && signal.reason.result === 'stopping';
+}
+
 /** Builds the failure of a call that its caller or its time limit aborted before it was sent. */
 function unsentCallFailure(call: RoutedCall): Failure {
   if (call.hasCallerLeft()) return failure('BL3017', 'the caller hung up');
+  if (isStoppedByHost(call)) return stoppingFailure();
   return failure('BL3002', 'the time limit passed before the call was sent', {
     retryAfterMs: notRunRetryAfterMs,
   });
@@ -161,6 +179,11 @@
         this.logPlacement(call, placement);
         return failedOutcome(turnAwayFailure(placement, this.parts.context.random));
       }
+      // The call may have waited for a slot since it was accepted.
+      if (!this.parts.mayTake(call)) {
+        this.parts.pools.release(placement);
+        return failedOutcome(stoppingFailure());
+      }
       const { backendId } = placement.place.backend.record;
       call.tried.add(backendId);
       const outcome = await this.attempt(call, placement, body);
@@ -304,8 +327,9 @@
       if (call.hasCallerLeft()) {
         return { end: 'givenUp', failure: failure('BL3017', 'the caller hung up') };
       }
+      const cause = isStoppedByHost(call) ? 'the host stopped' : 'the time limit passed';
       const problem = result.wasSent
-        ? failure('BL3005', `the time limit passed at backend server "${backendId}"`)
+        ? failure('BL3005', `${cause} at backend server "${backendId}"`)
         : unsentCallFailure(call);
       return { end: 'givenUp', failure: problem };
     }
--- a/packages/testkit/src/routing/routedFleet.ts
+++ b/packages/testkit/src/routing/routedFleet.ts
@@ -53,6 +53,7 @@
   readonly call: (
     path: string,
     fields?: Record<string, string>,
+    method?: 'GET' | 'POST',
   ) => Promise<{ readonly status: number; readonly body: string; readonly retryAfter?: string }>;
   readonly stop: () => Promise<void>;
 }
@@ -151,10 +152,20 @@
   return hosts;
 }
 
-/** Starts the fleet and puts a routing document in force. */
-export async function startRoutedFleet(): Promise<RoutedFleet> {
+/**
+ * Starts the fleet and puts a routing document in force.
+ *
+ * @param timing - times that differ from the defaults
+ */
+export async function startRoutedFleet(
+  timing: Partial<Settings['timing']> = {},
+): Promise<RoutedFleet> {
   const dataFolder = await mkdtemp(join(tmpdir(), 'routed-'));
-  const [control, entry] = await startAll(dataFolder);
+  const allSettings = createSettings(dataFolder).map((settings) => ({
+    ...settings,
+    timing: { ...settings.timing, ...timing },
+  }));
+  const [control, entry] = await startAll(dataFolder, allSettings);
   if (control === undefined || entry === undefined) throw new Error('a host is missing');
   const servers: Server[] = [];
   const { parts } = control;
@@ -215,8 +226,9 @@
       (await fleet.control.parts.reportBackend(report))._unsafeUnwrap();
       return { report, requests, cancelled, server };
     },
-    call: async (path, fields = {}) => {
+    call: async (path, fields = {}, method = 'GET') => {
       const answer = await request(`http://${callers.address}:${callers.port}${path}`, {
+        method,
         headers: { host: 'one.example', 'x-request-id': 'a-1', ...fields },
       });
       const retryAfter = answer.headers['retry-after'];
