fix(calls): a refusal without ID on a kept connection proves nothing

Callers saw (report of an operator): "not run, try again" for orders that ran or were running, after a faulty backend server had written an earlier refusal once more where the answer to the next request was due. Cause: an answer without the attempt's ID counted as the answer to the request that waits, also as proof that it did not run. Copies with an ID were told apart already. Why it works: on a new connection there is no earlier answer to be repeated, and with an ID it is told apart.

--- a/packages/host/src/routedCalls/backendExchange.spec.ts
+++ b/packages/host/src/routedCalls/backendExchange.spec.ts
@@ -93,7 +93,7 @@
     body: null,
     connectTimeoutMs: 1000,
     signal: new AbortController().signal,
-    isAnswerToRequest: (fields) => fields[fields.indexOf('X-Id') + 1] === '1',
+    isAnswerToRequest: ({ fields }) => fields[fields.indexOf('X-Id') + 1] === '1',
     nowMs: () => performance.now(),
     ...change,
   };
--- a/packages/host/src/routedCalls/backendExchange.ts
+++ b/packages/host/src/routedCalls/backendExchange.ts
@@ -35,8 +35,11 @@
   /** Time limit for opening a new connection; if it passes, nothing was sent. */
   readonly connectTimeoutMs: number;
   readonly signal: Pick<CallSignal, 'addEventListener' | 'removeEventListener'>;
-  /** Whether the answer with these header fields belongs to the request. */
-  readonly isAnswerToRequest: (fields: readonly string[]) => boolean;
+  /**
+   * Whether an answer belongs to the request. On a connection that has carried other requests it may be one
+   * of their answers, written again.
+   */
+  readonly isAnswerToRequest: (head: AnswerHead, isReusedConnection: boolean) => boolean;
   readonly nowMs: () => number;
 }
 
@@ -154,7 +157,7 @@
   private receiveAnswer(answer: IncomingMessage): void {
     this.answer = answer;
     const head = { status: answer.statusCode ?? 0, fields: answer.rawHeaders };
-    if (!this.plan.isAnswerToRequest(head.fields)) {
+    if (!this.plan.isAnswerToRequest(head, this.request.reusedSocket)) {
       this.finish({ end: 'broken', problem: 'the answer belongs to another request' });
       this.request.destroy();
       return;
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -103,6 +103,11 @@
   return fieldValue(answerFields, callFields.notRun) === undefined ? 'answered' : 'notRun';
 }
 
+/** Whether an answer says that the backend server did not run the call. */
+function claimsNotRun({ status, fields }: AnswerHead, callFields: CallFields): boolean {
+  return status === misdirectedStatus || fieldValue(fields, callFields.notRun) !== undefined;
+}
+
 /** Adds random jitter, so that callers do not all retry when capacity is expected. */
 function addJitter(retryAfterMs: number, random: Random): number {
   return retryAfterMs * (1 + retryJitterFraction * (2 * random() - 1));
@@ -264,9 +269,10 @@
       body: body.form === 'whole' ? body.bytes : body.open(),
       connectTimeoutMs: baseConnectTimeoutMs + connectRoundTrips * 2 * backend.linkMs,
       signal: call.signal,
-      isAnswerToRequest: (answerFields) => {
-        const echoedId = fieldValue(answerFields, callFields.attemptId);
-        return echoedId === undefined || echoedId === call.requestId;
+      isAnswerToRequest: (head, isReusedConnection) => {
+        const echoedId = fieldValue(head.fields, callFields.attemptId);
+        if (echoedId !== undefined) return echoedId === call.requestId;
+        return !isReusedConnection || !claimsNotRun(head, callFields);
       },
       nowMs: context.clock.nowMs,
     });
@@ -333,10 +339,9 @@
         : unsentCallFailure(call);
       return { end: 'givenUp', failure: problem };
     }
-    const { status, fields: answerFields } = result.head;
+    const { status } = result.head;
     const isMisdirected = status === misdirectedStatus;
-    const isNotRun =
-      isMisdirected || fieldValue(answerFields, this.parts.callFields.notRun) !== undefined;
+    const isNotRun = claimsNotRun(result.head, this.parts.callFields);
     if (!isNotRun || result.end !== 'answered') return { end: 'answered', result, backendId };
     if (isMisdirected) backend.backOff(nowMs);
     const problem = failure('BL3015', `backend server "${backendId}" answered ${status}`, {
