fix(calls): the use of a backend server is checked again once a connection is open

Cause: one of those told apart, read in the code: a call is placed, then waits for a new connection (0.25 s and three round trips at most, longer if the processor is short), and is sent whatever was heard meanwhile. How much of the findings it explains is not measured. Change: maySend is asked once the connection is open, before a byte is sent; the call goes elsewhere as not sent. Why it works: what has arrived by the moment of sending counts, not what was known at the placement.

--- a/packages/host/src/routedCalls/backendExchange.spec.ts
+++ b/packages/host/src/routedCalls/backendExchange.spec.ts
@@ -93,6 +93,7 @@
     body: null,
     connectTimeoutMs: 1000,
     signal: new AbortController().signal,
+    maySend: () => true,
     isAnswerToRequest: ({ fields }) => fields[fields.indexOf('X-Id') + 1] === '1',
     nowMs: () => performance.now(),
     ...change,
@@ -148,6 +149,23 @@
   plan.agent.destroy();
 });
 
+test('a request is not sent if its backend server is taken out of use while it connects', async (t) => {
+  let receivedBytes = 0;
+  const server = await startServer(t, (socket) => {
+    socket.on('data', (chunk) => {
+      receivedBytes += chunk.length;
+    });
+  });
+  const body = Buffer.from('an order');
+  const change = { method: 'POST', body, maySend: () => false };
+  const { result } = await exchange(createPlan(portOf(server), change));
+  t.is(result.end, 'notSent');
+  await new Promise((resolve) => {
+    setTimeout(resolve, 50);
+  });
+  t.is(receivedBytes, 0);
+});
+
 /** Bytes of an answer that never ends: what comes first, and what is repeated until the caller closes. */
 interface EndlessAnswer {
   readonly title: string;
--- a/packages/host/src/routedCalls/backendExchange.ts
+++ b/packages/host/src/routedCalls/backendExchange.ts
@@ -35,6 +35,8 @@
   /** Time limit for opening a new connection; if it passes, nothing was sent. */
   readonly connectTimeoutMs: number;
   readonly signal: Pick<CallSignal, 'addEventListener' | 'removeEventListener'>;
+  /** Whether the backend server may still get the request; asked once a new connection is open. */
+  readonly maySend: () => boolean;
   /**
    * Whether an answer belongs to the request. On a connection that has carried other requests it may be one
    * of their answers, written again.
@@ -123,6 +125,12 @@
       );
       socket.once('connect', () => {
         clearTimeout(this.connectTimer);
+        if (!plan.maySend()) {
+          this.request.destroy(
+            new Error('it was taken out of use while the connection was opened'),
+          );
+          return;
+        }
         this.isConnected = true;
         this.connectMs = plan.nowMs() - this.startedAtMs;
       });
--- a/packages/host/src/routedCalls/routedPools.ts
+++ b/packages/host/src/routedCalls/routedPools.ts
@@ -110,6 +110,13 @@
     this.dispatchWaiting();
   }
 
+  /** Whether a backend server is still in use, according to the newest state. */
+  isUsable({ record }: TrackedBackend): boolean {
+    const current = this.state.backends.get(record.backendId);
+    if (current === undefined || current.bornAtMs !== record.bornAtMs) return false;
+    return this.state.isUsable(current) && !this.leaving.isLeaving(current);
+  }
+
   /**
    * Takes a backend server out of use that announced its departure, for all calls of this host.
    *
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -269,6 +269,7 @@
       body: body.form === 'whole' ? body.bytes : body.open(),
       connectTimeoutMs: baseConnectTimeoutMs + connectRoundTrips * 2 * backend.linkMs,
       signal: call.signal,
+      maySend: () => pools.isUsable(backend),
       isAnswerToRequest: (head, isReusedConnection) => {
         const echoedId = fieldValue(head.fields, callFields.attemptId);
         if (echoedId !== undefined) return echoedId === call.requestId;
