fix(routing): a host whose document is not confirmed answers 503 where it knows no route

Cause: a host that is late to hear of a document (a slow link, a poll that was repeated, a processor that is short) took its own document for the newest one, however long ago a control host had confirmed it. Change: a poll confirms all that was committed before it was sent, less the silence of its source. If that is longer ago than nine tenths of routing.documentInForceMs (configApply on the platform), a call without a route is refused with BL2013 (503, Retry-After). callRefused logs unconfirmedMs, so that a late document can be told from a late answer. Why it works: 404 is said only where every document that has to be in force is known to be held.

--- a/packages/host/src/routedCalls/acceptRoutedCall.ts
+++ b/packages/host/src/routedCalls/acceptRoutedCall.ts
@@ -15,6 +15,11 @@
 /** Retry delay for requests that arrive before the first routing document. */
 const noDocumentRetryAfterMs = 500;
 
+/** Retry delay of a request for which another host may know a route. */
+const unconfirmedRetryAfterMs = 100;
+/** Part of the time in which a document comes in force after which it counts as unconfirmed. */
+const confirmedFraction = 0.9;
+
 /** Dependencies of `acceptRoutedCall`. */
 export interface AcceptorParts {
   readonly context: HostContext;
@@ -22,6 +27,8 @@
   readonly targetSelector: TargetSelector;
   /** Names of the header fields that callers use. */
   readonly callFields: CallFields;
+  /** Time within which an accepted document is in force on each host. */
+  readonly documentInForceMs: number;
 }
 
 function readHeader(request: IncomingMessage, name: string): string | undefined {
@@ -45,10 +52,10 @@
  *
  * @param signal - aborted when the caller hangs up or the time limit has passed
  * @returns BL2010 before the first document, BL3010 without a Host header or path, BL3001 without a
- *   route, or BL3003 if the route has no target with a weight
+ *   route, BL2013 without one in a document that may be outdated, or BL3003 if the route has no target with a weight
  */
 export function acceptRoutedCall(
-  { context, state, targetSelector, callFields }: AcceptorParts,
+  { context, state, targetSelector, callFields, documentInForceMs }: AcceptorParts,
   request: IncomingMessage,
   response: ServerResponse,
   signal: CallSignal,
@@ -64,7 +71,13 @@
     return err(failure('BL3010', 'the request has no Host header or no path'));
   }
   const route = findRoute(table, hostHeader, withoutQuery(url));
-  if (route === undefined) return err(failure('BL3001', `${hostHeader} ${withoutQuery(url)}`));
+  if (route === undefined) {
+    const target = `${hostHeader} ${withoutQuery(url)}`;
+    if (state.unconfirmedMs() <= documentInForceMs * confirmedFraction) {
+      return err(failure('BL3001', target));
+    }
+    return err(failure('BL2013', target, { retryAfterMs: unconfirmedRetryAfterMs }));
+  }
   const service = targetSelector.next(route);
   if (service === undefined) {
     return err(failure('BL3003', `route "${route.routeId}" has no target with a weight`));
--- a/packages/host/src/routedCalls/routedCallServer.ts
+++ b/packages/host/src/routedCalls/routedCallServer.ts
@@ -186,7 +186,8 @@
     context.metrics.count('requests_refused_total', { code });
     const requestId = String(request.headers[acceptor.callFields.attemptId]);
     const { routingVersion } = acceptor.state.position();
-    context.log.info('callRefused', { requestId, code, detail, routingVersion });
+    const unconfirmedMs = Math.round(acceptor.state.unconfirmedMs());
+    context.log.info('callRefused', { requestId, code, detail, routingVersion, unconfirmedMs });
     this.sendRefusal(response, open, problem);
   }
 
--- a/packages/host/src/routedCalls/routedCallsFeature.ts
+++ b/packages/host/src/routedCalls/routedCallsFeature.ts
@@ -57,7 +57,8 @@
     reportLeaving,
     mayTake,
   });
-  const acceptor = { context, state, targetSelector, callFields };
+  const { documentInForceMs } = routing;
+  const acceptor = { context, state, targetSelector, callFields, documentInForceMs };
   const callServer = new RoutedCallServer({
     context,
     acceptor,
@@ -88,6 +89,7 @@
     parts,
     position: () => state.position(),
     apply: applyUpdate,
+    confirm: (atMs) => state.confirm(atMs),
   });
   const followerStopped = follower.run().catch((error: unknown) => {
     context.log.error('routingFollowerDefect', { detail: String(error) });
--- a/packages/host/src/routing/routingFollower.spec.ts
+++ b/packages/host/src/routing/routingFollower.spec.ts
@@ -61,6 +61,7 @@
       versions.push(position.routingVersion);
       if (isLast(position.routingVersion)) follower.stop();
     },
+    confirm: () => undefined,
   });
   return follower;
 }
--- a/packages/host/src/routing/routingFollower.ts
+++ b/packages/host/src/routing/routingFollower.ts
@@ -50,6 +50,8 @@
   };
   readonly position: () => RoutingPosition;
   readonly apply: (update: RoutingUpdate) => void;
+  /** Called with the monotonic time before which everything committed has been applied. */
+  readonly confirm: (atMs: number) => void;
 }
 
 /** Polls the nearest control host that answers, and returns to a nearer one after a while. */
@@ -88,6 +90,7 @@
       await delay(allFailedPauseMs);
       return;
     }
+    const sentAtMs = context.clock.nowMs();
     const answer = await this.pollSource(source, this.timeoutMs(sources.length));
     if (this.isStopped) return;
     if (answer.isErr()) {
@@ -107,6 +110,7 @@
       await this.pauseAfter(Math.min(sources.length, leaderlessPollsBeforePause));
       return;
     }
+    this.dependencies.confirm(sentAtMs - silentMs);
     this.consecutiveFailures = 0;
     if (this.currentSource === source) return;
     this.currentSource = source;
--- a/packages/host/src/routing/routingState.ts
+++ b/packages/host/src/routing/routingState.ts
@@ -23,8 +23,25 @@
   /** Monotonic time of this host minus the wall time of the control host that answered last. */
   private clockOffsetMs = 0;
 
+  /** All that was committed before this monotonic time is held. */
+  private confirmedAtMs = Number.NEGATIVE_INFINITY;
+
   constructor(private readonly clock: Pick<Clock, 'nowMs'>) {}
 
+  /**
+   * Records that a control host has confirmed the state held.
+   *
+   * @param atMs - monotonic time before which everything committed is held
+   */
+  confirm(atMs: number): void {
+    this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
+  }
+
+  /** Time for which the state held has not been confirmed; infinite before the first confirmation. */
+  unconfirmedMs(): number {
+    return this.clock.nowMs() - this.confirmedAtMs;
+  }
+
   position(): RoutingPosition {
     return this.held;
   }
--- a/packages/protocol/src/results/resultCodes.ts
+++ b/packages/protocol/src/results/resultCodes.ts
@@ -106,6 +106,13 @@
     meaning: 'No answer to the submission is stored.',
     action: 'Send the submission again.',
   },
+  BL2013: {
+    httpStatus: 503,
+    executionStatus: 'notRun',
+    meaning:
+      'The document of the host has no route for the call, and a newer one may have it: no control host has confirmed the document lately.',
+    action: 'Try again, or another host.',
+  },
 
   BL3001: {
     httpStatus: 404,
--- a/packages/protocol/src/settings/settingsSchema.ts
+++ b/packages/protocol/src/settings/settingsSchema.ts
@@ -174,6 +174,13 @@
     .positive()
     .default(2000)
     .describe('Time for which a look-up may be cached.'),
+  documentInForceMs: z
+    .number()
+    .positive()
+    .default(2500)
+    .describe(
+      'Time within which an accepted document is in force on each host. A host that could not confirm its document for so long refuses a call without a route as temporary.',
+    ),
   retryPermille: z
     .number()
     .min(0)
