fix(calls): a caller that leaves within its upload ends no call of another

Callers saw: the entry process ended and cut all calls it held when one caller left within a body of more than 64 KiB, or 5 s after such a body had been refused early. Cause: the error of a streamed body had no listener. Change: the exchange ends with the failure of the body and closes the connection to the backend server. Why it works: each end of a streamed body is handled where the stream is used.

--- a/packages/host/src/routedCalls/backendExchange.ts
+++ b/packages/host/src/routedCalls/backendExchange.ts
@@ -2,8 +2,10 @@
 import type { Readable } from 'node:stream';
 
 import type { Endpoint } from '@buckthornlug/protocol/common/primitives.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import type { CallSignal } from '@buckthornlug/protocol/steering/callSignal.js';
 
+import { BodyError } from '../calls/bodyError.js';
 import { AnswerBuffer } from './answerBuffer.js';
 import type { BackendAgent } from './backendConnections.js';
 
@@ -67,6 +69,8 @@
     }
   /** The request was sent, but no complete answer was received. */
   | { readonly end: 'broken'; readonly problem: string }
+  /** The caller did not send the whole body of the request. */
+  | { readonly end: 'bodyFailed'; readonly failure: Failure }
   /** This host aborted the exchange. */
   | { readonly end: 'aborted'; readonly wasSent: boolean };
 
@@ -148,7 +152,19 @@
     });
     plan.signal.addEventListener('abort', this.onAbort);
     if (plan.body === null || Buffer.isBuffer(plan.body)) this.request.end(plan.body ?? undefined);
-    else plan.body.pipe(this.request);
+    else this.sendStream(plan.body);
+  }
+
+  /** The body ends with an error if the caller leaves within it, sends too much or pauses for too long. */
+  private sendStream(body: Readable): void {
+    body.on('error', (error) => {
+      const problem = error instanceof BodyError ? error.failure : failure('BL3019', error.message);
+      this.finish({ end: 'bodyFailed', failure: problem });
+      // The backend server must not take other bytes for the rest of this body.
+      this.request.destroy();
+    });
+    this.request.once('close', () => body.destroy());
+    body.pipe(this.request);
   }
 
   private readonly onAbort = (): void => {
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -93,7 +93,7 @@
   result: ExchangeResult,
   callFields: CallFields,
 ): ExchangeOutcome['end'] | undefined {
-  if (result.end === 'notSent') return undefined;
+  if (result.end === 'notSent' || result.end === 'bodyFailed') return undefined;
   if (result.end === 'broken') return 'failed';
   if (result.end === 'aborted') {
     return result.wasSent && !call.hasCallerLeft() ? 'timedOut' : undefined;
@@ -327,6 +327,10 @@
       });
       return { end: 'notRun', failure: problem, hasArrived: false };
     }
+    if (result.end === 'bodyFailed') {
+      const hangUp = failure('BL3017', 'the caller hung up');
+      return { end: 'givenUp', failure: call.hasCallerLeft() ? hangUp : result.failure };
+    }
     if (result.end === 'broken') {
       return { end: 'unknown', failure: failure('BL3006', `"${backendId}": ${result.problem}`) };
     }
--- /dev/null
+++ b/packages/testkit/src/routing/uploads.spec.ts
@@ -0,0 +1,89 @@
+import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import test from 'ava';
+
+import { openRaw } from '../calls/rawConnection.js';
+import { timeUntil } from '../time/timeUntil.js';
+import {
+  routedDocument,
+  startRoutedFleet,
+  type FakeAnswer,
+  type RegisteredFake,
+  type RoutedFleet,
+} from './routedFleet.js';
+
+/**
+ * Bodies of more than 64 KiB, which are streamed to the backend server. Guards against a caller that leaves within
+ * its upload and ends the process with the calls of others. An error that nobody handles fails the whole file.
+ */
+
+const bodyBytes = 300_000;
+const maxBodyBytes = 1_000_000;
+const settleMs = 500;
+const longMs = 1500;
+
+let fleet: RoutedFleet;
+let backend: RegisteredFake;
+/** Bytes of bodies that the backend server has received, by request ID. */
+let receivedBytes: Map<string, number>;
+
+function answerTo(incoming: IncomingMessage): FakeAnswer {
+  const id = String(incoming.headers['x-request-id']);
+  incoming.on('error', () => undefined);
+  incoming.on('data', (chunk: Buffer) => {
+    receivedBytes.set(id, (receivedBytes.get(id) ?? 0) + chunk.length);
+  });
+  if (incoming.url?.endsWith('/refused') === true) return { status: 503, notRun: true };
+  return { status: 200, delayMs: incoming.url?.endsWith('/long') === true ? longMs : 0 };
+}
+
+test.beforeEach(async () => {
+  fleet = await startRoutedFleet();
+  receivedBytes = new Map();
+  const document = routedDocument(2);
+  const limits = { ...document.limits, maxBodyBytes };
+  (await fleet.control.parts.routingCommands?.replace({ ...document, limits }))?._unsafeUnwrap();
+  backend = await fleet.addBackend('b-1', answerTo);
+  await delay(settleMs);
+});
+
+test.afterEach.always(() => fleet.stop());
+
+function open(method: string, path: string, framing: string) {
+  const connection = openRaw(fleet.entry.context.settings.listen.callers);
+  const head = [`${method} ${path} HTTP/1.1`, 'Host: one.example', 'X-Request-Id: upload', framing];
+  connection.socket.write(`${head.join('\r\n')}\r\n\r\n`);
+  return connection;
+}
+
+function writeChunk(socket: Socket, bytes: number): void {
+  socket.write(`${bytes.toString(16)}\r\n${'a'.repeat(bytes)}\r\n`);
+}
+
+test.serial('a caller that leaves within its upload ends no call of another', async (t) => {
+  const other = fleet.call('/orders/long', { 'x-request-id': 'other' }, 'POST');
+  const { socket } = open('PUT', '/orders/long', `Content-Length: ${bodyBytes}`);
+  socket.write('a'.repeat(bodyBytes / 3));
+  t.not(await timeUntil(() => receivedBytes.has('upload')), Infinity);
+  socket.destroy();
+  t.is((await other).status, 200);
+  t.not(await timeUntil(() => backend.cancelled.includes('upload')), Infinity);
+});
+
+test.serial('an upload that is refused before it is in ends no call of another', async (t) => {
+  const { socket, received } = open('PUT', '/orders/refused', `Content-Length: ${bodyBytes}`);
+  socket.write('a'.repeat(bodyBytes / 3));
+  t.regex(await received, /^HTTP\/1.1 503 /);
+  await delay(fleet.entry.context.settings.limits.idleBodyTimeoutMs + settleMs);
+  t.is((await fleet.call('/orders/1', { 'x-request-id': 'other' }, 'POST')).status, 200);
+});
+
+test.serial('a chunked body beyond the limit is refused and ends no call of another', async (t) => {
+  const other = fleet.call('/orders/long', { 'x-request-id': 'other' }, 'POST');
+  const { socket, received } = open('PUT', '/orders/1', 'Transfer-Encoding: chunked');
+  for (let sent = 0; sent <= maxBodyBytes; sent += 100_000) writeChunk(socket, 100_000);
+  t.regex(await received, /^HTTP\/1.1 400 /);
+  t.is((await other).status, 200);
+});
