fix(calls): a chunked body is framed on every method

Callers saw: a DELETE with a chunked body of more than 64 KiB ran without it, and its bytes ran as a request that nobody had sent. Cause: the body was sent on without a length or a coding; Node.js adds chunks by itself for POST, PUT and PATCH only. Change: the chunked coding is named where a body of unknown length is streamed. Why it works: each request with a body is framed, whatever its method.

--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -247,6 +247,8 @@
     if (body.form === 'whole' && body.bytes !== null) {
       sentFields.push('Content-Length', String(body.bytes.length));
     } else if (length !== undefined) sentFields.push('Content-Length', length);
+    // Node.js frames a body of unknown length by itself only for methods that usually have one.
+    else if (body.form === 'stream') sentFields.push('Transfer-Encoding', 'chunked');
     return sentFields;
   }
 
--- a/packages/testkit/src/routing/uploads.spec.ts
+++ b/packages/testkit/src/routing/uploads.spec.ts
@@ -16,7 +16,8 @@
 
 /**
  * Bodies of more than 64 KiB, which are streamed to the backend server. Guards against a caller that leaves within
- * its upload and ends the process with the calls of others. An error that nobody handles fails the whole file.
+ * its upload and ends the process with the calls of others, and against bodies that are sent on without framing and
+ * run as requests that nobody sent. An error that nobody handles fails the whole file.
  */
 
 const bodyBytes = 300_000;
@@ -87,3 +88,24 @@
   t.regex(await received, /^HTTP\/1.1 400 /);
   t.is((await other).status, 200);
 });
+
+/** Sends a chunked body and returns what the caller and the backend server have received. */
+async function uploadInChunks(method: string) {
+  const { socket, received } = open(method, '/reads/1', 'Transfer-Encoding: chunked');
+  for (let sent = 0; sent < bodyBytes; sent += 50_000) writeChunk(socket, 50_000);
+  socket.write('0\r\n\r\n');
+  await timeUntil(() => receivedBytes.get('upload') === bodyBytes, 1000);
+  socket.end();
+  const [status] = (await received).split('\r\n');
+  return { status, bodies: [...receivedBytes], requests: backend.requests.length };
+}
+
+for (const method of ['GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']) {
+  test.serial(`a chunked body of ${method} is passed on whole, in one request`, async (t) => {
+    t.deepEqual(await uploadInChunks(method), {
+      status: 'HTTP/1.1 200 OK',
+      bodies: [['upload', bodyBytes]],
+      requests: 1,
+    });
+  });
+}
