fix(membership): hosts without evidence leave the conclusion of a suspicion to others

Cause: each host that hears of a suspicion concluded by itself after 0.5 to 1.2 s, while the refutation needs as long over relays. Change: a host whose own probes do not support a suspicion concludes after three times its time only; a reported failure is still adopted after 0.5 s. Why it works: hosts with evidence probe the suspect directly, so that a refutation reaches them first; a real failure is concluded by them as fast as before, and the others adopt it.

--- a/packages/core/src/membership/memberTransitions.ts
+++ b/packages/core/src/membership/memberTransitions.ts
@@ -7,13 +7,21 @@
 import {
   departedRetentionMs,
   joinPeriodMs,
+  minSuspicionMs,
   minUnreachableHostsOfCutZone,
+  reportedSuspicionFactor,
 } from './membershipLimits.js';
 import type { MemberOutbox } from './memberOutbox.js';
 import { isParticipating, isRefutable } from './memberStamp.js';
 import type { MemberTable } from './memberTable.js';
 import type { RecordSource } from './recordMerge.js';
 
+/** Monotonic times of a suspicion. */
+interface Suspicion {
+  readonly sinceMs: number;
+  readonly endsAtMs: number;
+}
+
 /** Applies state changes to members, emits their events and gossips the changed records. */
 export class MemberTransitions {
   constructor(
@@ -28,21 +36,40 @@
   suspectLocally(entry: MemberEntry, nowMs: number): void {
     const updated = entry;
     updated.isSuspectedLocally = true;
-    if (entry.state === 'suspected') return;
-    this.markSuspected(entry, this.config.suspicionMs, nowMs);
+    this.markSuspected(entry, { sinceMs: nowMs, endsAtMs: nowMs + this.config.suspicionMs }, nowMs);
+  }
+
+  /**
+   * Suspects a host that another one suspects. This host has no evidence of its own, and the refutation may
+   * reach it later than the suspicion, so it leaves the conclusion to hosts with evidence for a while.
+   *
+   * @param remainingMs - time until the suspecting host concludes
+   */
+  suspectReported(entry: MemberEntry, remainingMs: number, nowMs: number): void {
+    const { suspicionMs } = this.config;
+    const sinceMs = nowMs + remainingMs - suspicionMs;
+    const endsAtMs = sinceMs + reportedSuspicionFactor * suspicionMs;
+    this.markSuspected(entry, { sinceMs, endsAtMs }, nowMs);
+  }
+
+  /** Suspects a host that another one reports as failed, so that it can still refute that. */
+  suspectReportedFailure(entry: MemberEntry, nowMs: number): void {
+    const endsAtMs = nowMs + minSuspicionMs;
+    const sinceMs = endsAtMs - this.config.suspicionMs;
+    this.markSuspected(entry, { sinceMs, endsAtMs }, nowMs);
   }
 
   /** Suspects a host and disseminates the suspicion; one that exists can only be shortened. */
-  markSuspected(entry: MemberEntry, remainingMs: number, nowMs: number): void {
+  private markSuspected(entry: MemberEntry, suspicion: Suspicion, nowMs: number): void {
+    const { sinceMs, endsAtMs } = suspicion;
     const updated = entry;
-    const endsAtMs = nowMs + remainingMs;
     if (entry.state === 'suspected') {
       updated.suspicionEndsAtMs = Math.min(entry.suspicionEndsAtMs, endsAtMs);
       return;
     }
     updated.state = 'suspected';
     updated.suspicionEndsAtMs = endsAtMs;
-    updated.changedAtMs = endsAtMs - this.config.suspicionMs;
+    updated.changedAtMs = sinceMs;
     this.table.changed();
     this.outbox.emitEvent('memberSuspected', entry);
     this.outbox.disseminate(entry, false, nowMs);
@@ -143,7 +170,7 @@
       this.outbox.emitEvent(entry.state === 'left' ? 'memberLeft' : 'memberFailed', entry);
       this.forward(entry, true, source, nowMs);
     }
-    if (isSuspected) this.markSuspected(entry, this.config.suspicionMs, nowMs);
+    if (isSuspected) this.suspectReported(entry, this.config.suspicionMs, nowMs);
   }
 
   /** Emits the event of a state change of a known process and forwards its record. */
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -194,10 +194,12 @@
     if (outcome.decision === 'adopt') this.transitions.adopt(record, source, nowMs);
     if (outcome.decision === 'askIdentity') this.requestRecords(from, nowMs);
     if (entry === undefined) return;
-    if (outcome.decision === 'suspect') {
+    if (outcome.decision === 'suspect' || outcome.decision === 'suspectFailure') {
       entry.refutation = record.refutation;
       this.table.changed();
-      this.transitions.markSuspected(entry, outcome.remainingMs, nowMs);
+      if (outcome.decision === 'suspectFailure') {
+        this.transitions.suspectReportedFailure(entry, nowMs);
+      } else this.transitions.suspectReported(entry, outcome.remainingMs, nowMs);
     }
     if (outcome.decision === 'fail') {
       entry.refutation = record.refutation;
--- a/packages/core/src/membership/membershipLimits.ts
+++ b/packages/core/src/membership/membershipLimits.ts
@@ -22,6 +22,8 @@
 export const maxRecordsPerSyncPage = 400;
 /** A record is sent this factor times the binary logarithm of the number of hosts. */
 export const retransmitFactor = 3;
+/** Multiple of the suspicion time after which a host without evidence of its own concludes. */
+export const reportedSuspicionFactor = 3;
 /** Minimum time to refute a reported suspicion, or a reported failure without prior suspicion. */
 export const minSuspicionMs = 500;
 /** Age above which a reported suspicion or failure is verified by a probe instead of adopted. */
--- a/packages/core/src/membership/recordMerge.ts
+++ b/packages/core/src/membership/recordMerge.ts
@@ -9,6 +9,8 @@
   | { readonly decision: 'askIdentity' }
   | { readonly decision: 'adopt' }
   | { readonly decision: 'suspect'; readonly remainingMs: number }
+  /** The host is reported as failed and was not suspected here. */
+  | { readonly decision: 'suspectFailure' }
   | { readonly decision: 'fail' }
   /** Only the versions of the control group's state that the host holds are newer. */
   | { readonly decision: 'updateVersions' }
@@ -32,7 +34,7 @@
   }
   if (record.state === 'failed') {
     if (entry.state === 'suspected') return { decision: 'fail' };
-    return { decision: 'suspect', remainingMs: minSuspicionMs };
+    return { decision: 'suspectFailure' };
   }
   return { decision: 'suspect', remainingMs: Math.max(minSuspicionMs, suspicionMs - record.ageMs) };
 }
--- a/packages/testkit/src/membership/virtualMembers.ts
+++ b/packages/testkit/src/membership/virtualMembers.ts
@@ -12,6 +12,8 @@
   lossPermille: number;
   minDelayMs: number;
   maxDelayMs: number;
+  /** Time for which a host is busy with each message that it receives or sends. */
+  messageCostMs: number;
   /** Whether messages from one host to another are dropped. */
   cut: (from: string, to: string) => boolean;
 }
@@ -28,6 +30,8 @@
   running: boolean;
   paused: boolean;
   readonly held: MemberMessage[];
+  /** Time until which the host is busy with earlier messages; its ticks are late meanwhile. */
+  busyUntilMs: number;
   incarnation: number;
 }
 
@@ -80,6 +84,7 @@
     lossPermille: 0,
     minDelayMs: 1,
     maxDelayMs: 5,
+    messageCostMs: 0,
     cut: () => false,
   };
 
@@ -87,7 +92,7 @@
 
   private readonly members = new Map<string, VirtualMember>();
 
-  private readonly deliveries = new Map<number, MemberMessage[]>();
+  private readonly deliveries = new Map<number, (() => void)[]>();
 
   constructor(
     private readonly count: number,
@@ -206,6 +211,7 @@
       running: true,
       paused: false,
       held: [],
+      busyUntilMs: this.nowMs,
       incarnation,
     });
   }
@@ -224,6 +230,7 @@
     for (const member of this.members.values()) {
       if (!member.running || member.paused) continue;
       if ((this.nowMs + member.index * 37) % tickMs !== 0) continue;
+      if (member.busyUntilMs > this.nowMs) continue;
       this.carryOut(member, member.machine.tick(this.nowMs));
     }
   }
@@ -232,7 +239,7 @@
     const due = this.deliveries.get(this.nowMs);
     if (due === undefined) return;
     this.deliveries.delete(this.nowMs);
-    for (const message of due) this.deliver(message);
+    for (const deliver of due) deliver();
   }
 
   private deliver(message: MemberMessage): void {
@@ -242,13 +249,33 @@
       member.held.push(message);
       return;
     }
+    this.keepBusy(member);
+    if (member.busyUntilMs <= this.nowMs + 1) this.receive(member, message);
+    else this.deliverAt(Math.ceil(member.busyUntilMs), () => this.receive(member, message));
+  }
+
+  private receive(member: VirtualMember, message: MemberMessage): void {
     this.carryOut(member, member.machine.receive(message, this.nowMs));
   }
 
+  private keepBusy(member: VirtualMember): void {
+    const busy = member;
+    busy.busyUntilMs = Math.max(busy.busyUntilMs, this.nowMs) + this.links.messageCostMs;
+  }
+
+  private deliverAt(atMs: number, deliver: () => void): void {
+    const due = this.deliveries.get(atMs) ?? [];
+    this.deliveries.set(atMs, due);
+    due.push(deliver);
+  }
+
   private carryOut(member: VirtualMember, effects: readonly MembershipEffect[]): void {
     const { hostId } = member.machine.ownEntry().identity;
     for (const effect of effects) {
-      if (effect.effect === 'send') this.post(hostId, effect.message);
+      if (effect.effect === 'send') {
+        this.keepBusy(member);
+        this.post(hostId, effect.message);
+      }
       if (effect.effect === 'event') {
         this.events.push({ ...effect.event, atMs: this.nowMs, noticedBy: hostId });
       }
@@ -265,8 +292,6 @@
     const { minDelayMs, maxDelayMs } = this.links;
     const delayMs = Math.max(1, Math.round(minDelayMs + this.random() * (maxDelayMs - minDelayMs)));
     const atMs = this.nowMs + delayMs;
-    const due = this.deliveries.get(atMs) ?? [];
-    this.deliveries.set(atMs, due);
-    due.push(message);
+    this.deliverAt(atMs, () => this.deliver(message));
   }
 }
