--- a/packages/core/src/consensus/consensusTypes.ts
+++ b/packages/core/src/consensus/consensusTypes.ts
@@ -1,3 +1,7 @@
+import type { ReplacementSettings } from '@buckthornlug/protocol/settings/settingsSchema.js';
+
+import type { MemberIdentity } from '../membership/membershipTypes.js';
+
 /** Types of the replicated log: durable state, messages, inputs and effects. */
 
 /** Identity of a replica, `<hostId>/<incarnation>`; the incarnation identifies its disk. */
@@ -44,24 +48,12 @@
   readonly entries: readonly LogEntry[];
 }
 
-/** Place of a host. */
-export interface ReplicaPlace {
-  readonly availabilityZone: string;
-  readonly region: string;
-}
-
 /** When replicas that do not answer leave a group without an operator. */
-export interface ReplacementOptions {
-  /** Time for which a replica answers no message before it is removed. */
-  readonly silentMs: number;
-  /** Losses that the voters bear, each by itself: hosts, or availability zones, or regions. */
-  readonly losses: {
-    readonly hosts: number;
-    readonly availabilityZones: number;
-    readonly regions: number;
-  };
+export interface ReplacementOptions extends ReplacementSettings {
   /** Place of a host; undefined if it is not known. */
-  readonly placeOf: (hostId: string) => ReplicaPlace | undefined;
+  readonly placeOf: (
+    hostId: string,
+  ) => Pick<MemberIdentity, 'availabilityZone' | 'region'> | undefined;
 }
 
 /** Timing and sizes of a group. */
--- a/packages/core/src/consensus/membership.ts
+++ b/packages/core/src/consensus/membership.ts
@@ -2,7 +2,7 @@
 import type { Members, MembershipChange, RefusalReason, ReplicaId } from './consensusTypes.js';
 import { appendAsLeader, createProgress, sendPendingEntries } from './replication.js';
 import { latestMembers, lastIndexOf } from './replicaLog.js';
-import { peersOf, type Leadership, type ReplicaState } from './replicaState.js';
+import { isMember, peersOf, type Leadership, type ReplicaState } from './replicaState.js';
 
 /** Membership changes, one at a time. */
 
@@ -38,16 +38,16 @@
   change: MembershipChange,
 ): Members | undefined {
   const { replicaId } = change;
-  const isMember = members.voters.includes(replicaId) || members.learners.includes(replicaId);
+  const isKnown = isMember(members, replicaId);
   const without = (list: readonly ReplicaId[], isDropped: (id: ReplicaId) => boolean) =>
     list.filter((id) => !isDropped(id));
   if (change.change === 'remove') {
-    if (!isMember) return undefined;
+    if (!isKnown) return undefined;
     const voters = without(members.voters, (id) => id === replicaId);
     if (voters.length === 0) return undefined;
     return { voters, learners: without(members.learners, (id) => id === replicaId) };
   }
-  if (isMember) return undefined;
+  if (isKnown) return undefined;
   const isOnSameHost = (id: ReplicaId) => hostIdOf(id) === hostIdOf(replicaId);
   const voters = without(members.voters, isOnSameHost);
   if (voters.length === 0) return undefined;
@@ -63,8 +63,7 @@
   return undefined;
 }
 
-/** Appends a change of the members and sends it. */
-export function appendMembers(state: ReplicaState, leadership: Leadership, members: Members): void {
+function appendMembers(state: ReplicaState, leadership: Leadership, members: Members): void {
   appendAsLeader(state, [{ kind: 'members', members }]);
   adoptMembers(state, latestMembers(state.log, lastIndexOf(state.log)));
   for (const id of peersOf(state)) sendPendingEntries(state, leadership, id);
--- a/packages/core/src/consensus/replacementSchedules.spec.ts
+++ b/packages/core/src/consensus/replacementSchedules.spec.ts
@@ -2,7 +2,6 @@
 import test from 'ava';
 
 import type { ConsensusEffect, ReplicaId } from './consensusTypes.js';
-import { hostIdOf } from './membership.js';
 import {
   assertInvariant,
   encodeHash,
@@ -10,6 +9,7 @@
   scheduleOptions,
   type Replica,
 } from './replicaSchedule.js';
+import { isMember } from './replicaState.js';
 
 /**
  * Hosts of a group are replaced in series by hosts with other names, beside cuts, restarts and emptied disks.
@@ -29,9 +29,6 @@
 
   private readonly lostHosts: number;
 
-  /** Hosts that were removed for good. */
-  private readonly goneHosts = new Set<string>();
-
   private addedHosts = 0;
 
   replacements = 0;
@@ -75,7 +72,6 @@
     if (runningVoters.length <= this.founderCount) return;
     if (this.lossesInForce() >= this.lostHosts) return;
     const replica = this.randomReplica();
-    this.goneHosts.add(hostIdOf(replica.id));
     this.replicas.splice(this.replicas.indexOf(replica), 1);
     this.replacements += 1;
   }
@@ -97,9 +93,8 @@
     const leader = this.findLeader();
     if (leader === undefined) return;
     for (const { id, state, isDown, pausedUntil } of this.replicas) {
-      const { voters, learners } = state.members;
-      const isMember = voters.includes(id) || learners.includes(id);
-      if (isDown || pausedUntil > this.nowMs || (isMember && state.leader !== null)) continue;
+      const isServed = isMember(state.members, id) && state.leader !== null;
+      if (isDown || pausedUntil > this.nowMs || isServed) continue;
       const change = { change: 'add', replicaId: id } as const;
       this.stepReplica(leader, { kind: 'changeMembers', change });
     }
--- a/packages/core/src/consensus/replicaChanges.ts
+++ b/packages/core/src/consensus/replicaChanges.ts
@@ -1,6 +1,12 @@
 import type { MembershipChange, Members, RefusalReason, ReplicaId } from './consensusTypes.js';
 import { hostIdOf } from './membership.js';
-import { quorumSize, type Leadership, type ReplicaState } from './replicaState.js';
+import {
+  hasAnsweredSince,
+  isMember,
+  quorumSize,
+  type Leadership,
+  type ReplicaState,
+} from './replicaState.js';
 
 /** Planning of replica changes that an operator requests. */
 
@@ -44,10 +50,7 @@
   sinceMs: number,
 ): boolean {
   const voters = state.members.voters.filter((id) => id !== removedId);
-  const answeringVoters = voters.filter((id) => {
-    if (id === state.id) return true;
-    return (leadership.progress.get(id)?.ackedSentAtMs ?? 0) >= sinceMs;
-  });
+  const answeringVoters = voters.filter((id) => hasAnsweredSince(state, leadership, id, sinceMs));
   return voters.length > 0 && answeringVoters.length >= quorumSize({ voters, learners: [] });
 }
 
@@ -87,8 +90,7 @@
   }
   const isPending = state.membersIndex > state.commitIndex;
   if (isPending || state.commitIndex < leadership.firstIndex) return { plan: 'wait' };
-  const isMember = replicaIdsOf(members).includes(replicaId);
-  if (isMember === (change.change === 'add')) return { plan: 'done' };
+  if (isMember(members, replicaId) === (change.change === 'add')) return { plan: 'done' };
   if (!isBasedOnMembers(members, baseReplicaIds)) return { plan: 'refuse', reason: 'otherBase' };
   if (change.change === 'add') {
     const hasOtherLearner = members.learners.some((id) => hostIdOf(id) !== hostIdOf(replicaId));
--- a/packages/core/src/consensus/replicaState.ts
+++ b/packages/core/src/consensus/replicaState.ts
@@ -164,6 +164,22 @@
   return state.members.voters.includes(state.id);
 }
 
+/** Whether a replica is a voter or a learner. */
+export function isMember({ voters, learners }: Members, id: ReplicaId): boolean {
+  return voters.includes(id) || learners.includes(id);
+}
+
+/** Whether a replica has acknowledged a message that the leader sent at `sinceMs` or later. */
+export function hasAnsweredSince(
+  state: ReplicaState,
+  leadership: Leadership,
+  id: ReplicaId,
+  sinceMs: number,
+): boolean {
+  if (id === state.id) return true;
+  return (leadership.progress.get(id)?.ackedSentAtMs ?? Number.NEGATIVE_INFINITY) >= sinceMs;
+}
+
 /** All voters and learners except this replica. */
 export function peersOf(state: ReplicaState): ReplicaId[] {
   return [...state.members.voters, ...state.members.learners].filter((id) => id !== state.id);
--- a/packages/core/src/consensus/silentReplicas.ts
+++ b/packages/core/src/consensus/silentReplicas.ts
@@ -1,6 +1,11 @@
 import type { Members, ReplicaId, ReplacementOptions } from './consensusTypes.js';
-import { appendMembers, changeRefusalReason, hostIdOf, membersAfterChange } from './membership.js';
-import { quorumSize, type Leadership, type ReplicaState } from './replicaState.js';
+import { changeMembers, changeRefusalReason, hostIdOf } from './membership.js';
+import {
+  hasAnsweredSince,
+  quorumSize,
+  type Leadership,
+  type ReplicaState,
+} from './replicaState.js';
 
 /**
  * Removal of replicas that no longer answer. A group that admits hosts by itself would otherwise keep the
@@ -57,12 +62,6 @@
   return state.nowMs - Math.max(progress.trackedSinceMs, progress.ackedSentAtMs);
 }
 
-function hasAnsweredLately(state: ReplicaState, leadership: Leadership, id: ReplicaId): boolean {
-  if (id === state.id) return true;
-  const { ackedSentAtMs } = leadership.progress.get(id) ?? { ackedSentAtMs: -Infinity };
-  return state.nowMs - ackedSentAtMs <= state.options.electionTimeoutMs;
-}
-
 /**
  * The replica to remove next: a learner that is silent, or the voter that has been silent longest. A voter
  * that is only cut off looks the same, so it stays while the others need its log.
@@ -78,7 +77,8 @@
   if (silentLearner !== undefined) return silentLearner;
   const silentVoters = voters.filter(isSilent);
   if (silentVoters.length === 0) return undefined;
-  const answering = voters.filter((id) => hasAnsweredLately(state, leadership, id));
+  const sinceMs = state.nowMs - state.options.electionTimeoutMs;
+  const answering = voters.filter((id) => hasAnsweredSince(state, leadership, id, sinceMs));
   if (!canSpareSilentVoter(answering, state.members, replacement)) return undefined;
   return silentVoters.reduce((longest, id) =>
     silenceMs(state, leadership, id) > silenceMs(state, leadership, longest) ? id : longest,
@@ -93,9 +93,7 @@
   if (changeRefusalReason(state) !== undefined) return;
   const replicaId = findReplicaToRemove(state, leadership, replacement);
   if (replicaId === undefined) return;
-  const members = membersAfterChange(state.members, { change: 'remove', replicaId });
-  if (members === undefined) return;
   const silentMs = silenceMs(state, leadership, replicaId);
   state.effects.push({ kind: 'silentReplicaRemoved', replicaId, silentMs });
-  appendMembers(state, leadership, members);
+  changeMembers(state, { change: 'remove', replicaId });
 }
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -197,9 +197,12 @@
     if (outcome.decision === 'suspect' || outcome.decision === 'suspectFailure') {
       entry.refutation = record.refutation;
       this.table.changed();
-      if (outcome.decision === 'suspectFailure') {
-        this.transitions.suspectReportedFailure(entry, nowMs);
-      } else this.transitions.suspectReported(entry, outcome.remainingMs, nowMs);
+    }
+    if (outcome.decision === 'suspect') {
+      this.transitions.suspectReported(entry, outcome.remainingMs, nowMs);
+    }
+    if (outcome.decision === 'suspectFailure') {
+      this.transitions.suspectReportedFailure(entry, nowMs);
     }
     if (outcome.decision === 'fail') {
       entry.refutation = record.refutation;
--- a/packages/core/src/routing/orderBases.ts
+++ b/packages/core/src/routing/orderBases.ts
@@ -4,7 +4,7 @@
  * then cannot undo a later order, wherever it was held up after it was received.
  */
 
-/** Changes of the state by key, such as an availability zone; each later change has a higher number. */
+/** Changes of the state by key at one time, such as an availability zone; each later one has a higher number. */
 export type Changes = ReadonlyMap<string, number>;
 
 /** Change number of a key that never changed. */
@@ -48,7 +48,7 @@
     const gapMs = this.hasGap(nowMs) ? nowMs - this.observedAtMs : undefined;
     if (gapMs !== undefined) this.settlesAtMs = nowMs + this.options.settleMs;
     this.observedAtMs = nowMs;
-    if (nowMs >= this.settlesAtMs) this.settledChanges = new Map(changes);
+    if (nowMs >= this.settlesAtMs) this.settledChanges = changes;
     return gapMs;
   }
 
--- a/packages/host/src/calls/callsFeature.ts
+++ b/packages/host/src/calls/callsFeature.ts
@@ -84,8 +84,8 @@
   ) => {
     if (progress !== 'serving') response.setHeader('connection', 'close');
     const accepted = accept();
-    const nowMs = context.clock.nowMs();
-    const mayTake = accepted.isErr() || mayTakeCall(stopPlan, toStoppable(accepted.value), nowMs);
+    const mayTake =
+      accepted.isErr() || mayTakeCall(stopPlan, toStoppable(accepted.value), clock.nowMs());
     if (progress === 'finishing' || !mayTake) {
       const stopping = failure('BL3016', 'the host is stopping');
       sendRefusal(
@@ -126,8 +126,8 @@
         const maxLookupTtlMs = findMaxLookupTtlMs(parts);
         const { leaveLookupMs, stopGraceMs } = settings.timing;
         const lookupsMs = maxLookupTtlMs > 0 ? maxLookupTtlMs + leavePropagationMs : 0;
-        const leavingMs = maxLookupTtlMs > 0 ? lookupsMs + leaveLookupMs : 0;
-        const nowMs = context.clock.nowMs();
+        const leavingMs = lookupsMs > 0 ? lookupsMs + leaveLookupMs : 0;
+        const nowMs = clock.nowMs();
         stopPlan = {
           callersKnowAtMs: nowMs + lookupsMs,
           endsAtMs: nowMs + leavingMs + stopGraceMs,
--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -17,7 +17,11 @@
   type RequestedChange,
 } from '@buckthornlug/core/consensus/replicaChanges.js';
 import { lastIndexOf } from '@buckthornlug/core/consensus/replicaLog.js';
-import { createReplica, type ReplicaState } from '@buckthornlug/core/consensus/replicaState.js';
+import {
+  createReplica,
+  isMember,
+  type ReplicaState,
+} from '@buckthornlug/core/consensus/replicaState.js';
 import { hostIdOf } from '@buckthornlug/core/consensus/membership.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
@@ -325,17 +329,12 @@
     return leaderSilentMs(this.state, this.parts.context.clock.nowMs());
   }
 
-  private isMember(): boolean {
-    const { voters, learners } = this.state.members;
-    return voters.includes(this.replicaId) || learners.includes(this.replicaId);
-  }
-
   isWaitingToJoin(): boolean {
-    return !this.isMember() && lastIndexOf(this.state.log) === 0;
+    return !isMember(this.state.members, this.replicaId) && lastIndexOf(this.state.log) === 0;
   }
 
   mayBeRemoved(): boolean {
-    return this.state.leader === null || !this.isMember();
+    return this.state.leader === null || !isMember(this.state.members, this.replicaId);
   }
 
   planChange(requested: RequestedChange): ChangePlan {
--- a/packages/host/src/routedCalls/acceptRoutedCall.ts
+++ b/packages/host/src/routedCalls/acceptRoutedCall.ts
@@ -52,7 +52,8 @@
  *
  * @param signal - aborted when the caller hangs up or the time limit has passed
  * @returns BL2010 before the first document, BL3010 without a Host header or path, BL3001 without a
- *   route, BL2013 without one in a document that may be outdated, or BL3003 if the route has no target with a weight
+ *   route, BL2013 without one in a document that may be outdated, or BL3003 if the route has no
+ *   target with a weight
  */
 export function acceptRoutedCall(
   { context, state, targetSelector, callFields, documentInForceMs }: AcceptorParts,
--- a/packages/protocol/src/settings/settingsSchema.ts
+++ b/packages/protocol/src/settings/settingsSchema.ts
@@ -244,5 +244,6 @@
 export type Peer = Settings['peers'][number];
 export type SecretKey = Settings['clusterKeys'][number];
 export type GroupSettings = Settings['groups'][number];
+export type ReplacementSettings = NonNullable<GroupSettings['replacement']>;
 export type RoutingSettings = NonNullable<Settings['routing']>;
 export type CallFields = RoutingSettings['callFields'];
--- a/packages/testkit/src/membership/virtualMembers.ts
+++ b/packages/testkit/src/membership/virtualMembers.ts
@@ -153,9 +153,7 @@
   resume(hostId: string): void {
     const member = this.member(hostId);
     member.paused = false;
-    for (const message of member.held.splice(0)) {
-      this.carryOut(member, member.machine.receive(message, this.nowMs));
-    }
+    for (const message of member.held.splice(0)) this.receive(member, message);
   }
 
   leave(hostId: string): void {
