--- a/packages/core/src/consensus/replacementSchedules.spec.ts
+++ b/packages/core/src/consensus/replacementSchedules.spec.ts
@@ -2,14 +2,9 @@
 import test from 'ava';
 
 import type { ConsensusEffect, ReplicaId } from './consensusTypes.js';
-import {
-  assertInvariant,
-  encodeHash,
-  Schedule,
-  scheduleOptions,
-  type Replica,
-} from './replicaSchedule.js';
+import { Schedule, scheduleOptions, type Replica } from './replicaSchedule.js';
 import { isMember } from './replicaState.js';
+import { assertInvariant, firstDisk } from './scheduleParts.js';
 
 /**
  * Hosts of a group are replaced in series by hosts with other names, beside cuts, restarts and emptied disks.
@@ -22,7 +17,6 @@
 /** Faultless rounds of 5 ms within which the members are those that run. */
 const maxSettlingRounds = 600;
 const silentMs = 250;
-const emptySnapshot = { index: 0, term: 0, members: { voters: [], learners: [] } };
 
 class ReplacementSchedule extends Schedule {
   private readonly founderCount: number;
@@ -60,9 +54,7 @@
   /** Adds a host with an empty disk. */
   private addHost(): void {
     this.addedHosts += 1;
-    const snapshot = { ...emptySnapshot, data: encodeHash(0) };
-    const disk = { hardState: { term: 0, votedFor: null }, snapshot, entries: [] };
-    this.replicas.push(this.startReplica(`added-${this.addedHosts}/1`, disk));
+    this.replicas.push(this.startReplica(`added-${this.addedHosts}/1`, firstDisk()));
   }
 
   /** Takes a host away for good once another one more than at the start votes. */
--- a/packages/core/src/consensus/replicaSchedule.ts
+++ b/packages/core/src/consensus/replicaSchedule.ts
@@ -15,6 +15,15 @@
 import { nextTickDueMs } from './nextDue.js';
 import { holdsLease, step } from './replica.js';
 import { hostIdOf } from './membership.js';
+import {
+  applyPersist,
+  assertInvariant,
+  encodeHash,
+  firstDisk,
+  hashOf,
+  keyOf,
+  seededRandom,
+} from './scheduleParts.js';
 
 /** Options of the replicas of a schedule. */
 export const scheduleOptions: ConsensusOptions = {
@@ -47,43 +56,6 @@
   readonly key: string;
 }
 
-/** Fails the schedule if a condition does not hold. */
-export function assertInvariant(condition: boolean, violation: string): void {
-  if (!condition) throw new Error(violation);
-}
-
-/** Creates a seeded generator of random numbers in [0, 1). */
-function seededRandom(seed: number): () => number {
-  let state = Math.imul(seed, 0x9e3779b1) >>> 0;
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0;
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
-  };
-}
-
-const keyOf = (entry: LogEntry): string =>
-  entry.body.kind === 'command' ? `command ${entry.body.data.join('.')}` : entry.body.kind;
-
-const hashOf = (hash: number, entry: LogEntry): number => {
-  let next = hash;
-  for (const letter of keyOf(entry)) next = (next * 31 + letter.charCodeAt(0)) % 1_000_003;
-  return next;
-};
-
-/** Encodes the hash of a state as the content of its snapshot. */
-export const encodeHash = (hash: number): Uint8Array =>
-  Uint8Array.from(String(hash), (c) => c.charCodeAt(0));
-
-function applyPersist(disk: DurableState, effect: PersistEffect): DurableState {
-  const { truncateFrom = Number.POSITIVE_INFINITY, resetLog } = effect;
-  const snapshot = effect.snapshot ?? disk.snapshot;
-  const kept = resetLog ? [] : disk.entries.filter((entry) => entry.index < truncateFrom);
-  const entries = [...kept, ...effect.entries].filter((entry) => entry.index > snapshot.index);
-  return { hardState: effect.hardState ?? disk.hardState, snapshot, entries };
-}
-
 /** Simulates a group of replicas, its network and its disks; the seed decides every action. */
 export class Schedule {
   protected readonly random: () => number;
@@ -127,11 +99,7 @@
     this.random = seededRandom(seed);
     const hosts = this.randomBelow(3) === 0 ? ['a', 'b', 'c', 'd', 'e'] : ['a', 'b', 'c'];
     const members: Members = { voters: hosts.map((host) => `${host}/1`), learners: [] };
-    const snapshot = { index: 0, term: 0, members, data: encodeHash(0) };
-    for (const id of members.voters) {
-      const disk = { hardState: { term: 0, votedFor: null }, snapshot, entries: [] };
-      this.replicas.push(this.startReplica(id, disk));
-    }
+    for (const id of members.voters) this.replicas.push(this.startReplica(id, firstDisk(members)));
     this.lossPermille = [0, 20, 100][this.randomBelow(3)] ?? 0;
   }
 
@@ -300,10 +268,7 @@
     if (this.emptiedReplicaId !== undefined && !this.isVoter(this.emptiedReplicaId)) return;
     const number = Number(replica.id.split('/')[1]) + 1;
     const id = `${hostIdOf(replica.id)}/${number}`;
-    const members = { voters: [], learners: [] };
-    const snapshot = { index: 0, term: 0, members, data: encodeHash(0) };
-    const disk = { hardState: { term: 0, votedFor: null }, snapshot, entries: [] };
-    this.replicas[this.replicas.indexOf(replica)] = this.startReplica(id, disk);
+    this.replicas[this.replicas.indexOf(replica)] = this.startReplica(id, firstDisk());
     this.emptiedReplicaId = id;
   }
 
--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -33,6 +33,7 @@
 import { createMessageOutbox } from './messageOutbox.js';
 import { PendingReads } from './pendingReads.js';
 import { PendingReplies } from './pendingReplies.js';
+import { reportEffect } from './reportEffect.js';
 import { describeReplica } from './replicaDescription.js';
 import { SnapshotTaker } from './snapshotTaker.js';
 
@@ -159,29 +160,7 @@
         this.pendingReads.end(effect.readId, effect.kind === 'readReady');
         break;
       default:
-        this.report(effect);
-    }
-  }
-
-  private report(effect: ConsensusEffect): void {
-    const { context, groupId } = this.parts;
-    if (effect.kind === 'roleChanged') {
-      const { role, term } = effect;
-      context.log.debug('roleChanged', { groupId, role, term });
-      if (role === 'leader') {
-        context.log.info('leaderElected', { groupId, term });
-        context.record({ kind: 'leaderElected', detail: { groupId, term } });
-      } else if (effect.leader === null && role === 'follower') {
-        context.record({ kind: 'leaderLost', detail: { groupId, term } });
-      }
-    } else if (effect.kind === 'silentReplicaRemoved') {
-      const { replicaId, silentMs } = effect;
-      context.log.info('silentReplicaRemoved', { groupId, replicaId, silentMs });
-    } else if (effect.kind === 'membersChanged') {
-      const voters = effect.members.voters.join(',');
-      const learners = effect.members.learners.join(',');
-      context.log.info('membersChanged', { groupId, voters, learners });
-      context.record({ kind: 'replicaAdded', detail: { groupId, voters, learners } });
+        reportEffect(this.parts, effect);
     }
   }
 
--- a/packages/host/src/routedCalls/routedCallServer.ts
+++ b/packages/host/src/routedCalls/routedCallServer.ts
@@ -12,14 +12,12 @@
 import { acceptRoutedCall, type AcceptorParts } from './acceptRoutedCall.js';
 import type { ExchangeResult } from './backendExchange.js';
 import { CallerConnections, type OpenRequest } from './callerConnections.js';
+import { immediateRetryAfterMs, stoppingFailure, type MayTakeRoutedCall } from './plannedStop.js';
 import type { RoutedCall } from './routedCallsTypes.js';
-import { stoppingFailure, type MayTakeRoutedCall, type RoutedRunner } from './routedRunner.js';
+import type { RoutedRunner } from './routedRunner.js';
 
 /** Serves routed calls on an entry host. */
 
-/** Retry delay of calls that another host, or a less busy connection, can take at once. */
-const immediateRetryAfterMs = 50;
-
 /**
  * Phase of a planned stop of the host: `leaving` still serves calls but closes their connections,
  * `finishing` refuses new calls.
--- a/packages/host/src/routedCalls/routedCallsFeature.ts
+++ b/packages/host/src/routedCalls/routedCallsFeature.ts
@@ -16,9 +16,10 @@
 import type { HostContext, RunningFeature } from '../runtime/hostTypes.js';
 import { closeServer, listen } from '../runtime/listen.js';
 import { BackendAgent } from './backendConnections.js';
+import type { MayTakeRoutedCall } from './plannedStop.js';
 import { RoutedCallServer, type StopProgress } from './routedCallServer.js';
 import { RoutedPools } from './routedPools.js';
-import { RoutedRunner, type MayTakeRoutedCall } from './routedRunner.js';
+import { RoutedRunner } from './routedRunner.js';
 
 /** Serves calls on an entry host as the routing document says. */
 
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -1,9 +1,6 @@
 import { endToEndFields, fieldValue } from '@buckthornlug/core/calls/headerFields.js';
 import { parseRetryAfterMs } from '@buckthornlug/core/calls/retryAfter.js';
-import {
-  recordExchange,
-  type ExchangeOutcome,
-} from '@buckthornlug/core/placement/exchangeFeedback.js';
+import { recordExchange } from '@buckthornlug/core/placement/exchangeFeedback.js';
 import { parseReportedLoad } from '@buckthornlug/core/placement/reportedLoad.js';
 import type { ScoredBackend } from '@buckthornlug/core/placement/placementTypes.js';
 import type { TrackedBackend } from '@buckthornlug/core/placement/trackedBackend.js';
@@ -11,7 +8,6 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import type { CallFields } from '@buckthornlug/protocol/settings/settingsSchema.js';
 
-import { CallAborted } from '../calls/callAborted.js';
 import type { RequestBody } from '../calls/requestBody.js';
 import type { LeavingBackend } from '../routing/routingPollSchema.js';
 import type { HostContext, Random } from '../runtime/hostTypes.js';
@@ -22,14 +18,14 @@
   type ExchangeResult,
   type ExchangeTimes,
 } from './backendExchange.js';
+import { claimsNotRun, classifyExchange, misdirectedStatus } from './exchangeOutcome.js';
+import { isStoppedByHost, stoppingFailure, type MayTakeRoutedCall } from './plannedStop.js';
 import type { RoutedCall } from './routedCallsTypes.js';
 import type { FinalDecision, RoutedPools, AcquiredSlot } from './routedPools.js';
 
 /** Sends a routed call to one backend server after another until it is answered or fails. */
 
-const misdirectedStatus = 421;
 const unavailableStatus = 503;
-const minErrorStatus = 500;
 /** Time limit for a new connection, without its round trips. */
 const baseConnectTimeoutMs = 250;
 /** Round trips that are added to the time limit for a new connection. */
@@ -42,17 +38,6 @@
 /** Largest random deviation of a retry delay, as a fraction of the delay. */
 const retryJitterFraction = 0.25;
 
-/** Retry delay of a call that another host can take at once. */
-const otherHostRetryAfterMs = 50;
-
-/** Whether this host may take or dispatch a call; false if it is stopping and could end before the call. */
-export type MayTakeRoutedCall = (call: Pick<RoutedCall, 'route' | 'deadlineAtMs'>) => boolean;
-
-/** Failure of a call that was not sent, since the host is stopping. */
-export function stoppingFailure(): Failure {
-  return failure('BL3016', 'the host is stopping', { retryAfterMs: otherHostRetryAfterMs });
-}
-
 /** Dependencies and limits of `RoutedRunner`. */
 export interface RunnerParts {
   readonly context: HostContext;
@@ -87,27 +72,6 @@
   /** The caller hung up or the time limit passed. */
   | { readonly end: 'givenUp'; readonly failure: Failure };
 
-/** Classifies an exchange for the health of the backend server; undefined if it says nothing. */
-function classifyExchange(
-  call: RoutedCall,
-  result: ExchangeResult,
-  callFields: CallFields,
-): ExchangeOutcome['end'] | undefined {
-  if (result.end === 'notSent' || result.end === 'bodyFailed') return undefined;
-  if (result.end === 'broken') return 'failed';
-  if (result.end === 'aborted') {
-    return result.wasSent && !call.hasCallerLeft() ? 'timedOut' : undefined;
-  }
-  const { status, fields: answerFields } = result.head;
-  if (status === misdirectedStatus || status >= minErrorStatus) return 'failed';
-  return fieldValue(answerFields, callFields.notRun) === undefined ? 'answered' : 'notRun';
-}
-
-/** Whether an answer says that the backend server did not run the call. */
-function claimsNotRun({ status, fields }: AnswerHead, callFields: CallFields): boolean {
-  return status === misdirectedStatus || fieldValue(fields, callFields.notRun) !== undefined;
-}
-
 /** Adds random jitter, so that callers do not all retry when capacity is expected. */
 function addJitter(retryAfterMs: number, random: Random): number {
   return retryAfterMs * (1 + retryJitterFraction * (2 * random() - 1));
@@ -143,10 +107,6 @@
   };
 }
 
-function isStoppedByHost({ signal }: RoutedCall): boolean {
-  return signal.reason instanceof CallAborted && signal.reason.result === 'stopping';
-}
-
 /** Builds the failure of a call that its caller or its time limit aborted before it was sent. */
 function unsentCallFailure(call: RoutedCall): Failure {
   if (call.hasCallerLeft()) return failure('BL3017', 'the caller hung up');
