--- a/packages/core/src/consensus/replicaChanges.spec.ts
+++ b/packages/core/src/consensus/replicaChanges.spec.ts
@@ -2,19 +2,9 @@
 
 import type { MembershipChange, Members } from './consensusTypes.js';
 import { planReplicaChange } from './replicaChanges.js';
+import { scheduleOptions as options } from './replicaSchedule.js';
 import { createReplica, type Progress, type ReplicaState } from './replicaState.js';
 
-const options = {
-  electionTimeoutMs: 100,
-  heartbeatMs: 20,
-  maxAppendBytes: 200,
-  maxAppendEntries: 4,
-  maxInFlightEntries: 12,
-  snapshotChunkBytes: 3,
-  retainedEntries: 2,
-  maxUncommittedEntries: 64,
-};
-
 const requestedAtMs = 800;
 const nowMs = 1000;
 
