feat(logs): event loop delay, the state behind a placement and what was sent of an aborted call

Change: callSent has the time since the call was read, the registry revision held and its age; exchangeEnded has the time to open the connection and whether an aborted call was sent; routingInForce has the age of the state it replaces; eventLoopLate and event_loop_delay_ms tell how late a process runs. No decision changes.

--- a/packages/host/src/routedCalls/routedCallsFeature.ts
+++ b/packages/host/src/routedCalls/routedCallsFeature.ts
@@ -74,9 +74,11 @@
 
   const applyUpdate = (update: Parameters<RoutingState['apply']>[0]) => {
     const previousTable = state.table;
+    const unconfirmedMs = Math.round(state.unconfirmedMs());
     if (!state.apply(update)) return;
     const { routingVersion, registryRevision, evacuationRevision } = state.position();
-    context.log.info('routingInForce', { routingVersion, registryRevision, evacuationRevision });
+    const inForce = { routingVersion, registryRevision, evacuationRevision, unconfirmedMs };
+    context.log.info('routingInForce', inForce);
     if (state.table !== previousTable && state.table !== undefined) {
       targetSelector.prune(state.table);
       server.keepAliveTimeout = state.table.limits.idleTimeoutMs;
--- a/packages/host/src/routedCalls/routedPools.ts
+++ b/packages/host/src/routedCalls/routedPools.ts
@@ -166,6 +166,15 @@
     for (const backend of this.backends.values()) backend.linkMs = this.linkMs[backend.distance];
   }
 
+  /** Revision of the registry that placements rest on, and the age of its last confirmation, as log fields. */
+  describeState(): { readonly heldRevision: number; readonly unconfirmedMs: number } {
+    const { registryRevision } = this.state.position();
+    return {
+      heldRevision: registryRevision,
+      unconfirmedMs: Math.round(this.state.unconfirmedMs()),
+    };
+  }
+
   /** Number of calls that wait for a slot. */
   waitingCalls(): number {
     return this.resolvers.size;
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -337,11 +337,18 @@
 
   private logPlacement(call: RoutedCall, placement: FinalDecision): void {
     const { requestId, service, routeId, rank, routingVersion, objectKey } = call;
-    const { log, clock, metrics } = this.parts.context;
-    const targetLeftMs = Math.round(call.targetAtMs - clock.nowMs());
+    const { pools, context } = this.parts;
+    const { log, clock, metrics } = context;
+    const nowMs = clock.nowMs();
+    const targetLeftMs = Math.round(call.targetAtMs - nowMs);
     const common = { requestId, service, routeId, rank, routingVersion, objectKey, targetLeftMs };
     if (placement.decision === 'send') {
-      log.info('callSent', { ...common, ...describeCandidate(placement.place) });
+      log.info('callSent', {
+        ...common,
+        ...describeCandidate(placement.place),
+        readMs: Math.round(nowMs - call.arrivedAtMs),
+        ...pools.describeState(),
+      });
       return;
     }
     const { reason, retryAfterMs, best } = placement;
@@ -351,7 +358,7 @@
       reason,
       retryAfterMs: Math.round(retryAfterMs),
       ...(best === undefined ? {} : describeCandidate(best)),
-      waitingCalls: this.parts.pools.waitingCalls(),
+      waitingCalls: pools.waitingCalls(),
     });
   }
 
@@ -370,9 +377,12 @@
       end: result.end,
       ...('head' in result ? { status: result.head.status } : {}),
       ...('problem' in result ? { problem: result.problem } : {}),
+      ...('wasSent' in result ? { wasSent: result.wasSent } : {}),
       isWarm,
       isNewConnection: times.isNewConnection,
+      connectMs: Math.round(times.connectMs),
       elapsedMs: Math.round(elapsedMs),
+      unconfirmedMs: this.parts.pools.describeState().unconfirmedMs,
     });
   }
 }
--- a/packages/host/src/runtime/hostRuntime.ts
+++ b/packages/host/src/runtime/hostRuntime.ts
@@ -11,6 +11,7 @@
 import { createAppRouter } from '../rpc/appRouter.js';
 import { createInternalServer } from '../rpc/internalListener.js';
 import { createTimelineRecorder } from '../timeline/timelineRecorder.js';
+import { observeEventLoopDelay } from './eventLoopDelay.js';
 import type { Feature, HostParts } from './hostParts.js';
 import type {
   Clock,
@@ -143,12 +144,13 @@
     forwardedCalls: () => parts.forwardedCalls,
     timeline: context.timeline,
   });
+  const endDelayObservation = observeEventLoopDelay(context);
   let stopped: Promise<void> | undefined;
   const host: RunningHost = {
     context,
     parts,
     stop: () => {
-      stopped ??= stopHost(host, internal);
+      stopped ??= stopHost(host, internal).finally(endDelayObservation);
       return stopped;
     },
   };
