fix(routing): polls whose answers are late stay open while the next source is asked

Cause: a poll got 500 ms beyond its wait, its answer was dropped and the next source got the same 500 ms; the limit grew only after all sources had failed. Where a round trip takes 700 ms, no source can answer in time. Change: the limit decides only when another source is asked beside it, follows the delay of the answers (as the retransmission timer of TCP does), and an answer that comes within 4 s is applied. A source whose late answer comes before any other is kept: the link is slow, not the source. The time limit test of routingFollower.spec.ts read the limit from the request; it now reads the patience from the timer, with the same figures.

--- a/packages/host/src/routedCalls/routedCallsFeature.ts
+++ b/packages/host/src/routedCalls/routedCallsFeature.ts
@@ -15,6 +15,7 @@
 import type { Feature, HostParts } from '../runtime/hostParts.js';
 import type { HostContext, RunningFeature } from '../runtime/hostTypes.js';
 import { closeServer, listen } from '../runtime/listen.js';
+import { setProcessTimer } from '../runtime/timers.js';
 import { BackendAgent } from './backendConnections.js';
 import type { MayTakeRoutedCall } from './plannedStop.js';
 import { RoutedCallServer, type StopProgress } from './routedCallServer.js';
@@ -93,6 +94,7 @@
     position: () => state.position(),
     apply: applyUpdate,
     confirm: (atMs) => state.confirm(atMs),
+    setTimer: setProcessTimer,
   });
   const followerStopped = follower.run().catch((error: unknown) => {
     context.log.error('routingFollowerDefect', { detail: String(error) });
--- a/packages/host/src/routing/routingFollower.spec.ts
+++ b/packages/host/src/routing/routingFollower.spec.ts
@@ -1,9 +1,11 @@
 import { failure } from '@buckthornlug/protocol/results/failure.js';
 import { checkSettings } from '@buckthornlug/protocol/settings/settings.js';
 import test from 'ava';
-import { errAsync, okAsync } from 'neverthrow';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 
+import { createMetrics } from '../metrics/metrics.js';
 import type { HostParts } from '../runtime/hostParts.js';
+import { setProcessTimer, type SetTimer } from '../runtime/timers.js';
 import { RoutingFollower } from './routingFollower.js';
 import type { RoutingUpdate } from './routingPollSchema.js';
 import { SourceSelector } from './sourceSelector.js';
@@ -44,12 +46,13 @@
   versions: number[],
   isLast: (version: number) => boolean,
   sources: readonly string[] = defaultSources,
+  setTimer: SetTimer = setProcessTimer,
 ): RoutingFollower {
   const follower = new RoutingFollower({
     context: {
       settings: createSettings(sources),
       clock: { nowMs, wallMs: nowMs },
-      metrics: { count: () => undefined } as never,
+      metrics: createMetrics(),
       log: { debug() {}, info() {}, warn() {}, error() {} },
     },
     parts: {
@@ -62,6 +65,7 @@
       if (isLast(position.routingVersion)) follower.stop();
     },
     confirm: () => undefined,
+    setTimer,
   });
   return follower;
 }
@@ -112,22 +116,52 @@
   t.deepEqual(await collectAppliedVersions({ c3: createUpdate(46, 20) }, 46), [46]);
 });
 
-test('the time limit of a poll grows once all sources have failed', async (t) => {
-  const limitsMs: number[] = [];
-  await collectAppliedVersions({}, 0, 0, (limitMs) => limitsMs.push(limitMs));
-  t.deepEqual(limitsMs.slice(0, 6), [1500, 500, 500, 1000, 1000, 1000]);
+/** Runs a follower whose sources answer as given; returns the times it set timers for, pauses left out. */
+async function collectPatienceMs(
+  request: AnswerPoll,
+  timers: number,
+  hasEnded: (patienceMs: number) => boolean,
+): Promise<number[]> {
+  const pauseMs = 150;
+  const patienceMs: number[] = [];
+  let stop = (): void => undefined;
+  const setTimer: SetTimer = (run, afterMs) => {
+    if (afterMs !== pauseMs) patienceMs.push(afterMs);
+    if (patienceMs.length >= timers) stop();
+    const immediate = setImmediate(() => {
+      if (afterMs === pauseMs || hasEnded(afterMs)) run();
+    });
+    return () => clearImmediate(immediate);
+  };
+  const follower = createFollower(
+    request,
+    () => 0,
+    [],
+    () => false,
+    defaultSources,
+    setTimer,
+  );
+  stop = () => follower.stop();
+  await follower.run();
+  return patienceMs;
+}
+
+test('the patience for an answer grows once all sources have failed', async (t) => {
+  const endless = new Promise<never>(() => {});
+  const neverAnswered = () => new ResultAsync(endless);
+  t.deepEqual(
+    await collectPatienceMs(neverAnswered, 6, () => true),
+    [1500, 500, 500, 1000, 1000, 1000],
+  );
 });
 
-test('answers of sources that know no leader do not lengthen the time limit of a poll', async (t) => {
-  const limitsMs: number[] = [];
-  const answers = {
-    c1: createUpdate(33, null),
-    c2: createUpdate(33, null),
-    c3: createUpdate(33, null),
-  };
-  await collectAppliedVersions(answers, 46, 0, (limitMs) => limitsMs.push(limitMs));
-  t.true(limitsMs.length > 6);
-  t.deepEqual(new Set(limitsMs.slice(1)), new Set([500]));
+test('answers of sources that know no leader do not lengthen the patience', async (t) => {
+  const patienceMs = await collectPatienceMs(
+    () => okAsync(createUpdate(33, null)),
+    20,
+    () => false,
+  );
+  t.deepEqual(new Set(patienceMs.slice(1)), new Set([500]));
 });
 
 test('while no source knows a leader, a host polls at most twenty times a second', async (t) => {
--- a/packages/host/src/routing/routingFollower.ts
+++ b/packages/host/src/routing/routingFollower.ts
@@ -1,10 +1,10 @@
-import { setTimeout as delay } from 'node:timers/promises';
-
+import { AnswerPatience } from '@buckthornlug/core/spreading/answerPatience.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import type { Result } from 'neverthrow';
 
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
+import type { SetTimer } from '../runtime/timers.js';
 import { controlHostsByDistance } from './controlSources.js';
 import { decodeRoutingUpdate } from './decodeRoutingUpdate.js';
 import { SourceSelector, type SourceProblem } from './sourceSelector.js';
@@ -13,18 +13,14 @@
 /** Keeps the routing state of an entry host up to date. */
 
 /**
- * Longest wait of a poll for changes; with the time limit it bounds how long a dead source goes
- * unnoticed. At rest each host sends one poll in that time, which costs both ends about 3 ms.
+ * Longest wait of a poll for changes; with the patience for an answer it bounds how long a dead source
+ * goes unnoticed. At rest each host sends one poll in that time, which costs both ends about 3 ms.
  */
 const pollWaitMs = 1000;
-/** Time limit for the network and the source, on top of the wait. */
-const baseAnswerTimeoutMs = 500;
-/**
- * Largest number of doublings of the time limit, one each time no source has answered. A large
- * document on a slow or congested link takes longer than the limit that detects a dead source.
- * Answers of sources that know no leader are quick and lengthen nothing.
- */
-const maxTimeoutDoublings = 3;
+/** Time on top of the wait after which a poll is aborted; until then its answer is of use. */
+const answerTimeoutMs = 4000;
+/** Largest number of doublings of the patience, one each time no source has answered. */
+const maxPatienceDoublings = 3;
 /** Longest time without leader contact of a source before another source is polled. */
 const maxLeaderSilentMs = 1000;
 /**
@@ -52,14 +48,33 @@
   readonly apply: (update: RoutingUpdate) => void;
   /** Called with the monotonic time before which everything committed has been applied. */
   readonly confirm: (atMs: number) => void;
+  readonly setTimer: SetTimer;
 }
 
-/** Polls the nearest control host that answers, and returns to a nearer one after a while. */
+/** A poll whose answer is still awaited. */
+interface OpenPoll {
+  readonly source: string;
+  readonly sentAtMs: number;
+  readonly waitMs: number;
+  /** Whether another source has been asked since. */
+  isLate: boolean;
+}
+
+/** What has to happen before the next poll is sent. */
+type PollEnd = 'answered' | 'failed' | 'late';
+
+/**
+ * Polls the nearest control host that answers, and returns to a nearer one after a while. A poll whose
+ * answer is late stays open while the next source is polled, since on a congested link every answer is
+ * late, and one that is dropped has cost its bytes for nothing.
+ */
 export class RoutingFollower {
   private isStopped = false;
 
   private readonly sourceSelector = new SourceSelector();
 
+  private readonly patience = new AnswerPatience();
+
   /** Polls since the last update of a source that knows a leader. */
   private consecutiveFailures = 0;
 
@@ -68,6 +83,12 @@
 
   private currentSource: string | undefined;
 
+  /** When the newest of the polls was sent that have been answered. */
+  private newestAnsweredAtMs = Number.NEGATIVE_INFINITY;
+
+  /** Ends the wait for the newest poll. */
+  private endWait: ((end: PollEnd) => void) | undefined;
+
   private readonly startedAtMs: number;
 
   constructor(private readonly dependencies: RoutingFollowerParts) {
@@ -80,38 +101,95 @@
 
   stop(): void {
     this.isStopped = true;
+    this.endWait?.('failed');
   }
 
   private async pollNextSource(): Promise<void> {
     const { context, parts } = this.dependencies;
     const sources = controlHostsByDistance(context.settings, parts.membership.hosts());
-    const source = this.sourceSelector.choose(sources, this.dependencies.context.clock.nowMs());
+    const source = this.sourceSelector.choose(sources, context.clock.nowMs());
     if (source === undefined) {
-      await delay(allFailedPauseMs);
+      await this.pause();
       return;
     }
+    const isSourceChange = this.currentSource !== undefined && this.currentSource !== source;
+    const waitMs = this.consecutiveFailures > 0 || isSourceChange ? 0 : pollWaitMs;
     const sentAtMs = context.clock.nowMs();
-    const answer = await this.pollSource(source, this.timeoutMs(sources.length));
-    if (this.isStopped) return;
+    const poll: OpenPoll = { source, sentAtMs, waitMs, isLate: false };
+    const patienceMs = waitMs + this.patienceMs(sources.length);
+    const end = await this.awaitPoll(poll, patienceMs);
+    if (this.isStopped || end === 'answered') return;
+    if (end === 'late') {
+      poll.isLate = true;
+      this.unansweredPolls += 1;
+      const problem = failure('BL6003', `no reply in ${Math.round(patienceMs)} ms, still awaited`);
+      this.skipSource(source, 'noAnswer', problem);
+    }
+    // Without a leader all sources answer at once, so that a pause comes earlier.
+    const isLeaderless = this.unansweredPolls === 0;
+    const failures = isLeaderless
+      ? Math.min(sources.length, leaderlessPollsBeforePause)
+      : sources.length;
+    // An earlier poll may have been answered meanwhile.
+    if (this.consecutiveFailures === 0) return;
+    if (this.consecutiveFailures % Math.max(1, failures) === 0) await this.pause();
+  }
+
+  /** Sends a poll; waits until it ends or is late. */
+  private awaitPoll(poll: OpenPoll, patienceMs: number): Promise<PollEnd> {
+    return new Promise((resolve) => {
+      const endPatience = this.dependencies.setTimer(() => resolve('late'), patienceMs);
+      const endWait = (end: PollEnd) => {
+        endPatience();
+        resolve(end);
+      };
+      this.endWait = endWait;
+      this.send(poll)
+        .then((answer) => this.receive(poll, answer))
+        .then(endWait, (error: unknown) => {
+          this.dependencies.context.log.error('routingPollDefect', { detail: String(error) });
+          endWait('failed');
+        });
+    });
+  }
+
+  /** Applies the answer of a poll, however late it comes. */
+  private receive(poll: OpenPoll, answer: Result<RoutingUpdate, Failure>): PollEnd {
+    if (this.isStopped) return 'failed';
+    const { clock, log, metrics } = this.dependencies.context;
+    const { source, sentAtMs, waitMs, isLate } = poll;
     if (answer.isErr()) {
+      metrics.count('routing_polls_total', { end: 'failed' });
+      if (isLate) return 'failed';
       this.unansweredPolls += 1;
       this.skipSource(source, 'noAnswer', answer.error);
-      await this.pauseAfter(sources.length);
-      return;
+      return 'failed';
     }
+    const elapsedMs = clock.nowMs() - sentAtMs;
+    metrics.count('routing_polls_total', { end: isLate ? 'late' : 'answered' });
+    metrics.observeMs('routing_answer_ms', Math.max(0, elapsedMs - waitMs));
+    if (isLate) log.info('routingAnswerLate', { source, waitMs, elapsedMs: Math.round(elapsedMs) });
+    this.patience.record(Math.max(0, elapsedMs - waitMs));
     this.unansweredPolls = 0;
     const update = answer.value;
     const silentMs = update.silentMs ?? Number.POSITIVE_INFINITY;
     const isConfirmed = silentMs <= maxLeaderSilentMs;
     if (isConfirmed || this.mayApplyUnconfirmed()) this.dependencies.apply(update);
     if (!isConfirmed) {
-      const problem = failure('BL5001', 'the control host knows no leader');
-      this.skipSource(source, 'noLeader', problem);
-      await this.pauseAfter(Math.min(sources.length, leaderlessPollsBeforePause));
-      return;
+      this.skipSource(source, 'noLeader', failure('BL5001', 'the control host knows no leader'));
+      return 'failed';
     }
     this.dependencies.confirm(sentAtMs - silentMs);
     this.consecutiveFailures = 0;
+    // A later poll was answered sooner, so that this source is slow rather than the link.
+    const isOutrun = sentAtMs < this.newestAnsweredAtMs;
+    this.newestAnsweredAtMs = Math.max(this.newestAnsweredAtMs, sentAtMs);
+    if (!isOutrun) this.follow(source);
+    return 'answered';
+  }
+
+  private follow(source: string): void {
+    this.sourceSelector.succeeded(source);
     if (this.currentSource === source) return;
     this.currentSource = source;
     this.dependencies.context.log.info('routingSourceChosen', { source });
@@ -131,27 +209,24 @@
     this.consecutiveFailures += 1;
   }
 
-  /** Pauses after every so many failures in a row. */
-  private async pauseAfter(failures: number): Promise<void> {
-    if (this.consecutiveFailures % Math.max(1, failures) === 0) await delay(allFailedPauseMs);
+  private pause(): Promise<void> {
+    return new Promise((resolve) => {
+      this.dependencies.setTimer(resolve, allFailedPauseMs);
+    });
   }
 
-  private timeoutMs(sourceCount: number): number {
+  private patienceMs(sourceCount: number): number {
     const failedRounds = Math.floor(this.unansweredPolls / Math.max(1, sourceCount));
-    return baseAnswerTimeoutMs * 2 ** Math.min(maxTimeoutDoublings, failedRounds);
+    const doubled = this.patience.patienceMs() * 2 ** Math.min(maxPatienceDoublings, failedRounds);
+    return Math.min(answerTimeoutMs, doubled);
   }
 
-  private async pollSource(
-    source: string,
-    timeoutMs: number,
-  ): Promise<Result<RoutingUpdate, Failure>> {
+  private async send({ source, waitMs }: OpenPoll): Promise<Result<RoutingUpdate, Failure>> {
     const position = this.dependencies.position();
-    const isSourceChange = this.currentSource !== undefined && this.currentSource !== source;
-    const waitMs = this.consecutiveFailures > 0 || isSourceChange ? 0 : pollWaitMs;
     const answer = await this.dependencies.parts.peers.request(
       source,
       (client, signal) => client.routing.poll.query({ ...position, waitMs }, { signal }),
-      waitMs + timeoutMs,
+      waitMs + answerTimeoutMs,
     );
     const { context } = this.dependencies;
     return answer.andThen((value) =>
--- a/packages/host/src/routing/sourceSelector.ts
+++ b/packages/host/src/routing/sourceSelector.ts
@@ -43,4 +43,9 @@
     this.skippedUntilMs.delete(source);
     this.skippedUntilMs.set(source, nowMs + skipMs);
   }
+
+  /** Records that a source is of use, also if its answer came late. */
+  succeeded(source: string): void {
+    this.skippedUntilMs.delete(source);
+  }
 }
