fix(calls): what ends a call is asked right before its first byte, on kept connections too

Callers saw: GONE, requests that ran for callers that had left, and DRAIN, requests that reached backend servers after their departure was known. Cause: a departure was looked at only on new connections, the caller's close and the time limit nowhere by themselves: both were left to events that a busy host delivers after the connection is open. Class: a permission that is checked when a call is queued and not when it is acted upon. Change: one question, findSendObstacle, right before the first byte on either kind of connection: the caller has left, the time is over by the clock, the host ends, the backend server is out of use. A call that ended blames no backend server. The same question before each resend.

--- a/packages/host/src/routedCalls/backendExchange.spec.ts
+++ b/packages/host/src/routedCalls/backendExchange.spec.ts
@@ -93,7 +93,7 @@
     body: null,
     connectTimeoutMs: 1000,
     signal: new AbortController().signal,
-    maySend: () => true,
+    findSendObstacle: () => undefined,
     isAnswerToRequest: ({ fields }) => fields[fields.indexOf('X-Id') + 1] === '1',
     nowMs: () => performance.now(),
     ...change,
@@ -157,7 +157,7 @@
     });
   });
   const body = Buffer.from('an order');
-  const change = { method: 'POST', body, maySend: () => false };
+  const change = { method: 'POST', body, findSendObstacle: () => 'outOfUse' as const };
   const { result } = await exchange(createPlan(portOf(server), change));
   t.is(result.end, 'notSent');
   await new Promise((resolve) => {
@@ -166,6 +166,30 @@
   t.is(receivedBytes, 0);
 });
 
+for (const obstacle of ['outOfUse', 'callEnded'] as const) {
+  test(`a request is not sent on a kept connection if ${obstacle} is found right before`, async (t) => {
+    let requests = 0;
+    const server = await startServer(t, (socket) => {
+      socket.on('data', () => {
+        requests += 1;
+        socket.write(withLength + part.repeat(3));
+      });
+    });
+    const plan = createPlan(portOf(server));
+    t.is((await exchange(plan)).result.end, 'answered');
+    const { result } = await exchange({ ...plan, findSendObstacle: () => obstacle });
+    t.deepEqual(
+      result.end === 'aborted' ? result : result.end,
+      obstacle === 'callEnded' ? { end: 'aborted', wasSent: false } : 'notSent',
+    );
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    t.is(requests, 1);
+    plan.agent.destroy();
+  });
+}
+
 /** Bytes of an answer that never ends: what comes first, and what is repeated until the caller closes. */
 interface EndlessAnswer {
   readonly title: string;
--- a/packages/host/src/routedCalls/backendExchange.ts
+++ b/packages/host/src/routedCalls/backendExchange.ts
@@ -25,6 +25,9 @@
 /** Bytes behind the head for each byte of the body; chunks of one byte take six. */
 const maxBytesPerBodyByte = 16;
 
+/** The backend server was taken out of use, or the call has ended: its caller left, or its time is over. */
+export type SendObstacle = 'outOfUse' | 'callEnded';
+
 /** A request to a backend server. */
 export interface ExchangePlan {
   readonly agent: BackendAgent;
@@ -37,8 +40,8 @@
   /** Time limit for opening a new connection; if it passes, nothing was sent. */
   readonly connectTimeoutMs: number;
   readonly signal: Pick<CallSignal, 'addEventListener' | 'removeEventListener'>;
-  /** Whether the backend server may still get the request; asked once a new connection is open. */
-  readonly maySend: () => boolean;
+  /** Why the request may not be sent any more; asked right before its first byte, on each connection. */
+  readonly findSendObstacle: () => SendObstacle | undefined;
   /**
    * Whether an answer belongs to the request. On a connection that has carried other requests it may be one
    * of their answers, written again.
@@ -120,7 +123,7 @@
     this.request.setNoDelay(true);
     this.request.on('socket', (socket) => {
       if (!socket.connecting) {
-        this.isConnected = true;
+        this.beginToSend();
         return;
       }
       this.connectTimer = setTimeout(
@@ -129,14 +132,8 @@
       );
       socket.once('connect', () => {
         clearTimeout(this.connectTimer);
-        if (!plan.maySend()) {
-          this.request.destroy(
-            new Error('it was taken out of use while the connection was opened'),
-          );
-          return;
-        }
-        this.isConnected = true;
         this.connectMs = plan.nowMs() - this.startedAtMs;
+        this.beginToSend();
       });
     });
     let informationalAnswers = 0;
@@ -155,6 +152,17 @@
     else this.sendStream(plan.body);
   }
 
+  /** Runs when the connection can take the request, before Node.js writes its first byte. */
+  private beginToSend(): void {
+    const obstacle = this.plan.findSendObstacle();
+    if (obstacle === undefined) {
+      this.isConnected = true;
+      return;
+    }
+    if (obstacle === 'callEnded') this.finish({ end: 'aborted', wasSent: false });
+    this.request.destroy(new Error('it was taken out of use before the request was sent'));
+  }
+
   /** The body ends with an error if the caller leaves within it, sends too much or pauses for too long. */
   private sendStream(body: Readable): void {
     body.on('error', (error) => {
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -107,6 +107,14 @@
   };
 }
 
+/**
+ * Whether nobody waits for the answer of a call any more. On a busy host the timer or the event that
+ * tells so may run later than what it should prevent.
+ */
+function hasEnded(call: RoutedCall, nowMs: number): boolean {
+  return call.signal.aborted || call.hasCallerLeft() || nowMs >= call.deadlineAtMs;
+}
+
 /** Builds the failure of a call that its caller or its time limit aborted before it was sent. */
 function unsentCallFailure(call: RoutedCall): Failure {
   if (call.hasCallerLeft()) return failure('BL3017', 'the caller hung up');
@@ -136,7 +144,7 @@
     });
     for (;;) {
       const placement = await this.parts.pools.place(call);
-      if (call.signal.aborted) {
+      if (hasEnded(call, this.parts.context.clock.nowMs())) {
         if (placement.decision === 'send') this.parts.pools.release(placement);
         return failedOutcome(unsentCallFailure(call));
       }
@@ -231,7 +239,10 @@
       body: body.form === 'whole' ? body.bytes : body.open(),
       connectTimeoutMs: baseConnectTimeoutMs + connectRoundTrips * 2 * backend.linkMs,
       signal: call.signal,
-      maySend: () => pools.isUsable(backend),
+      findSendObstacle: () => {
+        if (hasEnded(call, context.clock.nowMs())) return 'callEnded';
+        return pools.isUsable(backend) ? undefined : 'outOfUse';
+      },
       isAnswerToRequest: (head, isReusedConnection) => {
         const echoedId = fieldValue(head.fields, callFields.attemptId);
         if (echoedId !== undefined) return echoedId === call.requestId;
