fix(calls): an aborted exchange resets its connection

Cause: a closed socket still sends what the system has buffered, and a link of 2 Mbit/s held it up for 0.7 s. Change: an exchange that is aborted after it began to send resets its connection, which drops the bytes that have not left. Measured: backendExchange.spec.ts, the new test saw an orderly close before and sees ECONNRESET. What the link itself holds cannot be called back. undici, on the product's own path, closes its sockets too: open.

--- a/packages/host/src/routedCalls/backendExchange.spec.ts
+++ b/packages/host/src/routedCalls/backendExchange.spec.ts
@@ -190,6 +190,21 @@
   });
 }
 
+test('an aborted exchange resets its connection, so that bytes still queued are dropped', async (t) => {
+  const ended = new Promise<string>((resolve) => {
+    startServer(t, (socket) => {
+      socket.resume();
+      socket.once('end', () => resolve('closed'));
+      socket.once('error', (error: NodeJS.ErrnoException) => resolve(String(error.code)));
+    }).then((server) => {
+      const controller = new AbortController();
+      exchange(createPlan(portOf(server), { signal: controller.signal })).catch(t.fail);
+      setTimeout(() => controller.abort(), 100);
+    }, t.fail);
+  });
+  t.is(await ended, 'ECONNRESET');
+});
+
 /** Bytes of an answer that never ends: what comes first, and what is repeated until the caller closes. */
 interface EndlessAnswer {
   readonly title: string;
--- a/packages/host/src/routedCalls/backendExchange.ts
+++ b/packages/host/src/routedCalls/backendExchange.ts
@@ -178,6 +178,8 @@
   private readonly onAbort = (): void => {
     const wasSent = this.isConnected;
     this.finish({ end: 'aborted', wasSent });
+    // Unlike a close, a reset drops the bytes that have not left this host.
+    if (wasSent) this.request.socket?.resetAndDestroy();
     this.request.destroy();
   };
 
