--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -36,11 +36,11 @@
 import { reportEffect } from './reportEffect.js';
 import { describeReplica } from './replicaDescription.js';
 import { SnapshotTaker } from './snapshotTaker.js';
+import { storageRetryDelayMs } from './storageRetry.js';
 
 /** Task of one replica: passes inputs to its state machine and executes the effects. */
 
 const maxTicksPerHeartbeat = 3;
-const storageRetryDelayMs = 5000;
 const handOverPollIntervalMs = 10;
 
 /** State, queues and timers of one replica. */
--- /dev/null
+++ b/packages/testkit/src/control/fullDisks.spec.ts
@@ -0,0 +1,133 @@
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { createInitialState } from '@buckthornlug/host/consensus/formation.js';
+import { openGroupStorage } from '@buckthornlug/host/consensus/groupStorage.js';
+import { startGroupTask } from '@buckthornlug/host/consensus/groupTask.js';
+import type { GroupTask } from '@buckthornlug/host/consensus/groupTaskTypes.js';
+import type { GroupStorage } from '@buckthornlug/host/consensus/storageTypes.js';
+import { createMetrics } from '@buckthornlug/host/metrics/metrics.js';
+import type { HostContext } from '@buckthornlug/host/runtime/hostTypes.js';
+import { failure } from '@buckthornlug/protocol/results/failure.js';
+import test, { type ExecutionContext } from 'ava';
+import { errAsync } from 'neverthrow';
+
+import { createFleetSettings } from '../fakes/hostSettings.js';
+import { timeUntil } from '../time/timeUntil.js';
+
+/** Disks that are full for a time: what was acknowledged stays, and changes are taken again afterwards. */
+
+const timing = { electionTimeoutMs: 300, heartbeatMs: 50 };
+const hostIds = ['c1', 'c2', 'c3'];
+const commandIntervalMs = 50;
+const commandTimeoutMs = 500;
+const fullForMs = 1500;
+const pauseMs = 500;
+/** Longest time without a commit: two elections, since the disk of the next leader may fill up as well. */
+const maxCommitGapMs = 2500;
+
+async function newFolder(t: ExecutionContext): Promise<string> {
+  const folder = await mkdtemp(join(tmpdir(), 'bl-full-'));
+  t.teardown(() => rm(folder, { recursive: true }));
+  return folder;
+}
+
+function createContext(hostId: string): HostContext {
+  const settings = createFleetSettings(
+    hostIds.map((id) => ({ hostId: id, region: 'north', availabilityZone: 'north-a' })),
+    { timing },
+  ).find((one) => one.hostId === hostId);
+  const ignore = () => undefined;
+  const context: Partial<HostContext> = {
+    ...(settings === undefined ? {} : { settings }),
+    clock: { nowMs: () => performance.now(), wallMs: () => Date.now() },
+    random: Math.random,
+    log: { debug: ignore, info: ignore, warn: ignore, error: ignore },
+    record: ignore,
+    metrics: createMetrics(),
+  };
+  return context as HostContext;
+}
+
+/** A storage that refuses every write while its disk is full. */
+function fillable(storage: GroupStorage, isFull: () => boolean): GroupStorage {
+  const refused = () => errAsync(failure('BL5004', 'no space left on device'));
+  return {
+    ...storage,
+    write: (effects) => (isFull() ? refused() : storage.write(effects)),
+    rewrite: (state) => (isFull() ? refused() : storage.rewrite(state)),
+  };
+}
+
+test('disks that are full one after another never stop a group for longer than elections take', async (t) => {
+  const folder = await newFolder(t);
+  const tasks = new Map<string, GroupTask<number, number>>();
+  const fullDisks = new Set<string>();
+  const applied = new Map<string, number[]>();
+  const storages = await Promise.all(
+    hostIds.map(async (hostId) =>
+      (await openGroupStorage(join(folder, hostId), () => 'disk1'))._unsafeUnwrap(),
+    ),
+  );
+  const initial = createInitialState(hostIds.map((hostId) => `${hostId}/disk1`));
+  for (const [index, storage] of storages.entries()) {
+    const hostId = hostIds[index] ?? '';
+    (await storage.join('formation', initial))._unsafeUnwrap();
+    const commands: number[] = [];
+    applied.set(hostId, commands);
+    const task = startGroupTask<number, number>({
+      context: createContext(hostId),
+      groupId: 'control',
+      machine: {
+        apply: (command) => commands.push(command),
+        snapshot: () => [...commands],
+        restore: (snapshot) => commands.splice(0, commands.length, ...(snapshot as number[])),
+      },
+      storage: fillable(storage, () => fullDisks.has(hostId)),
+      sendBatch: async (to, messages) => {
+        const replies = (await tasks.get(to)?.exchange(hostId, messages)) ?? [];
+        tasks.get(hostId)?.deliver(replies);
+      },
+      sendHeartbeats: () => false,
+    });
+    tasks.set(hostId, task);
+  }
+  const leader = () => [...tasks.values()].find((task) => task.isLeader());
+  t.not(await timeUntil(() => leader() !== undefined), Infinity);
+
+  const acknowledged: number[] = [];
+  let lastCommitAtMs = performance.now();
+  let longestGapMs = 0;
+  let isProposing = true;
+  const propose = async () => {
+    for (let command = 1; isProposing; command += 1) {
+      const result = await leader()?.propose(command, commandTimeoutMs);
+      if (result?.isOk() === true) {
+        acknowledged.push(command);
+        longestGapMs = Math.max(longestGapMs, performance.now() - lastCommitAtMs);
+        lastCommitAtMs = performance.now();
+      }
+      await delay(commandIntervalMs);
+    }
+  };
+  const proposing = propose();
+  for (const hostId of [...hostIds, ...hostIds]) {
+    fullDisks.add(hostId);
+    await delay(fullForMs);
+    fullDisks.delete(hostId);
+    await delay(pauseMs);
+  }
+  isProposing = false;
+  await proposing;
+  longestGapMs = Math.max(longestGapMs, performance.now() - lastCommitAtMs);
+  t.true(longestGapMs <= maxCommitGapMs, `no commit for ${Math.round(longestGapMs)} ms`);
+  const holdsAll = () =>
+    [...applied.values()].every((commands) => {
+      const held = new Set(commands);
+      return acknowledged.every((command) => held.has(command));
+    });
+  t.not(await timeUntil(holdsAll), Infinity);
+  for (const task of tasks.values()) await task.stop();
+});
