fix(consensus): a replica whose folder cannot be written at the start opens it again

Callers saw (a report of operators): long after the last disk had room again, changes were refused or unanswered, while all processes ran. Cause: a host that started while its disk was full reported the fault once and never opened the folder again, so its replica was missing until the next restart. A few such hosts cost the group its quorum. Change: a folder that cannot be written (BL5004) is opened again every 250 ms; a damaged one (BL5003) still is not. Looked at besides: a leader whose disk is full ignores its inputs and sends no heartbeats, so that another is elected (same test); the stored document is written again only with the next change, which a restart makes up for by polling other hosts first.

--- a/packages/host/src/consensus/memberReplica.ts
+++ b/packages/host/src/consensus/memberReplica.ts
@@ -22,6 +22,7 @@
 import type { GroupTask } from './groupTaskTypes.js';
 import type { HeartbeatLink } from './heartbeatLink.js';
 import { JoinRequester } from './joinRequester.js';
+import { storageRetryDelayMs } from './storageRetry.js';
 import type { GroupStorage } from './storageTypes.js';
 
 /** Replica of a group on this host: opens its folder, forms or joins the group, runs its task. */
@@ -87,25 +88,48 @@
     });
   }
 
-  /** Opens the folder, then starts the task or the attempts to form or join the group. */
+  /**
+   * Opens the folder, then starts the task or the attempts to form or join the group. A folder that cannot
+   * be written, as on a full disk, is opened again later; one that is damaged is not.
+   */
   async start(): Promise<void> {
-    const { dataFolder, groupId, context } = this.parts;
+    const { dataFolder, groupId } = this.parts;
     const folder = groupFolderPath(dataFolder, groupId);
     const opened = await openGroupStorage(folder, () => randomUUID().slice(0, 8));
     if (opened.isErr()) {
-      this.problem = opened.error;
-      const { code, detail } = opened.error;
-      context.log.error('storageFault', { groupId, code, detail });
-      context.record({ kind: 'storageFault', code, detail: { groupId, detail } });
+      this.reportStorageFault(opened.error);
+      if (opened.error.code === 'BL5004') this.restartLater();
       return;
     }
+    if (this.isStopped) {
+      await opened.value.close();
+      return;
+    }
+    this.problem = undefined;
     this.storage = opened.value;
     const { cutBytes, identity } = opened.value.stored();
-    if (cutBytes > 0) context.log.warn('tornWriteCut', { groupId, cutBytes });
+    if (cutBytes > 0) this.parts.context.log.warn('tornWriteCut', { groupId, cutBytes });
     if (identity.formationId === undefined) this.pollFormation();
     else this.startTask(opened.value);
   }
 
+  private restartLater(): void {
+    if (this.isStopped) return;
+    this.pollTimer = setTimeout(() => {
+      this.formationAttempt = this.start();
+    }, storageRetryDelayMs);
+  }
+
+  private reportStorageFault(problem: Failure): void {
+    const { groupId, context } = this.parts;
+    const isKnown = this.problem?.code === problem.code;
+    this.problem = problem;
+    if (isKnown) return;
+    const { code, detail } = problem;
+    context.log.error('storageFault', { groupId, code, detail });
+    context.record({ kind: 'storageFault', code, detail: { groupId, detail } });
+  }
+
   private replicaId(storage: GroupStorage): string {
     return `${this.parts.context.settings.hostId}/${storage.stored().identity.incarnation}`;
   }
--- a/packages/testkit/src/control/fullDisks.spec.ts
+++ b/packages/testkit/src/control/fullDisks.spec.ts
@@ -1,4 +1,4 @@
-import { mkdtemp, rm } from 'node:fs/promises';
+import { mkdir, mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -8,9 +8,12 @@
 import { startGroupTask } from '@buckthornlug/host/consensus/groupTask.js';
 import type { GroupTask } from '@buckthornlug/host/consensus/groupTaskTypes.js';
 import type { GroupStorage } from '@buckthornlug/host/consensus/storageTypes.js';
+import { routedFeatures } from '@buckthornlug/host/features.js';
 import { createMetrics } from '@buckthornlug/host/metrics/metrics.js';
 import type { HostContext } from '@buckthornlug/host/runtime/hostTypes.js';
+import { startHost } from '@buckthornlug/host/runtime/hostRuntime.js';
 import { failure } from '@buckthornlug/protocol/results/failure.js';
+import { routingSettingsSchema } from '@buckthornlug/protocol/settings/settingsSchema.js';
 import test, { type ExecutionContext } from 'ava';
 import { errAsync } from 'neverthrow';
 
@@ -131,3 +134,26 @@
   t.not(await timeUntil(holdsAll), Infinity);
   for (const task of tasks.values()) await task.stop();
 });
+
+test('a host that starts on a full disk joins its group once the disk has room', async (t) => {
+  const folder = await newFolder(t);
+  const place = { region: 'north', availabilityZone: 'north-a' };
+  const [settings] = createFleetSettings([{ hostId: 'c1', ...place, roles: ['control'] }], {
+    dataFolder: folder,
+    timing,
+    groups: [{ id: 'control', members: ['c1'], admitsControlHosts: true }],
+  });
+  if (settings === undefined) throw new Error('the settings are missing');
+  // A file where the folder belongs refuses every write below it.
+  const blockedPath = join(folder, 'c1', 'groups');
+  await mkdir(join(folder, 'c1'));
+  await writeFile(blockedPath, '');
+  const routing = routingSettingsSchema.parse({ regionOfZone: { 'north-a': 'north' } });
+  const started = await startHost({ ...settings, routing }, { features: routedFeatures });
+  const host = started._unsafeUnwrap();
+  await delay(200);
+  t.false(host.parts.control?.isLeader() ?? false);
+  await rm(blockedPath);
+  t.not(await timeUntil(() => host.parts.control?.isLeader() ?? false), Infinity);
+  await host.stop();
+});
