test(calls): answers that break off within their head, through the whole host

A report of operators: a worker stopped in the middle of its answer's head, and clients got a 200 framed as whole.

--- a/packages/testkit/src/fakes/backendAnswers.ts
+++ b/packages/testkit/src/fakes/backendAnswers.ts
@@ -58,6 +58,9 @@
     case 'breaksBeforeHead':
       response.socket?.destroy();
       return;
+    case 'breaksInHead':
+      response.socket?.end('HTTP/1.1 200 OK\r\ncontent-le');
+      return;
     case 'cutsLength':
       response.writeHead(200, { ...type, 'content-length': body.length });
       await flushed(response, half);
--- a/packages/testkit/src/fakes/fakeBackendTypes.ts
+++ b/packages/testkit/src/fakes/fakeBackendTypes.ts
@@ -24,6 +24,7 @@
   'none',
   'hangs',
   'breaksBeforeHead',
+  'breaksInHead',
   'cutsLength',
   'cutsChunked',
   'openEnded',
--- a/packages/testkit/src/slots/brokenOff.spec.ts
+++ b/packages/testkit/src/slots/brokenOff.spec.ts
@@ -37,6 +37,12 @@
     endedBy: 'backendServer',
     expected: 'BL3006',
   },
+  {
+    how: 'the connection ends inside the head',
+    fault: 'breaksInHead',
+    endedBy: 'backendServer',
+    expected: 'BL3006',
+  },
   {
     how: 'the connection breaks inside the answer',
     fault: 'cutsLength',
