fix(documents): late answers to polls of the document are applied as well

Where every answer takes longer than the time limit of a request, each poll failed, whichever host was asked, for ever: no document or shift step arrives, and the host takes itself for cut off from the control group. Change: the patience follows the answers (AnswerPatience), a late answer is applied, and contact with the control group is reckoned from when the source answered rather than from when the answer came. The stand-in of that spec now obeys the time limit it is given, as the real client does.

--- a/packages/core/src/spreading/answerPatience.ts
+++ b/packages/core/src/spreading/answerPatience.ts
@@ -3,7 +3,7 @@
  * source takes longer; a fixed limit would then take all of them for dead, one after another.
  */
 
-const minPatienceMs = 500;
+const defaultMinPatienceMs = 500;
 const maxPatienceMs = 1500;
 /** Weights of the newest answer in the moving averages, as for the retransmission timer of TCP. */
 const delayWeight = 0.125;
@@ -16,6 +16,9 @@
 
   private deviationMs = 0;
 
+  /** @param minPatienceMs - patience with answers that come at once */
+  constructor(private readonly minPatienceMs = defaultMinPatienceMs) {}
+
   /**
    * Records an answer, also one that came late.
    *
@@ -35,6 +38,6 @@
   /** Time beyond the wait of a poll after which its answer counts as late. */
   patienceMs(): number {
     const expectedMs = (this.meanMs ?? 0) + deviationFactor * this.deviationMs;
-    return Math.min(maxPatienceMs, Math.max(minPatienceMs, expectedMs));
+    return Math.max(this.minPatienceMs, Math.min(maxPatienceMs, expectedMs));
   }
 }
--- a/packages/host/src/documents/documentsTask.spec.ts
+++ b/packages/host/src/documents/documentsTask.spec.ts
@@ -3,7 +3,8 @@
 import { ControlCopy } from '@buckthornlug/core/spreading/controlCopy.js';
 import { ShiftTable } from '@buckthornlug/core/shifts/shiftTable.js';
 import test from 'ava';
-import { okAsync } from 'neverthrow';
+import { failure } from '@buckthornlug/protocol/results/failure.js';
+import { ResultAsync } from 'neverthrow';
 
 import { createDocumentHolder } from '../runtime/documentHolder.js';
 import type { HostParts } from '../runtime/hostParts.js';
@@ -31,7 +32,11 @@
     shiftSteps: [],
   };
 
-  constructor() {
+  /**
+   * @param answerDelayMs - time that an answer takes beyond the wait for a change
+   * @param rpcTimeoutMs - time limit of requests between hosts
+   */
+  constructor(answerDelayMs = 0, rpcTimeoutMs = 1000) {
     const ignore = () => undefined;
     const self = { hostId: 'poller', incarnation: 7, state: 'alive', documentVersion: 0 };
     const sourceHost = { ...self, hostId: 'source', availabilityZone: 'z', region: 'r', roles: [] };
@@ -43,7 +48,7 @@
         roles: ['entry'],
         groups: [],
         peers: [],
-        timing: { documentPollMs: pollMs, rpcTimeoutMs: 1000 },
+        timing: { documentPollMs: pollMs, rpcTimeoutMs },
       },
       clock: { nowMs: () => performance.now(), wallMs: () => Date.now() },
       random: () => 0.5,
@@ -55,7 +60,8 @@
       this.polls.push(poll);
       const { update } = this;
       this.update = null;
-      if (update === null) await delay(pollMs);
+      if (update === null) await delay(answerDelayMs > 0 ? poll.waitMs : pollMs);
+      await delay(answerDelayMs);
       return { update, silentMs: 0 };
     };
     const parts = {
@@ -63,8 +69,19 @@
       shiftSteps: { table: new ShiftTable(), changed: ignore },
       membership: { self: () => self, hosts: () => [sourceHost], find: () => sourceHost },
       peers: {
-        request: (_hostId: string, send: (client: unknown, signal: unknown) => Promise<unknown>) =>
-          okAsync(undefined).map(() => send({ documents: { poll: { mutate } } }, undefined)),
+        request: (
+          _hostId: string,
+          send: (client: unknown, signal: unknown) => Promise<unknown>,
+          timeoutMs: number,
+        ) => {
+          const timedOut = delay(timeoutMs, undefined, { ref: false }).then(() => {
+            throw new Error(`no reply in ${timeoutMs} ms`);
+          });
+          const reply = send({ documents: { poll: { mutate } } }, undefined);
+          return ResultAsync.fromPromise(Promise.race([reply, timedOut]), (error) =>
+            failure('BL6003', String(error)),
+          );
+        },
       },
     };
     this.task = new DocumentsTask(
@@ -114,3 +131,14 @@
   pollingHost.task.stop();
   await running;
 });
+
+test('answers that all take longer than the time limit of a request keep a host in contact', async (t) => {
+  const answerDelayMs = 200;
+  const pollingHost = new PollingHost(answerDelayMs, 100);
+  const running = pollingHost.task.run();
+  await delay(6000);
+  const silentMs = pollingHost.task.controlSilentMs();
+  pollingHost.task.stop();
+  await running;
+  t.true(silentMs < 4000, `${silentMs} ms without contact`);
+});
--- a/packages/host/src/documents/documentsTask.ts
+++ b/packages/host/src/documents/documentsTask.ts
@@ -15,6 +15,7 @@
 import { findConfiguredMembers } from '../consensus/groupMembers.js';
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext, HostRecord } from '../runtime/hostTypes.js';
+import { setProcessTimer } from '../runtime/timers.js';
 import { DocumentInstaller } from './documentInstaller.js';
 import {
   pollReplySchema,
@@ -78,10 +79,14 @@
     this.poller = new UpdatePoller({
       sources: () => sources.list(),
       have: () => this.copy.versions(),
-      pollHost: (hostId, have, waitMs) => this.pollHost(hostId, have, waitMs),
+      pollHost: (hostId, have, waitMs, timeLimitMs) =>
+        this.pollHost(hostId, have, waitMs, timeLimitMs),
       apply: (update, source) => this.apply(update, source),
       whenInstalled: () => this.installer.whenInstalled(),
       retryDelayMs: () => context.settings.timing.documentPollMs * (0.5 + context.random()),
+      minPatienceMs: context.settings.timing.rpcTimeoutMs,
+      nowMs: context.clock.nowMs,
+      setTimer: setProcessTimer,
     });
   }
 
@@ -187,16 +192,23 @@
     });
   }
 
-  private async pollHost(hostId: string, have: ControlVersions, waitMs: number) {
-    const timeoutMs = waitMs + this.context.settings.timing.rpcTimeoutMs;
+  private async pollHost(
+    hostId: string,
+    have: ControlVersions,
+    waitMs: number,
+    timeLimitMs = this.context.settings.timing.rpcTimeoutMs,
+  ) {
+    const { nowMs } = this.context.clock;
+    const sentAtMs = nowMs();
     const answer = await this.parts.peers.request(
       hostId,
       (client, signal) =>
         client.documents.poll.mutate({ have, held: this.held(), waitMs }, { signal }),
-      timeoutMs,
+      waitMs + timeLimitMs,
     );
     return answer.andThen(parsePollReply).map(({ update, silentMs }) => {
-      this.contact.heard(silentMs, this.context.clock.nowMs());
+      const onTheWayMs = Math.max(0, nowMs() - sentAtMs - waitMs);
+      this.contact.heard(silentMs + onTheWayMs, nowMs());
       return update;
     });
   }
--- a/packages/host/src/documents/updatePoller.ts
+++ b/packages/host/src/documents/updatePoller.ts
@@ -2,11 +2,16 @@
   ControlUpdate,
   ControlVersions,
 } from '@buckthornlug/core/spreading/spreadingTypes.js';
+import { AnswerPatience } from '@buckthornlug/core/spreading/answerPatience.js';
 import type { Failure } from '@buckthornlug/protocol/results/failure.js';
 import type { Result } from 'neverthrow';
 
+import type { SetTimer } from '../runtime/timers.js';
+
 /** Longest time for which a source holds back the reply to a poll until there is a change. */
 const pollWaitMs = 2000;
+/** Time on top of the wait after which a poll is aborted; until then its answer is of use. */
+const answerTimeoutMs = 4000;
 /** Sources that a host without a document polls at the same time. */
 const initialSourceCount = 5;
 
@@ -15,19 +20,30 @@
   /** Hosts to poll, the best first. */
   readonly sources: () => readonly string[];
   readonly have: () => ControlVersions;
-  /** Polls a host, which waits up to `waitMs` for a change if nothing is lacking. */
+  /**
+   * Polls a host, which waits up to `waitMs` for a change if nothing is lacking. The time limit on top of
+   * the wait is that of requests between hosts if absent.
+   */
   readonly pollHost: (
     hostId: string,
     have: ControlVersions,
     waitMs: number,
+    timeLimitMs?: number,
   ) => Promise<Result<ControlUpdate | null, Failure>>;
   readonly apply: (update: ControlUpdate, source: string) => void;
   /** Resolves when the applied updates are in force, so that the next poll confirms them. */
   readonly whenInstalled: () => Promise<void>;
   /** Pause after a source failed to answer, in milliseconds. */
   readonly retryDelayMs: () => number;
+  /** Patience with answers that come at once. */
+  readonly minPatienceMs: number;
+  readonly nowMs: () => number;
+  readonly setTimer: SetTimer;
 }
 
+/** A late answer stays awaited, while the next source is polled. */
+type Answer = Result<ControlUpdate | null, Failure> | 'late';
+
 /** Long-polls a source for what this host lacks; switches to the next source after a failure. */
 export class UpdatePoller {
   private stopped = false;
@@ -40,7 +56,11 @@
 
   private readonly fetching = new Set<string>();
 
-  constructor(private readonly parts: UpdatePollerParts) {}
+  private readonly patience: AnswerPatience;
+
+  constructor(private readonly parts: UpdatePollerParts) {
+    this.patience = new AnswerPatience(parts.minPatienceMs);
+  }
 
   async run(): Promise<void> {
     while (!this.stopped) {
@@ -104,9 +124,9 @@
       await this.pause();
       return;
     }
-    const answer = await this.parts.pollHost(source, this.parts.have(), pollWaitMs);
+    const answer = await this.awaitAnswer(source);
     if (this.stopped) return;
-    if (answer.isErr()) {
+    if (answer === 'late' || answer.isErr()) {
       this.attempt += 1;
       await this.pause();
       return;
@@ -114,6 +134,25 @@
     if (answer.value !== null) this.parts.apply(answer.value, source);
   }
 
+  private awaitAnswer(source: string): Promise<Answer> {
+    const { parts, patience } = this;
+    const sentAtMs = parts.nowMs();
+    return new Promise((resolve, reject) => {
+      let isLate = false;
+      const endPatience = parts.setTimer(() => {
+        isLate = true;
+        resolve('late');
+      }, pollWaitMs + patience.patienceMs());
+      parts.pollHost(source, parts.have(), pollWaitMs, answerTimeoutMs).then((answer) => {
+        endPatience();
+        resolve(answer);
+        if (answer.isErr()) return;
+        patience.record(Math.max(0, parts.nowMs() - sentAtMs - pollWaitMs));
+        if (isLate && !this.stopped && answer.value !== null) parts.apply(answer.value, source);
+      }, reject);
+    });
+  }
+
   private pause(): Promise<void> {
     return new Promise((resolve) => {
       const timer = setTimeout(resolve, this.parts.retryDelayMs());
