feat(placement): a host whose link is congested refuses a part of its calls, the least urgent first

Opening a connection took 2 ms at first and 200 ms at the median in second 16; requests were read 1.3 s after they were sent, and their bytes needed 0.5 to 1 s to the backend server. So calls arrived for callers that had left (GONE) and news of departures was old (DRAIN). The event loop was not late (147 ms at most), so it is the link. The refusal is 503 with a Retry-After of twice the delay, sent at once. A call that is sent again asks too.

--- a/packages/core/src/routing/routeTable.ts
+++ b/packages/core/src/routing/routeTable.ts
@@ -7,6 +7,8 @@
   readonly routesByHostName: ReadonlyMap<string, readonly Route[]>;
   readonly services: ReadonlyMap<string, RoutingInForce['services'][number]>;
   readonly limits: RoutingInForce['limits'];
+  /** Highest rank of all routes; 0 is the most urgent. */
+  readonly leastUrgentRank: number;
 }
 
 /** Compiles the routing document in force. */
@@ -22,7 +24,9 @@
     routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
   }
   const services = new Map(document.services.map((service) => [service.service, service]));
-  return { version: document.version, routesByHostName, services, limits: document.limits };
+  const { version, limits } = document;
+  const leastUrgentRank = document.routes.reduce((most, { rank }) => Math.max(most, rank), 0);
+  return { version, routesByHostName, services, limits, leastUrgentRank };
 }
 
 /**
--- a/packages/host/src/routedCalls/acceptRoutedCall.ts
+++ b/packages/host/src/routedCalls/acceptRoutedCall.ts
@@ -92,6 +92,7 @@
     route,
     routeId: route.routeId,
     routingVersion: table.version,
+    leastUrgentRank: table.leastUrgentRank,
     service,
     objectKey: route.hasAffinity ? readHeader(request, callFields.objectKey) : undefined,
     rank: route.rank,
--- /dev/null
+++ b/packages/host/src/routedCalls/congestionGate.ts
@@ -0,0 +1,52 @@
+import { LinkAdmission } from '@buckthornlug/core/placement/linkAdmission.js';
+import type { TrackedBackend } from '@buckthornlug/core/placement/trackedBackend.js';
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+
+import type { HostContext } from '../runtime/hostTypes.js';
+import type { ExchangeResult, ExchangeTimes } from './backendExchange.js';
+import { addJitter } from './retryJitter.js';
+import type { RoutedCall } from './routedCallsTypes.js';
+
+/** Refuses a part of the calls while bytes wait long for the link of this host. */
+
+/** Shortest retry delay; another host may take the call at once. */
+const minRetryAfterMs = 300;
+const fullSharePermille = 1000;
+
+/** Measures the delay of the link on the exchanges with backend servers, and admits calls by it. */
+export class CongestionGate {
+  private readonly admission = new LinkAdmission();
+
+  constructor(
+    private readonly context: Pick<HostContext, 'clock' | 'log' | 'metrics' | 'random'>,
+  ) {}
+
+  /** Records an exchange; a connection that was not opened in time shows at least that delay. */
+  recordExchange(
+    { distance }: Pick<TrackedBackend, 'distance'>,
+    { end }: Pick<ExchangeResult, 'end'>,
+    { isNewConnection, connectMs }: ExchangeTimes,
+    elapsedMs: number,
+  ): void {
+    const nowMs = this.context.clock.nowMs();
+    if (isNewConnection) this.admission.recordConnect(distance, connectMs, nowMs);
+    else if (end === 'notSent') this.admission.recordConnect(distance, elapsedMs, nowMs);
+  }
+
+  /** Decides on a call that is about to be sent, or sent again; returns why it is refused. */
+  refuse(call: RoutedCall): Failure | undefined {
+    const { clock, log, metrics, random } = this.context;
+    const { requestId, service, routeId, rank, leastUrgentRank } = call;
+    const nowMs = clock.nowMs();
+    const refusedShare = this.admission.refusedShareOf(rank, leastUrgentRank, nowMs);
+    if (refusedShare === 0 || random() >= refusedShare) return undefined;
+    const reason = 'linkCongested';
+    const linkDelayMs = Math.round(this.admission.delayMs(nowMs));
+    const refusedPermille = Math.round(refusedShare * fullSharePermille);
+    metrics.count('routed_calls_turned_away_total', { service, reason });
+    const fields = { requestId, service, routeId, rank, reason, linkDelayMs, refusedPermille };
+    log.info('callTurnedAway', fields);
+    const retryAfterMs = addJitter(Math.max(minRetryAfterMs, 2 * linkDelayMs), random);
+    return failure('BL3002', 'the link of this host is congested', { retryAfterMs });
+  }
+}
--- a/packages/host/src/routedCalls/routedCallsTypes.ts
+++ b/packages/host/src/routedCalls/routedCallsTypes.ts
@@ -11,6 +11,8 @@
   readonly response: ServerResponse;
   readonly route: Route;
   readonly routingVersion: number;
+  /** Highest rank of all routes. */
+  readonly leastUrgentRank: number;
   readonly arrivedAtMs: number;
   /** Time until which the caller waits for an answer. */
   readonly callerDeadlineAtMs: number;
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -18,10 +18,13 @@
   type ExchangeResult,
   type ExchangeTimes,
 } from './backendExchange.js';
+import { CongestionGate } from './congestionGate.js';
 import { claimsNotRun, classifyExchange, misdirectedStatus } from './exchangeOutcome.js';
 import { isStoppedByHost, stoppingFailure, type MayTakeRoutedCall } from './plannedStop.js';
+import { addJitter, retryJitterFraction } from './retryJitter.js';
 import type { RoutedCall } from './routedCallsTypes.js';
 import type { FinalDecision, RoutedPools, AcquiredSlot } from './routedPools.js';
+import { hasEnded, notRunRetryAfterMs, unsentCallFailure } from './unsentCalls.js';
 
 /** Sends a routed call to one backend server after another until it is answered or fails. */
 
@@ -32,11 +35,6 @@
 const connectRoundTrips = 3;
 /** Attempts that may fail to connect before a call fails; `maxAttempts` does not count them. */
 const maxUnsentAttempts = 4;
-/** Retry delay for a call that no backend server ran; the shortest one if none is available. */
-const notRunRetryAfterMs = 300;
-
-/** Largest random deviation of a retry delay, as a fraction of the delay. */
-const retryJitterFraction = 0.25;
 
 /** Dependencies and limits of `RoutedRunner`. */
 export interface RunnerParts {
@@ -72,11 +70,6 @@
   /** The caller hung up or the time limit passed. */
   | { readonly end: 'givenUp'; readonly failure: Failure };
 
-/** Adds random jitter, so that callers do not all retry when capacity is expected. */
-function addJitter(retryAfterMs: number, random: Random): number {
-  return retryAfterMs * (1 + retryJitterFraction * (2 * random() - 1));
-}
-
 /** Builds the failure of a call that is turned away. */
 function turnAwayFailure(
   { reason, retryAfterMs: capacityExpectedInMs }: TurnAwayDecision,
@@ -107,28 +100,15 @@
   };
 }
 
-/**
- * Whether nobody waits for the answer of a call any more. On a busy host the timer or the event that
- * tells so may run later than what it should prevent.
- */
-function hasEnded(call: RoutedCall, nowMs: number): boolean {
-  return call.signal.aborted || call.hasCallerLeft() || nowMs >= call.deadlineAtMs;
-}
-
-/** Builds the failure of a call that its caller or its time limit aborted before it was sent. */
-function unsentCallFailure(call: RoutedCall): Failure {
-  if (call.hasCallerLeft()) return failure('BL3017', 'the caller hung up');
-  if (isStoppedByHost(call)) return stoppingFailure();
-  return failure('BL3002', 'the time limit passed before the call was sent', {
-    retryAfterMs: notRunRetryAfterMs,
-  });
-}
-
 /** Runs the routed calls of an entry host. */
 export class RoutedRunner {
   private readonly retryBudgets = new Map<string, RetryBudget>();
 
-  constructor(private readonly parts: RunnerParts) {}
+  private readonly congestionGate: CongestionGate;
+
+  constructor(private readonly parts: RunnerParts) {
+    this.congestionGate = new CongestionGate(parts.context);
+  }
 
   /** Makes attempts at a call until it is answered, or may not be retried. */
   async run(call: RoutedCall, body: RequestBody): Promise<RoutedOutcome> {
@@ -142,9 +122,11 @@
       failure: firstUnknownFailure ?? problem,
       ...(backendId === undefined ? {} : { backendId }),
     });
+    const congestion = this.congestionGate.refuse(call);
+    if (congestion !== undefined) return failedOutcome(congestion);
     for (;;) {
       const placement = await this.parts.pools.place(call);
-      if (hasEnded(call, this.parts.context.clock.nowMs())) {
+      if (call.signal.aborted || call.hasCallerLeft()) {
         if (placement.decision === 'send') this.parts.pools.release(placement);
         return failedOutcome(unsentCallFailure(call));
       }
@@ -172,6 +154,7 @@
       if (
         !mayResend ||
         arrivedAttempts >= call.route.maxAttempts ||
+        this.congestionGate.refuse(call) !== undefined ||
         !this.trySpendRetry(call, arrivedAttempts)
       ) {
         return failedOutcome(outcome.failure, backendId);
@@ -253,6 +236,7 @@
     const nowMs = context.clock.nowMs();
     pools.release(slot);
     if (times.isNewConnection && times.connectMs > 0) pools.recordConnect(backend, times.connectMs);
+    this.congestionGate.recordExchange(backend, result, times, nowMs - startedAtMs);
     context.metrics.count('backend_exchanges_total', { service: call.service, end: result.end });
     if ('head' in result) this.obeyAnswer(backend, result.head, nowMs);
     const outcome = this.toAttemptOutcome(call, slot, result, nowMs);
--- /dev/null
+++ b/packages/host/src/routedCalls/unsentCalls.ts
@@ -0,0 +1,26 @@
+import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
+
+import { isStoppedByHost, stoppingFailure } from './plannedStop.js';
+import type { RoutedCall } from './routedCallsTypes.js';
+
+/** Calls that end before they are sent. */
+
+/** Retry delay for a call that no backend server ran; the shortest one if none is available. */
+export const notRunRetryAfterMs = 300;
+
+/**
+ * Whether nobody waits for the answer of a call any more. On a busy host the timer or the event that
+ * tells so may run later than what it should prevent.
+ */
+export function hasEnded(call: RoutedCall, nowMs: number): boolean {
+  return call.signal.aborted || call.hasCallerLeft() || nowMs >= call.deadlineAtMs;
+}
+
+/** Builds the failure of a call that its caller or its time limit aborted before it was sent. */
+export function unsentCallFailure(call: RoutedCall): Failure {
+  if (call.hasCallerLeft()) return failure('BL3017', 'the caller hung up');
+  if (isStoppedByHost(call)) return stoppingFailure();
+  return failure('BL3002', 'the time limit passed before the call was sent', {
+    retryAfterMs: notRunRetryAfterMs,
+  });
+}
