fix(placement): connections that were not opened, and a pause of the process, do not count as a full link

Change: only opened connections are samples, and the refused share grows by at most 0.1 at an update.

--- a/packages/core/src/placement/linkAdmission.spec.ts
+++ b/packages/core/src/placement/linkAdmission.spec.ts
@@ -92,3 +92,16 @@
   for (let atMs = 3000; atMs < 20_000; atMs += 100) admission.refusedShareOf(2, 2, atMs);
   t.is(admission.refusedShareOf(2, 2, 20_000), 0);
 });
+
+test('connections that a pause of the process made late refuse few calls, and only at once', (t) => {
+  const admission = new LinkAdmission();
+  for (let atMs = 0; atMs < 1000; atMs += 25) {
+    admission.recordConnect('zone', 2, atMs);
+    admission.refusedShareOf(2, 2, atMs);
+  }
+  for (let index = 0; index < 9; index += 1) admission.recordConnect('zone', 4000, 5000);
+  t.true(admission.refusedShareOf(2, 2, 5000) < 0.31);
+  t.is(admission.refusedShareOf(1, 2, 5000), 0);
+  for (let index = 0; index < 9; index += 1) admission.recordConnect('zone', 2, 5100);
+  t.is(admission.refusedShareOf(2, 2, 5100), 0);
+});
--- a/packages/core/src/placement/linkAdmission.ts
+++ b/packages/core/src/placement/linkAdmission.ts
@@ -16,6 +16,8 @@
 const delayGainPerS = 0.125;
 /** Change of the refused share for each second by which the delay has grown, at each update. */
 const growthGainPerS = 1.25;
+/** Largest increase of the refused share at an update; a pause of the process looks like a jump of the delay. */
+const maxIncrease = 0.1;
 /** Largest refused share of a rank, so that each rank keeps a part of the link. */
 const maxRefusedShare = 0.7;
 /** Connections that the delay is the median of; few dead or slow backend servers do not move it. */
@@ -43,7 +45,8 @@
   private refusedShare = 0;
 
   /**
-   * Records how long opening a connection took, or after which time it was given up.
+   * Records how long opening a connection took. One that was not opened says nothing: its backend server may
+   * be gone.
    *
    * @param distance - where the backend server is
    */
@@ -81,10 +84,10 @@
     const delayMs = this.delayMs(nowMs);
     const excessS = (delayMs - targetDelayMs) / msPerS;
     const growthS = (delayMs - this.previousDelayMs) / msPerS;
-    const share = this.refusedShare + delayGainPerS * excessS + growthGainPerS * growthS;
+    const increase = Math.min(maxIncrease, delayGainPerS * excessS + growthGainPerS * growthS);
     // Growth below the target is harmless; it must not refuse calls by itself.
     const isHarmless = this.refusedShare === 0 && delayMs <= targetDelayMs;
-    this.refusedShare = isHarmless ? 0 : Math.min(1, Math.max(0, share));
+    this.refusedShare = isHarmless ? 0 : Math.min(1, Math.max(0, this.refusedShare + increase));
     this.previousDelayMs = delayMs;
     this.updatedAtMs = nowMs;
   }
--- a/packages/host/src/routedCalls/congestionGate.ts
+++ b/packages/host/src/routedCalls/congestionGate.ts
@@ -3,7 +3,7 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 
 import type { HostContext } from '../runtime/hostTypes.js';
-import type { ExchangeResult, ExchangeTimes } from './backendExchange.js';
+import type { ExchangeTimes } from './backendExchange.js';
 import { addJitter } from './retryJitter.js';
 import type { RoutedCall } from './routedCallsTypes.js';
 
@@ -21,16 +21,13 @@
     private readonly context: Pick<HostContext, 'clock' | 'log' | 'metrics' | 'random'>,
   ) {}
 
-  /** Records an exchange; a connection that was not opened in time shows at least that delay. */
+  /** Records the times of an exchange. */
   recordExchange(
     { distance }: Pick<TrackedBackend, 'distance'>,
-    { end }: Pick<ExchangeResult, 'end'>,
     { isNewConnection, connectMs }: ExchangeTimes,
-    elapsedMs: number,
   ): void {
-    const nowMs = this.context.clock.nowMs();
-    if (isNewConnection) this.admission.recordConnect(distance, connectMs, nowMs);
-    else if (end === 'notSent') this.admission.recordConnect(distance, elapsedMs, nowMs);
+    if (!isNewConnection) return;
+    this.admission.recordConnect(distance, connectMs, this.context.clock.nowMs());
   }
 
   /** Decides on a call that is about to be sent, or sent again; returns why it is refused. */
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -236,7 +236,7 @@
     const nowMs = context.clock.nowMs();
     pools.release(slot);
     if (times.isNewConnection && times.connectMs > 0) pools.recordConnect(backend, times.connectMs);
-    this.congestionGate.recordExchange(backend, result, times, nowMs - startedAtMs);
+    this.congestionGate.recordExchange(backend, times);
     context.metrics.count('backend_exchanges_total', { service: call.service, end: result.end });
     if ('head' in result) this.obeyAnswer(backend, result.head, nowMs);
     const outcome = this.toAttemptOutcome(call, slot, result, nowMs);
