fix(routing): a late answer does not bring a backend server back that has left

One that names a backend server as ready whose departure is in the later answer put it into use again, for good, since departed ones are not held and nothing newer would come. Change: records up to the revision that the host holds are skipped; all of them have been applied.

--- a/packages/host/src/routing/routingState.ts
+++ b/packages/host/src/routing/routingState.ts
@@ -65,7 +65,10 @@
       this.held = { ...this.held, evacuationRevision: position.evacuationRevision };
       hasChanged = true;
     }
-    for (const record of backends) hasChanged = this.applyBackend(record) || hasChanged;
+    // An answer that comes late may name backend servers that have left since, and are held no more.
+    const { registryRevision: heldRevision } = this.held;
+    const newer = backends.filter(({ revision }) => revision > heldRevision);
+    for (const record of newer) hasChanged = this.applyBackend(record) || hasChanged;
     if (position.registryRevision > this.held.registryRevision) {
       this.held = { ...this.held, registryRevision: position.registryRevision };
     }
