refactor(testkit): backend servers of routed fleets are registered by one function

Cause: brokenHead.spec.ts wrote the report of earlierRefusal.spec.ts and of the fleet again. Change: firstReport serves all three. Tests and assertions are unchanged.

--- a/packages/testkit/src/routing/brokenHead.spec.ts
+++ b/packages/testkit/src/routing/brokenHead.spec.ts
@@ -4,7 +4,7 @@
 import test from 'ava';
 import { request } from 'undici';
 
-import { startRoutedFleet, type RoutedFleet } from './routedFleet.js';
+import { firstReport, startRoutedFleet, type RoutedFleet } from './routedFleet.js';
 
 /**
  * A backend server that stops in the middle of the head of its answer. Guards against callers that get a
@@ -48,17 +48,7 @@
   await new Promise<void>((resolve) => {
     started.listen(0, address, resolve);
   });
-  const report = {
-    backendId: 'b-1',
-    bornAtMs: Date.now(),
-    sequence: 1,
-    service: 'desk',
-    availabilityZone: 'north-a',
-    endpoint: { address, port: (started.address() as AddressInfo).port },
-    slots: 2,
-    state: 'ready' as const,
-    coldForMs: 0,
-  };
+  const report = firstReport('b-1', started.address() as AddressInfo);
   (await fleet.control.parts.reportBackend(report))._unsafeUnwrap();
   await delay(registrationMs);
 }
--- a/packages/testkit/src/routing/earlierRefusal.spec.ts
+++ b/packages/testkit/src/routing/earlierRefusal.spec.ts
@@ -3,7 +3,7 @@
 
 import test from 'ava';
 
-import { startRoutedFleet, type RoutedFleet } from './routedFleet.js';
+import { firstReport, startRoutedFleet, type RoutedFleet } from './routedFleet.js';
 
 /**
  * A backend server that writes an earlier refusal once more on a kept connection, where the answer to the next
@@ -41,18 +41,7 @@
   await new Promise<void>((resolve) => {
     server.listen(0, address, resolve);
   });
-  const { port } = server.address() as AddressInfo;
-  const report = {
-    backendId: 'b-1',
-    bornAtMs: Date.now(),
-    sequence: 1,
-    service: 'desk',
-    availabilityZone: 'north-a',
-    endpoint: { address, port },
-    slots: 2,
-    state: 'ready' as const,
-    coldForMs: 0,
-  };
+  const report = firstReport('b-1', server.address() as AddressInfo);
   (await fleet.control.parts.reportBackend(report))._unsafeUnwrap();
   await delay(registrationMs);
 }
--- a/packages/testkit/src/routing/routedFleet.ts
+++ b/packages/testkit/src/routing/routedFleet.ts
@@ -112,6 +112,21 @@
   }, partMs);
 }
 
+/** First report of a backend server that listens at an address. */
+export function firstReport(backendId: string, { address, port }: AddressInfo): BackendReport {
+  return {
+    backendId,
+    bornAtMs: Date.now(),
+    sequence: 1,
+    service: 'desk',
+    availabilityZone: 'north-a',
+    endpoint: { address, port },
+    slots: 2,
+    state: 'ready',
+    coldForMs: 0,
+  };
+}
+
 /** Waits until a condition holds; throws where it does not in time. */
 async function eventually(what: string, holds: () => boolean): Promise<void> {
   if ((await timeUntil(holds)) === Infinity) throw new Error(`${what}: not in time`);
@@ -212,17 +227,7 @@
       await new Promise<void>((resolve) => {
         server.listen(0, callers.address, resolve);
       });
-      const report: BackendReport = {
-        backendId,
-        bornAtMs: Date.now(),
-        sequence: 1,
-        service: 'desk',
-        availabilityZone: 'north-a',
-        endpoint: { address: callers.address, port: (server.address() as AddressInfo).port },
-        slots: 2,
-        state: 'ready',
-        coldForMs: 0,
-      };
+      const report = firstReport(backendId, server.address() as AddressInfo);
       (await fleet.control.parts.reportBackend(report))._unsafeUnwrap();
       return { report, requests, cancelled, server };
     },
