fix(placement): the delay of the link is known when a connection opens, not when its answer has come

Cause, found by reading the change: the sample was recorded at the end of the exchange, one to three seconds after it was taken, so that the refused share followed a delay that had passed. Change: the exchange tells when its connection is open; the one-way delays for connect time limits follow sooner too. Measured: backendExchange.spec.ts, a new connection is told before its request arrives.

--- a/packages/host/src/routedCalls/backendExchange.spec.ts
+++ b/packages/host/src/routedCalls/backendExchange.spec.ts
@@ -93,6 +93,7 @@
     body: null,
     connectTimeoutMs: 1000,
     signal: new AbortController().signal,
+    onConnected: () => undefined,
     findSendObstacle: () => undefined,
     isAnswerToRequest: ({ fields }) => fields[fields.indexOf('X-Id') + 1] === '1',
     nowMs: () => performance.now(),
@@ -166,6 +167,24 @@
   t.is(receivedBytes, 0);
 });
 
+test('a new connection is told with its time before the answer, a kept one is not', async (t) => {
+  const events: string[] = [];
+  const server = await startServer(t, (socket) => {
+    socket.on('data', () => {
+      events.push('request');
+      socket.write(withLength + part.repeat(3));
+    });
+  });
+  const onConnected = (connectMs: number) => {
+    events.push(connectMs >= 0 ? 'connected' : 'negative');
+  };
+  const plan = createPlan(portOf(server), { onConnected });
+  await exchange(plan);
+  await exchange(plan);
+  t.deepEqual(events, ['connected', 'request', 'request']);
+  plan.agent.destroy();
+});
+
 for (const obstacle of ['outOfUse', 'callEnded'] as const) {
   test(`a request is not sent on a kept connection if ${obstacle} is found right before`, async (t) => {
     let requests = 0;
--- a/packages/host/src/routedCalls/backendExchange.ts
+++ b/packages/host/src/routedCalls/backendExchange.ts
@@ -40,6 +40,8 @@
   /** Time limit for opening a new connection; if it passes, nothing was sent. */
   readonly connectTimeoutMs: number;
   readonly signal: Pick<CallSignal, 'addEventListener' | 'removeEventListener'>;
+  /** Called when a new connection is open, with the time that it took. */
+  readonly onConnected: (connectMs: number) => void;
   /** Why the request may not be sent any more; asked right before its first byte, on each connection. */
   readonly findSendObstacle: () => SendObstacle | undefined;
   /**
@@ -133,6 +135,7 @@
       socket.once('connect', () => {
         clearTimeout(this.connectTimer);
         this.connectMs = plan.nowMs() - this.startedAtMs;
+        plan.onConnected(this.connectMs);
         this.beginToSend();
       });
     });
--- a/packages/host/src/routedCalls/congestionGate.ts
+++ b/packages/host/src/routedCalls/congestionGate.ts
@@ -3,7 +3,6 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 
 import type { HostContext } from '../runtime/hostTypes.js';
-import type { ExchangeTimes } from './backendExchange.js';
 import { addJitter } from './retryJitter.js';
 import type { RoutedCall } from './routedCallsTypes.js';
 
@@ -13,7 +12,7 @@
 const minRetryAfterMs = 300;
 const fullSharePermille = 1000;
 
-/** Measures the delay of the link on the exchanges with backend servers, and admits calls by it. */
+/** Measures the delay of the link on connections to backend servers, and admits calls by it. */
 export class CongestionGate {
   private readonly admission = new LinkAdmission();
 
@@ -21,12 +20,8 @@
     private readonly context: Pick<HostContext, 'clock' | 'log' | 'metrics' | 'random'>,
   ) {}
 
-  /** Records the times of an exchange. */
-  recordExchange(
-    { distance }: Pick<TrackedBackend, 'distance'>,
-    { isNewConnection, connectMs }: ExchangeTimes,
-  ): void {
-    if (!isNewConnection) return;
+  /** Records how long opening a connection took. */
+  recordConnect({ distance }: Pick<TrackedBackend, 'distance'>, connectMs: number): void {
     this.admission.recordConnect(distance, connectMs, this.context.clock.nowMs());
   }
 
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -222,6 +222,10 @@
       body: body.form === 'whole' ? body.bytes : body.open(),
       connectTimeoutMs: baseConnectTimeoutMs + connectRoundTrips * 2 * backend.linkMs,
       signal: call.signal,
+      onConnected: (connectMs) => {
+        if (connectMs > 0) pools.recordConnect(backend, connectMs);
+        this.congestionGate.recordConnect(backend, connectMs);
+      },
       findSendObstacle: () => {
         if (hasEnded(call, context.clock.nowMs())) return 'callEnded';
         return pools.isUsable(backend) ? undefined : 'outOfUse';
@@ -235,8 +239,6 @@
     });
     const nowMs = context.clock.nowMs();
     pools.release(slot);
-    if (times.isNewConnection && times.connectMs > 0) pools.recordConnect(backend, times.connectMs);
-    this.congestionGate.recordExchange(backend, times);
     context.metrics.count('backend_exchanges_total', { service: call.service, end: result.end });
     if ('head' in result) this.obeyAnswer(backend, result.head, nowMs);
     const outcome = this.toAttemptOutcome(call, slot, result, nowMs);
