--- a/packages/core/src/placement/affinityPool.ts
+++ b/packages/core/src/placement/affinityPool.ts
@@ -334,6 +334,8 @@
       isWarm,
       hasRunObject,
       expectedMs,
+      choice: preferred.choice,
+      homeShare: spread.regionShare,
       load,
       waitMs,
       hasRoom,
--- a/packages/core/src/placement/placementTypes.ts
+++ b/packages/core/src/placement/placementTypes.ts
@@ -21,6 +21,12 @@
 /** Why a call is turned away, that is rejected without being sent. */
 export type TurnAwayReason = 'noBackend' | 'targetMissed' | 'deadlinePassed';
 
+/**
+ * How a backend server became a candidate: the object belongs to its region (`planned`), or to another one
+ * and the call spills over from the host's region (`spill`) or returns to it (`return`).
+ */
+export type PlacementChoice = 'planned' | 'spill' | 'return';
+
 /** A candidate backend server for a call, with its estimates. */
 export interface ScoredBackend {
   readonly backend: TrackedBackend;
@@ -30,6 +36,10 @@
   readonly hasRunObject: boolean;
   /** Expected answer time, without waiting and network delay. */
   readonly expectedMs: number;
+  /** Why it is a candidate: the region that the object belongs to, or an exception. */
+  readonly choice: PlacementChoice;
+  /** Share of the objects that the host's region handles itself, as this host has it. */
+  readonly homeShare: number;
   /** Calls at the backend server, and calls that wait for it and are served before this one. */
   readonly load: number;
   /** Expected time until a slot is free. */
--- a/packages/core/src/placement/preferredBackends.ts
+++ b/packages/core/src/placement/preferredBackends.ts
@@ -1,6 +1,7 @@
 import { hashText } from '../hash/textHash.js';
 import { RendezvousOrder } from './rendezvousOrder.js';
 import type { TrackedBackend } from './trackedBackend.js';
+import type { PlacementChoice } from './placementTypes.js';
 import { maxWarmObjects } from './warmObjects.js';
 
 /** Selects the few backend servers that may handle an object, so that each keeps its objects warm. */
@@ -33,6 +34,7 @@
   readonly backend: TrackedBackend;
   /** Whether it is the first choice of the group the object belongs to, which keeps the object warm. */
   readonly isPrimary: boolean;
+  readonly choice: PlacementChoice;
 }
 
 function groupBackendsBy(
@@ -67,6 +69,7 @@
   readonly includesWarm: boolean;
   /** Whether the object belongs to the group, so that the first one selected is its primary. */
   readonly hasPrimary: boolean;
+  readonly choice: PlacementChoice;
 }
 
 function slotsOf(backends: readonly TrackedBackend[]): number {
@@ -76,14 +79,15 @@
 function selectFrom(
   order: RendezvousOrder<TrackedBackend>,
   key: string,
-  { count, includesWarm, hasPrimary }: GroupSelection,
+  { count, includesWarm, hasPrimary, choice }: GroupSelection,
   isEligible: (backend: TrackedBackend) => boolean,
 ): PreferredBackend[] {
   const chosen: PreferredBackend[] = [];
   for (const backend of order.orderFor(key)) {
     if (chosen.length >= count && !includesWarm) break;
     if (chosen.length >= count && !backend.warmObjects.has(key)) continue;
-    if (isEligible(backend)) chosen.push({ backend, isPrimary: hasPrimary && chosen.length === 0 });
+    if (!isEligible(backend)) continue;
+    chosen.push({ backend, isPrimary: hasPrimary && chosen.length === 0, choice });
   }
   return chosen;
 }
@@ -159,21 +163,29 @@
     isEligible: (backend: TrackedBackend) => boolean,
   ): readonly PreferredBackend[] {
     if (key === undefined) {
-      return this.backends.filter(isEligible).map((backend) => ({ backend, isPrimary: false }));
+      return this.backends.filter(isEligible).map((backend) => ({
+        backend,
+        isPrimary: false,
+        choice: backend.distance === 'far' ? 'spill' : 'planned',
+      }));
     }
     const belongsToRegion = hashText(`home ${key}`) < spread.regionShare * hashRange;
     const selected: PreferredBackend[] = [];
     for (const { distance, order } of this.groupsFor(spread)) {
       const count = distance === 'zone' ? preferredPerNearestGroup : 1;
-      const includesWarm = distance === 'zone';
-      selected.push(
-        ...selectFrom(order, key, { count, includesWarm, hasPrimary: belongsToRegion }, isEligible),
-      );
+      const selection: GroupSelection = {
+        count,
+        includesWarm: distance === 'zone',
+        hasPrimary: belongsToRegion,
+        choice: belongsToRegion ? 'planned' : 'return',
+      };
+      selected.push(...selectFrom(order, key, selection, isEligible));
     }
-    const elsewhere = {
+    const elsewhere: GroupSelection = {
       count: belongsToRegion ? 1 : preferredPerNearestGroup,
       includesWarm: false,
       hasPrimary: !belongsToRegion,
+      choice: belongsToRegion ? 'spill' : 'planned',
     };
     selected.push(...selectFrom(this.otherRegionsOrder, key, elsewhere, isEligible));
     return selected;
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -29,6 +29,7 @@
 /** Sends a routed call to one backend server after another until it is answered or fails. */
 
 const unavailableStatus = 503;
+const fullSharePermille = 1000;
 /** Time limit for a new connection, without its round trips. */
 const baseConnectTimeoutMs = 250;
 /** Round trips that are added to the time limit for a new connection. */
@@ -87,12 +88,15 @@
 }
 
 /** Estimates behind a placement, as log fields. */
-function describeCandidate({ backend, isWarm, expectedMs, load, waitMs, costMs }: ScoredBackend) {
+function describeCandidate(candidate: ScoredBackend) {
+  const { backend, isWarm, choice, homeShare, expectedMs, load, waitMs, costMs } = candidate;
   const { backendId, availabilityZone } = backend.record;
   return {
     backendId,
     availabilityZone,
     isWarm,
+    choice,
+    homeShare: Math.round(homeShare * fullSharePermille) / fullSharePermille,
     expectedMs: Math.round(expectedMs),
     load: Math.round(load * 10) / 10,
     waitMs: Math.round(waitMs),
