test(placement): SHIFT in a model of many hosts

Cause: no test had many hosts that act on the same news, and the small twins have too few calls. Change: the replay of placements has waves of load and tells where each call runs; 63 hosts, three regions, one of them short of backend servers.

--- a/packages/testkit/src/placement/placementReplay.ts
+++ b/packages/testkit/src/placement/placementReplay.ts
@@ -145,7 +145,8 @@
 
   private scheduleArrivals(host: ReplayHost): void {
     const { callsPerS, hosts } = host.zone;
-    const gapMs = (msPerS * hosts) / (callsPerS * this.burstOf(undefined));
+    const factor = this.burstOf(undefined) * this.waveOf(host.zone);
+    const gapMs = (msPerS * hosts) / (callsPerS * factor);
     this.time.schedule(-gapMs * Math.log(1 - this.draws.next()), () => {
       const route = this.drawRoute();
       const times = Math.round(this.burstOf(route.routeId));
@@ -154,6 +155,12 @@
     });
   }
 
+  private waveOf({ wave }: ReplayZone): number {
+    if (wave === undefined) return 1;
+    const turns = this.time.nowMs / wave.periodMs + wave.phase;
+    return 1 + wave.swing * Math.sin(2 * Math.PI * turns);
+  }
+
   /** Factor on the calls of one route, or on all. */
   private burstOf(routeId: string | undefined): number {
     const { nowMs } = this.time;
@@ -256,6 +263,7 @@
     const result = this.resultOf(call.routeId);
     backend.start(sentAtMs);
     result.runs += 1;
+    this.load.onRun?.({ fromRegion: call.region, toRegion: backend.region, atMs: sentAtMs });
     if (backend.distance === 'far') result.farRuns += 1;
     const workMs = call.route.workMs * this.draws.between(0.8, 1.2);
     const connectMs = this.connectMs(host, backend);
--- /dev/null
+++ b/packages/testkit/src/placement/regionShift.spec.ts
@@ -0,0 +1,84 @@
+import test, { type ExecutionContext } from 'ava';
+
+import { replayPlacement } from './placementReplay.js';
+import { largestMoves } from './regionMoves.js';
+import type { ReplayedRun, ReplayLoad, ReplayRoute, ReplayZone } from './replayTypes.js';
+
+/** Largest share of a region's calls that may change region from one window of 2 s to the next. */
+const shiftCap = 0.15;
+
+const reads: ReplayRoute = {
+  routeId: 'reads',
+  rank: 1,
+  share: 0.7,
+  targetMs: 800,
+  timeLimitMs: 2000,
+  workMs: 1392,
+  objects: 322,
+};
+const holds: ReplayRoute = {
+  routeId: 'holds',
+  rank: 2,
+  share: 0.3,
+  targetMs: 2000,
+  timeLimitMs: 2500,
+  workMs: 1776,
+  objects: 138,
+};
+
+const zoneNames = ['a', 'b', 'c'];
+const regions = [
+  { region: 'large', backends: 48, phase: 0.3 },
+  { region: 'small', backends: 10, phase: 0.63 },
+  { region: 'middle', backends: 40, phase: 0.97 },
+];
+
+/** Three regions whose calls come in waves; one of them lacks backend servers for its callers. */
+const zones: ReplayZone[] = regions.flatMap(({ region, backends, phase }) =>
+  zoneNames.map((name) => ({
+    zone: `${region}-${name}`,
+    region,
+    hosts: 7,
+    backends,
+    callsPerS: 74,
+    wave: { swing: 0.55, periodMs: 36_000, phase },
+  })),
+);
+
+const load: ReplayLoad = {
+  zones,
+  routes: [reads, holds],
+  backend: { slots: 3, queuedCalls: 9, keptObjects: 9, warmPart: 0.25 },
+  regionLinkMs: 4.4,
+  farLinkMs: 55,
+  keepAliveMs: 10_000,
+  durationMs: 30_000,
+  seed: 1,
+};
+
+async function assertMovesWithinCap(t: ExecutionContext, replayed: ReplayLoad): Promise<void> {
+  for (const seed of [1, 2, 3]) {
+    const runs: ReplayedRun[] = [];
+    await replayPlacement({ ...replayed, seed, onRun: (run) => runs.push(run) });
+    for (const { fromRegion, startMs, movedShare, calls } of largestMoves(runs, 0)) {
+      const moved = `${movedShare.toFixed(3)} of ${calls} calls moved`;
+      t.true(movedShare <= shiftCap, `seed ${seed}, ${fromRegion} from ${startMs} ms: ${moved}`);
+      t.log(`seed ${seed}, ${fromRegion} from ${startMs} ms: ${moved}`);
+    }
+  }
+}
+
+test('calls of a region that lacks backend servers do not swing between regions in a wave of load', (t) =>
+  assertMovesWithinCap(t, load));
+
+test('calls of a region do not swing between regions while callers move to its zones', (t) =>
+  assertMovesWithinCap(t, {
+    ...load,
+    troubles: [{ fromMs: 9500, toMs: 16_000, burst: { factor: 1.3 } }],
+  }));
+
+test('calls of a region do not swing between regions in a burst of one route', (t) =>
+  assertMovesWithinCap(t, {
+    ...load,
+    troubles: [{ fromMs: 2500, toMs: 8200, burst: { routeId: 'holds', factor: 2.5 } }],
+  }));
--- a/packages/testkit/src/placement/replayTypes.ts
+++ b/packages/testkit/src/placement/replayTypes.ts
@@ -2,6 +2,22 @@
 
 /** A load that is replayed against the placement of calls, without processes or sockets. */
 
+/** A sine wave on the calls of a zone. */
+export interface ReplayWave {
+  /** Largest change, as a part of the mean. */
+  readonly swing: number;
+  readonly periodMs: number;
+  /** Part of a period by which the wave is ahead. */
+  readonly phase: number;
+}
+
+/** A call that is sent to a backend server. */
+export interface ReplayedRun {
+  readonly fromRegion: string;
+  readonly toRegion: string;
+  readonly atMs: number;
+}
+
 /** One availability zone with its hosts, backend servers and callers. */
 export interface ReplayZone {
   readonly zone: string;
@@ -10,6 +26,8 @@
   readonly backends: number;
   /** Calls of its callers a second, all routes together. */
   readonly callsPerS: number;
+  /** Slow change of the calls; none where absent. */
+  readonly wave?: ReplayWave;
 }
 
 /** One kind of calls. */
@@ -50,6 +68,8 @@
   readonly countFromMs?: number;
   readonly seed: number;
   readonly troubles?: readonly ReplayTrouble[];
+  /** Called for each call that is sent, the ones that are not counted included. */
+  readonly onRun?: (run: ReplayedRun) => void;
 }
 
 /** How the calls of one route ended. */
