fix(placement): the calls of a region run by one plan for all of its hosts

Cause: each of some 60 hosts limited the change of its own share against its own past. Returns and moves between two other regions were limited nowhere. Change: the leader of the control group plans the shares from the reports of all entry hosts, in steps of a quarter of the cap; hosts follow it. A late call may run elsewhere only as an exception that its identity earns, a limit that adds up over hosts. A region that is lost, or whose backend servers cannot be used, is the one case that moves calls at once. RegionObjectShare and RegionSpillover go, with their specs: what these assert is in regionPlanner.spec and spillAllowance.spec, with bounds as tight; there windows have 1,000 calls, since exceptions are drawn. The cap is the same.

--- a/packages/core/src/placement/affinityPool.ts
+++ b/packages/core/src/placement/affinityPool.ts
@@ -1,9 +1,19 @@
+import type {
+  RegionDemand,
+  RegionShares,
+} from '@buckthornlug/protocol/routing/regionPlanSchema.js';
+
+import { DemandCounter } from '../regionPlan/demandCounter.js';
+import { orderRegions } from '../regionPlan/regionOrder.js';
+import type { SpillAllowance } from '../regionPlan/spillAllowance.js';
+import { SplitInForce } from '../regionPlan/splitInForce.js';
 import { ActiveObjects } from './activeObjects.js';
 import type { AnswerTimeEstimates } from './answerTimeEstimates.js';
 import { ColdCallPacer, maySendToColdBackend } from './coldBackendPacing.js';
 import { LoadPerSlot } from './loadPerSlot.js';
 import type {
   PlaceableCall,
+  PlacementChoice,
   PlacementDecision,
   PoolConfig,
   ScoredBackend,
@@ -14,8 +24,6 @@
   type ObjectSpread,
   type PreferredBackend,
 } from './preferredBackends.js';
-import { RegionObjectShare } from './regionObjectShare.js';
-import { RegionSpillover } from './regionSpillover.js';
 import { ServedShares } from './servedShares.js';
 import type { TrackedBackend } from './trackedBackend.js';
 
@@ -49,9 +57,15 @@
  * be late, and too few calls would follow before the object is evicted or the backend server replaced.
  */
 const ownCopyCallsPerS = 1;
-/** Share of the region's registered backend servers below which spillover is not limited. */
+/** Share of the registered backend servers of a region below which its calls may all run elsewhere. */
 const degradedRegionShare = 0.5;
 
+/**
+ * Weight of the slots beside the planned shares where only some regions may serve a call. The shares of these
+ * regions may be small, so that a step of the plan would move most of such calls.
+ */
+const homeWeightBySlots = 0.2;
+
 /** Entry hosts that take calls near this host. */
 export interface EntryHosts {
   readonly zoneHostIds: readonly string[];
@@ -71,10 +85,6 @@
   readonly backend: TrackedBackend;
 }
 
-function isInHomeRegion({ homeRegions }: PlaceableCall, { region }: TrackedBackend): boolean {
-  return homeRegions.length === 0 || homeRegions.includes(region);
-}
-
 function distancePenaltyMs({ distance }: TrackedBackend): number {
   if (distance === 'zone') return 0;
   return distance === 'region' ? leaveZonePenaltyMs : leaveRegionPenaltyMs;
@@ -95,12 +105,26 @@
   return { decision: 'turnAway', call, reason, retryAfterMs, ...(best && { best }) };
 }
 
+/** Regions that have less than half of their backend servers left. */
+function findDegradedRegions(
+  backends: readonly TrackedBackend[],
+  registered: ReadonlyMap<string, number>,
+): ReadonlySet<string> {
+  const usable = new Map<string, number>();
+  for (const { region } of backends) usable.set(region, (usable.get(region) ?? 0) + 1);
+  const degraded = new Set<string>();
+  for (const [region, count] of registered) {
+    if ((usable.get(region) ?? 0) < count * degradedRegionShare) degraded.add(region);
+  }
+  return degraded;
+}
+
 /** Places the calls of one service. */
 export class AffinityPool<Call extends PlaceableCall> {
   private backends: readonly TrackedBackend[] = [];
 
-  /** Whether the region has lost so many backend servers that spillover is not limited. */
-  private isRegionDegraded = true;
+  /** Regions that have lost so many backend servers that all of their calls may run elsewhere. */
+  private degradedRegions: ReadonlySet<string> = new Set();
 
   private coldCallsPerS = 0;
 
@@ -108,8 +132,6 @@
 
   private regionHostCount = 1;
 
-  private regions = 1;
-
   private waiting: WaitingCall<Call>[] = [];
 
   private preferredBackends = new PreferredBackends([]);
@@ -118,39 +140,46 @@
 
   private readonly activeObjects = new ActiveObjects();
 
-  private readonly objectShare: RegionObjectShare;
+  private readonly split: SplitInForce;
 
-  private readonly coldCallPacers = new Map<string, ColdCallPacer>();
+  private readonly demand = new DemandCounter();
 
-  private readonly spillover: RegionSpillover;
+  private readonly coldCallPacers = new Map<string, ColdCallPacer>();
 
   private readonly servedShares = new ServedShares();
 
+  /** Order of the regions for each call, which waiting calls ask for at each scan. */
+  private readonly regionOrders = new WeakMap<
+    Call,
+    { readonly shares: RegionShares; readonly order: readonly string[] }
+  >();
+
   /**
    * @param place - location of this host, and the shift cap
    * @param times - estimates of answer times
+   * @param spills - exceptions from the plan that the host may make, shared by all of its pools
    * @param nowMs - monotonic time
    */
   constructor(
     private readonly place: PoolConfig,
     private readonly times: AnswerTimeEstimates,
+    private readonly spills: SpillAllowance,
     nowMs: number,
   ) {
-    this.spillover = new RegionSpillover(place.maxShift, nowMs);
-    this.objectShare = new RegionObjectShare(place.maxShift);
+    this.split = new SplitInForce(place.region, place.maxShift, nowMs);
   }
 
   /**
    * Sets the backend servers that may get calls.
    *
    * @param backends - backend servers that are neither draining nor gone nor evacuated
-   * @param registeredInRegion - number of backend servers in this host's region, evacuated ones included
+   * @param registered - number of backend servers of each region, evacuated ones included
    * @param coldCallsPerS - rate that a backend server can take while it is cold
    * @param hosts - entry hosts near this host
    */
   reconfigure(
     backends: readonly TrackedBackend[],
-    registeredInRegion: number,
+    registered: ReadonlyMap<string, number>,
     coldCallsPerS: number,
     hosts: EntryHosts,
   ): void {
@@ -159,15 +188,44 @@
     this.zoneHostIds = hosts.zoneHostIds;
     this.regionHostCount = hosts.regionHostCount;
     this.preferredBackends = new PreferredBackends(backends, this.preferredBackends);
-    const inRegion = backends.filter(({ distance }) => distance !== 'far').length;
-    this.isRegionDegraded = inRegion === 0 || inRegion < registeredInRegion * degradedRegionShare;
-    this.regions = new Set(backends.map(({ region }) => region)).size;
+    this.degradedRegions = findDegradedRegions(backends, registered);
     const known = new Set(backends.map(({ record }) => record.backendId));
     for (const backendId of this.coldCallPacers.keys()) {
       if (!known.has(backendId)) this.coldCallPacers.delete(backendId);
     }
   }
 
+  /**
+   * Sets the planned split of the calls of this host's region.
+   *
+   * @param planned - undefined if there is no plan
+   * @param nowMs - monotonic time
+   */
+  setSplit(planned: RegionShares | undefined, nowMs: number): void {
+    this.split.set(planned, this.slotsInUse(nowMs), nowMs);
+  }
+
+  /** Slots by region, without cold backend servers elsewhere, which get no calls of this host. */
+  private slotsInUse(nowMs: number): ReadonlyMap<string, number> {
+    const slots = new Map<string, number>();
+    for (const backend of this.backends) {
+      if (backend.distance === 'far' && backend.isCold(nowMs)) continue;
+      const { region, record } = backend;
+      slots.set(region, (slots.get(region) ?? 0) + record.slots);
+    }
+    return slots;
+  }
+
+  /** Returns the demand since the last time, for the plan. */
+  takeDemand(service: string, nowMs: number): RegionDemand {
+    const reporting = this.backends.map((backend) => ({
+      region: backend.region,
+      slots: backend.record.slots,
+      reportedCalls: backend.reportedLoad(nowMs),
+    }));
+    return this.demand.take(service, this.place.region, reporting, this.activeObjects.count());
+  }
+
   get waitingCalls(): number {
     return this.waiting.length;
   }
@@ -179,8 +237,7 @@
    * @param nowMs - monotonic time
    */
   offer(call: Call, nowMs: number): PlacementDecision<Call> {
-    if (call.tried.size === 0) this.servedShares.recordOffered(call.rank, nowMs);
-    this.recordObject(call, nowMs);
+    if (call.tried.size === 0) this.recordOffered(call, nowMs);
     const decision = this.decide(call, nowMs);
     if (decision.decision === 'wait') this.waiting.push(decision);
     return decision;
@@ -233,51 +290,109 @@
     const { backend } = candidate;
     const { backendId } = backend.record;
     if (backend.isCold(nowMs)) this.pacerOf(backendId).recordSend(this.coldCallsPerS, nowMs);
-    this.spillover.record(backend.distance === 'far', nowMs);
+    if (candidate.choice === 'spill') this.spills.recordSpill();
+    if (call.tried.size === 0) this.demand.recordRun(backend.region);
     this.servedShares.recordServed(call.rank, nowMs);
     return { decision: 'send', call, place: candidate };
   }
 
-  private recordObject({ objectKey, tried }: Call, nowMs: number): void {
-    if (objectKey === undefined || tried.size > 0) return;
-    this.activeObjects.record(objectKey, nowMs);
-    if (!this.objectShare.isDue(nowMs)) return;
-    const { regionSlots, totalSlots, regionObjectCapacity } = this.preferredBackends;
-    const { regions } = this;
-    const activeObjects = this.activeObjects.count();
+  private recordOffered({ objectKey, rank, requestId }: Call, nowMs: number): void {
+    this.spills.recordCall(requestId, nowMs);
+    this.servedShares.recordOffered(rank, nowMs);
+    this.demand.recordOffered();
+    if (objectKey !== undefined) this.activeObjects.record(objectKey, nowMs);
     this.loadPerSlot.update(this.backends, nowMs);
-    const regionLoadPerSlot = this.loadPerSlot.at('region');
-    const otherLoadPerSlot = this.loadPerSlot.at('far');
-    const slots = { regionSlots, totalSlots, regions };
-    this.objectShare.update(
-      { ...slots, regionLoadPerSlot, otherLoadPerSlot, regionObjectCapacity, activeObjects },
-      nowMs,
-    );
   }
 
-  /** The candidate with the lowest cost, whether it has room now or not. */
+  /**
+   * The candidate with the lowest cost in the planned region of the call, whether it has room now or not. If
+   * that one is late, it is the cheapest of all regions, as far as exceptions are allowed.
+   */
   private bestCandidate(call: Call, nowMs: number): Candidate | undefined {
-    const maySpill = this.isRegionDegraded || this.spillover.maySpill(nowMs);
-    const isEligible = (backend: TrackedBackend) => {
-      if (call.tried.has(backend.record.backendId)) return false;
-      return isInHomeRegion(call, backend) && this.isAvailable(backend, nowMs);
-    };
-    const spread = this.objectSpread(call);
+    const [planned, ...others] = this.regionsFor(call, nowMs);
+    if (planned === undefined) return undefined;
+    const own = this.bestIn(planned, call, 'planned', nowMs);
+    if (own !== undefined && nowMs + own.costMs <= call.targetAtMs) return own;
+    const isLost = this.isLost(planned, nowMs) || (own === undefined && call.tried.size > 0);
+    if (!isLost && !this.spills.maySpill(nowMs)) return own;
+    // Not the cheapest region: all hosts hear the same loads, and would go there together.
+    for (const region of others) {
+      const other = this.bestIn(region, call, isLost ? 'failover' : 'spill', nowMs);
+      if (other === undefined) continue;
+      return own === undefined || other.costMs < own.costMs ? other : own;
+    }
+    return own;
+  }
+
+  /**
+   * Whether a region has lost its backend servers, or more than half of them. One whose backend servers have
+   * all asked for a pause is full, not lost.
+   */
+  private isLost(region: string, nowMs: number): boolean {
+    if (this.degradedRegions.has(region)) return true;
+    for (const backend of this.backends) {
+      if (backend.region !== region || backend.isBackingOff(nowMs)) continue;
+      if (backend.isPaused(nowMs) || this.isAvailable(backend, nowMs)) return false;
+    }
+    return true;
+  }
+
+  /** Regions that may serve a call, the planned one first. */
+  private regionsFor(call: Call, nowMs: number): readonly string[] {
+    const shares = this.split.at(nowMs);
+    const known = this.regionOrders.get(call);
+    if (known?.shares === shares) return known.order;
+    const order = this.orderRegionsFor(call, shares);
+    this.regionOrders.set(call, { shares, order });
+    return order;
+  }
+
+  private orderRegionsFor(
+    { objectKey, requestId, homeRegions }: Call,
+    shares: RegionShares,
+  ): string[] {
+    const key = objectKey ?? requestId;
+    const { slotsByRegion } = this.preferredBackends;
+    if (homeRegions.length === 0) return orderRegions(key, shares, slotsByRegion);
+    let totalSlots = 0;
+    for (const slots of slotsByRegion.values()) totalSlots += slots;
+    const weights: RegionShares = {};
+    for (const [region, slots] of slotsByRegion) {
+      if (!homeRegions.includes(region)) continue;
+      weights[region] = (shares[region] ?? 0) + (homeWeightBySlots * slots) / totalSlots;
+    }
+    return orderRegions(key, weights, new Map());
+  }
+
+  /** The cheapest candidate of a region. */
+  private bestIn(
+    region: string,
+    call: Call,
+    choice: PlacementChoice,
+    nowMs: number,
+  ): Candidate | undefined {
+    const isEligible = (backend: TrackedBackend) =>
+      !call.tried.has(backend.record.backendId) && this.isAvailable(backend, nowMs);
+    const spread = this.objectSpread(call, choice === 'planned', nowMs);
     let best: Candidate | undefined;
-    for (const preferred of this.preferredBackends.select(call.objectKey, spread, isEligible)) {
-      const isSpill = preferred.backend.distance === 'far' && !preferred.isPrimary;
-      if (isSpill && !maySpill) continue;
+    for (const preferred of this.preferredBackends.selectIn(
+      region,
+      call.objectKey,
+      spread,
+      isEligible,
+    )) {
       const candidate = this.score(call, preferred, spread, nowMs);
-      if (best === undefined || candidate.costMs < best.costMs) best = candidate;
+      if (best === undefined || candidate.costMs < best.costMs) best = { ...candidate, choice };
     }
     return best;
   }
 
-  /** Time until the first backend server that may serve the call ends its backoff or pause. */
+  /** Time until the first backend server of the planned region ends its backoff or pause. */
   private nextReturnInMs(call: Call, nowMs: number): number {
     let earliestMs = Number.POSITIVE_INFINITY;
+    const [planned] = this.regionsFor(call, nowMs);
     for (const backend of this.backends) {
-      if (!isInHomeRegion(call, backend)) continue;
+      if (backend.region !== planned) continue;
       earliestMs = Math.min(earliestMs, Math.max(nowMs, backend.returnsAtMs()));
     }
     return Number.isFinite(earliestMs) ? earliestMs - nowMs : 0;
@@ -334,7 +449,7 @@
       isWarm,
       hasRunObject,
       expectedMs,
-      choice: preferred.choice,
+      choice: 'planned',
       homeShare: spread.regionShare,
       load,
       waitMs,
@@ -350,14 +465,19 @@
     return Math.max(1, isSharedByRegion ? this.regionHostCount : this.zoneHostIds.length);
   }
 
-  private objectSpread({ routeId, targetMs }: Call): ObjectSpread {
+  private objectSpread(
+    { routeId, targetMs }: Call,
+    isPlannedHere: boolean,
+    nowMs: number,
+  ): ObjectSpread {
     const zoneCallsPerS =
       this.activeObjects.callsPerObjectAndS() * Math.max(1, this.zoneHostIds.length);
     const isFirstRunLate = this.times.expectedMs(routeId, targetMs, false) > targetMs;
     return {
       activeObjects: this.activeObjects.count(),
-      regionShare: this.objectShare.value,
+      regionShare: this.split.at(nowMs)[this.place.region] ?? 0,
       isSharedByRegion: isFirstRunLate && zoneCallsPerS < ownCopyCallsPerS,
+      isPlannedHere,
     };
   }
 
--- a/packages/core/src/placement/loadPerSlot.ts
+++ b/packages/core/src/placement/loadPerSlot.ts
@@ -12,6 +12,7 @@
  * calls empty, and their last known load must not keep turning away the calls that would show it.
  */
 const unreportedDecay = 0.5;
+const updateIntervalMs = 1000;
 
 /** Mean of the reported calls per slot; undefined if no backend server has reported recently. */
 function reportedLoadPerSlot(
@@ -33,12 +34,16 @@
 export class LoadPerSlot {
   private byDistance = initialLoadPerSlot;
 
+  private updatedAtMs = Number.NEGATIVE_INFINITY;
+
   at(distance: Distance): number {
     return this.byDistance[distance];
   }
 
-  /** Updates the values from the reports; to be called once a second. */
+  /** Updates the values from the reports, at most once a second. */
   update(backends: readonly TrackedBackend[], nowMs: number): void {
+    if (nowMs - this.updatedAtMs < updateIntervalMs) return;
+    this.updatedAtMs = nowMs;
     const inRegion = backends.filter(({ distance }) => distance !== 'far');
     const elsewhere = backends.filter(({ distance }) => distance === 'far');
     const { region, far } = this.byDistance;
--- a/packages/core/src/placement/placementTypes.ts
+++ b/packages/core/src/placement/placementTypes.ts
@@ -2,6 +2,7 @@
 
 /** A call that needs a backend server. Times are monotonic. */
 export interface PlaceableCall {
+  readonly requestId: string;
   readonly routeId: string;
   readonly service: string;
   /** Object that the call is about; undefined if the route has no affinity or the call names no object. */
@@ -22,10 +23,10 @@
 export type TurnAwayReason = 'noBackend' | 'targetMissed' | 'deadlinePassed';
 
 /**
- * How a backend server became a candidate: the object belongs to its region (`planned`), or to another one
- * and the call spills over from the host's region (`spill`) or returns to it (`return`).
+ * Why a call runs in a region: it is planned for it, its planned region has lost its backend servers, or the
+ * call is one of the exceptions that a host may make.
  */
-export type PlacementChoice = 'planned' | 'spill' | 'return';
+export type PlacementChoice = 'planned' | 'failover' | 'spill';
 
 /** A candidate backend server for a call, with its estimates. */
 export interface ScoredBackend {
@@ -36,9 +37,8 @@
   readonly hasRunObject: boolean;
   /** Expected answer time, without waiting and network delay. */
   readonly expectedMs: number;
-  /** Why it is a candidate: the region that the object belongs to, or an exception. */
   readonly choice: PlacementChoice;
-  /** Share of the objects that the host's region handles itself, as this host has it. */
+  /** Share of the calls that the host's region runs itself, as this host has it. */
   readonly homeShare: number;
   /** Calls at the backend server, and calls that wait for it and are served before this one. */
   readonly load: number;
@@ -76,6 +76,6 @@
   readonly hostId: string;
   readonly availabilityZone: string;
   readonly region: string;
-  /** Shift cap: largest change per window of the share of a region's calls that run elsewhere, 0 to 1. */
+  /** Shift cap: largest share of a region's calls that may change region per window, 0 to 1. */
   readonly maxShift: number;
 }
--- a/packages/core/src/placement/preferredBackends.ts
+++ b/packages/core/src/placement/preferredBackends.ts
@@ -1,7 +1,5 @@
-import { hashText } from '../hash/textHash.js';
 import { RendezvousOrder } from './rendezvousOrder.js';
 import type { TrackedBackend } from './trackedBackend.js';
-import type { PlacementChoice } from './placementTypes.js';
 import { maxWarmObjects } from './warmObjects.js';
 
 /** Selects the few backend servers that may handle an object, so that each keeps its objects warm. */
@@ -14,6 +12,11 @@
 /** Preferred backend servers of an object in its nearest group. */
 const preferredPerNearestGroup = 2;
 
+/** Objects that a number of backend servers can keep warm, without the headroom. */
+export function objectCapacityOf(backendCount: number): number {
+  return backendCount * maxWarmObjects * plannedObjectShare;
+}
+
 /** The backend servers of one zone or region. */
 interface BackendGroup {
   readonly name: string;
@@ -34,7 +37,6 @@
   readonly backend: TrackedBackend;
   /** Whether it is the first choice of the group the object belongs to, which keeps the object warm. */
   readonly isPrimary: boolean;
-  readonly choice: PlacementChoice;
 }
 
 function groupBackendsBy(
@@ -69,30 +71,32 @@
   readonly includesWarm: boolean;
   /** Whether the object belongs to the group, so that the first one selected is its primary. */
   readonly hasPrimary: boolean;
-  readonly choice: PlacementChoice;
 }
 
-function slotsOf(backends: readonly TrackedBackend[]): number {
-  return backends.reduce((slots, { record }) => slots + record.slots, 0);
+function slotsByRegionOf(backends: readonly TrackedBackend[]): ReadonlyMap<string, number> {
+  const slots = new Map<string, number>();
+  for (const { region, record } of backends) {
+    slots.set(region, (slots.get(region) ?? 0) + record.slots);
+  }
+  return slots;
 }
 
 function selectFrom(
   order: RendezvousOrder<TrackedBackend>,
   key: string,
-  { count, includesWarm, hasPrimary, choice }: GroupSelection,
+  { count, includesWarm, hasPrimary }: GroupSelection,
   isEligible: (backend: TrackedBackend) => boolean,
 ): PreferredBackend[] {
   const chosen: PreferredBackend[] = [];
   for (const backend of order.orderFor(key)) {
     if (chosen.length >= count && !includesWarm) break;
     if (chosen.length >= count && !backend.warmObjects.has(key)) continue;
-    if (!isEligible(backend)) continue;
-    chosen.push({ backend, isPrimary: hasPrimary && chosen.length === 0, choice });
+    if (isEligible(backend)) chosen.push({ backend, isPrimary: hasPrimary && chosen.length === 0 });
   }
   return chosen;
 }
 
-/** How the objects of this host's region are spread over the regions. */
+/** How the objects of this host's region are spread. */
 export interface ObjectSpread {
   /** Distinct objects of recent calls. */
   readonly activeObjects: number;
@@ -100,30 +104,26 @@
   readonly regionShare: number;
   /** Whether the zones of a region share one set of backend servers for an object. */
   readonly isSharedByRegion: boolean;
+  /** Whether the object of the call belongs to the region, which then keeps it warm. */
+  readonly isPlannedHere: boolean;
 }
 
-const hashRange = 2 ** 32;
-
 /**
  * Preferred backend servers of objects: in this host's region a set for each zone or, if the zone
  * cannot keep its objects warm or a set for each is not worth it, one set for the region; besides,
- * one set over all other regions.
+ * one set for each other region.
  */
 export class PreferredBackends {
   private readonly zoneGroups: readonly BackendGroup[];
 
-  private readonly regionGroups: readonly BackendGroup[];
+  private readonly homeGroups: readonly BackendGroup[];
 
-  private readonly otherRegionsOrder: RendezvousOrder<TrackedBackend>;
+  private readonly otherGroups: readonly BackendGroup[];
 
   private readonly zoneObjectCapacity: number;
 
-  /** Objects that the backend servers of the region can keep warm, without the headroom. */
-  readonly regionObjectCapacity: number;
-
-  readonly regionSlots: number;
-
-  readonly totalSlots: number;
+  /** Slots of the backend servers, by region. */
+  readonly slotsByRegion: ReadonlyMap<string, number>;
 
   /**
    * @param backends - backend servers that may get calls
@@ -135,59 +135,48 @@
   ) {
     const inRegion = backends.filter(({ distance }) => distance !== 'far');
     const inZone = inRegion.filter(({ distance }) => distance === 'zone');
-    const byZone = previous?.zoneGroups ?? [];
-    this.zoneGroups = groupBackendsBy(inRegion, ({ record }) => record.availabilityZone, byZone);
-    this.regionGroups = groupBackendsBy(
-      inRegion,
-      ({ region }) => region,
-      previous?.regionGroups ?? [],
-    );
     const inOtherRegions = backends.filter(({ distance }) => distance === 'far');
-    this.otherRegionsOrder = orderOf(inOtherRegions, previous?.otherRegionsOrder);
-    this.zoneObjectCapacity = inZone.length * maxWarmObjects * plannedObjectShare;
-    this.regionObjectCapacity = inRegion.length * maxWarmObjects * plannedObjectShare;
-    this.regionSlots = slotsOf(inRegion);
-    this.totalSlots = slotsOf(backends);
+    const zoneOf = ({ record }: TrackedBackend) => record.availabilityZone;
+    const regionOf = ({ region }: TrackedBackend) => region;
+    this.zoneGroups = groupBackendsBy(inRegion, zoneOf, previous?.zoneGroups ?? []);
+    this.homeGroups = groupBackendsBy(inRegion, regionOf, previous?.homeGroups ?? []);
+    this.otherGroups = groupBackendsBy(inOtherRegions, regionOf, previous?.otherGroups ?? []);
+    this.zoneObjectCapacity = objectCapacityOf(inZone.length);
+    this.slotsByRegion = slotsByRegionOf(backends);
   }
 
   /**
-   * Selects the backend servers that may handle a call.
+   * Selects the backend servers of a region that may handle a call.
    *
+   * @param region - region of the backend servers
    * @param key - object of the call; undefined if it has none
-   * @param spread - how objects are spread over the regions
+   * @param spread - how objects are spread
    * @param isEligible - whether a backend server may get the call
    */
-  select(
+  selectIn(
+    region: string,
     key: string | undefined,
     spread: ObjectSpread,
     isEligible: (backend: TrackedBackend) => boolean,
   ): readonly PreferredBackend[] {
     if (key === undefined) {
-      return this.backends.filter(isEligible).map((backend) => ({
-        backend,
-        isPrimary: false,
-        choice: backend.distance === 'far' ? 'spill' : 'planned',
-      }));
+      return this.backends
+        .filter((backend) => backend.region === region && isEligible(backend))
+        .map((backend) => ({ backend, isPrimary: false }));
+    }
+    const { isPlannedHere: hasPrimary } = spread;
+    const other = this.otherGroups.find(({ name }) => name === region);
+    if (other !== undefined) {
+      const count = hasPrimary ? preferredPerNearestGroup : 1;
+      return selectFrom(other.order, key, { count, includesWarm: false, hasPrimary }, isEligible);
     }
-    const belongsToRegion = hashText(`home ${key}`) < spread.regionShare * hashRange;
+    if (!this.homeGroups.some(({ name }) => name === region)) return [];
     const selected: PreferredBackend[] = [];
     for (const { distance, order } of this.groupsFor(spread)) {
       const count = distance === 'zone' ? preferredPerNearestGroup : 1;
-      const selection: GroupSelection = {
-        count,
-        includesWarm: distance === 'zone',
-        hasPrimary: belongsToRegion,
-        choice: belongsToRegion ? 'planned' : 'return',
-      };
-      selected.push(...selectFrom(order, key, selection, isEligible));
+      const includesWarm = distance === 'zone';
+      selected.push(...selectFrom(order, key, { count, includesWarm, hasPrimary }, isEligible));
     }
-    const elsewhere: GroupSelection = {
-      count: belongsToRegion ? 1 : preferredPerNearestGroup,
-      includesWarm: false,
-      hasPrimary: !belongsToRegion,
-      choice: belongsToRegion ? 'spill' : 'planned',
-    };
-    selected.push(...selectFrom(this.otherRegionsOrder, key, elsewhere, isEligible));
     return selected;
   }
 
@@ -197,6 +186,6 @@
   }
 
   private groupsFor(spread: ObjectSpread): readonly BackendGroup[] {
-    return this.isGroupedByRegion(spread) ? this.regionGroups : this.zoneGroups;
+    return this.isGroupedByRegion(spread) ? this.homeGroups : this.zoneGroups;
   }
 }
--- a/packages/core/src/placement/trackedBackend.ts
+++ b/packages/core/src/placement/trackedBackend.ts
@@ -37,6 +37,9 @@
   /** Calls of this host that are in flight. */
   inFlight = 0;
 
+  /** Time since which it has been silent; undefined while it reports. */
+  silentSinceMs: number | undefined;
+
   /** Objects that it handled recently for this host. */
   readonly warmObjects = new WarmObjects();
 
--- a/packages/core/src/registry/backendRegistry.ts
+++ b/packages/core/src/registry/backendRegistry.ts
@@ -52,6 +52,11 @@
     return this.lastRevision;
   }
 
+  /** All records, those of backend servers that have left included. */
+  records(): Iterable<RegisteredBackend> {
+    return this.backends.values();
+  }
+
   find(backendId: string): RegisteredBackend | undefined {
     return this.backends.get(backendId);
   }
--- a/packages/host/src/routedCalls/routedCallsFeature.ts
+++ b/packages/host/src/routedCalls/routedCallsFeature.ts
@@ -8,6 +8,7 @@
 import type { Failure } from '@buckthornlug/protocol/results/failure.js';
 
 import { createEntryServer } from '../calls/callersListener.js';
+import { DemandReporter } from '../regionPlan/demandReporter.js';
 import { RoutingFollower } from '../routing/routingFollower.js';
 import { reportLeavingBackend } from '../routing/leavingReporter.js';
 import type { LeavingBackend } from '../routing/routingPollSchema.js';
@@ -99,6 +100,14 @@
   const followerStopped = follower.run().catch((error: unknown) => {
     context.log.error('routingFollowerDefect', { detail: String(error) });
   });
+  const demandReporter = new DemandReporter({
+    context,
+    parts,
+    preferredSource: () => follower.source,
+    takeDemand: () => pools.takeDemand(),
+    apply: (plan) => pools.setPlan(plan),
+    setTimer: setProcessTimer,
+  });
   const unsubscribe = parts.membership.onChange(() => pools.refreshIfHostsChanged());
   parts.provide({
     isReady: () => progress === 'serving' && state.table !== undefined,
@@ -130,6 +139,7 @@
       },
       closeTasks: async () => {
         unsubscribe();
+        demandReporter.stop();
         follower.stop();
         await followerStopped;
         pools.stop();
--- a/packages/host/src/routedCalls/routedPools.ts
+++ b/packages/host/src/routedCalls/routedPools.ts
@@ -3,8 +3,10 @@
 import { QueueScanPacer } from '@buckthornlug/core/placement/queueScanPacer.js';
 import { LeavingBackends } from '@buckthornlug/core/placement/leavingBackends.js';
 import { AffinityPool, type EntryHosts } from '@buckthornlug/core/placement/affinityPool.js';
+import { SpillAllowance } from '@buckthornlug/core/regionPlan/spillAllowance.js';
 import { TrackedBackend, type Distance } from '@buckthornlug/core/placement/trackedBackend.js';
 import type { PlacementDecision } from '@buckthornlug/core/placement/placementTypes.js';
+import type { RegionDemand, RegionPlan } from '@buckthornlug/protocol/routing/regionPlanSchema.js';
 import type { RegisteredBackend } from '@buckthornlug/protocol/registry/registrySchema.js';
 
 import type { RoutingState } from '../routing/routingState.js';
@@ -21,6 +23,11 @@
 const initialLinkMs: Readonly<Record<Distance, number>> = { zone: 0.5, region: 4, far: 50 };
 /** Weight of the newest connection time in the moving average of a one-way delay. */
 const newestLinkSampleWeight = 0.2;
+/**
+ * Time for which a backend server that fell silent counts as one that its region lacks. After it the plan of
+ * the regions has taken the loss in.
+ */
+const countsAsLostMs = 10_000;
 const fullSharePermille = 1000;
 
 /** A chosen backend server, one of whose slots is taken for the call. */
@@ -43,6 +50,20 @@
   return { ...decision, acquiredAtMs: nowMs };
 }
 
+function silentSince(
+  { state }: RegisteredBackend,
+  knownMs: number | undefined,
+  nowMs: number,
+): number | undefined {
+  return state === 'silent' ? (knownMs ?? nowMs) : undefined;
+}
+
+function countByRegion(backends: readonly TrackedBackend[]): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const { region } of backends) counts.set(region, (counts.get(region) ?? 0) + 1);
+  return counts;
+}
+
 /** Places calls on the registered backend servers. */
 export class RoutedPools {
   readonly answerTimes = new AnswerTimeEstimates();
@@ -64,6 +85,16 @@
 
   private readonly leaving = new LeavingBackends();
 
+  /** Exceptions from the plan, for all services together, as the shift cap counts them. */
+  private readonly spills: SpillAllowance;
+
+  private plan: RegionPlan | undefined;
+
+  /** Time at which the first of the lost backend servers does not count as lost any more. */
+  private lossesEndAtMs = Number.POSITIVE_INFINITY;
+
+  private acceptingHosts: number;
+
   /** Entry hosts at the last refresh. */
   private lastEntryHosts: EntryHosts = { zoneHostIds: [], regionHostCount: 0 };
 
@@ -71,7 +102,10 @@
     private readonly context: HostContext,
     private readonly parts: Pick<HostParts, 'membership'>,
     private readonly state: RoutingState,
-  ) {}
+  ) {
+    this.spills = new SpillAllowance(this.maxShift());
+    this.acceptingHosts = this.countAcceptingHosts();
+  }
 
   /**
    * Refreshes the pools after a change of the membership if the entry hosts nearby changed. Most
@@ -79,6 +113,7 @@
    * of all backend servers.
    */
   refreshIfHostsChanged(): void {
+    this.acceptingHosts = this.countAcceptingHosts();
     const { zoneHostIds, regionHostCount } = this.entryHosts();
     const isSame =
       regionHostCount === this.lastEntryHosts.regionHostCount &&
@@ -92,6 +127,7 @@
     if (table === undefined) return;
     const nowMs = this.context.clock.nowMs();
     this.refreshBackends(nowMs);
+    this.lossesEndAtMs = Number.POSITIVE_INFINITY;
     const hosts = this.entryHosts();
     this.lastEntryHosts = hosts;
     for (const { service, coldCallsPerS } of table.services.values()) {
@@ -101,8 +137,10 @@
       const usable = registered.filter(
         ({ record }) => this.state.isUsable(record) && !this.leaving.isLeaving(record),
       );
-      const inRegion = registered.filter(({ distance }) => distance !== 'far').length;
-      this.getOrCreatePool(service, nowMs).reconfigure(usable, inRegion, coldCallsPerS, hosts);
+      const expected = registered.filter((backend) => this.isExpected(backend, nowMs));
+      const pool = this.getOrCreatePool(service, nowMs);
+      pool.reconfigure(usable, countByRegion(expected), coldCallsPerS, hosts);
+      pool.setSplit(this.plannedSplit(service), nowMs);
     }
     for (const service of this.pools.keys()) {
       if (!table.services.has(service)) this.pools.delete(service);
@@ -110,6 +148,22 @@
     this.dispatchWaiting();
   }
 
+  /** Follows a plan of the regions from now on. */
+  setPlan(plan: RegionPlan): void {
+    this.plan = plan;
+    const nowMs = this.context.clock.nowMs();
+    for (const [service, pool] of this.pools) pool.setSplit(this.plannedSplit(service), nowMs);
+  }
+
+  /** Returns the demand of all services since the last time. */
+  takeDemand(): RegionDemand[] {
+    const nowMs = this.context.clock.nowMs();
+    if (nowMs >= this.lossesEndAtMs) this.refresh();
+    // Backend servers may have become cold or warm since.
+    for (const [service, pool] of this.pools) pool.setSplit(this.plannedSplit(service), nowMs);
+    return [...this.pools].map(([service, pool]) => pool.takeDemand(service, nowMs));
+  }
+
   /** Whether a backend server is still in use, according to the newest state. */
   isUsable({ record }: TrackedBackend): boolean {
     const current = this.state.backends.get(record.backendId);
@@ -130,7 +184,7 @@
 
   /** Number of entry hosts that take calls, at least 1. */
   entryHostCount(): number {
-    return Math.max(1, this.parts.membership.hosts().filter(acceptsNewWork).length);
+    return this.acceptingHosts;
   }
 
   /** Finds a backend server for a call; resolves once the call may be sent or is turned away. */
@@ -191,6 +245,7 @@
       if (tracked !== undefined && tracked.record.bornAtMs === record.bornAtMs) {
         if (coldUntilMs > nowMs && !tracked.isCold(nowMs)) tracked.warmObjects.clear();
         tracked.record = record;
+        tracked.silentSinceMs = silentSince(record, tracked.silentSinceMs, nowMs);
         tracked.coldUntilMs = coldUntilMs;
         continue;
       }
@@ -209,6 +264,10 @@
     return new TrackedBackend(record, region, distance, this.linkMs[distance], coldUntilMs);
   }
 
+  private countAcceptingHosts(): number {
+    return Math.max(1, this.parts.membership.hosts().filter(acceptsNewWork).length);
+  }
+
   private entryHosts(): EntryHosts {
     const { availabilityZone, region } = this.context.settings;
     const accepting = this.parts.membership.hosts().filter(acceptsNewWork);
@@ -217,13 +276,36 @@
     return { zoneHostIds: inZone.map(({ hostId }) => hostId), regionHostCount: inRegion.length };
   }
 
+  /** Whether a backend server is in use, or would be if it had not been lost lately. */
+  private isExpected({ record, silentSinceMs }: TrackedBackend, nowMs: number): boolean {
+    if (this.state.isEvacuated(record.availabilityZone)) return false;
+    if (silentSinceMs === undefined) {
+      return record.state === 'ready' && !this.leaving.isLeaving(record);
+    }
+    const endsAtMs = silentSinceMs + countsAsLostMs;
+    if (endsAtMs <= nowMs) return false;
+    this.lossesEndAtMs = Math.min(this.lossesEndAtMs, endsAtMs);
+    return true;
+  }
+
+  private plannedSplit(service: string) {
+    const { region } = this.context.settings;
+    return this.plan?.splits.find(
+      (split) => split.service === service && split.callerRegion === region,
+    )?.shares;
+  }
+
+  private maxShift(): number {
+    const { routing } = this.context.settings;
+    return (routing?.maxShiftPermille ?? fullSharePermille) / fullSharePermille;
+  }
+
   private getOrCreatePool(service: string, nowMs: number): AffinityPool<RoutedCall> {
     const existing = this.pools.get(service);
     if (existing !== undefined) return existing;
-    const { hostId, availabilityZone, region, routing } = this.context.settings;
-    const maxShift = (routing?.maxShiftPermille ?? fullSharePermille) / fullSharePermille;
-    const config = { hostId, availabilityZone, region, maxShift };
-    const created = new AffinityPool<RoutedCall>(config, this.answerTimes, nowMs);
+    const { hostId, availabilityZone, region } = this.context.settings;
+    const config = { hostId, availabilityZone, region, maxShift: this.maxShift() };
+    const created = new AffinityPool<RoutedCall>(config, this.answerTimes, this.spills, nowMs);
     this.pools.set(service, created);
     return created;
   }
--- a/packages/host/src/routing/routingFeature.ts
+++ b/packages/host/src/routing/routingFeature.ts
@@ -3,6 +3,8 @@
 import { failure } from '@buckthornlug/protocol/results/failure.js';
 import { errAsync, okAsync } from 'neverthrow';
 
+import { RegionPlanTask } from '../regionPlan/regionPlanTask.js';
+import { setProcessTimer } from '../runtime/timers.js';
 import { RegistryTask } from '../registry/registryTask.js';
 import type { Feature } from '../runtime/hostParts.js';
 import { createRoutingCommands } from './routingCommands.js';
@@ -36,6 +38,7 @@
     const { wallMs } = context.clock;
     const server = new RoutingServer({ machine, leaderSilentMs: control.leaderSilentMs, wallMs });
     const registry = new RegistryTask(context, parts, control, routing.reportIntervalMs);
+    const regionPlan = new RegionPlanTask({ context, parts, control, setTimer: setProcessTimer });
     const bases = new OrderBases(orderBasesOptions, context.clock.nowMs());
     const basesTimer = setInterval(() => {
       const changes = machine.routing.evacuationChanges();
@@ -47,9 +50,12 @@
       poll: (poll) => server.poll(poll),
       heard: (ages) => registry.recordForwardedReports(ages),
       leaving: (backend) => registry.drainLeaving(backend),
+      demand: (report) => regionPlan.receive(report),
     };
     parts.adminRoutes.push((app) =>
-      app.get('/v1/routing', (request) => request.json(describeRouting(machine))),
+      app.get('/v1/routing', (request) =>
+        request.json({ ...describeRouting(machine), ...regionPlan.describe() }),
+      ),
     );
     parts.provide({
       routingCommands: createRoutingCommands(context, control, bases),
@@ -63,6 +69,7 @@
           clearInterval(basesTimer);
           unsubscribe();
           registry.stop();
+          regionPlan.stop();
           server.close();
           return Promise.resolve();
         },
--- a/packages/host/src/routing/routingFollower.ts
+++ b/packages/host/src/routing/routingFollower.ts
@@ -99,6 +99,11 @@
     while (!this.isStopped) await this.pollNextSource();
   }
 
+  /** Control host that answers the polls of this host; undefined while none does. */
+  get source(): string | undefined {
+    return this.currentSource;
+  }
+
   stop(): void {
     this.isStopped = true;
     this.endWait?.('failed');
--- a/packages/host/src/routing/routingRouter.ts
+++ b/packages/host/src/routing/routingRouter.ts
@@ -1,5 +1,11 @@
 import { rpcProcedure, rpcRouter } from '@buckthornlug/protocol/rpc/rpcContext.js';
 
+import {
+  demandReportSchema,
+  type DemandReply,
+  type DemandReport,
+} from '@buckthornlug/protocol/routing/regionPlanSchema.js';
+
 import {
   backendReportAgesSchema,
   leavingBackendSchema,
@@ -15,6 +21,7 @@
   readonly poll: (poll: RoutingPoll) => Promise<RoutingUpdate>;
   readonly heard: (ages: BackendReportAges) => void;
   readonly leaving: (backend: LeavingBackend) => Promise<void>;
+  readonly demand: (report: DemandReport) => DemandReply;
 }
 
 /** Builds the routing procedures. */
@@ -27,5 +34,6 @@
     leaving: rpcProcedure
       .input(leavingBackendSchema)
       .mutation(({ input }) => handlers.leaving(input)),
+    demand: rpcProcedure.input(demandReportSchema).mutation(({ input }) => handlers.demand(input)),
   });
 }
--- a/packages/host/src/routing/routingState.ts
+++ b/packages/host/src/routing/routingState.ts
@@ -75,9 +75,13 @@
     return hasChanged;
   }
 
+  isEvacuated(availabilityZone: string): boolean {
+    return this.evacuations.get(availabilityZone)?.isEvacuated === true;
+  }
+
   /** Whether a backend server is ready and its zone is not evacuated. */
   isUsable({ state, availabilityZone }: RegisteredBackend): boolean {
-    return state === 'ready' && this.evacuations.get(availabilityZone)?.isEvacuated !== true;
+    return state === 'ready' && !this.isEvacuated(availabilityZone);
   }
 
   /**
