fix(retries): the part of a host in the retry budget follows the number of hosts

Cause: the part of the burst was set at the first call of a service and never changed. A host that starts knows few others, and kept a part many times its own for good: 100 hosts that start together with 10 in view may save 2,400 repeats of a budget of 242. Change: the part follows the membership, and what was saved beyond it is lost. Evidence: retryBudget.spec.ts (the budget had no way to shrink). Whether a membership is so partial at a first call was not measured. Why it works: each host has at most one part of the burst as soon as it knows the others.

--- a/packages/core/src/retries/retryBudget.spec.ts
+++ b/packages/core/src/retries/retryBudget.spec.ts
@@ -95,3 +95,12 @@
   while (budget.trySpend()) retries += 1;
   t.deepEqual([hedges, retries], [5, 5]);
 });
+
+test('hosts that started with few others in view have saved no more than the burst of all together', (t) => {
+  const burst = 242;
+  const hosts = Array.from({ length: 100 }, () => new RetryBudget(100, burst / 10));
+  for (const budget of hosts) budget.setBurst(burst / hosts.length);
+  let spent = 0;
+  for (const budget of hosts) while (budget.trySpend()) spent += 1;
+  t.true(spent <= burst, `${spent} repeated dispatches`);
+});
--- a/packages/core/src/retries/retryBudget.ts
+++ b/packages/core/src/retries/retryBudget.ts
@@ -19,7 +19,7 @@
    */
   constructor(
     private readonly retryPermille = defaultRetryPermille,
-    private readonly burst = defaultBurst,
+    private burst = defaultBurst,
   ) {
     this.tokens = burst;
   }
@@ -29,6 +29,12 @@
     this.tokens = Math.min(this.burst, this.tokens + this.retryPermille / 1000);
   }
 
+  /** Changes the limit of what may accumulate; what is beyond it is lost. */
+  setBurst(burst: number): void {
+    this.burst = burst;
+    this.tokens = Math.min(this.tokens, burst);
+  }
+
   /** Spends one repeated dispatch, if the budget has one. */
   trySpend(): boolean {
     if (this.tokens < 1) return false;
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -168,10 +168,14 @@
   }
 
   private getOrCreateRetryBudget(service: string): RetryBudget {
-    const existing = this.retryBudgets.get(service);
-    if (existing !== undefined) return existing;
     const { retryPermille, retryBurst, pools } = this.parts;
+    // The part of this host shrinks as it learns of others; a host that starts knows few of them.
     const localBurst = Math.max(1, Math.floor(retryBurst / pools.entryHostCount()));
+    const existing = this.retryBudgets.get(service);
+    if (existing !== undefined) {
+      existing.setBurst(localBurst);
+      return existing;
+    }
     const created = new RetryBudget(retryPermille, localBurst);
     this.retryBudgets.set(service, created);
     return created;
