fix(regionPlan): calls return slowly, since a trough of load does not last

Cause: calls returned at the speed at which they leave. Change: they return at a quarter of it, at half of it while the other regions are full; return below 0.55 in place of 0.52, so that the deadband ends above 0.5; exceptions are 0.2 of the cap in place of 0.15, which had room.

--- a/packages/core/src/regionPlan/regionPlanner.ts
+++ b/packages/core/src/regionPlan/regionPlanner.ts
@@ -17,7 +17,7 @@
 /** Calls per slot above which calls leave a region; the rest is headroom for bursts and lost backend servers. */
 const leaveLoadPerSlot = 0.62;
 /** Calls per slot below which calls return, so that a wave of load does not move them to and fro. */
-const returnLoadPerSlot = 0.52;
+const returnLoadPerSlot = 0.55;
 /** Lower limit of the load that shares are divided by, so that they do not jump in an idle region. */
 const minLoadPerSlot = 0.05;
 /** Smallest home share of a region with backend servers, so that its load stays known. */
@@ -31,6 +31,12 @@
  * take all of its calls gets the last ones as well.
  */
 const deadband = 0.02;
+/**
+ * Parts of the speed at which calls return: while the other regions have room, and while they do not. A region that
+ * takes calls back in a trough of its load has to give them away again in the rise.
+ */
+const calmReturnSpeedPart = 0.25;
+const urgentReturnSpeedPart = 0.5;
 /** Slots of recent reports below which a load is not known. */
 const minReportedSlots = 1;
 /** Load per slot from which another region gets fewer calls, and at which it gets the fewest. */
@@ -149,7 +155,9 @@
     if (target === undefined) return state.shares;
     const isWhole = target[callerRegion] === 1;
     if (!isWhole && movedShare(state.shares, target) <= deadband) return state.shares;
-    const maxMoved = planSpeedPerMs(this.maxShift) * elapsedMs;
+    const isReturn = (target[callerRegion] ?? 0) > (state.shares[callerRegion] ?? 0);
+    const speedPart = isReturn ? this.returnSpeedPart(service, callerRegion, slots) : 1;
+    const maxMoved = planSpeedPerMs(this.maxShift) * speedPart * elapsedMs;
     state.shares = moveTowards(state.shares, target, maxMoved);
     return state.shares;
   }
@@ -186,6 +194,11 @@
     });
   }
 
+  private returnSpeedPart(service: string, callerRegion: string, slots: SlotsByRegion): number {
+    const otherLoad = this.otherLoadPerSlot(service, callerRegion, slots);
+    return otherLoad > leaveLoadPerSlot ? urgentReturnSpeedPart : calmReturnSpeedPart;
+  }
+
   private otherLoadPerSlot(service: string, callerRegion: string, slots: SlotsByRegion): number {
     let calls = 0;
     let otherSlots = 0;
--- a/packages/core/src/regionPlan/shiftCap.ts
+++ b/packages/core/src/regionPlan/shiftCap.ts
@@ -17,7 +17,7 @@
  * Part for calls that do not run where the plan has them. It limits their number rather than its change:
  * limits of numbers add up over hosts, whichever host a caller uses.
  */
-const spillPart = 0.15;
+const spillPart = 0.2;
 
 /** Largest share of the calls that the plan moves in a millisecond. */
 export function planSpeedPerMs(maxShift: number): number {
