feat(logs): refused connections, and requests that arrive on them

Cause: a connection that was refused before a request could be read was counted, but not logged, so that a refusal with 408 and the run of its request could not be told from a refusal of a worker that was passed on, or from a call taken for unsent. Change: `connectionRefused` (code, caller's address, bytes read) and `requestAfterRefusal` (request ID, caller's address); the module is a class, refusedConnections.ts, which both listeners for callers share. Decisions are the same.

--- a/packages/host/src/calls/callersListener.ts
+++ b/packages/host/src/calls/callersListener.ts
@@ -9,8 +9,8 @@
 import { failure } from '@buckthornlug/protocol/results/failure.js';
 import type { Settings } from '@buckthornlug/protocol/settings/settingsSchema.js';
 
-import { answerMalformedRequests } from './malformedRequests.js';
 import { sendRefusal } from './refusal.js';
+import type { RefusedConnections } from './refusedConnections.js';
 
 /** Handles one request. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void;
@@ -21,7 +21,6 @@
   readonly announce: RequestHandler;
   readonly health: RequestHandler;
   readonly call: RequestHandler;
-  readonly onRefused: (code: string) => void;
 }
 
 /** Interval between checks for requests whose head exceeds its time limit. */
@@ -41,11 +40,12 @@
 /**
  * Creates a server that passes every well-formed request to one handler.
  *
- * @param handlers - handler of requests, and listener for the result codes of malformed ones
+ * @param refusedConnections - refuses connections from which no request can be read
  */
 export function createEntryServer(
   limits: Settings['limits'],
-  handlers: Pick<CallersHandlers, 'call' | 'onRefused'>,
+  refusedConnections: RefusedConnections,
+  handle: RequestHandler,
 ): Server {
   const server = createServer(
     {
@@ -56,22 +56,28 @@
       keepAliveTimeout: keepAliveTimeoutMs,
       noDelay: true,
     },
-    handlers.call,
+    (request, response) => {
+      refusedConnections.inspect(request);
+      handle(request, response);
+    },
   );
   server.maxConnections = limits.maxConnections;
-  answerMalformedRequests(server, (problem) => handlers.onRefused(problem.code));
+  refusedConnections.attach(server);
   return server;
 }
 
 /** Creates the server for callers and backend servers, which selects a handler by path. */
-export function createCallersServer(limits: Settings['limits'], handlers: CallersHandlers): Server {
-  const call: RequestHandler = (request, response) => {
+export function createCallersServer(
+  limits: Settings['limits'],
+  refusedConnections: RefusedConnections,
+  handlers: CallersHandlers,
+): Server {
+  return createEntryServer(limits, refusedConnections, (request, response) => {
     const handler = selectHandler(handlers, request.url ?? '/');
     if (handler === undefined) {
       sendRefusal(response, failure('BL3001', 'this host has no such path'));
       return;
     }
     handler(request, response);
-  };
-  return createEntryServer(limits, { call, onRefused: handlers.onRefused });
+  });
 }
--- a/packages/host/src/calls/callsFeature.ts
+++ b/packages/host/src/calls/callsFeature.ts
@@ -6,6 +6,7 @@
   type StopPlan,
   type StoppableCall,
 } from '@buckthornlug/core/calls/stopAdmission.js';
+import { requestIdHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
 import { failure } from '@buckthornlug/protocol/results/failure.js';
 import type { ResultAsync } from 'neverthrow';
 import type { Failure } from '@buckthornlug/protocol/results/failure.js';
@@ -25,6 +26,7 @@
 import { createDispatch } from './dispatch.js';
 import { toRefusalBeforeLedger } from './onceWork.js';
 import { sendRefusal } from './refusal.js';
+import { RefusedConnections } from './refusedConnections.js';
 
 const sweepIntervalMs = 10_000;
 /** Time until all hosts know of a planned stop, so that no look-up answer names the host any more. */
@@ -76,8 +78,6 @@
   parts.document.onChange(() => lookupAnswers.invalidate());
   parts.membership.onChange(() => lookupAnswers.invalidate());
 
-  const countRefused = (code: string) => metrics.count('requests_refused_total', { code });
-
   const handleRequest = (
     response: ServerResponse,
     accept: () => ReturnType<typeof acceptor.fromCaller>,
@@ -98,7 +98,7 @@
       callServer.serve(accepted.value);
       return;
     }
-    countRefused(accepted.error.code);
+    metrics.count('requests_refused_total', { code: accepted.error.code });
     sendRefusal(response, accepted.error);
   };
 
@@ -107,13 +107,13 @@
       handleRequest(response, () => acceptor.fromHost(request, response, fromHostId)),
   });
 
-  const server = createCallersServer(settings.limits, {
+  const refusedConnections = new RefusedConnections(context, requestIdHeader);
+  const server = createCallersServer(settings.limits, refusedConnections, {
     lookup: createLookupEndpoint(lookupAnswers),
     announce: createAnnounceEndpoint(context, parts, connections.recordConnectionLimit),
     health: createHealthEndpoint(context, parts, () => progress),
     call: (request, response) =>
       handleRequest(response, () => acceptor.fromCaller(request, response)),
-    onRefused: countRefused,
   });
   const sweepTimer = setInterval(connections.closeIdle, sweepIntervalMs);
 
--- a/packages/host/src/routedCalls/routedCallsFeature.ts
+++ b/packages/host/src/routedCalls/routedCallsFeature.ts
@@ -8,6 +8,7 @@
 import type { Failure } from '@buckthornlug/protocol/results/failure.js';
 
 import { createEntryServer } from '../calls/callersListener.js';
+import { RefusedConnections } from '../calls/refusedConnections.js';
 import { DemandReporter } from '../regionPlan/demandReporter.js';
 import { RoutingFollower } from '../routing/routingFollower.js';
 import { reportLeavingBackend } from '../routing/leavingReporter.js';
@@ -69,10 +70,10 @@
     progress: () => progress,
     mayTake,
   });
-  const server = createEntryServer(settings.limits, {
-    call: (request, response) => callServer.handleRequest(request, response),
-    onRefused: (code) => context.metrics.count('requests_refused_total', { code }),
-  });
+  const refusedConnections = new RefusedConnections(context, callFields.attemptId);
+  const server = createEntryServer(settings.limits, refusedConnections, (request, response) =>
+    callServer.handleRequest(request, response),
+  );
 
   const applyUpdate = (update: Parameters<RoutingState['apply']>[0]) => {
     const previousTable = state.table;
