fix(calls): a connection that is refused takes no later request

Cause: the time limit of a head counts from the moment at which a connection is taken, and its timer runs before the sockets are read. The host wrote 408, ended its side, and went on reading: the request that was waiting in the socket, or came next, was placed and run. Why it works: the refusal is decided and written in one step, after the sockets have been read once and after the answers to earlier requests; a head that is whole by then withdraws it. Once it is written, no request of its connection is handled.

--- a/packages/host/src/calls/callersListener.ts
+++ b/packages/host/src/calls/callersListener.ts
@@ -57,8 +57,7 @@
       noDelay: true,
     },
     (request, response) => {
-      refusedConnections.inspect(request);
-      handle(request, response);
+      if (refusedConnections.admit(request)) handle(request, response);
     },
   );
   server.maxConnections = limits.maxConnections;
--- a/packages/host/src/calls/refusedConnections.ts
+++ b/packages/host/src/calls/refusedConnections.ts
@@ -14,10 +14,11 @@
   readonly code?: string;
 }
 
+const headTimeoutError = 'ERR_HTTP_REQUEST_TIMEOUT';
+
 function toFailure(error: ClientError): Failure {
   if (error.code === 'HPE_HEADER_OVERFLOW') return failure('BL3008', 'the head is too large');
-  if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT')
-    return failure('BL3009', 'the head arrived too slowly');
+  if (error.code === headTimeoutError) return failure('BL3009', 'the head arrived too slowly');
   return failure('BL3010', error.code ?? 'the request cannot be parsed');
 }
 
@@ -43,8 +44,14 @@
   socket.end(Buffer.concat([Buffer.from(`${head}\r\n`), refusal.body]));
 }
 
-/** Refuses connections with requests that the HTTP parser rejects, or whose heads arrive too slowly. */
+/**
+ * Refuses connections with requests that the HTTP parser rejects, or whose heads arrive too slowly. The
+ * refusal says that the request has not run, so none that arrives later on the connection is handled.
+ */
 export class RefusedConnections {
+  /** Refusals that are still to be written; a head that arrives whole before withdraws its refusal. */
+  private readonly due = new WeakMap<Duplex, Failure>();
+
   private readonly refused = new WeakSet<Duplex>();
 
   /**
@@ -66,22 +73,33 @@
         socket.destroy();
         return;
       }
-      const problem = toFailure(error);
-      if (isInAnsweredRequest) this.refuse(socket as Socket, problem);
-      else afterEarlierAnswers(socket, () => this.refuse(socket as Socket, problem));
+      this.due.set(socket, toFailure(error));
+      if (isInAnsweredRequest) this.refuseIfDue(socket as Socket);
+      // A process that stood still runs its timers before it reads what has arrived meanwhile.
+      else if (error.code === headTimeoutError) setImmediate(() => this.refuseInTurn(socket));
+      else this.refuseInTurn(socket);
     });
   }
 
-  /** Logs a request on a connection that has been refused. */
-  inspect(request: IncomingMessage): void {
+  /** Whether a request may be handled; false if its connection has been refused. */
+  admit(request: IncomingMessage): boolean {
     const { socket } = request;
-    if (!this.refused.has(socket)) return;
+    this.due.delete(socket);
+    if (!this.refused.has(socket)) return true;
     const requestId = String(request.headers[this.requestIdField]);
     const { remoteAddress, remotePort } = socket;
     this.context.log.warn('requestAfterRefusal', { requestId, remoteAddress, remotePort });
+    return false;
+  }
+
+  private refuseInTurn(socket: Duplex): void {
+    afterEarlierAnswers(socket, () => this.refuseIfDue(socket as Socket));
   }
 
-  private refuse(socket: Socket, problem: Failure): void {
+  private refuseIfDue(socket: Socket): void {
+    const problem = this.due.get(socket);
+    if (problem === undefined || !socket.writable) return;
+    this.due.delete(socket);
     this.refused.add(socket);
     const { log, metrics } = this.context;
     const { code, detail } = problem;
--- a/packages/testkit/src/routing/lateHead.spec.ts
+++ b/packages/testkit/src/routing/lateHead.spec.ts
@@ -64,8 +64,14 @@
   },
 ];
 
+/** Time for which an order to `/orders/slow` runs. */
+const slowMs = pastTimeoutMs + settledMs;
+
 async function sendLate(send: LateHead['send']) {
-  const backend = await fleet.addBackend('b-1', () => ({ status: 200 }));
+  const backend = await fleet.addBackend('b-1', ({ url }) => ({
+    status: 200,
+    delayMs: url === '/orders/slow' ? slowMs : 0,
+  }));
   await delay(settledMs);
   const { address: host, port } = fleet.entry.context.settings.listen.callers;
   // The caller's bytes are under way when the refusal is written, so it goes on after the end.
@@ -80,13 +86,13 @@
   await send((text) => socket.write(text));
   await delay(settledMs);
   socket.destroy();
-  const status = /^HTTP\/1.1 (\d+)/.exec(received)?.[1] ?? 'none';
-  return { status, runs: backend.requests.length };
+  const statuses = [...received.matchAll(/HTTP\/1.1 (\d+)/g)].map(([, status]) => status);
+  return { statuses, runs: backend.requests.length };
 }
 
 for (const { title, send } of cases) {
   test.serial(`an order whose head ${title} does not run after its refusal`, async (t) => {
-    t.deepEqual(await sendLate(send), { status: '408', runs: 0 });
+    t.deepEqual(await sendLate(send), { statuses: ['408'], runs: 0 });
   });
 }
 
@@ -95,5 +101,18 @@
     write(order);
     standStill(pastTimeoutMs);
   });
-  t.deepEqual(result, { status: '200', runs: 1 });
+  t.deepEqual(result, { statuses: ['200'], runs: 1 });
 });
+
+test.serial(
+  'an order is not refused if its head is whole before the answer to an earlier one',
+  async (t) => {
+    const result = await sendLate(async (write) => {
+      write(order.replace('/orders/1', '/orders/slow') + order.slice(0, halfOfHead));
+      await delay(pastTimeoutMs);
+      write(order.slice(halfOfHead));
+      await delay(slowMs - pastTimeoutMs);
+    });
+    t.deepEqual(result, { statuses: ['200', '200'], runs: 2 });
+  },
+);
