fix(calls): a status that promises "not run" is passed on for orders only with its proof

What callers saw: an order that a backend server answered with 503, 429 or 408 but without the field that says "not run" was answered with that status, a promise that it has not run. Cause: the status was passed on unchanged, whatever it promises. Evidence: unprovenRefusal.spec.ts failed on: 503, 429 and 408 without the field were passed on for an order. Why it works: for work that may run once, such an answer counts as an unknown outcome: 502 (BL3006) without the stamp, and the order is not sent again.

--- a/packages/host/src/routedCalls/exchangeOutcome.ts
+++ b/packages/host/src/routedCalls/exchangeOutcome.ts
@@ -10,6 +10,8 @@
 /** Status with which a process answers a request that names another backend server. */
 export const misdirectedStatus = 421;
 const minErrorStatus = 500;
+/** Statuses that promise a caller that its call has not run and never will, beside 421. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 429, 503]);
 
 /** Classifies an exchange for the health of the backend server; undefined if it says nothing. */
 export function classifyExchange(
@@ -31,3 +33,11 @@
 export function claimsNotRun({ status, fields }: AnswerHead, callFields: CallFields): boolean {
   return status === misdirectedStatus || fieldValue(fields, callFields.notRun) !== undefined;
 }
+
+/**
+ * Whether an answer would promise the caller that its call did not run, while the backend server says no
+ * such thing.
+ */
+export function promisesWithoutProof(head: AnswerHead, callFields: CallFields): boolean {
+  return notRunStatuses.has(head.status) && !claimsNotRun(head, callFields);
+}
--- a/packages/host/src/routedCalls/routedRunner.ts
+++ b/packages/host/src/routedCalls/routedRunner.ts
@@ -10,7 +10,7 @@
 
 import type { RequestBody } from '../calls/requestBody.js';
 import type { LeavingBackend } from '../routing/routingPollSchema.js';
-import type { HostContext, Random } from '../runtime/hostTypes.js';
+import type { HostContext } from '../runtime/hostTypes.js';
 import type { BackendAgent } from './backendConnections.js';
 import {
   exchange,
@@ -19,12 +19,16 @@
   type ExchangeTimes,
 } from './backendExchange.js';
 import { CongestionGate } from './congestionGate.js';
-import { claimsNotRun, classifyExchange, misdirectedStatus } from './exchangeOutcome.js';
+import {
+  claimsNotRun,
+  classifyExchange,
+  misdirectedStatus,
+  promisesWithoutProof,
+} from './exchangeOutcome.js';
 import { isStoppedByHost, stoppingFailure, type MayTakeRoutedCall } from './plannedStop.js';
-import { addJitter, retryJitterFraction } from './retryJitter.js';
 import type { RoutedCall } from './routedCallsTypes.js';
 import type { FinalDecision, RoutedPools, AcquiredSlot } from './routedPools.js';
-import { hasEnded, notRunRetryAfterMs, unsentCallFailure } from './unsentCalls.js';
+import { hasEnded, notRunRetryAfterMs, turnAwayFailure, unsentCallFailure } from './unsentCalls.js';
 
 /** Sends a routed call to one backend server after another until it is answered or fails. */
 
@@ -50,8 +54,6 @@
   readonly mayTake: MayTakeRoutedCall;
 }
 
-type TurnAwayDecision = Extract<FinalDecision, { readonly decision: 'turnAway' }>;
-
 /** Outcome of a call. */
 export type RoutedOutcome =
   | {
@@ -71,22 +73,6 @@
   /** The caller hung up or the time limit passed. */
   | { readonly end: 'givenUp'; readonly failure: Failure };
 
-/** Builds the failure of a call that is turned away. */
-function turnAwayFailure(
-  { reason, retryAfterMs: capacityExpectedInMs }: TurnAwayDecision,
-  random: Random,
-): Failure {
-  if (reason === 'noBackend') {
-    // The time is known rather than estimated, so a caller that returned earlier would be refused again.
-    const returnMs = Math.max(capacityExpectedInMs, notRunRetryAfterMs);
-    const retryAfterMs = returnMs * (1 + retryJitterFraction * random());
-    return failure('BL3003', 'no backend server can take the call', { retryAfterMs });
-  }
-  const options = { retryAfterMs: addJitter(capacityExpectedInMs, random) };
-  if (reason === 'targetMissed') return failure('BL3002', 'the target cannot be met', options);
-  return failure('BL3002', 'the time limit passed before the call was sent', options);
-}
-
 /** Estimates behind a placement, as log fields. */
 function describeCandidate(candidate: ScoredBackend) {
   const { backend, isWarm, choice, homeShare, expectedMs, load, waitMs, costMs } = candidate;
@@ -312,8 +298,14 @@
       return { end: 'givenUp', failure: problem };
     }
     const { status } = result.head;
+    const { callFields } = this.parts;
+    if (call.route.execution === 'single' && promisesWithoutProof(result.head, callFields)) {
+      if (result.end === 'streaming') result.rest.destroy();
+      const detail = `"${backendId}" answered ${status} without saying that the call did not run`;
+      return { end: 'unknown', failure: failure('BL3006', detail) };
+    }
     const isMisdirected = status === misdirectedStatus;
-    const isNotRun = claimsNotRun(result.head, this.parts.callFields);
+    const isNotRun = claimsNotRun(result.head, callFields);
     if (!isNotRun || result.end !== 'answered') return { end: 'answered', result, backendId };
     if (isMisdirected) backend.backOff(nowMs);
     const problem = failure('BL3015', `backend server "${backendId}" answered ${status}`, {
--- a/packages/host/src/routedCalls/unsentCalls.ts
+++ b/packages/host/src/routedCalls/unsentCalls.ts
@@ -1,7 +1,10 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 
+import type { Random } from '../runtime/hostTypes.js';
 import { isStoppedByHost, stoppingFailure } from './plannedStop.js';
+import { addJitter, retryJitterFraction } from './retryJitter.js';
 import type { RoutedCall } from './routedCallsTypes.js';
+import type { FinalDecision } from './routedPools.js';
 
 /** Calls that end before they are sent. */
 
@@ -24,3 +27,22 @@
     retryAfterMs: notRunRetryAfterMs,
   });
 }
+
+/** Builds the failure of a call that is turned away. */
+export function turnAwayFailure(
+  {
+    reason,
+    retryAfterMs: capacityExpectedInMs,
+  }: Extract<FinalDecision, { readonly decision: 'turnAway' }>,
+  random: Random,
+): Failure {
+  if (reason === 'noBackend') {
+    // The time is known rather than estimated, so a caller that returned earlier would be refused again.
+    const returnMs = Math.max(capacityExpectedInMs, notRunRetryAfterMs);
+    const retryAfterMs = returnMs * (1 + retryJitterFraction * random());
+    return failure('BL3003', 'no backend server can take the call', { retryAfterMs });
+  }
+  const options = { retryAfterMs: addJitter(capacityExpectedInMs, random) };
+  if (reason === 'targetMissed') return failure('BL3002', 'the target cannot be met', options);
+  return failure('BL3002', 'the time limit passed before the call was sent', options);
+}
