fix(calls): a refused connection is closed although its caller does not close it

What callers saw: nothing at first; a host that refused many connections whose callers kept them open would have run out of descriptors. Cause: a refusal ends the host's side only. Node.js counts no time limit on the connection any more. Why it works: what arrives on a refused connection is read and dropped, and three seconds without data close it.

--- a/packages/host/src/calls/refusedConnections.ts
+++ b/packages/host/src/calls/refusedConnections.ts
@@ -15,6 +15,8 @@
 }
 
 const headTimeoutError = 'ERR_HTTP_REQUEST_TIMEOUT';
+/** Time without data after which a refused connection is closed if its caller does not close it. */
+const lingerMs = 3000;
 
 function toFailure(error: ClientError): Failure {
   if (error.code === 'HPE_HEADER_OVERFLOW') return failure('BL3008', 'the head is too large');
@@ -89,6 +91,9 @@
     const requestId = String(request.headers[this.requestIdField]);
     const { remoteAddress, remotePort } = socket;
     this.context.log.warn('requestAfterRefusal', { requestId, remoteAddress, remotePort });
+    // The end of the connection is behind the body.
+    request.resume();
+    socket.setTimeout(lingerMs);
     return false;
   }
 
@@ -107,5 +112,6 @@
     metrics.count('requests_refused_total', { code });
     log.info('connectionRefused', { code, detail, remoteAddress, remotePort, bytesRead });
     writeRefusal(socket, problem);
+    socket.setTimeout(lingerMs);
   }
 }
