test(calls): servers of the refused connections are closed by a failed test as well

Cause: a failed assertion left the server open, so that the runner waited three minutes. Change: they are closed in a teardown.

--- a/packages/host/src/calls/refusedConnections.spec.ts
+++ b/packages/host/src/calls/refusedConnections.spec.ts
@@ -59,6 +59,10 @@
     const { server, port, handled, countConnections } = await startServer();
     const socket = connect({ host: '127.0.0.1', port, allowHalfOpen: true });
     socket.on('error', () => undefined).resume();
+    t.teardown(() => {
+      socket.destroy();
+      server.close();
+    });
     await delay(refusedMs);
     goOn(socket);
     await delay(refusedMs);
@@ -66,7 +70,5 @@
     await delay(lingerMs);
     t.is(await countConnections(), 0);
     t.deepEqual(handled, []);
-    socket.destroy();
-    server.close();
   });
 }
