fix(calls): a body that breaks off after its call was dispatched does not say "not run"

What callers saw: a call with a large body that broke off, or whose chunks were malformed, while a backend server was receiving it was refused with BL3010 and `execution: notRun`, although it may have run. Cause: an error of the HTTP parser was taken for one of a request that has not been read, also within a body that is streamed on. Evidence: the two new cases of badInput.spec.ts failed on: BL3010 in place of BL3019. Why it works: a request whose body is streamed on is known as such from its dispatch; an error in that body is BL3019, whose outcome is unknown. The status (400) is the same. Measured: badInput.spec.ts and the specs around it pass (40).

--- a/packages/host/src/calls/bodyGuard.ts
+++ b/packages/host/src/calls/bodyGuard.ts
@@ -12,6 +12,14 @@
   'maxBodyBytes' | 'idleBodyTimeoutMs' | 'replayBodyBytes'
 >;
 
+/** Requests whose bodies are streamed on, so that their calls may have been dispatched. */
+const streamedRequests = new WeakSet<IncomingMessage>();
+
+/** Whether the body of a request is streamed on. */
+export function isStreamedOn(request: IncomingMessage): boolean {
+  return streamedRequests.has(request);
+}
+
 /** Streams a body on and fails with a `BodyError` if it grows too large or pauses for too long. */
 export class BodyGuard extends Transform {
   private receivedBytes = 0;
@@ -23,6 +31,7 @@
     private readonly limits: BodyLimits,
   ) {
     super();
+    streamedRequests.add(request);
     this.idleTimer = setTimeout(() => this.onIdle(), limits.idleBodyTimeoutMs);
     const onAborted = () => this.fail('the caller aborted the request before the end of the body');
     request.once('aborted', onAborted);
--- a/packages/host/src/calls/refusedConnections.ts
+++ b/packages/host/src/calls/refusedConnections.ts
@@ -5,6 +5,7 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 
 import type { HostContext } from '../runtime/hostTypes.js';
+import { isStreamedOn } from './bodyGuard.js';
 import { encodeRefusal } from './refusal.js';
 
 /** Connections that are refused as a whole, because no request can be read from them. */
@@ -24,6 +25,11 @@
   return failure('BL3010', error.code ?? 'the request cannot be parsed');
 }
 
+/** Failure of a call whose body breaks off after a backend server may have started it. */
+function toBodyFailure(error: ClientError): Failure {
+  return failure('BL3019', error.code ?? 'the body cannot be parsed');
+}
+
 /** The response that is being written, or that is next to be written, on a connection. */
 function responseInProgress(socket: Duplex): ServerResponse | undefined {
   const { _httpMessage: response } = socket as { _httpMessage?: ServerResponse | null };
@@ -75,7 +81,8 @@
         socket.destroy();
         return;
       }
-      this.due.set(socket, toFailure(error));
+      const mayHaveRun = isInAnsweredRequest && isStreamedOn(response.req);
+      this.due.set(socket, mayHaveRun ? toBodyFailure(error) : toFailure(error));
       if (isInAnsweredRequest) this.refuseIfDue(socket as Socket);
       // A process that stood still runs its timers before it reads what has arrived meanwhile.
       else if (error.code === headTimeoutError) setImmediate(() => this.refuseInTurn(socket));
--- a/packages/testkit/src/calls/badInput.spec.ts
+++ b/packages/testkit/src/calls/badInput.spec.ts
@@ -193,6 +193,29 @@
     status: 400,
     code: 'BL3010',
   },
+  {
+    title: 'a connection half closed inside a body after its call was dispatched',
+    raw: {
+      pieces: [head('POST /stock HTTP/1.1', 'Content-Length: 1000'), 'x'.repeat(500)],
+      pauseMs: 100,
+      halfCloses: true,
+    },
+    status: 400,
+    code: 'BL3019',
+  },
+  {
+    title: 'a body whose chunks are malformed after its call was dispatched',
+    raw: {
+      pieces: [
+        head('POST /stock HTTP/1.1', 'Transfer-Encoding: chunked'),
+        `1f4\r\n${'x'.repeat(500)}\r\n`,
+        'no size\r\n',
+      ],
+      pauseMs: 100,
+    },
+    status: 400,
+    code: 'BL3019',
+  },
   {
     title: 'a look-up without a service',
     raw: { pieces: [head('GET /.well-known/buckthornlug/lookup HTTP/1.1')] },
