--- a/ava.config.js
+++ b/ava.config.js
@@ -11,6 +11,7 @@
     },
     compile: false,
   },
+  require: ['./packages/testkit/dist/ci/lingeringProcess.js'],
   nodeArguments: ['--enable-source-maps'],
   workerThreads: false,
   concurrency: 4,
--- a/packages/testkit/src/ci/verdict.spec.ts
+++ b/packages/testkit/src/ci/verdict.spec.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 
-import { knownTitles, mayLand, readVerdict } from './verdict.js';
+import { knownTitles, lingeringLine, mayLand, readVerdict } from './verdict.js';
 
 const tap = [
   'TAP version 13',
@@ -22,3 +22,12 @@
   t.false(mayLand(readVerdict('TAP version 13', []), 0));
   t.false(mayLand(readVerdict('ok 1 - core › a', []), 1));
 });
+
+test('a known failure does not excuse a test file that does not exit', (t) => {
+  const known = ['second', 'third'];
+  const errorOutput = `level=warn event=other\n${lingeringLine('a.spec.js', 'Timeout')}\n`;
+  const verdict = readVerdict(tap, known, errorOutput);
+  t.deepEqual(verdict.lingering, ['test file does not exit: a.spec.js (Timeout)']);
+  t.false(mayLand(verdict, 1));
+  t.true(mayLand(readVerdict(tap, known, 'level=warn event=other\n'), 1));
+});
