--- a/packages/testkit/src/placement/regionShift.spec.ts
+++ b/packages/testkit/src/placement/regionShift.spec.ts
@@ -85,3 +85,10 @@
     durationMs: 12_000,
     troubles: [{ fromMs: 2500, toMs: 8200, burst: { routeId: 'holds', factor: 2.5 } }],
   }));
+
+test('calls of a region do not swing between regions while all regions are overloaded', (t) =>
+  assertMovesWithinCap(t, {
+    ...load,
+    durationMs: 12_000,
+    troubles: [{ fromMs: 4000, toMs: 9000, burst: { factor: 3 } }],
+  }));
