test(ledger): floods of once-only work log how their calls ended

Cause: in red runs beside load some calls end neither answered nor refused, and the log did not say how (216 of 400 once). Change: counts by result and proven execution in the log of both specs; the assertions are the same.

--- a/packages/testkit/src/ledger/onceCallFleet.ts
+++ b/packages/testkit/src/ledger/onceCallFleet.ts
@@ -96,3 +96,13 @@
     },
   };
 }
+
+/** Number of replies by result and proven execution. */
+export function countEnds(replies: readonly TestReply[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const { result, execution } of replies) {
+    const end = `${result} ${execution}`;
+    counts[end] = (counts[end] ?? 0) + 1;
+  }
+  return counts;
+}
--- a/packages/testkit/src/ledger/onceFlood.spec.ts
+++ b/packages/testkit/src/ledger/onceFlood.spec.ts
@@ -3,7 +3,7 @@
 import test from 'ava';
 
 import type { TestReply } from '../calls/callFleet.js';
-import { isAnswered, startOnceCallFleet } from './onceCallFleet.js';
+import { countEnds, isAnswered, startOnceCallFleet } from './onceCallFleet.js';
 
 const floodCalls = 400;
 const floodIntervalMs = 3;
@@ -52,7 +52,8 @@
   }
   const refused = replies.filter(({ execution }) => execution === 'notRun').length;
   const wasted = committed - 2 * answered;
-  t.log({ answered, refused, committed, wasted, elapsedMs: Math.round(elapsedMs) });
+  const ends = countEnds(replies);
+  t.log({ answered, refused, committed, wasted, elapsedMs: Math.round(elapsedMs), ends });
   t.true(refused > floodCalls / 4, `the pool refuses: ${refused}`);
   t.true(wasted <= refused * commitsPerRefusedCall, `${wasted} commits, ${refused} refused calls`);
 });
--- a/packages/testkit/src/ledger/onceFloodPlaces.spec.ts
+++ b/packages/testkit/src/ledger/onceFloodPlaces.spec.ts
@@ -5,6 +5,7 @@
 import type { TestReply } from '../calls/callFleet.js';
 import { testService } from '../fakes/testDocument.js';
 import {
+  countEnds,
   isAnswered,
   startOnceCallFleet,
   type OnceCallFleet,
@@ -113,7 +114,7 @@
     }
     const refused = replies.filter(({ execution }) => execution === 'notRun').length;
     const wasted = committed - 2 * answered;
-    t.log({ answered, refused, committed, wasted, elapsedMs });
+    t.log({ answered, refused, committed, wasted, elapsedMs, ends: countEnds(replies) });
     t.true(refused > floodCalls / 4, `calls are refused: ${refused}`);
     t.true((answered * 1000) / elapsedMs > leastAnsweredPerS, `calls are answered: ${answered}`);
     t.true(
