fix(cli): adding a replica waits for a host that has just started

Operators saw: "group add-replica" for a host that had just started ended with BL5005, "runs no replica; list it in its own settings", which it was. Cause: a host takes requests before its replica has opened its folder and asked the others for the group; the tool took the first answer for the last. Class: one's own earliness is taken for the other's absence.

--- a/packages/cli/src/api/changeReplicas.ts
+++ b/packages/cli/src/api/changeReplicas.ts
@@ -18,6 +18,8 @@
 /** Changes of a group's replicas by an operator. */
 
 const pollDelayMs = 200;
+/** Time for which a host that has just started may run no replica yet. */
+const replicaStartMs = 5000;
 
 /** Replicas of a group as its leader knows them. */
 export async function readReplicas(
@@ -56,6 +58,25 @@
   return answer.map((value) => replicaChangeReplySchema.parse(value));
 }
 
+/**
+ * Repeats a change that adds a replica while its host runs none yet.
+ *
+ * @param change - sends the change once
+ * @param waitMs - longest time that the operator waits
+ */
+export async function repeatUntilReplicaRuns<T>(
+  change: () => Promise<Result<T, Failure>>,
+  waitMs: number,
+): Promise<Result<T, Failure>> {
+  const deadlineMs = performance.now() + Math.min(waitMs, replicaStartMs);
+  for (;;) {
+    const changed = await change();
+    if (changed.isOk() || changed.error.code !== 'BL5005') return changed;
+    if (performance.now() >= deadlineMs) return changed;
+    await delay(pollDelayMs);
+  }
+}
+
 /** Waits until the replica of a host is a voter; BL5006 if it still catches up after `waitMs`. */
 export async function waitForVoter(
   client: AdminClient,
--- a/packages/cli/src/commands/groupAddReplicaCommand.ts
+++ b/packages/cli/src/commands/groupAddReplicaCommand.ts
@@ -1,6 +1,6 @@
 import { Command, Option } from 'clipanion';
 
-import { waitForVoter } from '../api/changeReplicas.js';
+import { repeatUntilReplicaRuns, waitForVoter } from '../api/changeReplicas.js';
 import { formatReplicas, GroupReplicaCommand } from './groupReplicaCommand.js';
 
 const defaultWaitMs = 30_000;
@@ -29,10 +29,11 @@
   });
 
   async execute(): Promise<number> {
-    const changed = await this.change('add');
+    const waitMs = Number(this.waitMs);
+    const changed = await repeatUntilReplicaRuns(() => this.change('add'), waitMs);
     if (changed.isErr()) return this.printFailure(changed.error);
-    const { groupId, hostId, waitMs } = this;
-    const replicas = await waitForVoter(this.client(), groupId, hostId, Number(waitMs));
+    const { groupId, hostId } = this;
+    const replicas = await waitForVoter(this.client(), groupId, hostId, waitMs);
     return this.finish(replicas, formatReplicas);
   }
 }
