test: what a test starts ends with it, also when it fails

Change: four files stop what they start in a teardown (fullDisks, registryTask, datagrams, hostProcess).

--- a/packages/host/src/registry/registryTask.spec.ts
+++ b/packages/host/src/registry/registryTask.spec.ts
@@ -1,7 +1,7 @@
 import { createControlMachine } from '@buckthornlug/core/submissions/controlMachine.js';
 import { verifySubmission } from '@buckthornlug/core/submissions/submissionSignature.js';
 import type { BackendReport } from '@buckthornlug/protocol/registry/registrySchema.js';
-import test from 'ava';
+import test, { type ExecutionContext } from 'ava';
 import { okAsync } from 'neverthrow';
 
 import type { HostContext } from '../runtime/hostTypes.js';
@@ -21,7 +21,7 @@
 };
 
 /** A task whose commands wait to be committed. */
-function createTask() {
+function createTask(t: ExecutionContext) {
   const machine = createControlMachine(verifySubmission);
   const commands: RoutingCommand[] = [];
   const control = {
@@ -39,22 +39,21 @@
   const context = { clock, log, metrics: { count: () => undefined } } as unknown as HostContext;
   const parts = {} as ConstructorParameters<typeof RegistryTask>[1];
   const task = new RegistryTask(context, parts, control, 1000);
+  t.teardown(() => task.stop());
   return { task, machine, commands };
 }
 
 test('a departure that names no incarnation and is committed late removes no later one', async (t) => {
-  const { task, machine, commands } = createTask();
+  const { task, machine, commands } = createTask(t);
   machine.apply({ type: 'noteBackend', report, atMs: 100 }, 1);
   (await task.removeBackend('b-1'))._unsafeUnwrap();
   machine.apply({ type: 'noteBackend', report: { ...report, bornAtMs: 200 }, atMs: 200 }, 2);
   for (const command of commands) machine.apply(command, 3);
   t.is(machine.registry.find('b-1')?.state, 'ready');
-  task.stop();
 });
 
 test('a departure that names no incarnation of an unknown backend server is refused', async (t) => {
-  const { task, commands } = createTask();
+  const { task, commands } = createTask(t);
   t.is((await task.removeBackend('b-1'))._unsafeUnwrapErr().code, 'BL5001');
   t.deepEqual(commands, []);
-  task.stop();
 });
--- a/packages/host/src/rpc/datagrams.spec.ts
+++ b/packages/host/src/rpc/datagrams.spec.ts
@@ -22,7 +22,9 @@
 test('datagrams sent before the socket is closed are delivered', async (t) => {
   const port = randomInt(20_000, 30_000);
   const sender = await open('127.0.0.1', port);
+  t.teardown(() => sender.close());
   const receiver = await open('127.0.0.2', port);
+  t.teardown(() => receiver.close());
   const received: string[] = [];
   receiver.receive('membership', (content) => received.push(content));
   for (let number = 0; number < datagramCount; number += 1) {
@@ -34,6 +36,5 @@
   while (received.length < datagramCount && performance.now() < untilMs) {
     await delay(10);
   }
-  await receiver.close();
   t.is(received.length, datagramCount);
 });
--- a/packages/testkit/src/control/fullDisks.spec.ts
+++ b/packages/testkit/src/control/fullDisks.spec.ts
@@ -1,6 +1,7 @@
 import { mkdir, mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { createInitialState } from '@buckthornlug/host/consensus/formation.js';
@@ -15,7 +16,7 @@
 import { failure } from '@buckthornlug/protocol/results/failure.js';
 import { routingSettingsSchema } from '@buckthornlug/protocol/settings/settingsSchema.js';
 import test, { type ExecutionContext } from 'ava';
-import { errAsync } from 'neverthrow';
+import { errAsync, type ResultAsync } from 'neverthrow';
 
 import { createFleetSettings } from '../fakes/hostSettings.js';
 import { timeUntil } from '../time/timeUntil.js';
@@ -54,19 +55,49 @@
   return context as HostContext;
 }
 
+/** Longest write of the disks, and longest time for which this process did not run. */
+class MachineDelays {
+  private longestWriteMs = 0;
+
+  private readonly eventLoop = monitorEventLoopDelay();
+
+  constructor() {
+    this.eventLoop.enable();
+  }
+
+  /** Measures a write. */
+  timed<Failed>(result: ResultAsync<void, Failed>): ResultAsync<void, Failed> {
+    const startedAtMs = performance.now();
+    return result.andTee(() => {
+      this.longestWriteMs = Math.max(this.longestWriteMs, performance.now() - startedAtMs);
+    });
+  }
+
+  describe(): string {
+    const longestStallMs = this.eventLoop.max / 1e6;
+    return `longest write ${Math.round(this.longestWriteMs)} ms, longest stall ${Math.round(longestStallMs)} ms`;
+  }
+}
+
 /** A storage that refuses every write while its disk is full. */
-function fillable(storage: GroupStorage, isFull: () => boolean): GroupStorage {
+function fillable(
+  storage: GroupStorage,
+  isFull: () => boolean,
+  machineDelays: MachineDelays,
+): GroupStorage {
   const refused = () => errAsync(failure('BL5004', 'no space left on device'));
   return {
     ...storage,
-    write: (effects) => (isFull() ? refused() : storage.write(effects)),
-    rewrite: (state) => (isFull() ? refused() : storage.rewrite(state)),
+    write: (effects) => (isFull() ? refused() : machineDelays.timed(storage.write(effects))),
+    rewrite: (state) => (isFull() ? refused() : machineDelays.timed(storage.rewrite(state))),
   };
 }
 
 test('disks that are full one after another never stop a group for longer than elections take', async (t) => {
   const folder = await newFolder(t);
   const tasks = new Map<string, GroupTask<number, number>>();
+  t.teardown(() => Promise.all([...tasks.values()].map((task) => task.stop())));
+  const machineDelays = new MachineDelays();
   const fullDisks = new Set<string>();
   const applied = new Map<string, number[]>();
   const storages = await Promise.all(
@@ -88,7 +119,7 @@
         snapshot: () => [...commands],
         restore: (snapshot) => commands.splice(0, commands.length, ...(snapshot as number[])),
       },
-      storage: fillable(storage, () => fullDisks.has(hostId)),
+      storage: fillable(storage, () => fullDisks.has(hostId), machineDelays),
       sendBatch: async (to, messages) => {
         const replies = (await tasks.get(to)?.exchange(hostId, messages)) ?? [];
         tasks.get(hostId)?.deliver(replies);
@@ -125,14 +156,14 @@
   isProposing = false;
   await proposing;
   longestGapMs = Math.max(longestGapMs, performance.now() - lastCommitAtMs);
-  t.true(longestGapMs <= maxCommitGapMs, `no commit for ${Math.round(longestGapMs)} ms`);
+  const delays = machineDelays.describe();
+  t.true(longestGapMs <= maxCommitGapMs, `no commit for ${Math.round(longestGapMs)} ms, ${delays}`);
   const holdsAll = () =>
     [...applied.values()].every((commands) => {
       const held = new Set(commands);
       return acknowledged.every((command) => held.has(command));
     });
-  t.not(await timeUntil(holdsAll), Infinity);
-  for (const task of tasks.values()) await task.stop();
+  t.not(await timeUntil(holdsAll), Infinity, `acknowledged commands are missing, ${delays}`);
 });
 
 test('a host that starts on a full disk joins its group once the disk has room', async (t) => {
@@ -151,9 +182,9 @@
   const routing = routingSettingsSchema.parse({ regionOfZone: { 'north-a': 'north' } });
   const started = await startHost({ ...settings, routing }, { features: routedFeatures });
   const host = started._unsafeUnwrap();
+  t.teardown(() => host.stop());
   await delay(200);
   t.false(host.parts.control?.isLeader() ?? false);
   await rm(blockedPath);
   t.not(await timeUntil(() => host.parts.control?.isLeader() ?? false), Infinity);
-  await host.stop();
 });
--- a/packages/testkit/src/processes/hostProcess.spec.ts
+++ b/packages/testkit/src/processes/hostProcess.spec.ts
@@ -14,6 +14,7 @@
   ]);
   if (settings === undefined) throw new Error('settings are missing');
   const host = await startHostProcess(settings, { workFolder });
+  t.teardown(() => host.kill());
   t.false(host.ended());
   t.is(await host.stop(), 0);
   t.true(host.ended());
