--- a/packages/testkit/src/slots/backendsView.spec.ts
+++ b/packages/testkit/src/slots/backendsView.spec.ts
@@ -33,7 +33,7 @@
     meanMs: 1,
     seed: 1,
   });
-  t.teardown(() => fleet.stop());
+  t.teardown(() => Promise.all([fleet.stop(), backend.kill()]));
   const { address, port } = fleet.hosts[2]!.context.settings.listen.admin;
   const read = async () => {
     const reply = await request(`http://${address}:${port}/v1/backends`);
