test(consensus): replicas that lack committed entries vouch for them, as a known red

Cause: `leaderSilentMs`, with which a control host vouches for its state, is the time since the leader's last message, whatever the message was.

--- a/packages/core/src/consensus/leaderSilence.spec.ts
+++ b/packages/core/src/consensus/leaderSilence.spec.ts
@@ -1,9 +1,11 @@
 import test from 'ava';
 
-import type { DurableState } from './consensusTypes.js';
+import type { AppendMessage, ConsensusInput, DurableState } from './consensusTypes.js';
 import { leaderSilentMs, step } from './replica.js';
+import { Schedule, scheduleOptions, type Replica } from './replicaSchedule.js';
 import { createReplica, type ReplicaState } from './replicaState.js';
 import { sampleOptions } from './sampleOptions.js';
+import { assertInvariant } from './scheduleParts.js';
 
 /** Snapshot up to index 1, and a command of term 1 at index 2 that may not be committed. */
 function durableState(voters: readonly string[]): DurableState {
@@ -47,3 +49,75 @@
   const state = createReplica('a/1', durableState(['a/1', 'b/1', 'c/1']), sampleOptions, 0);
   t.is(leaderSilentMs(state, 100), Number.POSITIVE_INFINITY);
 });
+
+/** Hands a replica a message of the leader `b/1` in term 2. */
+function hear(
+  state: ReplicaState,
+  nowMs: number,
+  content: Pick<AppendMessage, 'prevIndex' | 'prevTerm' | 'entries' | 'commitIndex'>,
+): void {
+  const message: AppendMessage = {
+    kind: 'append',
+    from: 'b/1',
+    to: 'a/1',
+    term: 2,
+    round: nowMs,
+    sentAtMs: nowMs,
+    ...content,
+  };
+  step(state, { nowMs, random: 0.5 }, { kind: 'message', message });
+}
+
+/** Follower of term 2 that holds the first two of nine committed entries. */
+function laggingReplica(): ReplicaState {
+  const state = createReplica('a/1', durableState(['a/1', 'b/1', 'c/1']), sampleOptions, 0);
+  const entry = { index: 2, term: 2, body: { kind: 'noop' } } as const;
+  hear(state, 100, { prevIndex: 1, prevTerm: 1, entries: [entry], commitIndex: 2 });
+  return state;
+}
+
+const heartbeats = [
+  { heartbeat: 'behind the missing entries', prevIndex: 9, prevTerm: 2 },
+  { heartbeat: 'at the last entry held', prevIndex: 2, prevTerm: 2 },
+];
+for (const { heartbeat, ...previous } of heartbeats) {
+  test(`a replica that hears heartbeats ${heartbeat} and lacks committed entries vouches for no state`, (t) => {
+    const state = laggingReplica();
+    for (let nowMs = 200; nowMs <= 6000; nowMs += 100) {
+      hear(state, nowMs, { ...previous, entries: [], commitIndex: 9 });
+    }
+    t.is(state.commitIndex, 2);
+    t.true(leaderSilentMs(state, 6000) >= 5000, `${leaderSilentMs(state, 6000)} ms`);
+  });
+}
+
+/** Checks after each step that a replica holds all that was committed before the time it vouches for. */
+class VouchingSchedule extends Schedule {
+  /** Time at which each entry was first applied. */
+  private readonly committedAtMs: number[] = [];
+
+  vouched = 0;
+
+  protected override stepReplica(replica: Replica, input: ConsensusInput): void {
+    super.stepReplica(replica, input);
+    while (this.committedAtMs.length < this.committed.length) this.committedAtMs.push(this.nowMs);
+    if (replica.isDown || replica.pausedUntil > this.nowMs) return;
+    const silentMs = leaderSilentMs(replica.state, this.nowMs);
+    if (silentMs <= scheduleOptions.electionTimeoutMs) this.vouched += 1;
+    const lackedSinceMs = this.committedAtMs[replica.state.commitIndex + 1] ?? Infinity;
+    assertInvariant(
+      lackedSinceMs >= this.nowMs - silentMs,
+      `${replica.id} vouches for ${silentMs} ms ago and lacks a commit of ${this.nowMs - lackedSinceMs} ms ago`,
+    );
+  }
+}
+
+test('a replica holds all that was committed before the time it vouches for, whatever is lost or late', (t) => {
+  let vouched = 0;
+  for (let seed = 1; seed <= 150; seed += 1) {
+    const schedule = new VouchingSchedule(seed);
+    t.notThrows(() => schedule.run(1500), `seed ${seed}`);
+    vouched += schedule.vouched;
+  }
+  t.true(vouched > 0);
+});
