fix(consensus): a control host vouches only for state that it holds

Cause: the time with which a control host vouches for its state was the time since the leader's last message of any kind. Heartbeats are datagrams, entries are procedure calls; a host that hears the ones and lacks the others vouched for an old document, and entry hosts answered from it and asked nobody else. Change: replies bear a time on the replica's clock, a leader that holds its lease echoes it with its commit index, and the replica vouches for that time once the index is committed there. Polls, registrations of backend servers and the contact that holds shift steps use the same number. Answers without changes count from the end of their wait; a host that stops confirms nothing. Why it works: what is committed before the echoed time has an index up to the echoed one, since no other leader can have been elected while the lease holds; so the document held is at most as old as is said, whatever was lost or late on the way.

--- a/packages/core/src/consensus/commitment.ts
+++ b/packages/core/src/consensus/commitment.ts
@@ -1,4 +1,5 @@
 /* eslint no-param-reassign: ['error', { props: false }] */
+import { releaseConfirmations } from './confirmedState.js';
 import { confirmReads, releaseCommittedReads } from './reads.js';
 import { termAt } from './replicaLog.js';
 import { isVoter, quorumValue, type Leadership, type ReplicaState } from './replicaState.js';
@@ -23,6 +24,7 @@
     state.effects.push({ kind: 'membersChanged', members, index: entry.index });
   }
   releaseCommittedReads(state);
+  releaseConfirmations(state);
 }
 
 /** Commits what a quorum has synced, if it ends with an entry of the current term. */
@@ -53,3 +55,15 @@
   const quorumHeardAtMs = quorumAckedSentAtMs(state, leadership);
   return quorumHeardAtMs + state.options.electionTimeoutMs * leaseFraction;
 }
+
+/**
+ * Whether the replica leads and no other replica can have been elected yet; false during a
+ * leadership transfer.
+ *
+ * @param nowMs - monotonic time
+ */
+export function holdsLease(state: ReplicaState, nowMs: number): boolean {
+  const untilMs = leaseUntilMs(state);
+  if (untilMs === undefined || state.leadership?.handOver !== undefined) return false;
+  return nowMs < untilMs;
+}
--- a/packages/core/src/consensus/consensusTypes.ts
+++ b/packages/core/src/consensus/consensusTypes.ts
@@ -113,12 +113,24 @@
   readonly sentAtMs: number;
 }
 
+/** A time on the monotonic clock of a replica's process. */
+export interface ReplyStamp {
+  /** Random number that identifies the process. */
+  readonly clockId: number;
+  readonly atMs: number;
+}
+
 export interface AppendMessage extends MessageBase, LeaderRound {
   readonly kind: 'append';
   readonly prevIndex: number;
   readonly prevTerm: number;
   readonly entries: readonly LogEntry[];
   readonly commitIndex: number;
+  /**
+   * Stamp of the receiver's newest reply; null if the leader cannot vouch for its commit index, absent
+   * from a leader of an earlier version.
+   */
+  readonly echo?: ReplyStamp | null;
 }
 
 export interface AppendReply extends MessageBase, LeaderRound {
@@ -127,6 +139,8 @@
   /** Last synced index that matches the leader's log; on refusal, the `prevIndex` to try next. */
   readonly matchIndex: number;
   readonly prevIndex: number;
+  /** Set when the reply is sent; absent from a replica of an earlier version. */
+  readonly stamp?: ReplyStamp;
 }
 
 export interface SnapshotChunk extends MessageBase, LeaderRound {
@@ -143,6 +157,8 @@
   readonly kind: 'snapshotReply';
   readonly snapshotIndex: number;
   readonly nextOffset: number;
+  /** Set when the reply is sent; absent from a replica of an earlier version. */
+  readonly stamp?: ReplyStamp;
 }
 
 export interface ReadIndexMessage extends MessageBase {
--- a/packages/core/src/consensus/leaderSilence.spec.ts
+++ b/packages/core/src/consensus/leaderSilence.spec.ts
@@ -98,6 +98,20 @@
 
   vouched = 0;
 
+  /** Largest time since the moment that a replica vouches for, of all replicas without faults. */
+  silentMsWithoutFaults(): number {
+    const rounds = 200;
+    let largestMs = 0;
+    for (let round = 0; round < 2 * rounds; round += 1) {
+      this.runFaultlessRound(round);
+      if (round < rounds) continue;
+      for (const { state } of this.replicas) {
+        largestMs = Math.max(largestMs, leaderSilentMs(state, this.nowMs));
+      }
+    }
+    return largestMs;
+  }
+
   protected override stepReplica(replica: Replica, input: ConsensusInput): void {
     super.stepReplica(replica, input);
     while (this.committedAtMs.length < this.committed.length) this.committedAtMs.push(this.nowMs);
@@ -121,3 +135,10 @@
   }
   t.true(vouched > 0);
 });
+
+test('a replica vouches for a moment at most three heartbeats ago while nothing is lost or late', (t) => {
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const silentMs = new VouchingSchedule(seed).silentMsWithoutFaults();
+    t.true(silentMs <= 3 * scheduleOptions.heartbeatMs, `seed ${seed}: ${silentMs} ms`);
+  }
+});
--- a/packages/core/src/consensus/replica.ts
+++ b/packages/core/src/consensus/replica.ts
@@ -16,11 +16,11 @@
   onVoteReply,
   startPreVote,
 } from './election.js';
-import { advanceCommit, leaseUntilMs, quorumAckedSentAtMs } from './commitment.js';
+import { advanceCommit, quorumAckedSentAtMs } from './commitment.js';
+import { recordEcho } from './confirmedState.js';
 import { continueHandOver, startHandOver } from './handOver.js';
 import { changeMembers, promoteLearner } from './membership.js';
 import { expireForwardedReads, onReadIndex, onReadIndexReply, startRead } from './reads.js';
-import { termAt } from './replicaLog.js';
 import { broadcast, onAppend, onAppendReply, propose } from './replication.js';
 import {
   isVoter,
@@ -115,6 +115,7 @@
       break;
     case 'append':
       followLeader(state, message);
+      recordEcho(state, message);
       onAppend(state, message);
       break;
     case 'appendReply':
@@ -187,34 +188,21 @@
 ): ConsensusEffect[] {
   state.nowMs = context.nowMs;
   state.random = context.random;
+  if (state.clockId === 0) state.clockId = context.random;
   handleInput(state, input);
   return finishStep(state);
 }
 
 /**
- * Whether the replica leads and no other replica can have been elected yet; false during a
- * leadership transfer.
- *
- * @param nowMs - monotonic time
- */
-export function holdsLease(state: ReplicaState, nowMs: number): boolean {
-  const untilMs = leaseUntilMs(state);
-  if (untilMs === undefined || state.leadership?.handOver !== undefined) return false;
-  return nowMs < untilMs;
-}
-
-/**
- * Time since the last contact with the current leader: on the leader, since it sent the newest
- * message that a quorum has acknowledged; on another replica, since the leader's last message.
- * Infinite if no leader is known, and until an entry of the current term is committed here, because
- * entries that were committed before may be missing until then.
+ * Time since the moment before which everything committed is held here: on the leader, since it sent the
+ * newest message that a quorum has acknowledged; on another replica, since its newest reply that the
+ * leader has echoed with a commit index that is committed here. Infinite before the first one.
  *
  * @param nowMs - monotonic time
  */
 export function leaderSilentMs(state: ReplicaState, nowMs: number): number {
   const { leadership } = state;
-  if (termAt(state.log, state.commitIndex) !== state.term) return Number.POSITIVE_INFINITY;
-  if (leadership !== undefined) return nowMs - quorumAckedSentAtMs(state, leadership);
-  if (state.leader === null) return Number.POSITIVE_INFINITY;
-  return nowMs - (state.voteBlockedUntilMs - state.options.electionTimeoutMs);
+  if (leadership === undefined) return nowMs - state.confirmedBeforeMs;
+  if (state.commitIndex < leadership.firstIndex) return Number.POSITIVE_INFINITY;
+  return nowMs - quorumAckedSentAtMs(state, leadership);
 }
--- a/packages/core/src/consensus/replicaSchedule.ts
+++ b/packages/core/src/consensus/replicaSchedule.ts
@@ -13,7 +13,8 @@
 import { entryAt, lastIndexOf, termAt } from './replicaLog.js';
 import { createReplica, type ReplicaState } from './replicaState.js';
 import { nextTickDueMs } from './nextDue.js';
-import { holdsLease, step } from './replica.js';
+import { holdsLease } from './commitment.js';
+import { step } from './replica.js';
 import { hostIdOf } from './membership.js';
 import {
   applyPersist,
--- a/packages/core/src/consensus/replicaState.ts
+++ b/packages/core/src/consensus/replicaState.ts
@@ -9,8 +9,10 @@
   Members,
   ReplicaId,
   ReplicaRole,
+  ReplyStamp,
   Snapshot,
 } from './consensusTypes.js';
+import { stampReply } from './confirmedState.js';
 import { createLogState, lastIndexOf, latestMembers, type LogState } from './replicaLog.js';
 
 /** State of one replica and the helpers that all modules of its state machine share. */
@@ -32,6 +34,8 @@
   ackedRound: number;
   /** Send time, by the leader's clock, of the newest acknowledged message. */
   ackedSentAtMs: number;
+  /** Stamp of its newest reply; absent before the first one. */
+  replyStamp?: ReplyStamp;
   /** Snapshot transfer in progress; absent while log entries suffice. */
   snapshotTransfer?: { readonly snapshotIndex: number; offset: number; sentAtMs: number };
 }
@@ -69,6 +73,13 @@
   receivedBytes: number;
 }
 
+/** All that was committed before a time has an index up to this one. */
+export interface Confirmation {
+  readonly index: number;
+  /** Time on the clock of this replica. */
+  readonly beforeMs: number;
+}
+
 /** Changes of the current step that must become durable. */
 interface PersistBatch {
   hardState?: HardState;
@@ -85,6 +96,8 @@
   readonly log: LogState;
   nowMs: number;
   random: number;
+  /** Random number that identifies this process in the stamps of its replies. */
+  clockId: number;
   term: number;
   votedFor: ReplicaId | null;
   role: ReplicaRole;
@@ -100,6 +113,10 @@
   ownVoteSequence: number;
   leadership?: Leadership;
   incomingSnapshot?: IncomingSnapshot;
+  /** All that was committed before this time is committed here. */
+  confirmedBeforeMs: number;
+  /** Confirmations whose index is not committed here yet. */
+  pendingConfirmations: Confirmation[];
   persistSequence: number;
   syncedSequence: number;
   /** Last index that is synced and has not been removed from the log since. */
@@ -138,6 +155,7 @@
     log,
     nowMs,
     random: 0,
+    clockId: 0,
     term: durable.hardState.term,
     votedFor: durable.hardState.votedFor,
     role: 'follower',
@@ -149,6 +167,8 @@
     voteBlockedUntilMs: isFirstElection ? nowMs : nowMs + options.electionTimeoutMs,
     votes: new Set(),
     ownVoteSequence: 0,
+    confirmedBeforeMs: Number.NEGATIVE_INFINITY,
+    pendingConfirmations: [],
     persistSequence: 0,
     syncedSequence: 0,
     syncedIndex: lastIndexOf(log),
@@ -238,7 +258,9 @@
 
 /** Sends a message without waiting for a sync. */
 export function send(state: ReplicaState, message: ConsensusMessage): void {
-  state.effects.push({ kind: 'send', message });
+  const isReply = message.kind === 'appendReply' || message.kind === 'snapshotReply';
+  const stamped = isReply ? { ...message, stamp: stampReply(state) } : message;
+  state.effects.push({ kind: 'send', message: stamped });
 }
 
 /** Sends a message once all durable changes so far are synced. */
--- a/packages/core/src/consensus/replication.ts
+++ b/packages/core/src/consensus/replication.ts
@@ -3,12 +3,13 @@
   AppendMessage,
   AppendReply,
   EntryBody,
-  LeaderRound,
   LogEntry,
   Proposal,
   ReplicaId,
+  SnapshotReply,
 } from './consensusTypes.js';
 import { advanceCommit, commitTo } from './commitment.js';
+import { echoFor, recordStamp } from './confirmedState.js';
 import { adoptMembers } from './membership.js';
 import { confirmReads } from './reads.js';
 import { entriesFrom, lastIndexOf, latestMembers, termAt, truncateFrom } from './replicaLog.js';
@@ -55,6 +56,7 @@
     prevTerm: termAt(state.log, prevIndex) ?? 0,
     entries,
     commitIndex: state.commitIndex,
+    echo: echoFor(state, leadership, progress),
     round: leadership.round,
     sentAtMs: state.nowMs,
   });
@@ -221,8 +223,9 @@
   reply(true, matchIndex);
 }
 
-/** Records the round and the send time that a reply acknowledges. */
-export function recordAck(progress: Progress, reply: LeaderRound): void {
+/** Records the round and the send time that a reply acknowledges, and the time of the reply. */
+export function recordAck(progress: Progress, reply: AppendReply | SnapshotReply): void {
+  recordStamp(progress, reply);
   progress.ackedRound = Math.max(progress.ackedRound, reply.round);
   progress.ackedSentAtMs = Math.max(progress.ackedSentAtMs, reply.sentAtMs);
 }
--- a/packages/core/src/consensus/snapshots.ts
+++ b/packages/core/src/consensus/snapshots.ts
@@ -1,5 +1,6 @@
 /* eslint no-param-reassign: ['error', { props: false }] */
 import type { ReplicaId, Snapshot, SnapshotChunk, SnapshotReply } from './consensusTypes.js';
+import { releaseConfirmations } from './confirmedState.js';
 import { adoptMembers } from './membership.js';
 import { recordAck, sendPendingEntries } from './replication.js';
 import { compactLog, latestMembers, resetLog, termAt } from './replicaLog.js';
@@ -98,6 +99,7 @@
     }
   }
   state.commitIndex = snapshot.index;
+  releaseConfirmations(state);
   adoptMembers(state, latestMembers(log, log.baseIndex + log.entries.length));
   state.effects.push({ kind: 'restore', snapshot });
 }
--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -10,7 +10,8 @@
   Snapshot,
 } from '@buckthornlug/core/consensus/consensusTypes.js';
 import { nextTickDueMs } from '@buckthornlug/core/consensus/nextDue.js';
-import { holdsLease, leaderSilentMs, step } from '@buckthornlug/core/consensus/replica.js';
+import { holdsLease } from '@buckthornlug/core/consensus/commitment.js';
+import { leaderSilentMs, step } from '@buckthornlug/core/consensus/replica.js';
 import {
   planReplicaChange,
   type ChangePlan,
--- a/packages/host/src/documents/controlState.ts
+++ b/packages/host/src/documents/controlState.ts
@@ -7,8 +7,8 @@
 export interface ControlStateSource {
   /** Everything that a host with the given versions lacks. */
   readonly updateSince: (have: ControlVersions) => ControlUpdate;
-  /** Whether this member knows the leader of the group. */
-  readonly hasLeader: () => boolean;
+  /** Time since the moment before which this member holds all that was committed, in milliseconds. */
+  readonly leaderSilentMs: () => number;
   /** Calls the listener after each commit; returns a function that unsubscribes it. */
   readonly onChange: (listener: () => void) => () => void;
 }
--- a/packages/host/src/documents/documentsTask.ts
+++ b/packages/host/src/documents/documentsTask.ts
@@ -135,10 +135,11 @@
     return { update, silentMs: this.controlSilentMs() };
   }
 
-  /** Time since the control group was last known to have a leader, in milliseconds. */
+  /** Time since the moment before which this host held all that the control group had committed. */
   controlSilentMs(): number {
     const nowMs = this.context.clock.nowMs();
-    if (this.parts.controlState?.hasLeader()) this.contact.heard(0, nowMs);
+    const { controlState } = this.parts;
+    if (controlState !== undefined) this.contact.heard(controlState.leaderSilentMs(), nowMs);
     return this.contact.silentMs(nowMs);
   }
 
@@ -207,7 +208,9 @@
       waitMs + timeLimitMs,
     );
     return answer.andThen(parsePollReply).map(({ update, silentMs }) => {
-      const onTheWayMs = Math.max(0, nowMs() - sentAtMs - waitMs);
+      // A reply without an update was sent at the end of the wait.
+      const heldMs = update === null ? waitMs : 0;
+      const onTheWayMs = Math.max(0, nowMs() - sentAtMs - heldMs);
       this.contact.heard(silentMs + onTheWayMs, nowMs());
       return update;
     });
--- a/packages/host/src/routing/routingFeature.ts
+++ b/packages/host/src/routing/routingFeature.ts
@@ -7,6 +7,7 @@
 import { setProcessTimer } from '../runtime/timers.js';
 import { RegistryTask } from '../registry/registryTask.js';
 import type { Feature } from '../runtime/hostParts.js';
+import { StateAgeWatch } from './stateAgeWatch.js';
 import { createRoutingCommands } from './routingCommands.js';
 import { RoutingServer } from './routingServer.js';
 
@@ -40,7 +41,9 @@
     const registry = new RegistryTask(context, parts, control, routing.reportIntervalMs);
     const regionPlan = new RegionPlanTask({ context, parts, control, setTimer: setProcessTimer });
     const bases = new OrderBases(orderBasesOptions, context.clock.nowMs());
+    const stateAge = new StateAgeWatch(context.log, control.leaderSilentMs);
     const basesTimer = setInterval(() => {
+      stateAge.observe(machine.routing.version());
       const changes = machine.routing.evacuationChanges();
       const gapMs = bases.observe(changes, context.clock.nowMs());
       if (gapMs !== undefined) context.log.warn('processStoodStill', { gapMs });
--- a/packages/host/src/routing/routingFollower.spec.ts
+++ b/packages/host/src/routing/routingFollower.spec.ts
@@ -6,7 +6,7 @@
 import { createMetrics } from '../metrics/metrics.js';
 import type { HostParts } from '../runtime/hostParts.js';
 import { setProcessTimer, type SetTimer } from '../runtime/timers.js';
-import { RoutingFollower } from './routingFollower.js';
+import { RoutingFollower, type RoutingFollowerParts } from './routingFollower.js';
 import type { RoutingUpdate } from './routingPollSchema.js';
 import { SourceSelector } from './sourceSelector.js';
 
@@ -39,14 +39,19 @@
 /** Answers a poll of a source. */
 type AnswerPoll = (source: string, send: unknown, timeoutMs: number) => unknown;
 
+interface FollowerChanges extends Partial<
+  Pick<RoutingFollowerParts, 'position' | 'confirm' | 'setTimer'>
+> {
+  readonly sources?: readonly string[];
+}
+
 /** Creates a follower that appends the applied versions to a list and stops after the last one. */
 function createFollower(
   request: AnswerPoll,
   nowMs: () => number,
   versions: number[],
   isLast: (version: number) => boolean,
-  sources: readonly string[] = defaultSources,
-  setTimer: SetTimer = setProcessTimer,
+  { sources = defaultSources, ...changed }: FollowerChanges = {},
 ): RoutingFollower {
   const follower = new RoutingFollower({
     context: {
@@ -65,7 +70,8 @@
       if (isLast(position.routingVersion)) follower.stop();
     },
     confirm: () => undefined,
-    setTimer,
+    setTimer: setProcessTimer,
+    ...changed,
   });
   return follower;
 }
@@ -86,7 +92,7 @@
     return answer === undefined ? errAsync(failure('BL6003', 'no answer')) : okAsync(answer);
   };
   const isLast = (version: number) => version === until;
-  const follower = createFollower(request, () => nowMs, versions, isLast, sources);
+  const follower = createFollower(request, () => nowMs, versions, isLast, { sources });
   nowMs = startAtMs;
   const limit = setTimeout(() => follower.stop(), 500);
   await follower.run();
@@ -138,8 +144,7 @@
     () => 0,
     [],
     () => false,
-    defaultSources,
-    setTimer,
+    { setTimer },
   );
   stop = () => follower.stop();
   await follower.run();
@@ -208,3 +213,35 @@
   const pollsUntilReturn = polledSources.lastIndexOf('c2') + 1;
   t.true(pollsUntilReturn * 500 <= 15_000, `polled again after ${pollsUntilReturn} polls`);
 });
+
+const confirmations = [
+  { answer: 'without changes', heldRevision: 7, confirmedAtMs: 980 },
+  { answer: 'with changes', heldRevision: 6, confirmedAtMs: -20 },
+];
+for (const { answer, heldRevision, confirmedAtMs } of confirmations) {
+  test(`an answer ${answer} confirms the state up to ${confirmedAtMs} ms after a poll that waits for 1 s`, async (t) => {
+    const held = { routingVersion: 33, evacuationRevision: 2, registryRevision: heldRevision };
+    const position = { ...held, registryRevision: 7 };
+    let nowMs = 0;
+    const confirmed: number[] = [];
+    const request = () => {
+      nowMs += 1080;
+      return okAsync({ position, backends: [], silentMs: 20, wallMs: 0 });
+    };
+    const follower = createFollower(
+      request,
+      () => nowMs,
+      [],
+      () => false,
+      {
+        position: () => held,
+        confirm: (atMs) => {
+          confirmed.push(atMs);
+          follower.stop();
+        },
+      },
+    );
+    await follower.run();
+    t.deepEqual(confirmed, [confirmedAtMs]);
+  });
+}
--- a/packages/host/src/routing/routingFollower.ts
+++ b/packages/host/src/routing/routingFollower.ts
@@ -21,7 +21,7 @@
 const answerTimeoutMs = 4000;
 /** Largest number of doublings of the patience, one each time no source has answered. */
 const maxPatienceDoublings = 3;
-/** Longest time without leader contact of a source before another source is polled. */
+/** Longest time without confirmation of a source's state before another source is polled. */
 const maxLeaderSilentMs = 1000;
 /**
  * Time after the start for which a host without a document ignores sources that know no leader,
@@ -46,7 +46,7 @@
   };
   readonly position: () => RoutingPosition;
   readonly apply: (update: RoutingUpdate) => void;
-  /** Called with the monotonic time before which everything committed has been applied. */
+  /** Called with a monotonic time before which everything committed has been applied. */
   readonly confirm: (atMs: number) => void;
   readonly setTimer: SetTimer;
 }
@@ -56,10 +56,21 @@
   readonly source: string;
   readonly sentAtMs: number;
   readonly waitMs: number;
+  /** Versions that the host held when it asked. */
+  readonly position: RoutingPosition;
   /** Whether another source has been asked since. */
   isLate: boolean;
 }
 
+/** Whether a source has nothing newer; it answers at the end of the wait then, and earlier otherwise. */
+function isUnchanged(held: RoutingPosition, answered: RoutingPosition): boolean {
+  return (
+    answered.routingVersion === held.routingVersion &&
+    answered.evacuationRevision === held.evacuationRevision &&
+    answered.registryRevision === held.registryRevision
+  );
+}
+
 /** What has to happen before the next poll is sent. */
 type PollEnd = 'answered' | 'failed' | 'late';
 
@@ -120,7 +131,8 @@
     const isSourceChange = this.currentSource !== undefined && this.currentSource !== source;
     const waitMs = this.consecutiveFailures > 0 || isSourceChange ? 0 : pollWaitMs;
     const sentAtMs = context.clock.nowMs();
-    const poll: OpenPoll = { source, sentAtMs, waitMs, isLate: false };
+    const position = this.dependencies.position();
+    const poll: OpenPoll = { source, sentAtMs, waitMs, position, isLate: false };
     const patienceMs = waitMs + this.patienceMs(sources.length);
     const end = await this.awaitPoll(poll, patienceMs);
     if (this.isStopped || end === 'answered') return;
@@ -162,7 +174,7 @@
   private receive(poll: OpenPoll, answer: Result<RoutingUpdate, Failure>): PollEnd {
     if (this.isStopped) return 'failed';
     const { clock, log, metrics } = this.dependencies.context;
-    const { source, sentAtMs, waitMs, isLate } = poll;
+    const { source, sentAtMs, waitMs, position, isLate } = poll;
     if (answer.isErr()) {
       metrics.count('routing_polls_total', { end: 'failed' });
       if (isLate) return 'failed';
@@ -178,13 +190,18 @@
     this.unansweredPolls = 0;
     const update = answer.value;
     const silentMs = update.silentMs ?? Number.POSITIVE_INFINITY;
+    if (update.silentMs !== null) metrics.observeMs('routing_source_silent_ms', update.silentMs);
     const isConfirmed = silentMs <= maxLeaderSilentMs;
     if (isConfirmed || this.mayApplyUnconfirmed()) this.dependencies.apply(update);
     if (!isConfirmed) {
-      this.skipSource(source, 'noLeader', failure('BL5001', 'the control host knows no leader'));
+      const detail = Number.isFinite(silentMs)
+        ? `the state of the control host was last confirmed ${Math.round(silentMs)} ms ago`
+        : 'the control host knows no leader';
+      this.skipSource(source, 'noLeader', failure('BL5001', detail));
       return 'failed';
     }
-    this.dependencies.confirm(sentAtMs - silentMs);
+    const heldMs = isUnchanged(position, update.position) ? waitMs : 0;
+    this.dependencies.confirm(sentAtMs + heldMs - silentMs);
     this.consecutiveFailures = 0;
     // A later poll was answered sooner, so that this source is slow rather than the link.
     const isOutrun = sentAtMs < this.newestAnsweredAtMs;
@@ -226,8 +243,11 @@
     return Math.min(answerTimeoutMs, doubled);
   }
 
-  private async send({ source, waitMs }: OpenPoll): Promise<Result<RoutingUpdate, Failure>> {
-    const position = this.dependencies.position();
+  private async send({
+    source,
+    waitMs,
+    position,
+  }: OpenPoll): Promise<Result<RoutingUpdate, Failure>> {
     const answer = await this.dependencies.parts.peers.request(
       source,
       (client, signal) => client.routing.poll.query({ ...position, waitMs }, { signal }),
--- a/packages/host/src/routing/routingPollSchema.ts
+++ b/packages/host/src/routing/routingPollSchema.ts
@@ -31,7 +31,7 @@
     .number()
     .nullable()
     .describe(
-      'Time since the last contact of the control host with the leader; null if it knows none.',
+      'Time since the moment before which the control host holds all that was committed; null if none is known.',
     ),
   wallMs: z
     .number()
--- a/packages/host/src/routing/routingServer.spec.ts
+++ b/packages/host/src/routing/routingServer.spec.ts
@@ -111,3 +111,15 @@
   t.is(news.evacuations?.length, 1);
   t.false(isBackendDelayOver, 'before the wait for backend servers is over');
 });
+
+test('a control host that stops answers its waiting polls and confirms nothing to them', async (t) => {
+  const { routing, registry, server } = createServer(1);
+  const position = {
+    routingVersion: routing.version(),
+    evacuationRevision: routing.evacuationRevision(),
+    registryRevision: registry.revision(),
+  };
+  const waiting = server.poll({ ...position, waitMs: 1000 });
+  server.close();
+  t.is((await waiting).silentMs, null);
+});
--- a/packages/host/src/routing/routingServer.ts
+++ b/packages/host/src/routing/routingServer.ts
@@ -43,6 +43,8 @@
 
   private coalescingTimer: NodeJS.Timeout | undefined;
 
+  private isClosed = false;
+
   constructor(private readonly parts: RoutingServerParts) {}
 
   /**
@@ -84,8 +86,9 @@
     }, changeCoalescingMs);
   }
 
-  /** Answers all waiting polls. */
+  /** Answers all waiting polls, and sends the polling hosts to other control hosts. */
   close(): void {
+    this.isClosed = true;
     clearTimeout(this.coalescingTimer);
     for (const waiting of [...this.waitingPolls]) waiting.answer();
   }
@@ -124,7 +127,7 @@
     const document = routing.current();
     const hasNewerDocument =
       document !== undefined && document.version > pollerPosition.routingVersion;
-    const silentMs = leaderSilentMs();
+    const silentMs = this.isClosed ? Number.POSITIVE_INFINITY : leaderSilentMs();
     const backends = registry.changedSince(pollerPosition.registryRevision, maxBackendsPerUpdate);
     const isTruncated = backends.length === maxBackendsPerUpdate;
     const registryRevision = isTruncated
--- a/packages/host/src/submissions/controlGroup.ts
+++ b/packages/host/src/submissions/controlGroup.ts
@@ -44,8 +44,7 @@
   readonly document: () => DocumentInForce | undefined;
   readonly isLeader: () => boolean;
   readonly leaderId: () => string | undefined;
-  readonly hasLeader: () => boolean;
-  /** Time since this member last knew a leader followed by a quorum, in milliseconds. */
+  /** Time since the moment before which this member holds all that was committed, in milliseconds. */
   readonly leaderSilentMs: () => number;
   readonly submit: (
     command: SubmissionCommand,
@@ -104,7 +103,6 @@
     isLeader: handle.isLeader,
     leaderId: handle.leaderId,
     leaderSilentMs: handle.leaderSilentMs,
-    hasLeader: () => handle.leaderId() !== undefined,
     submit: (command, timeoutMs) =>
       handle
         .submit(command, timeoutMs)
--- a/packages/testkit/src/documents/fakeControlState.ts
+++ b/packages/testkit/src/documents/fakeControlState.ts
@@ -6,11 +6,11 @@
 import { splitSections } from '@buckthornlug/protocol/document/sections.js';
 import { okAsync } from 'neverthrow';
 
-const alwaysLed = () => true;
+const alwaysConfirmed = () => 0;
 
 /** A control group of one, in memory: every commit succeeds. */
 export class FakeControlState implements ControlStateSource {
-  readonly hasLeader = alwaysLed;
+  readonly leaderSilentMs = alwaysConfirmed;
 
   private readonly copy = new ControlCopy();
 
