fix(consensus): the age of a replica's state is called so

Cause: `leaderSilentMs` no longer is the time since a message of the leader, and two constants held the same second. Change: renamed to `stateAgeMs`, one `maxStateAgeMs` for the log and the choice of a source, comments and a refusal text that still spoke of a leader, the spec named after its module. No behaviour but that text.

--- a/packages/core/src/consensus/leaderSilence.spec.ts
+++ b/packages/core/src/consensus/confirmedState.spec.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 
 import type { AppendMessage, ConsensusInput, DurableState } from './consensusTypes.js';
-import { leaderSilentMs, step } from './replica.js';
+import { stateAgeMs, step } from './replica.js';
 import { Schedule, scheduleOptions, type Replica } from './replicaSchedule.js';
 import { createReplica, type ReplicaState } from './replicaState.js';
 import { sampleOptions } from './sampleOptions.js';
@@ -39,15 +39,15 @@
   }
   t.is(state.role, 'leader');
   t.true(state.commitIndex < 3);
-  t.is(leaderSilentMs(state, nowMs), Number.POSITIVE_INFINITY);
+  t.is(stateAgeMs(state, nowMs), Number.POSITIVE_INFINITY);
   step(state, { nowMs, random: 0.5 }, { kind: 'synced', sequence: state.persistSequence });
   t.is(state.commitIndex, 3);
-  t.is(leaderSilentMs(state, nowMs), 0);
+  t.is(stateAgeMs(state, nowMs), 0);
 });
 
 test('a replica without a message from a leader since its start reports no leader contact', (t) => {
   const state = createReplica('a/1', durableState(['a/1', 'b/1', 'c/1']), sampleOptions, 0);
-  t.is(leaderSilentMs(state, 100), Number.POSITIVE_INFINITY);
+  t.is(stateAgeMs(state, 100), Number.POSITIVE_INFINITY);
 });
 
 /** Hands a replica a message of the leader `b/1` in term 2. */
@@ -87,7 +87,7 @@
       hear(state, nowMs, { ...previous, entries: [], commitIndex: 9 });
     }
     t.is(state.commitIndex, 2);
-    t.true(leaderSilentMs(state, 6000) >= 5000, `${leaderSilentMs(state, 6000)} ms`);
+    t.true(stateAgeMs(state, 6000) >= 5000, `${stateAgeMs(state, 6000)} ms`);
   });
 }
 
@@ -106,7 +106,7 @@
       this.runFaultlessRound(round);
       if (round < rounds) continue;
       for (const { state } of this.replicas) {
-        largestMs = Math.max(largestMs, leaderSilentMs(state, this.nowMs));
+        largestMs = Math.max(largestMs, stateAgeMs(state, this.nowMs));
       }
     }
     return largestMs;
@@ -116,7 +116,7 @@
     super.stepReplica(replica, input);
     while (this.committedAtMs.length < this.committed.length) this.committedAtMs.push(this.nowMs);
     if (replica.isDown || replica.pausedUntil > this.nowMs) return;
-    const silentMs = leaderSilentMs(replica.state, this.nowMs);
+    const silentMs = stateAgeMs(replica.state, this.nowMs);
     if (silentMs <= scheduleOptions.electionTimeoutMs) this.vouched += 1;
     const lackedSinceMs = this.committedAtMs[replica.state.commitIndex + 1] ?? Infinity;
     assertInvariant(
--- a/packages/core/src/consensus/confirmedState.ts
+++ b/packages/core/src/consensus/confirmedState.ts
@@ -9,7 +9,7 @@
  * before that time has an index up to this one, and is held here once that index is applied.
  */
 
-/** Echoes that wait for entries; the newest ones are merged beyond that number. */
+/** Echoes that wait for entries; a further one replaces the newest of them. */
 const maxPendingConfirmations = 64;
 
 /** Time on the clock of this replica, for a reply to the leader. */
--- a/packages/core/src/consensus/replica.ts
+++ b/packages/core/src/consensus/replica.ts
@@ -200,7 +200,7 @@
  *
  * @param nowMs - monotonic time
  */
-export function leaderSilentMs(state: ReplicaState, nowMs: number): number {
+export function stateAgeMs(state: ReplicaState, nowMs: number): number {
   const { leadership } = state;
   if (leadership === undefined) return nowMs - state.confirmedBeforeMs;
   if (state.commitIndex < leadership.firstIndex) return Number.POSITIVE_INFINITY;
--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -11,7 +11,7 @@
 } from '@buckthornlug/core/consensus/consensusTypes.js';
 import { nextTickDueMs } from '@buckthornlug/core/consensus/nextDue.js';
 import { holdsLease } from '@buckthornlug/core/consensus/commitment.js';
-import { leaderSilentMs, step } from '@buckthornlug/core/consensus/replica.js';
+import { stateAgeMs, step } from '@buckthornlug/core/consensus/replica.js';
 import {
   planReplicaChange,
   type ChangePlan,
@@ -305,8 +305,8 @@
     return this.state.leader === null ? undefined : hostIdOf(this.state.leader);
   }
 
-  leaderSilentMs(): number {
-    return leaderSilentMs(this.state, this.parts.context.clock.nowMs());
+  stateAgeMs(): number {
+    return stateAgeMs(this.state, this.parts.context.clock.nowMs());
   }
 
   isWaitingToJoin(): boolean {
@@ -373,7 +373,7 @@
     onApplied: (listener) => task.onApplied(listener),
     isLeader: () => task.isLeader(),
     leaderId: () => task.leaderId(),
-    leaderSilentMs: () => task.leaderSilentMs(),
+    stateAgeMs: () => task.stateAgeMs(),
     isWaitingToJoin: () => task.isWaitingToJoin(),
     mayBeRemoved: () => task.mayBeRemoved(),
     addReplica: (replicaId) =>
--- a/packages/host/src/consensus/groupTaskTypes.ts
+++ b/packages/host/src/consensus/groupTaskTypes.ts
@@ -45,8 +45,8 @@
   readonly onApplied: (listener: (logIndex: number) => void) => () => void;
   readonly isLeader: () => boolean;
   readonly leaderId: () => string | undefined;
-  /** Time since the replica last knew a leader that a quorum follows, in milliseconds. */
-  readonly leaderSilentMs: () => number;
+  /** Time since the moment before which the replica holds all that was committed, in milliseconds. */
+  readonly stateAgeMs: () => number;
   /** Whether the replica has an empty log and waits to be added to the group. */
   readonly isWaitingToJoin: () => boolean;
   /**
--- a/packages/host/src/consensus/groupTypes.ts
+++ b/packages/host/src/consensus/groupTypes.ts
@@ -14,8 +14,8 @@
   /** Whether this host leads the group and holds a lease that a quorum has confirmed. */
   readonly isLeader: () => boolean;
   readonly leaderId: () => string | undefined;
-  /** Time since this replica knew a leader that a quorum follows; infinite without a replica. */
-  readonly leaderSilentMs: () => number;
+  /** Time since the moment before which this host holds all that was committed; infinite without a replica. */
+  readonly stateAgeMs: () => number;
   /**
    * Resolves when the local machine has applied everything committed before the call; BL5005 on a
    * host without a replica.
--- a/packages/host/src/consensus/groups.ts
+++ b/packages/host/src/consensus/groups.ts
@@ -178,7 +178,7 @@
       read: (command, timeoutMs) => client.read(command, timeoutMs),
       isLeader: () => replica?.task?.isLeader() ?? false,
       leaderId: () => client.leaderId(),
-      leaderSilentMs: () => replica?.task?.leaderSilentMs() ?? Number.POSITIVE_INFINITY,
+      stateAgeMs: () => replica?.task?.stateAgeMs() ?? Number.POSITIVE_INFINITY,
       readBarrier: (timeoutMs) => replica?.readBarrier(timeoutMs) ?? errAsync(notMember),
       onApplied: (listener) => replica?.onApplied(listener) ?? (() => undefined),
     };
--- a/packages/host/src/documents/documentsTask.ts
+++ b/packages/host/src/documents/documentsTask.ts
@@ -139,7 +139,7 @@
   controlSilentMs(): number {
     const nowMs = this.context.clock.nowMs();
     const { controlState } = this.parts;
-    if (controlState !== undefined) this.contact.heard(controlState.leaderSilentMs(), nowMs);
+    if (controlState !== undefined) this.contact.heard(controlState.stateAgeMs(), nowMs);
     return this.contact.silentMs(nowMs);
   }
 
--- a/packages/host/src/registry/registryTask.spec.ts
+++ b/packages/host/src/registry/registryTask.spec.ts
@@ -28,7 +28,7 @@
     machine,
     isLeader: () => false,
     leaderId: () => undefined,
-    leaderSilentMs: () => 0,
+    stateAgeMs: () => 0,
     commit: (command: RoutingCommand) => {
       commands.push(command);
       return okAsync({ registryRevision: 0 });
--- a/packages/host/src/registry/registryTask.ts
+++ b/packages/host/src/registry/registryTask.ts
@@ -17,9 +17,10 @@
 /** Largest age of a report that is forwarded to the leader; covers one lost request. */
 const forwardMaxAgeMs = 2500;
 /**
- * Time without a leader after which reports are refused, so that they go to another control host.
+ * Age of the committed state above which reports are refused, so that they go to another control host: an
+ * old registry may hold a report that a newer one has replaced.
  */
-const maxLeaderSilentMs = 1500;
+const maxStateAgeMs = 1500;
 /**
  * Time by which a backend server may claim to start later than now, for clocks that differ. A start
  * further ahead would outrank all later incarnations at its address.
@@ -54,7 +55,7 @@
    * it and the backend server may rely on it.
    *
    * @param report - validated report
-   * @returns BL4001 for a start in the future, BL5001 if this host has no contact with a leader,
+   * @returns BL4001 for a start in the future, BL5001 if the state of this host is not confirmed,
    *   BL5002 if the outcome of the commit is not known
    */
   report(report: BackendReport): ResultAsync<void, Failure> {
@@ -63,10 +64,8 @@
         this.refused(report.backendId, failure('BL4001', 'the start is in the future')),
       );
     }
-    if (this.control.leaderSilentMs() > maxLeaderSilentMs) {
-      return errAsync(
-        failure('BL5001', 'the control group has no leader that this host can reach'),
-      );
+    if (this.control.stateAgeMs() > maxStateAgeMs) {
+      return errAsync(failure('BL5001', 'the state of this control host is not confirmed'));
     }
     const { clock, log, metrics } = this.context;
     metrics.count('backend_reports_total');
--- a/packages/host/src/routing/routingFeature.ts
+++ b/packages/host/src/routing/routingFeature.ts
@@ -37,11 +37,11 @@
     }
     const { machine } = control;
     const { wallMs } = context.clock;
-    const server = new RoutingServer({ machine, leaderSilentMs: control.leaderSilentMs, wallMs });
+    const server = new RoutingServer({ machine, stateAgeMs: control.stateAgeMs, wallMs });
     const registry = new RegistryTask(context, parts, control, routing.reportIntervalMs);
     const regionPlan = new RegionPlanTask({ context, parts, control, setTimer: setProcessTimer });
     const bases = new OrderBases(orderBasesOptions, context.clock.nowMs());
-    const stateAge = new StateAgeWatch(context.log, control.leaderSilentMs);
+    const stateAge = new StateAgeWatch(context.log, control.stateAgeMs);
     const basesTimer = setInterval(() => {
       stateAge.observe(machine.routing.version());
       const changes = machine.routing.evacuationChanges();
--- a/packages/host/src/routing/routingFollower.ts
+++ b/packages/host/src/routing/routingFollower.ts
@@ -7,6 +7,7 @@
 import type { SetTimer } from '../runtime/timers.js';
 import { controlHostsByDistance } from './controlSources.js';
 import { decodeRoutingUpdate } from './decodeRoutingUpdate.js';
+import { maxStateAgeMs } from './stateAgeWatch.js';
 import { SourceSelector, type SourceProblem } from './sourceSelector.js';
 import type { RoutingUpdate, RoutingPosition } from './routingPollSchema.js';
 
@@ -21,8 +22,6 @@
 const answerTimeoutMs = 4000;
 /** Largest number of doublings of the patience, one each time no source has answered. */
 const maxPatienceDoublings = 3;
-/** Longest time without confirmation of a source's state before another source is polled. */
-const maxLeaderSilentMs = 1000;
 /**
  * Time after the start for which a host without a document ignores sources that know no leader,
  * since their state may be older than the one in force. It is long enough to poll every control
@@ -191,7 +190,7 @@
     const update = answer.value;
     const silentMs = update.silentMs ?? Number.POSITIVE_INFINITY;
     if (update.silentMs !== null) metrics.observeMs('routing_source_silent_ms', update.silentMs);
-    const isConfirmed = silentMs <= maxLeaderSilentMs;
+    const isConfirmed = silentMs <= maxStateAgeMs;
     if (isConfirmed || this.mayApplyUnconfirmed()) this.dependencies.apply(update);
     if (!isConfirmed) {
       const detail = Number.isFinite(silentMs)
--- a/packages/host/src/routing/routingServer.spec.ts
+++ b/packages/host/src/routing/routingServer.spec.ts
@@ -37,7 +37,7 @@
   return {
     registry,
     routing,
-    server: new RoutingServer({ machine, leaderSilentMs: () => 0, wallMs: () => 0 }),
+    server: new RoutingServer({ machine, stateAgeMs: () => 0, wallMs: () => 0 }),
   };
 }
 
--- a/packages/host/src/routing/routingServer.ts
+++ b/packages/host/src/routing/routingServer.ts
@@ -25,7 +25,7 @@
 /** Dependencies of `RoutingServer`. */
 export interface RoutingServerParts {
   readonly machine: Pick<ControlMachine, 'routing' | 'registry'>;
-  readonly leaderSilentMs: () => number;
+  readonly stateAgeMs: () => number;
   readonly wallMs: () => number;
 }
 
@@ -121,13 +121,13 @@
   }
 
   private buildUpdate(pollerPosition: RoutingPosition): RoutingUpdate {
-    const { machine, leaderSilentMs, wallMs } = this.parts;
+    const { machine, stateAgeMs, wallMs } = this.parts;
     const { routing, registry } = machine;
     const position = this.position();
     const document = routing.current();
     const hasNewerDocument =
       document !== undefined && document.version > pollerPosition.routingVersion;
-    const silentMs = this.isClosed ? Number.POSITIVE_INFINITY : leaderSilentMs();
+    const silentMs = this.isClosed ? Number.POSITIVE_INFINITY : stateAgeMs();
     const backends = registry.changedSince(pollerPosition.registryRevision, maxBackendsPerUpdate);
     const isTruncated = backends.length === maxBackendsPerUpdate;
     const registryRevision = isTruncated
--- a/packages/host/src/routing/stateAgeWatch.ts
+++ b/packages/host/src/routing/stateAgeWatch.ts
@@ -1,7 +1,7 @@
 import type { Log } from '../log/log.js';
 
-/** Age of the committed state of a control host above which entry hosts follow other ones. */
-const maxStateAgeMs = 1000;
+/** Age of the committed state of a control host above which entry hosts poll another one. */
+export const maxStateAgeMs = 1000;
 
 /** Logs when the state of a control host gets too old for entry hosts, and when it is confirmed again. */
 export class StateAgeWatch {
--- a/packages/host/src/submissions/controlGroup.ts
+++ b/packages/host/src/submissions/controlGroup.ts
@@ -45,7 +45,7 @@
   readonly isLeader: () => boolean;
   readonly leaderId: () => string | undefined;
   /** Time since the moment before which this member holds all that was committed, in milliseconds. */
-  readonly leaderSilentMs: () => number;
+  readonly stateAgeMs: () => number;
   readonly submit: (
     command: SubmissionCommand,
     timeoutMs: number,
@@ -102,7 +102,7 @@
     document: () => documents.current(),
     isLeader: handle.isLeader,
     leaderId: handle.leaderId,
-    leaderSilentMs: handle.leaderSilentMs,
+    stateAgeMs: handle.stateAgeMs,
     submit: (command, timeoutMs) =>
       handle
         .submit(command, timeoutMs)
--- a/packages/testkit/src/documents/fakeControlState.ts
+++ b/packages/testkit/src/documents/fakeControlState.ts
@@ -10,7 +10,7 @@
 
 /** A control group of one, in memory: every commit succeeds. */
 export class FakeControlState implements ControlStateSource {
-  readonly leaderSilentMs = alwaysConfirmed;
+  readonly stateAgeMs = alwaysConfirmed;
 
   private readonly copy = new ControlCopy();
 
--- a/packages/testkit/src/ledger/fakeLedgerGroup.ts
+++ b/packages/testkit/src/ledger/fakeLedgerGroup.ts
@@ -105,7 +105,7 @@
       read: () => errAsync(failure('BL5001', 'no read in this test')),
       isLeader: () => false,
       leaderId: () => undefined,
-      leaderSilentMs: () => 0,
+      stateAgeMs: () => 0,
       readBarrier: () => okAsync(undefined),
       onApplied: () => () => undefined,
     };
--- a/packages/testkit/src/routing/heldBackEntries.spec.ts
+++ b/packages/testkit/src/routing/heldBackEntries.spec.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 
 import { routedFeatures } from '@buckthornlug/host/features.js';
+import { maxStateAgeMs } from '@buckthornlug/host/routing/stateAgeWatch.js';
 import { startHost, type RunningHost } from '@buckthornlug/host/runtime/hostRuntime.js';
 import { routingSettingsSchema } from '@buckthornlug/protocol/settings/settingsSchema.js';
 import test from 'ava';
@@ -17,8 +18,6 @@
  */
 
 const hostIds = ['c1', 'c2', 'c3'];
-/** Age of a source's state above which entry hosts poll another one. */
-const maxStateAgeMs = 1000;
 
 let dataFolder: string;
 let hosts: RunningHost[];
@@ -53,8 +52,7 @@
     const started = await startHost({ ...settings, routing }, { features: routedFeatures });
     hosts.push(started._unsafeUnwrap());
   }
-  const areConfirmed = () =>
-    hosts.every((host) => controlOf(host).leaderSilentMs() < maxStateAgeMs);
+  const areConfirmed = () => hosts.every((host) => controlOf(host).stateAgeMs() < maxStateAgeMs);
   t.not(await timeUntil(areConfirmed), Infinity);
   const leader = hosts.find((host) => controlOf(host).isLeader());
   const lagging = hosts.find((host) => !controlOf(host).isLeader());
@@ -65,7 +63,7 @@
   handlers.consensus = { ...consensus, deliver };
   const commands = leader?.parts.routingCommands;
   (await commands?.replace(routedDocument(1)))?._unsafeUnwrap();
-  const isOld = () => controlOf(lagging).leaderSilentMs() > maxStateAgeMs;
+  const isOld = () => controlOf(lagging).stateAgeMs() > maxStateAgeMs;
   const oldAfterMs = await timeUntil(isOld, 2 * maxStateAgeMs);
   t.true(oldAfterMs < 2 * maxStateAgeMs, `${oldAfterMs} ms`);
   t.is(controlOf(lagging).machine.routing.version(), -1);
