test(review): a control process killed in the first start leaves the system without a control group

Cause: only the first seed in sort order may form the control group, and only while its settings say that the deployment starts for the first time; a restart before all seeds have answered takes both away for good.

--- a/review/harness-2/fleet.mjs
+++ b/review/harness-2/fleet.mjs
@@ -54,7 +54,12 @@
 
   cleanups = [];
 
-  async start({ entries = 2 } = {}) {
+  /**
+   * Starts all machines.
+   *
+   * @param lateMs - time by which the last control machine starts later than the others
+   */
+  async start({ entries = 2, lateMs = 0 } = {}) {
     this.startedAtMs = nowMs();
     this.folder = await mkdtemp(join(tmpdir(), 'review-'));
     const record = (event, details) => this.record(event, details);
@@ -72,7 +77,10 @@
     this.entries = await Promise.all(
       zones.slice(0, entries).map((place, index) => create('entry', place, index)),
     );
-    await Promise.all(this.machines().map((machine) => machine.start()));
+    const late = lateMs > 0 ? this.controls.at(-1) : undefined;
+    const prompt = this.machines().filter((machine) => machine !== late);
+    await Promise.all(prompt.map((machine) => machine.start()));
+    if (late !== undefined) startTimer(() => this.isStopped || late.start(), lateMs);
   }
 
   machines() {
@@ -120,6 +128,7 @@
   }
 
   async stop() {
+    this.isStopped = true;
     for (const cleanup of this.cleanups) await cleanup();
     for (const machine of this.machines()) {
       machine.isStopped = true;
