--- a/review/harness-2/machine.mjs
+++ b/review/harness-2/machine.mjs
@@ -137,7 +137,12 @@
       this.child.once('exit', (code, signal) => {
         if (!this.isExpectedToEnd) {
           this.ownEnds += 1;
-          this.record('ends by itself', { machine: this.name, code, signal, says: this.errors });
+          this.record('ends by itself', {
+            machine: this.name,
+            code,
+            signal,
+            says: this.errors.replaceAll(repository, ''),
+          });
           if (!this.isStopped) startTimer(() => this.isStopped || this.start(), restartDelayMs);
         }
         resolve();
