fix(entry): an answer with a long number in Keep-Alive ends no process

Cause: the announced seconds were read without an upper bound and turned into milliseconds. From 306 digits on the product is infinite, and `Socket.setTimeout` throws in the agent's handler of the freed socket, where no request is in charge any more. From 10 digits on the timer was beyond its 32 bits; Node.js shortened it with a warning for each answer. Change: the field is parsed in core, in milliseconds, with a bound of ten minutes; a longer time counts as this long. The new test ends with the same RangeError before the change (306 and 400 digits) and shows the warning (10 digits). Why it works: the only way into that timer is the parsed value, which no text can push past the bound, in the unit of the timer. A connection that its backend server closes sooner is dropped by the agent as before.

--- a/packages/host/src/routedCalls/backendConnections.ts
+++ b/packages/host/src/routedCalls/backendConnections.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 
 import { fieldValue } from '@buckthornlug/core/calls/headerFields.js';
+import { parseIdleTimeoutMs } from '@buckthornlug/core/calls/keepAlive.js';
 
 /** Keep-alive connections to registered backend servers. */
 
@@ -33,9 +34,9 @@
    * @param fields - header fields of the answer, as a flat list of names and values
    */
   recordKeepAliveTimeout(socket: Socket, fields: readonly string[]): void {
-    const seconds = /timeout=(\d+)/.exec(fieldValue(fields, 'keep-alive') ?? '')?.[1];
-    if (seconds === undefined) return;
-    this.idleTimeoutsMs.set(socket, Math.max(0, Number(seconds) * 1000 - idleTimeoutMarginMs));
+    const idleTimeoutMs = parseIdleTimeoutMs(fieldValue(fields, 'keep-alive'));
+    if (idleTimeoutMs === undefined) return;
+    this.idleTimeoutsMs.set(socket, Math.max(0, idleTimeoutMs - idleTimeoutMarginMs));
   }
 
   override keepSocketAlive(stream: Socket): boolean {
--- a/packages/host/src/routedCalls/backendExchange.spec.ts
+++ b/packages/host/src/routedCalls/backendExchange.spec.ts
@@ -150,6 +150,34 @@
   plan.agent.destroy();
 });
 
+/** Digits of a timeout whose seconds, milliseconds or size as a timer exceed what Node.js takes. */
+for (const digits of [10, 306, 400]) {
+  // Guards against an entry process that ends with all of its calls when one answer has a long number.
+  test(`a Keep-Alive timeout of ${digits} digits ends no process and keeps the connection`, async (t) => {
+    const timeout = '9'.repeat(digits);
+    const field = `HTTP/1.1 200 OK\r\nKeep-Alive: timeout=${timeout}\r\n`;
+    const answer = withLength.replace('HTTP/1.1 200 OK\r\n', field) + part.repeat(3);
+    let connections = 0;
+    const server = await startServer(t, (socket) => {
+      connections += 1;
+      socket.on('data', () => socket.write(answer));
+    });
+    const warnings: string[] = [];
+    const onWarning = ({ name }: Error) => warnings.push(name);
+    process.on('warning', onWarning);
+    const plan = createPlan(portOf(server));
+    t.is((await exchange(plan)).result.end, 'answered');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    t.is((await exchange(plan)).result.end, 'answered');
+    t.is(connections, 1);
+    t.false(warnings.includes('TimeoutOverflowWarning'));
+    process.off('warning', onWarning);
+    plan.agent.destroy();
+  });
+}
+
 test('a request is not sent if its backend server is taken out of use while it connects', async (t) => {
   let receivedBytes = 0;
   const server = await startServer(t, (socket) => {
