fix(placement): a garbled load report makes no region look full

Callers saw: after one answer with a load report of, say, 7 or 306 digits, calls at all sound backend servers of the region were refused (503): 12 to 18 of the next 40 calls over two seconds, in a fleet of three backend servers. A report was bounded by being finite only, in any notation of JavaScript. The mean of all reports is the load that is assumed of backend servers without a recent one, so a single figure made all of them look full; sums of two large figures are infinite, and go into the demand reports to the leader. A report counts for ten calls per slot at most, so that what is readable but wrong concerns its sender. Why it works: what is left of an odd report is less than what one full backend server adds to the mean.

--- a/packages/core/src/placement/reportedLoad.spec.ts
+++ b/packages/core/src/placement/reportedLoad.spec.ts
@@ -16,6 +16,10 @@
   ['a negative figure', '3,-1,8'],
   ['a work time that is no number', '3,0,8,slow'],
   ['an infinite figure', '3,1e400,8'],
+  ['a figure of 7 digits', `3,${'9'.repeat(7)},8`],
+  ['a figure of 400 digits', `${'9'.repeat(400)},0,8`],
+  ['an exponent', '3,1e4,8'],
+  ['a hexadecimal figure', '0x7f,0,8'],
 ];
 
 for (const [title, text] of reports) {
--- a/packages/core/src/placement/trackedBackend.spec.ts
+++ b/packages/core/src/placement/trackedBackend.spec.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 
+import { LoadPerSlot } from './loadPerSlot.js';
 import { sampleBackend } from './sampleBackend.js';
 
 test('a call counts as in flight from its start to its end', (t) => {
@@ -32,6 +33,16 @@
   t.is(backend.load(1300, 1.5), 3);
 });
 
+// Guards against one garbled report that makes all backend servers of a region look full.
+test('a report of more calls than a backend server holds hardly moves the load of its region', (t) => {
+  const backends = Array.from({ length: 20 }, () => sampleBackend());
+  for (const backend of backends) backend.recordLoad({ running: 2, waiting: 0, slots: 4 }, 1000);
+  backends[0]?.recordLoad({ running: 99_999, waiting: 99_999, slots: 4 }, 1000);
+  const loads = new LoadPerSlot();
+  loads.update(backends, 1000);
+  t.true(loads.at('region') < 1);
+});
+
 test('the failure share and the slowness of a backend server decay with time', (t) => {
   const backend = sampleBackend();
   for (let call = 0; call < 20; call += 1)
--- a/packages/core/src/placement/trackedBackend.ts
+++ b/packages/core/src/placement/trackedBackend.ts
@@ -21,6 +21,11 @@
  * many of them, a host rarely calls any single one.
  */
 const maxReportAgeMs = 1500;
+/**
+ * Calls per slot that a report counts for at most. A backend server queues a few calls for each slot; a garbled
+ * report must not make the whole group look full.
+ */
+const maxReportedCallsPerSlot = 10;
 /** First backoff after a backend server could not be reached; each further one is twice as long. */
 const initialBackoffMs = 500;
 const maxBackoffMs = 8000;
@@ -168,7 +173,7 @@
       this.workTimeFactor = workTimeFactor;
       this.workTimeReportedAtMs = nowMs;
     }
-    this.reportedCalls = running + waiting;
+    this.reportedCalls = Math.min(running + waiting, maxReportedCallsPerSlot * this.record.slots);
     this.otherHostsInFlight = Math.max(0, this.reportedCalls - this.inFlight);
     this.reportedAtMs = nowMs;
   }
