fix(entry): a time left of many digits is passed on as a time

Callers saw: nothing at once; a call whose time left had 21 digits or more, or an exponent, reached its backend server with a field such as `1e+306`, which no backend server can read as a number of milliseconds, so that it ran without a limit. The caller's time left was bounded by being finite, and written again as JavaScript writes numbers. Change: it counts for at most 2^31 - 1 ms, the longest time that a timer can be set to. Why it works: a number up to the bound is written in decimal digits, and the time limit of the route still ends the call.

--- a/packages/host/src/routedCalls/acceptRoutedCall.ts
+++ b/packages/host/src/routedCalls/acceptRoutedCall.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { findRoute, type TargetSelector } from '@buckthornlug/core/routing/routeTable.js';
+import { maxTimerMs } from '@buckthornlug/protocol/common/primitives.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import type { CallFields } from '@buckthornlug/protocol/settings/settingsSchema.js';
 import type { CallSignal } from '@buckthornlug/protocol/steering/callSignal.js';
@@ -41,10 +42,14 @@
   return queryAt < 0 ? url : url.slice(0, queryAt);
 }
 
-/** Time for which the caller will wait; undefined if it sends none or an invalid one. */
+/**
+ * Time for which the caller will wait, at most `maxTimerMs`, as backend servers set timers by it; undefined if
+ * it sends none or an invalid one.
+ */
 function readTimeLeftMs(request: IncomingMessage, callFields: CallFields): number | undefined {
   const timeLeftMs = Number(readHeader(request, callFields.timeLeftMs) ?? Number.NaN);
-  return Number.isFinite(timeLeftMs) && timeLeftMs >= 0 ? timeLeftMs : undefined;
+  if (!Number.isFinite(timeLeftMs) || timeLeftMs < 0) return undefined;
+  return Math.min(timeLeftMs, maxTimerMs);
 }
 
 /**
--- a/packages/protocol/src/common/primitives.ts
+++ b/packages/protocol/src/common/primitives.ts
@@ -36,3 +36,6 @@
 
 /** A share in permille (thousandths). */
 export const permilleSchema = z.int().min(0).max(1000);
+
+/** Longest time that a timer can be set to. Node.js fires one that is set beyond it after 1 ms. */
+export const maxTimerMs = 2 ** 31 - 1;
--- a/packages/testkit/src/routing/routing.spec.ts
+++ b/packages/testkit/src/routing/routing.spec.ts
@@ -34,6 +34,17 @@
   },
 );
 
+// Guards against a backend server that cannot read how much time is left, and runs the call without a limit.
+test.serial('a time left of any number of digits is passed on as a time', async (t) => {
+  const backend = await fleet.addBackend('b-1', () => ({ status: 200 }));
+  await delay(inForceMs / 5);
+  for (const timeLeft of ['9'.repeat(20), '9'.repeat(306), '1e21']) {
+    const fields = { 'x-object-key': '7', 'x-buckthornlug-time-left-ms': timeLeft };
+    t.is((await fleet.call('/reads/1', fields)).status, 200);
+    t.regex(String(backend.requests.at(-1)?.['x-buckthornlug-time-left-ms']), /^\d{1,10}$/);
+  }
+});
+
 test.serial('calls one after the other do not make a backend server look busy', async (t) => {
   for (let call = 0; call < 40; call += 1) {
     const answer = await fleet.call('/reads/1', { 'x-object-key': '7' });
