fix(registry): a departure from the far future keeps no backend server out

A departure of a later incarnation than the registered one is kept, so that the report of that incarnation does not register it any more. Reports are refused if their start is more than ten minutes ahead of the clock; departures were not. Change: departures have the same bound. Evidence: the new test in `registryTask.spec.ts` failed before (the record was gone after the next report). Why it works: the start that is kept is at most ten minutes ahead, as with reports. Measured: the tests of the file pass.

--- a/packages/host/src/registry/registryTask.spec.ts
+++ b/packages/host/src/registry/registryTask.spec.ts
@@ -57,3 +57,14 @@
   t.is((await task.removeBackend('b-1'))._unsafeUnwrapErr().code, 'BL5001');
   t.deepEqual(commands, []);
 });
+
+// Guards against a backend server that can never register again after one garbled departure.
+test('a departure of a process that starts in the far future is refused', async (t) => {
+  const { task, machine, commands } = createTask(t);
+  machine.apply({ type: 'noteBackend', report, atMs: 100 }, 1);
+  const left = await task.removeBackend('b-1', Number.MAX_SAFE_INTEGER);
+  for (const command of commands) machine.apply(command, 2);
+  machine.apply({ type: 'noteBackend', report: { ...report, bornAtMs: 200 }, atMs: 200 }, 3);
+  t.is(machine.registry.find('b-1')?.state, 'ready');
+  t.is(left._unsafeUnwrapErr().code, 'BL4001');
+});
--- a/packages/host/src/registry/registryTask.ts
+++ b/packages/host/src/registry/registryTask.ts
@@ -29,6 +29,10 @@
 /** Time limit of a commit; a backend server does not wait longer for an acknowledgement. */
 const commitTimeoutMs = 900;
 
+function futureStartFailure(): Failure {
+  return failure('BL4001', 'the start is in the future');
+}
+
 /** Registers and drains backend servers, and removes those that leave or fall silent. */
 export class RegistryTask {
   private readonly heard: BackendReportTimes;
@@ -59,10 +63,8 @@
    *   BL5002 if the outcome of the commit is not known
    */
   report(report: BackendReport): ResultAsync<void, Failure> {
-    if (report.bornAtMs > this.context.clock.wallMs() + maxStartAheadMs) {
-      return errAsync(
-        this.refused(report.backendId, failure('BL4001', 'the start is in the future')),
-      );
+    if (this.isFarAhead(report.bornAtMs)) {
+      return errAsync(this.refused(report.backendId, futureStartFailure()));
     }
     if (this.control.stateAgeMs() > maxStateAgeMs) {
       return errAsync(failure('BL5001', 'the state of this control host is not confirmed'));
@@ -86,8 +88,8 @@
    * late does not remove a later one.
    *
    * @param bornAtMs - its incarnation; the one that is registered now if undefined
-   * @returns BL5001 if no incarnation is named or known, or nothing was proposed; BL5002 if the outcome of
-   *   the commit is not known
+   * @returns BL4001 for a start in the future, BL5001 if no incarnation is named or known, or nothing was
+   *   proposed; BL5002 if the outcome of the commit is not known
    */
   removeBackend(
     backendId: string,
@@ -97,6 +99,7 @@
       const problem = failure('BL5001', `this host knows no backend server "${backendId}"`);
       return errAsync(this.refused(backendId, problem));
     }
+    if (this.isFarAhead(bornAtMs)) return errAsync(this.refused(backendId, futureStartFailure()));
     const command = { type: 'removeBackend', backendId, bornAtMs, reason: 'left' } as const;
     return this.control
       .commit(command, commitTimeoutMs)
@@ -155,6 +158,10 @@
     else this.forwardReportsToLeader(nowMs);
   }
 
+  private isFarAhead(bornAtMs: number): boolean {
+    return bornAtMs > this.context.clock.wallMs() + maxStartAheadMs;
+  }
+
   private removeSilentBackends(nowMs: number): void {
     const { registry } = this.control.machine;
     this.heard.forgetGone(registry);
