fix(timers): a duration beyond the longest timer ends no call at once

Callers saw: with a time limit of 2^31 ms or more for a kind of work in a document, each of its calls was given up after 1 ms (BL3005), as Node.js fires a timer beyond 31 bits at once. Settings with such an interval made a host poll without pause. Change: settings beyond 2^31 - 1 ms are refused (BL1003) with the name of the field. Why it works: whatever reaches a timer of a call, a poll or a connection has passed one of these bounds. The time of 1 ms is read from the documentation of Node.js, not run.

--- a/packages/core/src/table/compileSections.ts
+++ b/packages/core/src/table/compileSections.ts
@@ -1,3 +1,4 @@
+import { maxTimerMs } from '@buckthornlug/protocol/common/primitives.js';
 import type {
   Kind,
   Ranks,
@@ -11,13 +12,14 @@
 
 function compileKind(service: string, kind: Kind, ranks: Ranks): KindRule {
   const rank = ranks.findIndex((candidate) => candidate.id === kind.rank);
+  const timeLimitMs = Math.min(kind.timeLimitMs, maxTimerMs);
   const callClass: CallClass = {
     service,
     kind,
     rank,
     execution: kind.execution,
-    targetMs: kind.targetMs ?? ranks[rank]?.targetMs ?? kind.timeLimitMs,
-    timeLimitMs: kind.timeLimitMs,
+    targetMs: Math.min(kind.targetMs ?? ranks[rank]?.targetMs ?? timeLimitMs, maxTimerMs),
+    timeLimitMs,
   };
   return {
     methods: new Set(kind.match.methods),
--- a/packages/core/src/table/table.spec.ts
+++ b/packages/core/src/table/table.spec.ts
@@ -1,4 +1,5 @@
 import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
+import { maxTimerMs } from '@buckthornlug/protocol/common/primitives.js';
 import { checkDocument } from '@buckthornlug/protocol/document/document.js';
 import test from 'ava';
 import fc from 'fast-check';
@@ -90,6 +91,18 @@
   t.snapshot(decisions);
 });
 
+// Guards against calls that end after 1 ms, as a timer that is set beyond its bits does.
+test('a time limit or target beyond the longest timer counts as the longest timer', (t) => {
+  const service = document.services['parts-desk'];
+  if (service === undefined) throw new Error('the service is missing');
+  const kinds = service.kinds.map((kind) => ({ ...kind, timeLimitMs: 2 ** 31, targetMs: 1e300 }));
+  const services = { ...document.services, 'parts-desk': { ...service, kinds } };
+  const table = compileTable({ ...document, services });
+  const callClass = classifyCall(table, 'parts.example', 'POST', '/reserve');
+  t.is(callClass?.timeLimitMs, maxTimerMs);
+  t.is(callClass?.targetMs, maxTimerMs);
+});
+
 test('zones are ordered by delay, through other regions if there is no direct link', (t) => {
   const { network } = compileTable(document);
   t.snapshot(network.zonesByDelay.get('lagos-b'));
--- a/packages/protocol/src/settings/settings.spec.ts
+++ b/packages/protocol/src/settings/settings.spec.ts
@@ -26,6 +26,10 @@
   [{ clusterKeys: [{ id: 'cluster-1', secret: 'short' }] }, 'clusterKeys/0/secret'],
   [{ groups: [{ id: 'control', members: ['elsewhere'] }] }, 'groups/0/members/0'],
   [{ timing: { heartbeatMs: 0 } }, 'timing/heartbeatMs'],
+  // A timer that is set beyond 2^31 - 1 ms would fire after 1 ms, again and again.
+  [{ timing: { documentPollMs: 2 ** 31 } }, 'timing/documentPollMs'],
+  [{ limits: { idleBodyTimeoutMs: 1e300 } }, 'limits/idleBodyTimeoutMs'],
+  [{ routing: { reportIntervalMs: 2 ** 31 } }, 'routing/reportIntervalMs'],
   [{ listen: { callers: { address: 'localhost', port: 7001 } } }, 'listen/callers/address'],
 ];
 
--- a/packages/protocol/src/settings/settingsSchema.ts
+++ b/packages/protocol/src/settings/settingsSchema.ts
@@ -1,12 +1,15 @@
 import { z } from 'zod';
 
-import { endpointSchema, idSchema, permilleSchema } from '../common/primitives.js';
+import { endpointSchema, idSchema, maxTimerMs, permilleSchema } from '../common/primitives.js';
 
 /**
  * Schema of the settings file of a host (JSON); types, validation, defaults and docs/CONFIGURATION.md
  * derive from it.
  */
 
+/** A duration that timers are set to. */
+const durationMsSchema = z.number().positive().max(maxTimerMs);
+
 const secretKeySchema = z.strictObject({
   id: idSchema,
   secret: z.string().min(16).describe('Shared secret; never logged.'),
@@ -70,14 +73,8 @@
     .min(1)
     .default(20_000)
     .describe('Largest number of connections from callers.'),
-  headTimeoutMs: z
-    .number()
-    .positive()
-    .default(5000)
-    .describe('Timeout for receiving a request head.'),
-  idleBodyTimeoutMs: z
-    .number()
-    .positive()
+  headTimeoutMs: durationMsSchema.default(5000).describe('Timeout for receiving a request head.'),
+  idleBodyTimeoutMs: durationMsSchema
     .default(5000)
     .describe('Longest pause while a body is received.'),
   maxQueuedCalls: z
@@ -100,40 +97,27 @@
 });
 
 const timingSchema = z.strictObject({
-  announceRenewMs: z
-    .number()
-    .positive()
+  announceRenewMs: durationMsSchema
     .default(500)
     .describe('Interval at which backend servers renew their announcements.'),
-  slotLeaseMs: z.number().positive().default(2000).describe('Lifetime of a slot lease.'),
-  creditMs: z.number().positive().default(300).describe('Lifetime of a credit between zones.'),
-  probeIntervalMs: z.number().positive().default(500).describe('Interval of membership probes.'),
-  probeTimeoutMs: z.number().positive().default(400).describe('Timeout of a membership probe.'),
-  suspicionMs: z
-    .number()
-    .positive()
+  slotLeaseMs: durationMsSchema.default(2000).describe('Lifetime of a slot lease.'),
+  creditMs: durationMsSchema.default(300).describe('Lifetime of a credit between zones.'),
+  probeIntervalMs: durationMsSchema.default(500).describe('Interval of membership probes.'),
+  probeTimeoutMs: durationMsSchema.default(400).describe('Timeout of a membership probe.'),
+  suspicionMs: durationMsSchema
     .default(1200)
     .describe('Time after which a suspected host counts as failed.'),
-  electionTimeoutMs: z.number().positive().default(1000).describe('Shortest election timeout.'),
-  heartbeatMs: z.number().positive().default(150).describe('Heartbeat interval of a leader.'),
-  documentPollMs: z
-    .number()
-    .positive()
-    .default(500)
-    .describe('Interval of polls for a new document.'),
-  rpcTimeoutMs: z
-    .number()
-    .positive()
-    .default(1000)
-    .describe('Time limit of a request between hosts.'),
-  stopGraceMs: z
-    .number()
-    .positive()
+  electionTimeoutMs: durationMsSchema.default(1000).describe('Shortest election timeout.'),
+  heartbeatMs: durationMsSchema.default(150).describe('Heartbeat interval of a leader.'),
+  documentPollMs: durationMsSchema.default(500).describe('Interval of polls for a new document.'),
+  rpcTimeoutMs: durationMsSchema.default(1000).describe('Time limit of a request between hosts.'),
+  stopGraceMs: durationMsSchema
     .default(10_000)
     .describe('Longest wait for calls in flight when the host stops.'),
   leaveLookupMs: z
     .number()
     .min(0)
+    .max(maxTimerMs)
     .default(0)
     .describe('Extra time for which a stopping host keeps serving after it has left the look-ups.'),
 });
@@ -164,19 +148,11 @@
 /** Settings of hosts that serve a routing document. */
 export const routingSettingsSchema = z.strictObject({
   regionOfZone: z.record(z.string(), z.string()).default({}).describe('Region of each zone.'),
-  reportIntervalMs: z
-    .number()
-    .positive()
+  reportIntervalMs: durationMsSchema
     .default(1500)
     .describe('Interval of the reports of a backend server.'),
-  lookupTtlMs: z
-    .number()
-    .positive()
-    .default(2000)
-    .describe('Time for which a look-up may be cached.'),
-  documentInForceMs: z
-    .number()
-    .positive()
+  lookupTtlMs: durationMsSchema.default(2000).describe('Time for which a look-up may be cached.'),
+  documentInForceMs: durationMsSchema
     .default(2500)
     .describe(
       'Time within which an accepted document is in force on each host. A host that could not confirm its document for so long refuses a call without a route as temporary.',
