--- a/packages/testkit/src/processes/managedProcess.ts
+++ b/packages/testkit/src/processes/managedProcess.ts
@@ -52,6 +52,11 @@
 
   private isPaused = false;
 
+  private isStopping = false;
+
+  /** How often the process ended without having been asked to. */
+  ownEnds = 0;
+
   /** Changes at each start, so that a planned restart can tell whether another came before it. */
   private starts = 0;
 
@@ -82,7 +87,9 @@
     running.add(child);
     child.once('close', () => {
       running.delete(child);
-      if (this.child === child) this.child = undefined;
+      if (this.child !== child) return;
+      this.child = undefined;
+      if (!this.isStopping) this.ownEnds += 1;
     });
     if (logPath !== undefined) child.stdout.pipe(createWriteStream(logPath, { flags: 'a' }));
     await waitForStart(child);
@@ -94,10 +101,12 @@
     if (child === undefined) return;
     this.resume();
     const closed = once(child, 'close');
+    this.isStopping = true;
     child.kill('SIGTERM');
     const timer = setTimeout(() => child.kill('SIGKILL'), graceMs);
     await closed;
     clearTimeout(timer);
+    this.isStopping = false;
   }
 
   /** SIGKILL; resolves when the process has ended. */
