refactor(routing): timeouts of a document get their bound where it is compiled

Cause: the bound of 2^31 - 1 ms stood in the shell, where an entry host sets its listener, and had no test; that of documents of the other kind stands in the compiled table (compileSections.ts). Change: it stands in compileRoutes, with a test in routing.spec.ts. Behaviour is the same: the listener was the only reader of the two timeouts.

--- a/packages/core/src/routing/routeTable.ts
+++ b/packages/core/src/routing/routeTable.ts
@@ -1,3 +1,4 @@
+import { maxTimerMs } from '@buckthornlug/protocol/common/primitives.js';
 import type { Route, RoutingInForce } from '@buckthornlug/protocol/routing/routingSchema.js';
 
 /** A routing document, compiled for lookups. */
@@ -24,7 +25,13 @@
     routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
   }
   const services = new Map(document.services.map((service) => [service.service, service]));
-  const { version, limits } = document;
+  const { version } = document;
+  const { headTimeoutMs, idleTimeoutMs } = document.limits;
+  const limits = {
+    ...document.limits,
+    headTimeoutMs: Math.min(headTimeoutMs, maxTimerMs),
+    idleTimeoutMs: Math.min(idleTimeoutMs, maxTimerMs),
+  };
   const leastUrgentRank = document.routes.reduce((most, { rank }) => Math.max(most, rank), 0);
   return { version, routesByHostName, services, limits, leastUrgentRank };
 }
--- a/packages/core/src/routing/routing.spec.ts
+++ b/packages/core/src/routing/routing.spec.ts
@@ -1,3 +1,4 @@
+import { maxTimerMs } from '@buckthornlug/protocol/common/primitives.js';
 import type { Route, RoutingDocument } from '@buckthornlug/protocol/routing/routingSchema.js';
 import { routingDocumentSchema } from '@buckthornlug/protocol/routing/routingSchema.js';
 import test from 'ava';
@@ -33,6 +34,15 @@
   };
 }
 
+// Guards against timers that fire at once, as those that are set beyond their bits do.
+test('a timeout of a document beyond the longest timer counts as the longest timer', (t) => {
+  const sound = document(1);
+  const limits = { ...sound.limits, headTimeoutMs: 2 ** 31, idleTimeoutMs: 1e300 };
+  const expected = { ...limits, headTimeoutMs: maxTimerMs, idleTimeoutMs: maxTimerMs };
+  t.deepEqual(compileRoutes({ ...sound, limits }).limits, expected);
+  t.deepEqual(compileRoutes(sound).limits, sound.limits);
+});
+
 test('a call takes the route of its host name with the longest prefix of its path', (t) => {
   const table = compileRoutes(
     document(1, [
--- a/packages/host/src/routedCalls/routedCallsFeature.ts
+++ b/packages/host/src/routedCalls/routedCallsFeature.ts
@@ -2,7 +2,6 @@
 
 import { mayTakeCall, type StopPlan } from '@buckthornlug/core/calls/stopAdmission.js';
 import { TargetSelector } from '@buckthornlug/core/routing/routeTable.js';
-import { maxTimerMs } from '@buckthornlug/protocol/common/primitives.js';
 import { routingSettingsSchema } from '@buckthornlug/protocol/settings/settingsSchema.js';
 import { okAsync, type ResultAsync } from 'neverthrow';
 
@@ -85,9 +84,8 @@
     context.log.info('routingInForce', inForce);
     if (state.table !== previousTable && state.table !== undefined) {
       targetSelector.prune(state.table);
-      const { idleTimeoutMs, headTimeoutMs } = state.table.limits;
-      server.keepAliveTimeout = Math.min(idleTimeoutMs, maxTimerMs);
-      server.headersTimeout = Math.min(headTimeoutMs, maxTimerMs);
+      server.keepAliveTimeout = state.table.limits.idleTimeoutMs;
+      server.headersTimeout = state.table.limits.headTimeoutMs;
       parts.membershipTask?.setVersions({ documentVersion: routingVersion, shiftRevision: 0 });
     }
     pools.refresh();
