--- a/packages/core/src/consensus/replicaLog.ts
+++ b/packages/core/src/consensus/replicaLog.ts
@@ -47,6 +47,13 @@
   return entry.body.kind === 'command' ? entry.body.data.byteLength + 16 : 64;
 }
 
+/** Approximate encoded size of all entries in memory. */
+export function logBytes(log: LogState): number {
+  let bytes = 0;
+  for (const entry of log.entries) bytes += entryBytes(entry);
+  return bytes;
+}
+
 /** Entries from an index on, as many as the limits allow but at least one. */
 export function entriesFrom(
   log: LogState,
--- a/packages/host/src/consensus/consensusSchema.ts
+++ b/packages/host/src/consensus/consensusSchema.ts
@@ -60,6 +60,8 @@
   readonly leaderId?: string;
   readonly isLeader?: boolean;
   readonly commitIndex?: number;
+  /** Size of the log entries in memory. */
+  readonly logBytes?: number;
   readonly replicas?: readonly ReplicaStatus[];
   readonly failure?: Failure;
   /** Version of the document on the host that answers; 0 if it has none. */
--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -17,7 +17,7 @@
   type ChangePlan,
   type RequestedChange,
 } from '@buckthornlug/core/consensus/replicaChanges.js';
-import { lastIndexOf } from '@buckthornlug/core/consensus/replicaLog.js';
+import { lastIndexOf, logBytes } from '@buckthornlug/core/consensus/replicaLog.js';
 import {
   createReplica,
   isMember,
@@ -187,6 +187,8 @@
   }
 
   private notifyApplied(): void {
+    const { context, groupId } = this.parts;
+    context.metrics.gauge('group_log_bytes', logBytes(this.state.log), { groupId });
     for (const listener of this.listeners) listener(this.appliedIndex);
   }
 
--- a/packages/host/src/consensus/replicaDescription.ts
+++ b/packages/host/src/consensus/replicaDescription.ts
@@ -1,5 +1,5 @@
 import { hostIdOf } from '@buckthornlug/core/consensus/membership.js';
-import { lastIndexOf } from '@buckthornlug/core/consensus/replicaLog.js';
+import { lastIndexOf, logBytes } from '@buckthornlug/core/consensus/replicaLog.js';
 import type { ReplicaState } from '@buckthornlug/core/consensus/replicaState.js';
 import type { Failure } from '@buckthornlug/protocol/results/failure.js';
 
@@ -33,7 +33,7 @@
 /** Describes a group as its replica on this host sees it. */
 export function describeReplica(replica: DescribedReplica): GroupDescription {
   const { groupId, state, formationId, isLeader, storageFailure } = replica;
-  const { term, commitIndex, members, leader } = state;
+  const { term, commitIndex, members, leader, log } = state;
   return {
     groupId,
     state: storageFailure === undefined ? 'running' : 'failed',
@@ -43,6 +43,7 @@
     ...(leader === null ? {} : { leaderId: hostIdOf(leader) }),
     isLeader,
     commitIndex,
+    logBytes: logBytes(log),
     replicas: [
       ...members.voters.map((id) => replicaStatusOf(state, id, 'voter')),
       ...members.learners.map((id) => replicaStatusOf(state, id, 'learner')),
--- a/packages/host/src/routing/routingCommands.ts
+++ b/packages/host/src/routing/routingCommands.ts
@@ -100,7 +100,10 @@
     },
     read: () => {
       if (!control.isMember) return errAsync(failure('BL5005', 'this host is no control host'));
+      const askedAtMs = clock.nowMs();
       return control.readBarrier(commandTimeoutMs).andThen(() => {
+        const elapsedMs = Math.round(clock.nowMs() - askedAtMs);
+        log.info('routingRead', { version: routing.version(), elapsedMs });
         const document = routing.current();
         return document === undefined
           ? err(failure('BL2010', 'no routing document was submitted'))
--- a/packages/testkit/src/bench/control/largeState.ts
+++ b/packages/testkit/src/bench/control/largeState.ts
@@ -13,6 +13,7 @@
 import { openGroupStorage } from '@buckthornlug/host/consensus/groupStorage.js';
 import { startGroupTask } from '@buckthornlug/host/consensus/groupTask.js';
 import type { GroupTask } from '@buckthornlug/host/consensus/groupTaskTypes.js';
+import { createMetrics } from '@buckthornlug/host/metrics/metrics.js';
 import type { HostContext } from '@buckthornlug/host/runtime/hostTypes.js';
 import { splitSections } from '@buckthornlug/protocol/document/sections.js';
 
@@ -48,6 +49,7 @@
     random: createSeededRandom(seed),
     log: { debug: ignore, info: ignore, warn: ignore, error: ignore },
     record: ignore,
+    metrics: createMetrics(),
   };
   return context as unknown as HostContext;
 }
