test(control): documents pile up in the log, and are committed again for each resend, as known reds

Version 75 was held by the control hosts from second 71.7 on, and proposed again as a whole, of 3.6 MB, at each resend until second 91.8; leaders were elected eight times meanwhile and four processes ended for memory.

--- /dev/null
+++ b/packages/host/src/routing/routingCommands.spec.ts
@@ -0,0 +1,53 @@
+import { createControlMachine } from '@buckthornlug/core/submissions/controlMachine.js';
+import type { RoutingDocument } from '@buckthornlug/protocol/routing/routingSchema.js';
+import test from 'ava';
+import { okAsync } from 'neverthrow';
+
+import { createMetrics } from '../metrics/metrics.js';
+import type { HostContext } from '../runtime/hostTypes.js';
+import type { ControlGroup, RoutingCommand } from '../submissions/controlGroup.js';
+import { createRoutingCommands } from './routingCommands.js';
+
+const documentOf = (version: number): RoutingDocument => ({
+  version,
+  routes: [],
+  services: [],
+  limits: { maxHeadBytes: 1, maxBodyBytes: 1, headTimeoutMs: 1, idleTimeoutMs: 1 },
+  source: `version ${version}`,
+});
+
+/** Commands of a control host whose commits are applied at once. */
+function createCommands() {
+  const machine = createControlMachine(() => true);
+  const committed: RoutingCommand[] = [];
+  const control = {
+    isMember: true,
+    machine,
+    readBarrier: () => okAsync(undefined),
+    commit: (command: RoutingCommand) => {
+      committed.push(command);
+      return okAsync(machine.apply(command, committed.length));
+    },
+  } as unknown as ControlGroup;
+  const clock = { nowMs: () => 0, wallMs: () => 0 };
+  const log = { info: () => undefined, warn: () => undefined };
+  const context = { clock, log, metrics: createMetrics() } as unknown as HostContext;
+  return {
+    committed,
+    routing: machine.routing,
+    commands: createRoutingCommands(context, control, { baseOf: () => 0 }),
+  };
+}
+
+// Guards against a control group that commits a document again for each resend, and acknowledges none of them in time.
+test('a document that is in force is acknowledged without another commit', async (t) => {
+  const { commands, committed, routing } = createCommands();
+  (await commands.replace(documentOf(7)))._unsafeUnwrap();
+  (await commands.replace(documentOf(7)))._unsafeUnwrap();
+  (await commands.replace(documentOf(5)))._unsafeUnwrap();
+  t.is(routing.version(), 7);
+  t.is(committed.length, 1);
+  (await commands.replace(documentOf(8)))._unsafeUnwrap();
+  t.is(routing.version(), 8);
+  t.is(committed.length, 2);
+});
