--- a/packages/core/src/consensus/replicaState.ts
+++ b/packages/core/src/consensus/replicaState.ts
@@ -17,6 +17,16 @@
 
 /** State of one replica and the helpers that all modules of its state machine share. */
 
+/** A snapshot on its way to another replica, in chunks. */
+export interface SnapshotTransfer {
+  /** Stays the same while newer ones are taken, which would otherwise begin the transfer anew each time. */
+  readonly snapshot: Snapshot;
+  /** Bytes that the replica has acknowledged. */
+  offset: number;
+  /** Offset of the chunk that was sent last, and when; absent before the first one. */
+  sentChunk?: { readonly offset: number; readonly atMs: number };
+}
+
 /** Replication progress of another replica, tracked by the leader. */
 export interface Progress {
   matchIndex: number;
@@ -37,7 +47,7 @@
   /** Stamp of its newest reply; absent before the first one. */
   replyStamp?: ReplyStamp;
   /** Snapshot transfer in progress; absent while log entries suffice. */
-  snapshotTransfer?: { readonly snapshotIndex: number; offset: number; sentAtMs: number };
+  snapshotTransfer?: SnapshotTransfer;
 }
 
 /** A read that waits for a quorum to acknowledge its round. */
--- a/packages/core/src/consensus/replication.ts
+++ b/packages/core/src/consensus/replication.ts
@@ -234,8 +234,11 @@
   progress.matchIndex = Math.max(progress.matchIndex, matchIndex);
   progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
   progress.isProbing = false;
-  const isInstalled = progress.matchIndex >= state.log.baseIndex;
-  if (progress.snapshotTransfer !== undefined && isInstalled) progress.snapshotTransfer = undefined;
+  const { snapshotTransfer: transfer } = progress;
+  const isInstalled =
+    transfer !== undefined &&
+    progress.matchIndex >= Math.min(state.log.baseIndex, transfer.snapshot.index);
+  if (isInstalled) progress.snapshotTransfer = undefined;
   advanceCommit(state);
 }
 
--- a/packages/core/src/consensus/snapshots.ts
+++ b/packages/core/src/consensus/snapshots.ts
@@ -11,6 +11,7 @@
   type Leadership,
   type Progress,
   type ReplicaState,
+  type SnapshotTransfer,
 } from './replicaState.js';
 
 /** Snapshots: log compaction and installation on lagging replicas. */
@@ -31,17 +32,31 @@
   persistSnapshot(state, snapshot, false);
 }
 
-/** Sends the next chunk of the snapshot; one chunk is in flight at a time. */
+/** Transfer to continue; one of which nothing is acknowledged begins with the newest snapshot. */
+function currentTransfer(state: ReplicaState, progress: Progress): SnapshotTransfer {
+  const { snapshotTransfer: known } = progress;
+  if (known !== undefined && known.offset > 0) return known;
+  const { snapshot } = state.log;
+  return known?.snapshot === snapshot ? known : { snapshot, offset: 0 };
+}
+
+/**
+ * Sends the next chunk of a snapshot; one chunk is in flight at a time. Until an election timeout has
+ * passed, a repeated one carries no bytes, as it is a heartbeat only.
+ */
 export function sendSnapshotChunk(
   state: ReplicaState,
   leadership: Leadership,
   to: ReplicaId,
   progress: Progress,
 ): void {
-  const { snapshot } = state.log;
-  const isTransferring = progress.snapshotTransfer?.snapshotIndex === snapshot.index;
-  const offset = isTransferring ? (progress.snapshotTransfer?.offset ?? 0) : 0;
-  progress.snapshotTransfer = { snapshotIndex: snapshot.index, offset, sentAtMs: state.nowMs };
+  const { snapshotChunkBytes, electionTimeoutMs } = state.options;
+  const transfer = currentTransfer(state, progress);
+  progress.snapshotTransfer = transfer;
+  const { snapshot, offset, sentChunk } = transfer;
+  const isUnderWay =
+    sentChunk?.offset === offset && state.nowMs - sentChunk.atMs < electionTimeoutMs;
+  if (!isUnderWay) transfer.sentChunk = { offset, atMs: state.nowMs };
   send(state, {
     kind: 'snapshotChunk',
     from: state.id,
@@ -52,7 +67,7 @@
     members: snapshot.members,
     totalBytes: snapshot.data.byteLength,
     offset,
-    data: snapshot.data.subarray(offset, offset + state.options.snapshotChunkBytes),
+    data: snapshot.data.subarray(offset, offset + (isUnderWay ? 0 : snapshotChunkBytes)),
     round: leadership.round,
     sentAtMs: state.nowMs,
   });
@@ -142,8 +157,11 @@
   if (leadership === undefined || progress === undefined) return;
   recordAck(progress, message);
   const { snapshotTransfer: transfer } = progress;
-  if (transfer === undefined || transfer.snapshotIndex !== message.snapshotIndex) return;
+  if (transfer === undefined || transfer.snapshot.index !== message.snapshotIndex) return;
   if (message.nextOffset === transfer.offset) return;
+  // The replica has fewer bytes than it had acknowledged only if its process has started again.
+  const isOvertaken = message.sentAtMs < (transfer.sentChunk?.atMs ?? Number.NEGATIVE_INFINITY);
+  if (message.nextOffset < transfer.offset && isOvertaken) return;
   transfer.offset = message.nextOffset;
   sendSnapshotChunk(state, leadership, message.from, progress);
   sendPendingEntries(state, leadership, message.from);
