fix(consensus): the log that a replica retains is limited in bytes

An entry with a document of 4,000 routes has 1.8 MB. Class: a limit counted in items where the resource is bytes.

--- a/packages/core/src/consensus/consensusTypes.ts
+++ b/packages/core/src/consensus/consensusTypes.ts
@@ -68,6 +68,8 @@
   readonly snapshotChunkBytes: number;
   /** Entries kept behind a snapshot, so that a slightly lagging follower needs no snapshot. */
   readonly retainedEntries: number;
+  /** Largest size of these entries; a follower that lacks more gets the snapshot. */
+  readonly retainedBytes: number;
   /** Maximum number of uncommitted entries; a leader refuses proposals beyond it. */
   readonly maxUncommittedEntries: number;
   /** Absent if replicas are removed by an operator or by a new disk of their host only. */
--- a/packages/core/src/consensus/replicaLog.ts
+++ b/packages/core/src/consensus/replicaLog.ts
@@ -1,5 +1,5 @@
 /* eslint no-param-reassign: ['error', { props: false }] */
-import type { LogEntry, Members, Snapshot } from './consensusTypes.js';
+import type { ConsensusOptions, LogEntry, Members, Snapshot } from './consensusTypes.js';
 
 /** The part of the log that a replica holds in memory. */
 
@@ -90,10 +90,29 @@
   log.entries.length = Math.max(0, fromIndex - log.baseIndex - 1);
 }
 
-/** Stores a new snapshot and drops the entries it covers, except the newest `retainedEntries`. */
-export function compactLog(log: LogState, snapshot: Snapshot, retainedEntries: number): void {
+/** Limits of the entries that are kept behind a snapshot. */
+export type RetainedLog = Pick<ConsensusOptions, 'retainedEntries' | 'retainedBytes'>;
+
+/** Index from which on the newest entries that a snapshot covers keep within the limits, exclusive. */
+function retainedBaseIndex(
+  log: LogState,
+  snapshotIndex: number,
+  { retainedEntries, retainedBytes }: RetainedLog,
+): number {
+  const lowestIndex = Math.max(log.baseIndex, snapshotIndex - retainedEntries);
+  let bytes = 0;
+  for (let index = snapshotIndex; index > lowestIndex; index -= 1) {
+    const entry = entryAt(log, index);
+    bytes += entry === undefined ? 0 : entryBytes(entry);
+    if (bytes > retainedBytes) return index;
+  }
+  return lowestIndex;
+}
+
+/** Stores a new snapshot and drops the entries it covers, except the newest ones within the limits. */
+export function compactLog(log: LogState, snapshot: Snapshot, retained: RetainedLog): void {
   log.snapshot = snapshot;
-  const newBaseIndex = Math.max(log.baseIndex, snapshot.index - retainedEntries);
+  const newBaseIndex = retainedBaseIndex(log, snapshot.index, retained);
   const baseTerm = termAt(log, newBaseIndex);
   if (baseTerm === undefined) return;
   log.entries = log.entries.slice(newBaseIndex - log.baseIndex);
--- a/packages/core/src/consensus/replicaSchedule.ts
+++ b/packages/core/src/consensus/replicaSchedule.ts
@@ -35,6 +35,7 @@
   maxInFlightEntries: 12,
   snapshotChunkBytes: 3,
   retainedEntries: 2,
+  retainedBytes: 1024,
   maxUncommittedEntries: 64,
 };
 
--- a/packages/core/src/consensus/sampleOptions.ts
+++ b/packages/core/src/consensus/sampleOptions.ts
@@ -9,5 +9,6 @@
   maxInFlightEntries: 4096,
   snapshotChunkBytes: 65_536,
   retainedEntries: 256,
+  retainedBytes: 1_048_576,
   maxUncommittedEntries: 16_384,
 };
--- a/packages/core/src/consensus/snapshots.ts
+++ b/packages/core/src/consensus/snapshots.ts
@@ -28,7 +28,7 @@
   if (term === undefined || index > state.commitIndex || index <= log.snapshot.index) return;
   const { members } = latestMembers(log, index);
   const snapshot: Snapshot = { index, term, members, data };
-  compactLog(log, snapshot, state.options.retainedEntries);
+  compactLog(log, snapshot, state.options);
   persistSnapshot(state, snapshot, false);
 }
 
@@ -104,7 +104,7 @@
   const { log } = state;
   state.incomingSnapshot = undefined;
   const keepsTail = termAt(log, snapshot.index) === snapshot.term;
-  if (keepsTail) compactLog(log, snapshot, 0);
+  if (keepsTail) compactLog(log, snapshot, { retainedEntries: 0, retainedBytes: 0 });
   else resetLog(log, snapshot);
   persistSnapshot(state, snapshot, !keepsTail);
   if (!keepsTail) {
--- a/packages/host/src/consensus/consensusOptions.ts
+++ b/packages/host/src/consensus/consensusOptions.ts
@@ -22,6 +22,7 @@
     maxInFlightEntries: 4096,
     snapshotChunkBytes: 512 * 1024,
     retainedEntries: 256,
+    retainedBytes: 16 * 1024 * 1024,
     maxUncommittedEntries: 16_384,
     ...(replacement === undefined ? {} : { replacement }),
   };
