fix(control): a document that is in force is acknowledged without another commit

Cause: the whole document was proposed again for each resend of the operator, although the host that took it held that version already. At 7,800 routes each is an entry of 3.6 MB for every replica; the leader fell behind its heartbeats, and the elections brought further resends. Change: a version that is not higher than the one applied here is acknowledged at once, since what is applied is committed; a resend during the commit shares its outcome.

--- a/packages/host/src/routing/routingCommands.spec.ts
+++ b/packages/host/src/routing/routingCommands.spec.ts
@@ -1,7 +1,9 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { createControlMachine } from '@buckthornlug/core/submissions/controlMachine.js';
 import type { RoutingDocument } from '@buckthornlug/protocol/routing/routingSchema.js';
 import test from 'ava';
-import { okAsync } from 'neverthrow';
+import { okAsync, ResultAsync } from 'neverthrow';
 
 import { createMetrics } from '../metrics/metrics.js';
 import type { HostContext } from '../runtime/hostTypes.js';
@@ -17,7 +19,7 @@
 });
 
 /** Commands of a control host whose commits are applied at once. */
-function createCommands() {
+function createCommands(reachQuorum: () => Promise<void> = () => Promise.resolve()) {
   const machine = createControlMachine(() => true);
   const committed: RoutingCommand[] = [];
   const control = {
@@ -26,7 +28,8 @@
     readBarrier: () => okAsync(undefined),
     commit: (command: RoutingCommand) => {
       committed.push(command);
-      return okAsync(machine.apply(command, committed.length));
+      const logIndex = committed.length;
+      return ResultAsync.fromSafePromise(reachQuorum()).map(() => machine.apply(command, logIndex));
     },
   } as unknown as ControlGroup;
   const clock = { nowMs: () => 0, wallMs: () => 0 };
@@ -51,3 +54,14 @@
   t.is(routing.version(), 8);
   t.is(committed.length, 2);
 });
+
+test('a document that is sent again while its commit is under way shares its outcome', async (t) => {
+  const { commands, committed } = createCommands(() => delay(20));
+  const results = await Promise.all([
+    commands.replace(documentOf(7)),
+    commands.replace(documentOf(7)),
+    commands.replace({ ...documentOf(7), source: 'another text' }),
+  ]);
+  t.true(results.every((result) => result.isOk()));
+  t.is(committed.length, 2);
+});
--- a/packages/host/src/routing/routingCommands.ts
+++ b/packages/host/src/routing/routingCommands.ts
@@ -1,7 +1,7 @@
 import type { OrderBases } from '@buckthornlug/core/routing/orderBases.js';
 import type { RoutingDocument } from '@buckthornlug/protocol/routing/routingSchema.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
-import { err, errAsync, ok, type ResultAsync } from 'neverthrow';
+import { err, errAsync, ok, okAsync, type ResultAsync } from 'neverthrow';
 
 import type { HostContext } from '../runtime/hostTypes.js';
 import type { ControlGroup, RoutingCommand } from '../submissions/controlGroup.js';
@@ -11,11 +11,17 @@
 /** Time limit of a commit or a confirmed read; long enough for one election. */
 const commandTimeoutMs = 2500;
 
+/** The commit of a document that is under way. */
+interface Replacement {
+  readonly document: RoutingDocument;
+  readonly result: ResultAsync<void, Failure>;
+}
+
 /** Commands that a control host accepts from operators. */
 export interface RoutingCommands {
   /**
    * Puts a routing document in force. A version that is not higher than the one in force is
-   * accepted and changes nothing.
+   * accepted, changes nothing and is not committed again.
    *
    * @returns BL5001 if nothing was proposed, BL5002 if the outcome is not known
    */
@@ -54,35 +60,60 @@
   const { log, clock, metrics } = context;
   const { routing } = control.machine;
 
+  const recordOutcome = (
+    event: string,
+    fields: Record<string, string | number>,
+    outcome: string,
+  ): void => {
+    log.info(event, { ...fields, outcome });
+    metrics.count('operator_orders_total', { result: outcome });
+  };
+
   /** Commits a command, and logs and counts its outcome. */
   const commit = (
     command: RoutingCommand,
     event: string,
     fields: Record<string, string | number>,
-  ): ResultAsync<void, Failure> => {
-    const recordOutcome = (outcome: string) => {
-      log.info(event, { ...fields, outcome });
-      metrics.count('operator_orders_total', { result: outcome });
-    };
-    return control
+  ): ResultAsync<void, Failure> =>
+    control
       .commit(command, commandTimeoutMs)
       .andThen((reply) => {
         const isSuperseded = 'isSuperseded' in reply && reply.isSuperseded === true;
         return isSuperseded ? err(failure('BL5013', 'the zone has changed since')) : ok(undefined);
       })
-      .map(() => recordOutcome('committed'))
+      .map(() => recordOutcome(event, fields, 'committed'))
       .mapErr((problem) => {
-        recordOutcome(problem.code);
+        recordOutcome(event, fields, problem.code);
         return problem;
       });
+
+  /** Commits of documents that are under way on this host, by version. */
+  const replacements = new Map<number, Replacement>();
+
+  const replace = (document: RoutingDocument): ResultAsync<void, Failure> => {
+    const { version, routes } = document;
+    const heldVersion = routing.version();
+    const event = 'routingReplaced';
+    const fields = { version, heldVersion, routes: routes.length };
+    // What is applied here is committed, and only a higher version replaces it.
+    if (heldVersion >= version) {
+      recordOutcome(event, fields, 'held');
+      return okAsync(undefined);
+    }
+    const known = replacements.get(version);
+    if (known?.document.source === document.source) return known.result;
+    const result = commit({ type: 'replaceRouting', document }, event, fields);
+    const replacement = { document, result };
+    replacements.set(version, replacement);
+    const forget = () => {
+      if (replacements.get(version) === replacement) replacements.delete(version);
+    };
+    result.then(forget, forget);
+    return result;
   };
 
   return {
-    replace: (document) => {
-      const { version, routes } = document;
-      const fields = { version, heldVersion: routing.version(), routes: routes.length };
-      return commit({ type: 'replaceRouting', document }, 'routingReplaced', fields);
-    },
+    replace,
     setEvacuation: (availabilityZone, isEvacuated, isWanted = () => true) => {
       const event = isEvacuated ? 'evacuationBegun' : 'evacuationEnded';
       const changes = routing.evacuationChanges();
