fix(consensus): long commands are compressed in the log

Cause: a document of 4,000 routes is an entry of 1.8 MB, which is written and then encoded, compressed and signed once for each of the other replicas, and decoded and encoded once more where another host had taken the order. Change: commands of 16 KiB and more are compressed when they are proposed, once all replicas of the group have said in their replies that they read them (one of an earlier version does not); the leader proposes the bytes that the other host sent.

--- a/packages/core/src/consensus/consensusTypes.ts
+++ b/packages/core/src/consensus/consensusTypes.ts
@@ -135,14 +135,20 @@
   readonly echo?: ReplyStamp | null;
 }
 
-export interface AppendReply extends MessageBase, LeaderRound {
+/** What the reply of a replica tells of its process; set when the reply is sent. */
+interface ReplyOrigin {
+  /** Absent from a replica of an earlier version. */
+  readonly stamp?: ReplyStamp;
+  /** Whether it reads compressed commands; absent from a replica of an earlier version. */
+  readonly readsCompressed?: true;
+}
+
+export interface AppendReply extends MessageBase, LeaderRound, ReplyOrigin {
   readonly kind: 'appendReply';
   readonly success: boolean;
   /** Last synced index that matches the leader's log; on refusal, the `prevIndex` to try next. */
   readonly matchIndex: number;
   readonly prevIndex: number;
-  /** Set when the reply is sent; absent from a replica of an earlier version. */
-  readonly stamp?: ReplyStamp;
 }
 
 export interface SnapshotChunk extends MessageBase, LeaderRound {
@@ -155,12 +161,10 @@
   readonly data: Uint8Array;
 }
 
-export interface SnapshotReply extends MessageBase, LeaderRound {
+export interface SnapshotReply extends MessageBase, LeaderRound, ReplyOrigin {
   readonly kind: 'snapshotReply';
   readonly snapshotIndex: number;
   readonly nextOffset: number;
-  /** Set when the reply is sent; absent from a replica of an earlier version. */
-  readonly stamp?: ReplyStamp;
 }
 
 export interface ReadIndexMessage extends MessageBase {
--- a/packages/core/src/consensus/replicaState.ts
+++ b/packages/core/src/consensus/replicaState.ts
@@ -46,6 +46,8 @@
   ackedSentAtMs: number;
   /** Stamp of its newest reply; absent before the first one. */
   replyStamp?: ReplyStamp;
+  /** Whether its newest reply says that it reads compressed commands; absent before the first one. */
+  readsCompressed?: boolean;
   /** Snapshot transfer in progress; absent while log entries suffice. */
   snapshotTransfer?: SnapshotTransfer;
 }
@@ -210,6 +212,12 @@
   return (leadership.progress.get(id)?.ackedSentAtMs ?? Number.NEGATIVE_INFINITY) >= sinceMs;
 }
 
+/** Whether this replica leads and each other one has said that it reads compressed commands. */
+export function doAllReadCompressed({ leadership }: ReplicaState): boolean {
+  if (leadership === undefined) return false;
+  return [...leadership.progress.values()].every(({ readsCompressed }) => readsCompressed === true);
+}
+
 /** All voters and learners except this replica. */
 export function peersOf(state: ReplicaState): ReplicaId[] {
   return [...state.members.voters, ...state.members.learners].filter((id) => id !== state.id);
@@ -269,8 +277,8 @@
 /** Sends a message without waiting for a sync. */
 export function send(state: ReplicaState, message: ConsensusMessage): void {
   const isReply = message.kind === 'appendReply' || message.kind === 'snapshotReply';
-  const stamped = isReply ? { ...message, stamp: stampReply(state) } : message;
-  state.effects.push({ kind: 'send', message: stamped });
+  const origin = { stamp: stampReply(state), readsCompressed: true } as const;
+  state.effects.push({ kind: 'send', message: isReply ? { ...message, ...origin } : message });
 }
 
 /** Sends a message once all durable changes so far are synced. */
--- a/packages/core/src/consensus/replication.ts
+++ b/packages/core/src/consensus/replication.ts
@@ -223,9 +223,10 @@
   reply(true, matchIndex);
 }
 
-/** Records the round and the send time that a reply acknowledges, and the time of the reply. */
+/** Records the round and the send time that a reply acknowledges, and what it tells of its replica. */
 export function recordAck(progress: Progress, reply: AppendReply | SnapshotReply): void {
   recordStamp(progress, reply);
+  progress.readsCompressed = reply.readsCompressed === true;
   progress.ackedRound = Math.max(progress.ackedRound, reply.round);
   progress.ackedSentAtMs = Math.max(progress.ackedSentAtMs, reply.sentAtMs);
 }
--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -20,6 +20,7 @@
 import { lastIndexOf, logBytes } from '@buckthornlug/core/consensus/replicaLog.js';
 import {
   createReplica,
+  doAllReadCompressed,
   isMember,
   type ReplicaState,
 } from '@buckthornlug/core/consensus/replicaState.js';
@@ -28,6 +29,7 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 
 import { decodeBinary, encodeBinary } from './binaryCodec.js';
+import { compressCommand, decodeCommand } from './commandCodec.js';
 import { createConsensusOptions } from './consensusOptions.js';
 import type { GroupDescription } from './consensusSchema.js';
 import type { GroupTask, GroupTaskParts, ProposalResult } from './groupTaskTypes.js';
@@ -176,7 +178,7 @@
       let reply: Reply | undefined;
       if (body.kind === 'command') {
         const startedAtMs = performance.now();
-        reply = this.parts.machine.apply(decodeBinary(body.data) as Command, index);
+        reply = this.parts.machine.apply(decodeCommand(body.data) as Command, index);
         this.snapshotTaker.recordApplied(body.data.byteLength, performance.now() - startedAtMs);
       }
       this.appliedIndex = index;
@@ -262,12 +264,17 @@
     return collected.end();
   }
 
-  propose(command: Command, timeoutMs: number): ProposalResult<Reply> {
+  propose(
+    command: Command,
+    timeoutMs: number,
+    encoded: Uint8Array = encodeBinary(command),
+  ): ProposalResult<Reply> {
     if (this.state.role !== 'leader' || this.storageFailure !== undefined || this.isStopped) {
       return new ResultAsync(Promise.resolve(err(this.notLeaderFailure())));
     }
     const { proposalId, result } = this.pendingReplies.open(timeoutMs);
-    this.proposals.push({ proposalId, data: encodeBinary(command) });
+    const data = doAllReadCompressed(this.state) ? compressCommand(encoded) : encoded;
+    this.proposals.push({ proposalId, data });
     if (this.proposals.length === 1) setImmediate(() => this.flushProposals());
     return result;
   }
@@ -369,7 +376,7 @@
     deliver: (messages) => {
       for (const message of messages) task.handleInput({ kind: 'message', message });
     },
-    propose: (command, timeoutMs) => task.propose(command, timeoutMs),
+    propose: (command, timeoutMs, encoded) => task.propose(command, timeoutMs, encoded),
     read: (command) => task.read(command),
     readBarrier: (timeoutMs) => task.readBarrier(timeoutMs),
     onApplied: (listener) => task.onApplied(listener),
--- a/packages/host/src/consensus/groupTaskTypes.ts
+++ b/packages/host/src/consensus/groupTaskTypes.ts
@@ -37,8 +37,16 @@
     messages: readonly ConsensusMessage[],
   ) => Promise<readonly ConsensusMessage[]>;
   readonly deliver: (messages: readonly ConsensusMessage[]) => void;
-  /** Proposes a command on this replica; BL5001 if it does not lead. */
-  readonly propose: (command: Command, timeoutMs: number) => ProposalResult<Reply>;
+  /**
+   * Proposes a command on this replica; BL5001 if it does not lead.
+   *
+   * @param encoded - CBOR of the command, where it is known already
+   */
+  readonly propose: (
+    command: Command,
+    timeoutMs: number,
+    encoded?: Uint8Array,
+  ) => ProposalResult<Reply>;
   /** Evaluates a read-only command; BL5001 if this replica holds no lease. */
   readonly read: (command: Command) => Result<Reply, Failure>;
   readonly readBarrier: (timeoutMs: number) => ResultAsync<void, Failure>;
--- a/packages/host/src/consensus/groups.ts
+++ b/packages/host/src/consensus/groups.ts
@@ -11,7 +11,7 @@
 import type { PeerClients } from '../rpc/peerClients.js';
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
-import { decodeBase64, encodeBase64 } from './binaryCodec.js';
+import { decodeBase64, decodeBinary, encodeBase64 } from './binaryCodec.js';
 import type { ConsensusHandlers } from './consensusRouter.js';
 import type {
   DeliverReply,
@@ -198,9 +198,12 @@
     if (task === undefined || task.leaderId() !== this.context.settings.hostId) {
       return notLeaderReply(replica, request.groupId);
     }
-    const command = decodeBase64(request.command);
+    const encoded = Buffer.from(request.command, 'base64');
+    const command = decodeBinary(encoded);
     const result =
-      request.mode === 'read' ? task.read(command) : await task.propose(command, request.timeoutMs);
+      request.mode === 'read'
+        ? task.read(command)
+        : await task.propose(command, request.timeoutMs, encoded);
     if (result.isOk()) return { ok: true, reply: encodeBase64(result.value) };
     if (result.error.code === 'BL5001') return notLeaderReply(replica, request.groupId);
     return { ok: false, failure: result.error };
--- a/packages/testkit/src/control/groups.spec.ts
+++ b/packages/testkit/src/control/groups.spec.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 
 import type { ReplicatedMachine } from '@buckthornlug/core/consensus/replicatedMachineTypes.js';
+import type { GroupDescription } from '@buckthornlug/host/consensus/consensusSchema.js';
 import type { GroupHandle } from '@buckthornlug/host/consensus/groupTypes.js';
 import { startHost, type RunningHost } from '@buckthornlug/host/runtime/hostRuntime.js';
 import { features } from '@buckthornlug/host/features.js';
@@ -10,6 +11,7 @@
 
 import { createFleetSettings, type FleetHost } from '../fakes/hostSettings.js';
 import { valueOf } from '../fakes/results.js';
+import { timeUntil } from '../time/timeUntil.js';
 
 /** A machine that keeps a list of words. */
 interface AddWord {
@@ -116,3 +118,50 @@
   t.deepEqual(repaired.words(), ['kept']);
   await Promise.all(second.map(({ host }) => host.stop()));
 });
+
+/** Whether some member leads and no replica lacks an entry by its replies. */
+function haveAllReplied(members: readonly Member[]): boolean {
+  const groups = members.flatMap(({ host }) =>
+    host.parts.running.flatMap(({ status }) => (status?.().groups as GroupDescription[]) ?? []),
+  );
+  const { replicas } = groups.find(({ isLeader }) => isLeader === true) ?? {};
+  return replicas?.every(({ lagEntries }) => lagEntries === 0) ?? false;
+}
+
+// Guards against control hosts that fall behind their heartbeats while documents of megabytes change.
+test.serial(
+  'a long command is compressed in the log of every member and applied whole',
+  async (t) => {
+    const dataFolder = await mkdtemp(join(tmpdir(), 'bl-groups-'));
+    t.teardown(() => rm(dataFolder, { recursive: true }));
+    const members = await startMembers(t, dataFolder);
+    const long = 'word '.repeat(200_000);
+    const outside = members[3] as Member;
+    for (const word of ['first', long, 'last']) {
+      valueOf(await outside.group.submit({ word }, timeoutMs));
+    }
+    for (const { host, group, words } of members.slice(0, 3)) {
+      valueOf(await group.readBarrier(timeoutMs));
+      t.deepEqual(words(), ['first', long, 'last']);
+      const series = host.context.metrics.series().find(({ name }) => name === 'group_log_bytes');
+      t.true(series?.type === 'gauge' && series.value < long.length / 10);
+    }
+    await Promise.all(members.map(({ host }) => host.stop()));
+  },
+);
+
+test.serial('a long command that was compressed is applied again after a restart', async (t) => {
+  const dataFolder = await mkdtemp(join(tmpdir(), 'bl-groups-'));
+  t.teardown(() => rm(dataFolder, { recursive: true }));
+  const long = 'word '.repeat(20_000);
+  const first = await startMembers(t, dataFolder);
+  valueOf(await (first[1] as Member).group.submit({ word: 'first' }, timeoutMs));
+  t.not(await timeUntil(() => haveAllReplied(first), timeoutMs), Infinity);
+  valueOf(await (first[1] as Member).group.submit({ word: long }, timeoutMs));
+  await Promise.all(first.map(({ host }) => host.stop()));
+  for (const { host, group, words } of await startMembers(t, dataFolder)) {
+    if (!host.context.settings.roles.includes('control')) continue;
+    valueOf(await group.readBarrier(timeoutMs));
+    t.deepEqual(words(), ['first', long]);
+  }
+});
