fix(routing): an entry host is told the routes that changed, not the whole document

Cause: each version of the document went whole to each entry host: at 4,000 routes 952 kB of JSON, encoded once per entry host by the control hosts, which are short of processor time just then, and decoded, checked and compiled by hosts with a quarter of a core and 2 Mbit/s. Class: work for a change that grows with the state. Change: a control host remembers which routes the last 64 versions changed (routingChanges.ts) and answers polls of hosts that hold one of these with the changes; the procedure pollChanges asks for them, a host of an earlier version is polled as before. Changes are applied to their base version only, and an answer that was not applied confirms nothing. A defect in a poll is followed by a pause, not by the next poll at once.

--- a/packages/core/src/routing/routingStore.ts
+++ b/packages/core/src/routing/routingStore.ts
@@ -1,6 +1,10 @@
-import type { RoutingDocument } from '@buckthornlug/protocol/routing/routingSchema.js';
+import type {
+  RoutingChanges,
+  RoutingDocument,
+} from '@buckthornlug/protocol/routing/routingSchema.js';
 
 import { neverChanged } from './orderBases.js';
+import { RoutingHistory } from './routingChanges.js';
 
 /** State of the control group: the routing document and the evacuated availability zones. */
 
@@ -51,6 +55,8 @@
 export class RoutingStore {
   private document: RoutingDocument | undefined;
 
+  private readonly history = new RoutingHistory();
+
   private evacuations = new Map<string, EvacuationRecord>();
 
   private revision = 0;
@@ -75,10 +81,20 @@
   }
 
   replace({ document }: ReplaceRoutingCommand): RoutingReply {
-    if (document.version > this.version()) this.document = document;
+    if (document.version > this.version()) {
+      this.document = document;
+      this.history.record(document);
+    }
     return { routingVersion: this.version() };
   }
 
+  /** Changes of the document since a version; undefined if they are not known. */
+  changesSince(version: number): RoutingChanges | undefined {
+    return this.document === undefined
+      ? undefined
+      : this.history.changesSince(version, this.document);
+  }
+
   /** Last change of each zone. */
   evacuationChanges(): ReadonlyMap<string, number> {
     const records = this.evacuationRecords();
@@ -111,6 +127,7 @@
 
   restore(snapshot: RoutingSnapshot | undefined): void {
     this.document = snapshot?.document ?? undefined;
+    this.history.begin(this.document);
     const records = snapshot?.evacuations ?? [];
     this.evacuations = new Map(records.map((record) => [record.availabilityZone, record]));
     this.revision = snapshot?.evacuationRevision ?? 0;
--- a/packages/host/src/routing/routingFeature.ts
+++ b/packages/host/src/routing/routingFeature.ts
@@ -50,7 +50,7 @@
     }, basesIntervalMs);
     const unsubscribe = control.onChange(() => server.changed());
     parts.rpcHandlers.routing = {
-      poll: (poll) => server.poll(poll),
+      poll: (poll, takesChanges) => server.poll(poll, takesChanges),
       heard: (ages) => registry.recordForwardedReports(ages),
       leaving: (backend) => registry.drainLeaving(backend),
       demand: (report) => regionPlan.receive(report),
--- a/packages/host/src/routing/routingFollower.spec.ts
+++ b/packages/host/src/routing/routingFollower.spec.ts
@@ -245,3 +245,26 @@
     t.deepEqual(confirmed, [confirmedAtMs]);
   });
 }
+
+test('an answer whose changes were not applied confirms nothing', async (t) => {
+  const held = { routingVersion: 33, evacuationRevision: 0, registryRevision: 0 };
+  const confirmed: number[] = [];
+  let polls = 0;
+  let stop = (): void => undefined;
+  const request = () => {
+    polls += 1;
+    if (polls === 2) stop();
+    return okAsync(createUpdate(34, 20));
+  };
+  const follower = createFollower(
+    request,
+    () => 0,
+    [],
+    () => false,
+    { position: () => held, confirm: (atMs) => confirmed.push(atMs) },
+  );
+  stop = () => follower.stop();
+  await follower.run();
+  t.deepEqual(confirmed, []);
+  t.is(polls, 2);
+});
--- a/packages/host/src/routing/routingFollower.ts
+++ b/packages/host/src/routing/routingFollower.ts
@@ -6,8 +6,8 @@
 import type { HostContext } from '../runtime/hostTypes.js';
 import type { SetTimer } from '../runtime/timers.js';
 import { controlHostsByDistance } from './controlSources.js';
-import { decodeRoutingUpdate } from './decodeRoutingUpdate.js';
 import { maxStateAgeMs } from './stateAgeWatch.js';
+import { RoutingPoller } from './routingPoller.js';
 import { SourceSelector, type SourceProblem } from './sourceSelector.js';
 import type { RoutingUpdate, RoutingPosition } from './routingPollSchema.js';
 
@@ -85,6 +85,8 @@
 
   private readonly patience = new AnswerPatience();
 
+  private readonly poller: RoutingPoller;
+
   /** Polls since the last update of a source that knows a leader. */
   private consecutiveFailures = 0;
 
@@ -102,7 +104,9 @@
   private readonly startedAtMs: number;
 
   constructor(private readonly dependencies: RoutingFollowerParts) {
-    this.startedAtMs = dependencies.context.clock.nowMs();
+    const { context, parts } = dependencies;
+    this.startedAtMs = context.clock.nowMs();
+    this.poller = new RoutingPoller({ context, peers: parts.peers });
   }
 
   async run(): Promise<void> {
@@ -160,10 +164,11 @@
         resolve(end);
       };
       this.endWait = endWait;
-      this.send(poll)
+      this.pollSource(poll)
         .then((answer) => this.receive(poll, answer))
         .then(endWait, (error: unknown) => {
           this.dependencies.context.log.error('routingPollDefect', { detail: String(error) });
+          this.consecutiveFailures += 1;
           endWait('failed');
         });
     });
@@ -199,8 +204,11 @@
       this.skipSource(source, 'noLeader', failure('BL5001', detail));
       return 'failed';
     }
-    const heldMs = isUnchanged(position, update.position) ? waitMs : 0;
-    this.dependencies.confirm(sentAtMs + heldMs - silentMs);
+    // Changes are not applied to another version than their base, which a later answer may have replaced.
+    if (this.dependencies.position().routingVersion >= update.position.routingVersion) {
+      const heldMs = isUnchanged(position, update.position) ? waitMs : 0;
+      this.dependencies.confirm(sentAtMs + heldMs - silentMs);
+    }
     this.consecutiveFailures = 0;
     // A later poll was answered sooner, so that this source is slow rather than the link.
     const isOutrun = sentAtMs < this.newestAnsweredAtMs;
@@ -242,25 +250,8 @@
     return Math.min(answerTimeoutMs, doubled);
   }
 
-  private async send({
-    source,
-    waitMs,
-    position,
-  }: OpenPoll): Promise<Result<RoutingUpdate, Failure>> {
-    const answer = await this.dependencies.parts.peers.request(
-      source,
-      (client, signal) => client.routing.poll.query({ ...position, waitMs }, { signal }),
-      waitMs + answerTimeoutMs,
-    );
-    const { context } = this.dependencies;
-    return answer.andThen((value) =>
-      decodeRoutingUpdate(value).map(({ update, skippedRecords }) => {
-        if (skippedRecords > 0) {
-          context.log.warn('backendRecordsSkipped', { source, skippedRecords });
-          context.metrics.count('backend_records_skipped_total');
-        }
-        return update;
-      }),
-    );
+  private async pollSource(poll: OpenPoll): Promise<Result<RoutingUpdate, Failure>> {
+    const { source, position, waitMs } = poll;
+    return this.poller.poll(source, { ...position, waitMs }, waitMs + answerTimeoutMs);
   }
 }
--- a/packages/host/src/routing/routingPollSchema.ts
+++ b/packages/host/src/routing/routingPollSchema.ts
@@ -1,5 +1,8 @@
 import { registeredBackendSchema } from '@buckthornlug/protocol/registry/registrySchema.js';
-import { routingDocumentSchema } from '@buckthornlug/protocol/routing/routingSchema.js';
+import {
+  routingChangesSchema,
+  routingDocumentSchema,
+} from '@buckthornlug/protocol/routing/routingSchema.js';
 import { z } from 'zod';
 
 /** Messages with which entry hosts keep their routing state up to date from control hosts. */
@@ -25,6 +28,9 @@
 export const routingUpdateSchema = z.strictObject({
   position: routingPositionSchema,
   document: routingDocumentSchema.optional(),
+  changes: routingChangesSchema
+    .optional()
+    .describe('In place of the document, to hosts that take changes and hold their base version.'),
   evacuations: z.array(evacuationSchema).optional(),
   backends: z.array(registeredBackendSchema),
   silentMs: z
--- a/packages/host/src/routing/routingRouter.ts
+++ b/packages/host/src/routing/routingRouter.ts
@@ -18,7 +18,8 @@
 
 /** Handlers of control hosts for polls and for what other hosts report of backend servers. */
 export interface RoutingHandlers {
-  readonly poll: (poll: RoutingPoll) => Promise<RoutingUpdate>;
+  /** @param takesChanges - whether the polling host takes changes in place of a document */
+  readonly poll: (poll: RoutingPoll, takesChanges: boolean) => Promise<RoutingUpdate>;
   readonly heard: (ages: BackendReportAges) => void;
   readonly leaving: (backend: LeavingBackend) => Promise<void>;
   readonly demand: (report: DemandReport) => DemandReply;
@@ -27,7 +28,11 @@
 /** Builds the routing procedures. */
 export function createRoutingRouter(handlers: RoutingHandlers) {
   return rpcRouter({
-    poll: rpcProcedure.input(routingPollSchema).query(({ input }) => handlers.poll(input)),
+    /** Polls of hosts of an earlier version, which take whole documents only. */
+    poll: rpcProcedure.input(routingPollSchema).query(({ input }) => handlers.poll(input, false)),
+    pollChanges: rpcProcedure
+      .input(routingPollSchema)
+      .query(({ input }) => handlers.poll(input, true)),
     heard: rpcProcedure
       .input(backendReportAgesSchema)
       .mutation(({ input }) => handlers.heard(input)),
--- a/packages/host/src/routing/routingServer.spec.ts
+++ b/packages/host/src/routing/routingServer.spec.ts
@@ -3,6 +3,7 @@
 import { BackendRegistry } from '@buckthornlug/core/registry/backendRegistry.js';
 import { RoutingStore } from '@buckthornlug/core/routing/routingStore.js';
 import type { BackendReport } from '@buckthornlug/protocol/registry/registrySchema.js';
+import type { RoutingDocument } from '@buckthornlug/protocol/routing/routingSchema.js';
 import test from 'ava';
 
 import { RoutingServer } from './routingServer.js';
@@ -27,6 +28,24 @@
   };
 }
 
+function documentOf(version: number, targetMs = 300): RoutingDocument {
+  const routes = Array.from({ length: 4000 }, (_, index) => ({
+    routeId: `r-${index}`,
+    hostName: `host-${index}.example`,
+    pathPrefix: `/path-${index}/`,
+    targets: [{ service: 'desk', weight: 1 }],
+    execution: 'single' as const,
+    timeLimitMs: 1000,
+    targetMs: index === 7 ? targetMs : 300,
+    rank: 0,
+    maxAttempts: 2,
+    hasAffinity: false,
+    homeRegions: [],
+  }));
+  const limits = { maxHeadBytes: 1, maxBodyBytes: 1, headTimeoutMs: 1, idleTimeoutMs: 1 };
+  return { version, routes, services: [], limits, source: 'text of the operator' };
+}
+
 function createServer(backends: number) {
   const registry = new BackendRegistry();
   for (let index = 0; index < backends; index += 1) {
@@ -123,3 +142,32 @@
   server.close();
   t.is((await waiting).silentMs, null);
 });
+
+// Guards against calls that an entry host handles by an old document, since the new one comes whole.
+test('one changed route of thousands reaches a host in an answer that fits a slow link', async (t) => {
+  const { routing, server } = createServer(0);
+  const state = new RoutingState({ nowMs: () => 0 });
+  routing.replace({ type: 'replaceRouting', document: documentOf(3) });
+  t.true(state.apply(await server.poll({ ...state.position(), waitMs: 0 })));
+  routing.replace({ type: 'replaceRouting', document: documentOf(5, 400) });
+  routing.replace({ type: 'replaceRouting', document: documentOf(8, 500) });
+  const news = await server.poll({ ...state.position(), waitMs: 0 });
+  t.true(JSON.stringify(news).length <= maxAnswerBytes);
+  t.true(state.apply(news));
+  t.is(state.position().routingVersion, 8);
+  t.is(state.table?.routesByHostName.get('host-7.example')?.[0]?.targetMs, 500);
+  t.is(state.table?.routesByHostName.size, 4000);
+});
+
+test('a host of an earlier version and one with an unknown document get the whole one', async (t) => {
+  const { routing, server } = createServer(0);
+  for (const version of [3, 5]) {
+    routing.replace({ type: 'replaceRouting', document: documentOf(version) });
+  }
+  const held = { routingVersion: 3, evacuationRevision: 0, registryRevision: 0, waitMs: 0 };
+  t.is((await server.poll(held, false)).document?.routes.length, 4000);
+  t.is((await server.poll(held, true)).changes?.baseVersion, 3);
+  const unknown = await server.poll({ ...held, routingVersion: 4 }, true);
+  t.is(unknown.document?.routes.length, 4000);
+  t.is(unknown.changes, undefined);
+});
--- a/packages/host/src/routing/routingServer.ts
+++ b/packages/host/src/routing/routingServer.ts
@@ -32,6 +32,7 @@
 /** A poll that waits for changes. */
 interface WaitingPoll {
   readonly poll: RoutingPoll;
+  readonly takesChanges: boolean;
   /** Whether it has waited long enough to be answered with changes of backend servers only. */
   mayAnswerWithBackendsOnly: boolean;
   readonly answer: () => void;
@@ -51,18 +52,23 @@
    * Answers at once if there is a newer document, a changed evacuation or a full batch of backend
    * servers; after a short wait if there are fewer changed backend servers; otherwise at the end
    * of the wait of the poll.
+   *
+   * @param takesChanges - whether the polling host takes changes in place of a document
    */
-  poll(poll: RoutingPoll): Promise<RoutingUpdate> {
-    if (poll.waitMs === 0 || this.isUrgent(poll)) return Promise.resolve(this.buildUpdate(poll));
+  poll(poll: RoutingPoll, takesChanges = true): Promise<RoutingUpdate> {
+    if (poll.waitMs === 0 || this.isUrgent(poll)) {
+      return Promise.resolve(this.buildUpdate(poll, takesChanges));
+    }
     return new Promise((resolve) => {
       const timers: NodeJS.Timeout[] = [];
       const waiting: WaitingPoll = {
         poll,
+        takesChanges,
         mayAnswerWithBackendsOnly: false,
         answer: () => {
           for (const timer of timers) clearTimeout(timer);
           this.waitingPolls.delete(waiting);
-          resolve(this.buildUpdate(poll));
+          resolve(this.buildUpdate(poll, takesChanges));
         },
       };
       const onBackendDelayElapsed = () => {
@@ -120,13 +126,24 @@
     return this.position().registryRevision > pollerPosition.registryRevision;
   }
 
-  private buildUpdate(pollerPosition: RoutingPosition): RoutingUpdate {
+  /** What a host lacks of the document: the changes where they are known, else the whole. */
+  private buildDocument(
+    heldVersion: number,
+    takesChanges: boolean,
+  ): Pick<RoutingUpdate, 'document' | 'changes'> {
+    const { routing } = this.parts.machine;
+    const document = routing.current();
+    if (document === undefined || document.version <= heldVersion) return {};
+    const changes = takesChanges ? routing.changesSince(heldVersion) : undefined;
+    if (changes !== undefined) return { changes };
+    // Entry hosts do not need the document in the form that the operator submitted.
+    return { document: { ...document, source: '' } };
+  }
+
+  private buildUpdate(pollerPosition: RoutingPosition, takesChanges: boolean): RoutingUpdate {
     const { machine, stateAgeMs, wallMs } = this.parts;
     const { routing, registry } = machine;
     const position = this.position();
-    const document = routing.current();
-    const hasNewerDocument =
-      document !== undefined && document.version > pollerPosition.routingVersion;
     const silentMs = this.isClosed ? Number.POSITIVE_INFINITY : stateAgeMs();
     const backends = registry.changedSince(pollerPosition.registryRevision, maxBackendsPerUpdate);
     const isTruncated = backends.length === maxBackendsPerUpdate;
@@ -135,8 +152,7 @@
       : position.registryRevision;
     return {
       position: { ...position, registryRevision },
-      // Entry hosts do not need the document in the form that the operator submitted.
-      ...(hasNewerDocument ? { document: { ...document, source: '' } } : {}),
+      ...this.buildDocument(pollerPosition.routingVersion, takesChanges),
       ...(position.evacuationRevision > pollerPosition.evacuationRevision
         ? { evacuations: [...routing.evacuationRecords()] }
         : {}),
--- a/packages/host/src/routing/routingState.spec.ts
+++ b/packages/host/src/routing/routingState.spec.ts
@@ -1,4 +1,5 @@
 import type { RegisteredBackend } from '@buckthornlug/protocol/registry/registrySchema.js';
+import type { Route } from '@buckthornlug/protocol/routing/routingSchema.js';
 import test from 'ava';
 
 import type { RoutingUpdate } from './routingPollSchema.js';
@@ -43,3 +44,45 @@
   state.apply(createUpdate(6, third));
   t.deepEqual([...state.backends.keys()], ['b-1', 'b-2', 'b-3']);
 });
+
+const routeTo = (service: string): Route => ({
+  routeId: 'r-1',
+  hostName: 'one.example',
+  pathPrefix: '/a/',
+  targets: [{ service, weight: 1 }],
+  execution: 'single',
+  timeLimitMs: 1000,
+  targetMs: 300,
+  rank: 0,
+  maxAttempts: 2,
+  hasAffinity: false,
+  homeRegions: [],
+});
+
+function changesTo(service: string, baseVersion: number, version: number): RoutingUpdate {
+  const position = { routingVersion: version, evacuationRevision: 0, registryRevision: 0 };
+  const limits = { maxHeadBytes: 1, maxBodyBytes: 1, headTimeoutMs: 1, idleTimeoutMs: 1 };
+  const common = { version, routes: [routeTo(service)], services: [], limits };
+  const changes = { ...common, baseVersion, removedRouteIds: [] };
+  return { position, backends: [], silentMs: 0, wallMs: 0, changes };
+}
+
+test('changes are applied to their base version only', (t) => {
+  const state = new RoutingState({ nowMs: () => 0 });
+  t.false(state.apply(changesTo('desk', 1, 2)));
+  t.is(state.position().routingVersion, -1);
+  const limits = { maxHeadBytes: 1, maxBodyBytes: 1, headTimeoutMs: 1, idleTimeoutMs: 1 };
+  const document = { version: 1, routes: [routeTo('desk')], services: [], limits, source: '' };
+  const { position, backends, silentMs, wallMs } = changesTo('desk', 0, 1);
+  t.true(state.apply({ position, backends, silentMs, wallMs, document }));
+  t.false(state.apply(changesTo('other', 2, 3)));
+  t.is(state.position().routingVersion, 1);
+  t.true(state.apply(changesTo('ledger', 1, 4)));
+  t.is(state.position().routingVersion, 4);
+  t.false(state.apply(changesTo('late', 1, 3)));
+  const routes = state.table?.routesByHostName.get('one.example') ?? [];
+  t.deepEqual(
+    routes.map(({ targets }) => targets[0]?.service),
+    ['ledger'],
+  );
+});
--- a/packages/host/src/routing/routingState.ts
+++ b/packages/host/src/routing/routingState.ts
@@ -1,6 +1,8 @@
 import { compileRoutes, type RouteTable } from '@buckthornlug/core/routing/routeTable.js';
+import { applyRoutingChanges } from '@buckthornlug/core/routing/routingChanges.js';
 import type { EvacuationRecord } from '@buckthornlug/core/routing/routingStore.js';
 import type { RegisteredBackend } from '@buckthornlug/protocol/registry/registrySchema.js';
+import type { RoutingInForce } from '@buckthornlug/protocol/routing/routingSchema.js';
 
 import type { Clock } from '../runtime/hostTypes.js';
 import type { RoutingUpdate, RoutingPosition } from './routingPollSchema.js';
@@ -12,6 +14,8 @@
 
   readonly backends = new Map<string, RegisteredBackend>();
 
+  private document: RoutingInForce | undefined;
+
   private evacuations = new Map<string, EvacuationRecord>();
 
   private held: RoutingPosition = {
@@ -52,10 +56,12 @@
    * @returns whether anything has changed
    */
   apply(update: RoutingUpdate): boolean {
-    const { position, document, evacuations, backends, wallMs } = update;
+    const { position, evacuations, backends, wallMs } = update;
     this.clockOffsetMs = this.clock.nowMs() - wallMs;
     let hasChanged = false;
+    const document = this.documentOf(update);
     if (document !== undefined && document.version > this.held.routingVersion) {
+      this.document = document;
       this.table = compileRoutes(document);
       this.held = { ...this.held, routingVersion: document.version };
       hasChanged = true;
@@ -96,6 +102,13 @@
     return Math.max(coldUntilMs, coldAfterEvacuationUntilMs) + this.clockOffsetMs;
   }
 
+  /** Document that an update brings; undefined if it brings none, or changes of another version than the one held. */
+  private documentOf({ document, changes }: RoutingUpdate): RoutingInForce | undefined {
+    const { document: held } = this;
+    if (changes === undefined || held?.version !== changes.baseVersion) return document;
+    return applyRoutingChanges(held, changes);
+  }
+
   private applyBackend(record: RegisteredBackend): boolean {
     const known = this.backends.get(record.backendId);
     if (known !== undefined && known.revision >= record.revision) return false;
--- a/packages/protocol/src/routing/routingSchema.ts
+++ b/packages/protocol/src/routing/routingSchema.ts
@@ -84,9 +84,20 @@
     }
   });
 
+/** Changes that lead from one version of a routing document to a later one. */
+export const routingChangesSchema = z.strictObject({
+  baseVersion: z.int().min(0).describe('Version that the changes apply to.'),
+  version: z.int().min(0),
+  routes: z.array(routeSchema).describe('Routes that were added or changed.'),
+  removedRouteIds: z.array(nameSchema),
+  services: z.array(routedServiceSchema).describe('All services.'),
+  limits: routingLimitsSchema,
+});
+
 export type Route = z.infer<typeof routeSchema>;
 export type RoutedService = z.infer<typeof routedServiceSchema>;
 export type RoutingLimits = z.infer<typeof routingLimitsSchema>;
 export type RoutingDocument = z.infer<typeof routingDocumentSchema>;
+export type RoutingChanges = z.infer<typeof routingChangesSchema>;
 /** A routing document without its `source`, as held by entry hosts. */
 export type RoutingInForce = Omit<RoutingDocument, 'source'>;
--- a/packages/testkit/src/routing/slowSources.spec.ts
+++ b/packages/testkit/src/routing/slowSources.spec.ts
@@ -76,7 +76,7 @@
         const update = answer(time.nowMs + answeredInMs);
         time.schedule(answeredInMs + roundTripMs / 2, () => resolve(update));
       });
-    const client = { routing: { poll: { query } } };
+    const client = { routing: { pollChanges: { query } } };
     const timedOut = new Promise<never>((_, reject) => {
       time.schedule(timeoutMs, () => reject(new Error(`no reply in ${timeoutMs} ms`)));
     });
