fix(consensus): the confirmation of a read reaches no later process of the replica

Callers saw: perhaps an older document read back: read version 145 at 97.310 s, 147 had been acknowledged at 95.512 s; control processes had been ended and started again before. Not reproduced: suspected only. Cause: reads were numbered from 1 in each process. A replica that asks its leader, ends and starts again under the same identity takes the late answer to its former read for that of its new one, with an index from before the restart. Change: the first number of a process is random.

--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -101,7 +101,7 @@
     });
     this.restoreMachine(durable.snapshot);
     this.state = createReplica(this.replicaId, durable, options, context.clock.nowMs());
-    this.pendingReads = new PendingReads(context.clock, (readId) =>
+    this.pendingReads = new PendingReads(context.clock, context.random, (readId) =>
       this.handleInput({ kind: 'read', readId }),
     );
     this.outbox = createMessageOutbox(parts.sendBatch, parts.sendHeartbeats);
--- a/packages/host/src/consensus/pendingReads.ts
+++ b/packages/host/src/consensus/pendingReads.ts
@@ -3,27 +3,34 @@
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, ok, type Result } from 'neverthrow';
 
-import type { Clock } from '../runtime/hostTypes.js';
+import type { Clock, Random } from '../runtime/hostTypes.js';
 
 /** Reads of a replica that wait until a leader has confirmed them. */
 
 const retryDelayMs = 20;
+/** Range of the first read ID of a process; leaves room below the largest safe integer. */
+const readIdRange = 2 ** 52;
 
 /** Reads in progress, by read id. */
 export class PendingReads {
   private readonly waiters = new Map<number, (isReady: boolean) => void>();
 
-  private nextReadId = 1;
+  private nextReadId: number;
 
   private isClosed = false;
 
   /**
+   * @param random - random number in [0, 1); the confirmation of a read may reach the next process of the
+   *   replica, whose reads need IDs of their own
    * @param start - starts a read on the replica
    */
   constructor(
     private readonly clock: Clock,
+    random: Random,
     private readonly start: (readId: number) => void,
-  ) {}
+  ) {
+    this.nextReadId = Math.floor(random() * readIdRange);
+  }
 
   /** Ends a read as confirmed, or as to be retried. */
   end(readId: number, isReady: boolean): void {
