fix(clocks): times from before a suspension are no measure of age or lease

Cause: ages and leases are differences of a clock that stands still during a suspension. Class: one clock is taken for time. Change: the clock of a process compares the monotonic with the wall clock whenever it is read. Deadlines, elections and the removal of silent replicas go on with the monotonic clock, so that a step of the wall clock costs no call and no election. The line clocksParted tells of it.

--- a/packages/core/src/consensus/commitment.ts
+++ b/packages/core/src/consensus/commitment.ts
@@ -48,11 +48,15 @@
   });
 }
 
-/** Time until which no other replica can be elected; undefined unless this is a leading voter. */
+/**
+ * Time until which no other replica can be elected; undefined unless this is a leading voter whose clock has
+ * run without a break since a quorum acknowledged it.
+ */
 export function leaseUntilMs(state: ReplicaState): number | undefined {
   const { leadership } = state;
   if (leadership === undefined || !isVoter(state)) return undefined;
   const quorumHeardAtMs = quorumAckedSentAtMs(state, leadership);
+  if (quorumHeardAtMs <= state.trustedSinceMs) return undefined;
   return quorumHeardAtMs + state.options.electionTimeoutMs * leaseFraction;
 }
 
--- a/packages/core/src/consensus/replica.ts
+++ b/packages/core/src/consensus/replica.ts
@@ -196,13 +196,17 @@
 /**
  * Time since the moment before which everything committed is held here: on the leader, since it sent the
  * newest message that a quorum has acknowledged; on another replica, since its newest reply that the
- * leader has echoed with a commit index that is committed here. Infinite before the first one.
+ * leader has echoed with a commit index that is committed here. Infinite before the first one, and while the
+ * newest one is from before a break of the clock.
  *
  * @param nowMs - monotonic time
  */
 export function stateAgeMs(state: ReplicaState, nowMs: number): number {
-  const { leadership } = state;
-  if (leadership === undefined) return nowMs - state.confirmedBeforeMs;
-  if (state.commitIndex < leadership.firstIndex) return Number.POSITIVE_INFINITY;
-  return nowMs - quorumAckedSentAtMs(state, leadership);
+  const { leadership, confirmedBeforeMs, trustedSinceMs, commitIndex } = state;
+  if (leadership !== undefined && commitIndex < leadership.firstIndex) {
+    return Number.POSITIVE_INFINITY;
+  }
+  const heldAtMs =
+    leadership === undefined ? confirmedBeforeMs : quorumAckedSentAtMs(state, leadership);
+  return heldAtMs <= trustedSinceMs ? Number.POSITIVE_INFINITY : nowMs - heldAtMs;
 }
--- a/packages/core/src/consensus/replicaSchedule.ts
+++ b/packages/core/src/consensus/replicaSchedule.ts
@@ -110,7 +110,7 @@
   }
 
   protected startReplica(id: ReplicaId, disk: DurableState): Replica {
-    const state = createReplica(id, disk, this.options, this.nowMs);
+    const state = createReplica(id, disk, this.options, this.clockOf({ id }));
     const hash = this.hashes[disk.snapshot.index] ?? 0;
     const committedMembers = disk.snapshot.members;
     return { id, state, disk, pending: [], isDown: false, pausedUntil: 0, hash, committedMembers };
@@ -285,10 +285,16 @@
     this.stepReplica(leader, { kind: 'changeMembers', change });
   }
 
+  /** Time on the monotonic clock of a replica. */
+  protected clockOf(_replica: Pick<Replica, 'id'>): number {
+    return this.nowMs;
+  }
+
   protected stepReplica(replica: Replica, input: ConsensusInput): void {
     if (replica.isDown || replica.pausedUntil > this.nowMs) return;
-    const context = { nowMs: this.nowMs, random: this.randomBelow(1000) / 1000 };
-    const isEarlyTick = input.kind === 'tick' && this.nowMs < nextTickDueMs(replica.state);
+    const nowMs = this.clockOf(replica);
+    const context = { nowMs, random: this.randomBelow(1000) / 1000 };
+    const isEarlyTick = input.kind === 'tick' && nowMs < nextTickDueMs(replica.state);
     const effects = step(replica.state, context, input);
     const isStepDown = effects.some(({ kind }) => kind === 'roleChanged');
     if (isEarlyTick && effects.length > 0 && !isStepDown) {
@@ -374,10 +380,10 @@
     );
   }
 
-  private checkLeases(): void {
+  protected checkLeases(): void {
     let holders = 0;
     for (const replica of this.replicas) {
-      if (!replica.isDown && holdsLease(replica.state, this.nowMs)) holders += 1;
+      if (!replica.isDown && holdsLease(replica.state, this.clockOf(replica))) holders += 1;
     }
     assertInvariant(holders <= 1, 'two replicas hold a lease');
   }
--- a/packages/core/src/consensus/replicaState.ts
+++ b/packages/core/src/consensus/replicaState.ts
@@ -127,6 +127,8 @@
   incomingSnapshot?: IncomingSnapshot;
   /** All that was committed before this time is committed here. */
   confirmedBeforeMs: number;
+  /** The monotonic clock may have stood still just before this time, so that earlier ones are no measure of age. */
+  trustedSinceMs: number;
   /** Confirmations whose index is not committed here yet. */
   pendingConfirmations: Confirmation[];
   persistSequence: number;
@@ -180,6 +182,7 @@
     votes: new Set(),
     ownVoteSequence: 0,
     confirmedBeforeMs: Number.NEGATIVE_INFINITY,
+    trustedSinceMs: Number.NEGATIVE_INFINITY,
     pendingConfirmations: [],
     persistSequence: 0,
     syncedSequence: 0,
--- a/packages/core/src/routing/orderBases.spec.ts
+++ b/packages/core/src/routing/orderBases.spec.ts
@@ -45,3 +45,14 @@
   bases.observe(after, 9000);
   t.is(bases.baseOf('north-a', after, 9050), 1000);
 });
+
+// Guards against an order that lay unread while the machine was suspended, which its clock does not count.
+test('an order that is read soon after a break of the clock is based on what was known before it', (t) => {
+  const bases = createBases();
+  bases.noteBreak(1020);
+  t.is(bases.baseOf('north-a', after, 1020), 1000);
+  bases.observe(after, 1100);
+  t.is(bases.baseOf('north-a', after, 1900), 1000);
+  for (let nowMs = 1200; nowMs <= 2100; nowMs += 100) bases.observe(after, nowMs);
+  t.is(bases.baseOf('north-a', after, 2150), 2000);
+});
--- a/packages/core/src/routing/orderBases.ts
+++ b/packages/core/src/routing/orderBases.ts
@@ -52,6 +52,11 @@
     return gapMs;
   }
 
+  /** Notes a break of the clock, which may hide a gap: an order may have arrived before its end. */
+  noteBreak(nowMs: number): void {
+    this.settlesAtMs = nowMs + this.options.settleMs;
+  }
+
   /**
    * Returns the base of an order that is read now.
    *
--- a/packages/core/src/slots/slotLease.spec.ts
+++ b/packages/core/src/slots/slotLease.spec.ts
@@ -278,3 +278,19 @@
   t.notThrows(() => fc.assert(property, { seed: 4, numRuns: 2000 }));
   t.true(takeovers.count > 200, `the lease moved in ${takeovers.count} rounds`);
 });
+
+// Guards against calls on slots that were given to another host while this machine was suspended.
+test('a lease is not held after a break of the clock until a token issued since is echoed', (t) => {
+  const lease = heldLease();
+  t.true(lease.isHeld(20));
+  lease.issue('t2', 30, 0);
+  lease.distrustTimes(40);
+  t.false(lease.isHeld(40));
+  t.is(lease.usableSlots(40), 0);
+  t.true(lease.needsEarlyRenewal(40));
+  lease.receive(announcement(echo('a', 't2', 5)), 50, 0);
+  t.false(lease.isHeld(50));
+  lease.issue('t3', 50, 0);
+  lease.receive(announcement(echo('a', 't3', 5)), 60, 0);
+  t.true(lease.isHeld(60));
+});
--- a/packages/core/src/slots/slotLease.ts
+++ b/packages/core/src/slots/slotLease.ts
@@ -46,6 +46,9 @@
 
   private receivedAtMs = Number.NEGATIVE_INFINITY;
 
+  /** Tokens that were issued before are no measure of the lease. */
+  private trustedSinceMs = Number.NEGATIVE_INFINITY;
+
   private slots = 0;
 
   private state: BackendState = 'warming';
@@ -119,6 +122,12 @@
     if (ownInFlight < this.minOwnInFlight) this.minOwnInFlight = ownInFlight;
   }
 
+  /** Gives the lease up until a token that is issued from now on is echoed, after a break of the clock. */
+  distrustTimes(nowMs: number): void {
+    this.trustedSinceMs = nowMs;
+    this.expiresAtMs = Number.NEGATIVE_INFINITY;
+  }
+
   /** Number of slots that this host may use. */
   usableSlots(nowMs: number): number {
     if (!this.isHeld(nowMs) || this.state === 'draining' || this.state === 'leaving') return 0;
@@ -182,6 +191,7 @@
     nowMs: number,
     ownInFlight: number,
   ): void {
+    if (issued.sentAtMs <= this.trustedSinceMs) return;
     this.expiresAtMs = Math.max(this.expiresAtMs, issued.sentAtMs + this.timing.leaseMs);
     if (this.state === 'warming' && this.rampStartMs === undefined) this.rampStartMs = nowMs;
     if (this.isTakenOver) {
--- a/packages/core/src/spreading/controlContact.ts
+++ b/packages/core/src/spreading/controlContact.ts
@@ -1,3 +1,6 @@
+/** Silence that is told while the last contact is not known. */
+const maxSilentMs = 24 * 60 * 60 * 1000;
+
 /**
  * Tracks when a host was last in contact with a control group that has a leader. Answers to polls
  * carry the time since that contact, so that a host also detects that its source is cut off.
@@ -16,8 +19,13 @@
     this.lastContactMs = Math.max(this.lastContactMs, nowMs - silentMs);
   }
 
-  /** Time since the last contact, in milliseconds. */
+  /** Forgets the last contact, after a break of the clock. */
+  forget(): void {
+    this.lastContactMs = Number.NEGATIVE_INFINITY;
+  }
+
+  /** Time since the last contact, in milliseconds; at most a day. */
   silentMs(nowMs: number): number {
-    return Math.max(0, nowMs - this.lastContactMs);
+    return Math.min(maxSilentMs, Math.max(0, nowMs - this.lastContactMs));
   }
 }
--- a/packages/host/src/consensus/groupTask.ts
+++ b/packages/host/src/consensus/groupTask.ts
@@ -83,6 +83,8 @@
 
   private readonly snapshotTaker;
 
+  private readonly unsubscribeFromClock: (() => void) | undefined;
+
   constructor(private readonly parts: GroupTaskParts<Command, Reply>) {
     const { context, storage } = parts;
     const { timing, hostId } = context.settings;
@@ -101,6 +103,9 @@
     });
     this.restoreMachine(durable.snapshot);
     this.state = createReplica(this.replicaId, durable, options, context.clock.nowMs());
+    this.unsubscribeFromClock = context.clock.onBreak?.((nowMs) => {
+      this.state.trustedSinceMs = nowMs;
+    });
     this.pendingReads = new PendingReads(context.clock, context.random, (readId) =>
       this.handleInput({ kind: 'read', readId }),
     );
@@ -351,6 +356,7 @@
 
   async stop(): Promise<void> {
     this.isStopped = true;
+    this.unsubscribeFromClock?.();
     this.snapshotTaker.close();
     clearTimeout(this.tickTimer);
     this.outbox.close();
--- a/packages/host/src/documents/documentsTask.ts
+++ b/packages/host/src/documents/documentsTask.ts
@@ -16,6 +16,7 @@
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext, HostRecord } from '../runtime/hostTypes.js';
 import { setProcessTimer } from '../runtime/timers.js';
+import { TrustedTimes } from '../runtime/trustedTimes.js';
 import { DocumentInstaller } from './documentInstaller.js';
 import {
   pollReplySchema,
@@ -59,6 +60,8 @@
 
   private readonly installer: DocumentInstaller;
 
+  private readonly times: TrustedTimes;
+
   /**
    * @param parts - provided parts, with the holder of the document in force
    * @param copy - copy that the task keeps up to date
@@ -72,6 +75,8 @@
     persist: () => Promise<void> | undefined,
   ) {
     this.contact = new ControlContact(context.clock.nowMs());
+    this.times = new TrustedTimes(context.clock);
+    context.clock.onBreak?.(() => this.contact.forget());
     this.server = new UpdateServer(copy);
     this.installer = new DocumentInstaller(context, parts.document, copy, persist);
     this.reports = this.createReports();
@@ -211,7 +216,7 @@
       // A reply without an update was sent at the end of the wait.
       const heldMs = update === null ? waitMs : 0;
       const onTheWayMs = Math.max(0, nowMs() - sentAtMs - heldMs);
-      this.contact.heard(silentMs + onTheWayMs, nowMs());
+      if (this.times.isTrusted(sentAtMs)) this.contact.heard(silentMs + onTheWayMs, nowMs());
       return update;
     });
   }
--- a/packages/host/src/routing/routingFeature.ts
+++ b/packages/host/src/routing/routingFeature.ts
@@ -41,6 +41,7 @@
     const registry = new RegistryTask(context, parts, control, routing.reportIntervalMs);
     const regionPlan = new RegionPlanTask({ context, parts, control, setTimer: setProcessTimer });
     const bases = new OrderBases(orderBasesOptions, context.clock.nowMs());
+    const unsubscribeFromClock = context.clock.onBreak?.((nowMs) => bases.noteBreak(nowMs));
     const stateAge = new StateAgeWatch(context.log, control.stateAgeMs);
     const basesTimer = setInterval(() => {
       stateAge.observe(machine.routing.version());
@@ -71,6 +72,7 @@
         closeTasks: () => {
           clearInterval(basesTimer);
           unsubscribe();
+          unsubscribeFromClock?.();
           registry.stop();
           regionPlan.stop();
           server.close();
--- a/packages/host/src/routing/routingFollower.spec.ts
+++ b/packages/host/src/routing/routingFollower.spec.ts
@@ -5,6 +5,7 @@
 
 import { createMetrics } from '../metrics/metrics.js';
 import type { HostParts } from '../runtime/hostParts.js';
+import type { Clock } from '../runtime/hostTypes.js';
 import { setProcessTimer, type SetTimer } from '../runtime/timers.js';
 import { RoutingFollower, type RoutingFollowerParts } from './routingFollower.js';
 import type { RoutingUpdate } from './routingPollSchema.js';
@@ -40,7 +41,7 @@
 type AnswerPoll = (source: string, send: unknown, timeoutMs: number) => unknown;
 
 interface FollowerChanges extends Partial<
-  Pick<RoutingFollowerParts, 'position' | 'confirm' | 'setTimer'>
+  Pick<RoutingFollowerParts, 'position' | 'confirm' | 'setTimer'> & Pick<Clock, 'onBreak'>
 > {
   readonly sources?: readonly string[];
 }
@@ -51,12 +52,12 @@
   nowMs: () => number,
   versions: number[],
   isLast: (version: number) => boolean,
-  { sources = defaultSources, ...changed }: FollowerChanges = {},
+  { sources = defaultSources, onBreak, ...changed }: FollowerChanges = {},
 ): RoutingFollower {
   const follower = new RoutingFollower({
     context: {
       settings: createSettings(sources),
-      clock: { nowMs, wallMs: nowMs },
+      clock: { nowMs, wallMs: nowMs, ...(onBreak === undefined ? {} : { onBreak }) },
       metrics: createMetrics(),
       log: { debug() {}, info() {}, warn() {}, error() {} },
     },
@@ -268,3 +269,36 @@
   t.deepEqual(confirmed, []);
   t.is(polls, 2);
 });
+
+test('an answer to a poll from before a break of the clock confirms nothing', async (t) => {
+  let nowMs = 100;
+  let breakClock: (atMs: number, partingMs: number) => void = () => undefined;
+  const confirmed: number[] = [];
+  let polls = 0;
+  const request = () => {
+    polls += 1;
+    nowMs += 10;
+    if (polls === 1) breakClock(nowMs, 5000);
+    nowMs += 1;
+    return okAsync(createUpdate(33, 20));
+  };
+  const follower = createFollower(
+    request,
+    () => nowMs,
+    [33],
+    () => false,
+    {
+      onBreak: (listener) => {
+        breakClock = listener;
+        return () => undefined;
+      },
+      confirm: (atMs) => {
+        confirmed.push(atMs);
+        follower.stop();
+      },
+    },
+  );
+  await follower.run();
+  t.is(polls, 2);
+  t.deepEqual(confirmed, [1091]);
+});
--- a/packages/host/src/routing/routingFollower.ts
+++ b/packages/host/src/routing/routingFollower.ts
@@ -5,6 +5,7 @@
 import type { HostParts } from '../runtime/hostParts.js';
 import type { HostContext } from '../runtime/hostTypes.js';
 import type { SetTimer } from '../runtime/timers.js';
+import { TrustedTimes } from '../runtime/trustedTimes.js';
 import { controlHostsByDistance } from './controlSources.js';
 import { maxStateAgeMs } from './stateAgeWatch.js';
 import { RoutingPoller } from './routingPoller.js';
@@ -87,6 +88,8 @@
 
   private readonly poller: RoutingPoller;
 
+  private readonly times: TrustedTimes;
+
   /** Polls since the last update of a source that knows a leader. */
   private consecutiveFailures = 0;
 
@@ -107,6 +110,7 @@
     const { context, parts } = dependencies;
     this.startedAtMs = context.clock.nowMs();
     this.poller = new RoutingPoller({ context, peers: parts.peers });
+    this.times = new TrustedTimes(context.clock);
   }
 
   async run(): Promise<void> {
@@ -205,7 +209,8 @@
       return 'failed';
     }
     // Changes are not applied to another version than their base, which a later answer may have replaced.
-    if (this.dependencies.position().routingVersion >= update.position.routingVersion) {
+    const isHeld = this.dependencies.position().routingVersion >= update.position.routingVersion;
+    if (isHeld && this.times.isTrusted(sentAtMs)) {
       const heldMs = isUnchanged(position, update.position) ? waitMs : 0;
       this.dependencies.confirm(sentAtMs + heldMs - silentMs);
     }
--- a/packages/host/src/routing/routingState.spec.ts
+++ b/packages/host/src/routing/routingState.spec.ts
@@ -2,6 +2,7 @@
 import type { Route } from '@buckthornlug/protocol/routing/routingSchema.js';
 import test from 'ava';
 
+import type { Clock } from '../runtime/hostTypes.js';
 import type { RoutingUpdate } from './routingPollSchema.js';
 import { RoutingState } from './routingState.js';
 
@@ -86,3 +87,25 @@
     ['ledger'],
   );
 });
+
+// Guards against a 404 for a route that came in force while the machine was suspended.
+test('a confirmation from before a break of the clock confirms nothing after it', (t) => {
+  let nowMs = 1000;
+  let breakClock: (atMs: number, partingMs: number) => void = () => undefined;
+  const clock: Pick<Clock, 'nowMs' | 'onBreak'> = {
+    nowMs: () => nowMs,
+    onBreak: (listener) => {
+      breakClock = listener;
+      return () => undefined;
+    },
+  };
+  const state = new RoutingState(clock);
+  state.confirm(900);
+  t.is(state.unconfirmedMs(), 100);
+  nowMs = 1001;
+  breakClock(nowMs, 5000);
+  t.is(state.unconfirmedMs(), Number.POSITIVE_INFINITY);
+  nowMs = 1100;
+  state.confirm(1050);
+  t.is(state.unconfirmedMs(), 50);
+});
--- a/packages/host/src/routing/routingState.ts
+++ b/packages/host/src/routing/routingState.ts
@@ -5,6 +5,7 @@
 import type { RoutingInForce } from '@buckthornlug/protocol/routing/routingSchema.js';
 
 import type { Clock } from '../runtime/hostTypes.js';
+import { TrustedTimes } from '../runtime/trustedTimes.js';
 import type { RoutingUpdate, RoutingPosition } from './routingPollSchema.js';
 
 /** Routing document, evacuations and registered backend servers, as an entry host holds them. */
@@ -30,7 +31,11 @@
   /** All that was committed before this monotonic time is held. */
   private confirmedAtMs = Number.NEGATIVE_INFINITY;
 
-  constructor(private readonly clock: Pick<Clock, 'nowMs'>) {}
+  private readonly times: TrustedTimes;
+
+  constructor(private readonly clock: Pick<Clock, 'nowMs' | 'onBreak'>) {
+    this.times = new TrustedTimes(clock);
+  }
 
   /**
    * Records that a control host has confirmed the state held.
@@ -41,8 +46,12 @@
     this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
   }
 
-  /** Time for which the state held has not been confirmed; infinite before the first confirmation. */
+  /**
+   * Time for which the state held has not been confirmed; infinite before the first confirmation, and after a
+   * break of the clock.
+   */
   unconfirmedMs(): number {
+    if (!this.times.isTrusted(this.confirmedAtMs)) return Number.POSITIVE_INFINITY;
     return this.clock.nowMs() - this.confirmedAtMs;
   }
 
--- a/packages/host/src/runtime/hostRuntime.ts
+++ b/packages/host/src/runtime/hostRuntime.ts
@@ -23,6 +23,7 @@
 } from './hostTypes.js';
 import { createInitialParts } from './initialParts.js';
 import { closeServer, listen } from './listen.js';
+import { createProcessClock } from './processClock.js';
 
 const stopPhases: readonly StopPhase[] = [
   'leaveLookups',
@@ -52,10 +53,8 @@
   readonly stop: () => Promise<void>;
 }
 
-const processClock: Clock = { nowMs: () => performance.now(), wallMs: () => Date.now() };
-
 function createContext(settings: Settings, overrides: HostOverrides): HostContext {
-  const clock = overrides.clock ?? processClock;
+  const clock = overrides.clock ?? createProcessClock();
   const incarnation = clock.wallMs();
   const { hostId, availabilityZone, limits } = settings;
   const timeline = createTimelineRecorder(
@@ -65,12 +64,16 @@
   );
   const write = overrides.writeLogLine ?? createLineWriter().write;
   const logBounds = { linesPerS: limits.maxLogLinesPerS, nowMs: clock.nowMs };
+  const log = overrides.log ?? createLog(settings.hostId, settings.logLevel, write, logBounds);
+  clock.onBreak?.((_nowMs, partingMs) => {
+    log.warn('clocksParted', { partingMs: Math.round(partingMs) });
+  });
   return {
     settings,
     incarnation,
     clock,
     random: overrides.random ?? Math.random,
-    log: overrides.log ?? createLog(settings.hostId, settings.logLevel, write, logBounds),
+    log,
     record: overrides.record ?? timeline.record,
     timeline,
     metrics: createMetrics(),
--- a/packages/host/src/runtime/hostTypes.ts
+++ b/packages/host/src/runtime/hostTypes.ts
@@ -13,6 +13,12 @@
   readonly nowMs: () => number;
   /** Wall-clock time in milliseconds; for display and for incarnations. */
   readonly wallMs: () => number;
+  /**
+   * Calls the listener before the first monotonic time after a break of the clock is returned: it may have stood
+   * still, so that times noted before are no measure of age. Returns a function that unsubscribes it. Absent
+   * from clocks without breaks, as in virtual time.
+   */
+  readonly onBreak?: (listener: (nowMs: number, partingMs: number) => void) => () => void;
 }
 
 /** A source of random numbers in [0, 1). */
--- a/packages/host/src/slots/announcements.ts
+++ b/packages/host/src/slots/announcements.ts
@@ -159,6 +159,12 @@
     return ok(answer);
   };
 
+  clock.onBreak?.((nowMs) => {
+    for (const task of pools.values()) {
+      for (const { slots } of task.knownBackends) slots.lease.distrustTimes(nowMs);
+    }
+  });
+
   const sweep = () => {
     const nowMs = clock.nowMs();
     for (const task of pools.values()) {
