fix(consensus): what a leader takes without a quorum is limited in bytes

Cause: a leader took up to 16,384 entries that it could not commit, of any size: 100 documents of 1 MiB while it had no quorum. Change: maxUncommittedBytes, 32 MiB: from then on proposals are refused as busy (503), beside maxUncommittedEntries.

--- a/packages/core/src/consensus/consensusTypes.ts
+++ b/packages/core/src/consensus/consensusTypes.ts
@@ -72,6 +72,8 @@
   readonly retainedBytes: number;
   /** Maximum number of uncommitted entries; a leader refuses proposals beyond it. */
   readonly maxUncommittedEntries: number;
+  /** Size of these entries from which on a leader refuses proposals. */
+  readonly maxUncommittedBytes: number;
   /** Absent if replicas are removed by an operator or by a new disk of their host only. */
   readonly replacement?: ReplacementOptions;
 }
--- a/packages/core/src/consensus/replicaLog.ts
+++ b/packages/core/src/consensus/replicaLog.ts
@@ -47,10 +47,13 @@
   return entry.body.kind === 'command' ? entry.body.data.byteLength + 16 : 64;
 }
 
-/** Approximate encoded size of all entries in memory. */
-export function logBytes(log: LogState): number {
+/** Approximate encoded size of the entries in memory, from an index on. */
+export function logBytes(log: LogState, fromIndex = log.baseIndex + 1): number {
   let bytes = 0;
-  for (const entry of log.entries) bytes += entryBytes(entry);
+  for (let index = fromIndex; index <= lastIndexOf(log); index += 1) {
+    const entry = entryAt(log, index);
+    if (entry !== undefined) bytes += entryBytes(entry);
+  }
   return bytes;
 }
 
--- a/packages/core/src/consensus/replicaSchedule.ts
+++ b/packages/core/src/consensus/replicaSchedule.ts
@@ -37,6 +37,7 @@
   retainedEntries: 2,
   retainedBytes: 1024,
   maxUncommittedEntries: 64,
+  maxUncommittedBytes: 4096,
 };
 
 /** A deliberate defect of a replica, applied after each of its steps. */
--- a/packages/core/src/consensus/replication.ts
+++ b/packages/core/src/consensus/replication.ts
@@ -12,7 +12,14 @@
 import { echoFor, recordStamp } from './confirmedState.js';
 import { adoptMembers } from './membership.js';
 import { confirmReads } from './reads.js';
-import { entriesFrom, lastIndexOf, latestMembers, termAt, truncateFrom } from './replicaLog.js';
+import {
+  entriesFrom,
+  lastIndexOf,
+  latestMembers,
+  logBytes,
+  termAt,
+  truncateFrom,
+} from './replicaLog.js';
 import {
   peersOf,
   persistEntries,
@@ -154,11 +161,18 @@
   broadcast(state, state.leadership);
 }
 
+/** Whether the uncommitted part of the log is too long for further proposals. */
+function isBusyFor(state: ReplicaState, proposals: readonly Proposal[]): boolean {
+  const { log, commitIndex, options } = state;
+  const uncommittedEntries = lastIndexOf(log) - commitIndex;
+  if (uncommittedEntries + proposals.length > options.maxUncommittedEntries) return true;
+  return logBytes(log, commitIndex + 1) >= options.maxUncommittedBytes;
+}
+
 /** Appends all proposals to the log, or refuses all of them. */
 export function propose(state: ReplicaState, proposals: readonly Proposal[]): void {
-  const { leadership, options } = state;
-  const uncommittedEntries = lastIndexOf(state.log) - state.commitIndex;
-  const isBusy = uncommittedEntries + proposals.length > options.maxUncommittedEntries;
+  const { leadership } = state;
+  const isBusy = isBusyFor(state, proposals);
   if (leadership === undefined || leadership.handOver !== undefined || isBusy) {
     const reason = isBusy ? 'busy' : 'notLeader';
     for (const { proposalId } of proposals) {
--- a/packages/core/src/consensus/sampleOptions.ts
+++ b/packages/core/src/consensus/sampleOptions.ts
@@ -11,4 +11,5 @@
   retainedEntries: 256,
   retainedBytes: 1_048_576,
   maxUncommittedEntries: 16_384,
+  maxUncommittedBytes: 1_048_576,
 };
--- a/packages/host/src/consensus/consensusOptions.ts
+++ b/packages/host/src/consensus/consensusOptions.ts
@@ -24,6 +24,7 @@
     retainedEntries: 256,
     retainedBytes: 16 * 1024 * 1024,
     maxUncommittedEntries: 16_384,
+    maxUncommittedBytes: 32 * 1024 * 1024,
     ...(replacement === undefined ? {} : { replacement }),
   };
 }
--- a/packages/host/src/consensus/retainedLog.spec.ts
+++ b/packages/host/src/consensus/retainedLog.spec.ts
@@ -21,22 +21,43 @@
   entries: [],
 };
 
-// Guards against control hosts that are ended for memory while a document of thousands of routes changes.
-test('documents of megabytes that follow each other do not pile up in the log', (t) => {
+function createLeader() {
   const state = createReplica('a/1', durable, createConsensusOptions(1000, 100), 0);
   const at = { nowMs: 10_000, random: 0.5 };
   const sync = () => step(state, at, { kind: 'synced', sequence: state.persistSequence });
   step(state, { ...at, nowMs: 1 }, { kind: 'tick' });
   step(state, at, { kind: 'tick' });
   sync();
+  const propose = (proposalId: number, data: Uint8Array) =>
+    step(state, at, { kind: 'propose', proposals: [{ proposalId, data }] });
+  const compact = (data: Uint8Array) =>
+    step(state, at, { kind: 'compact', index: state.commitIndex, data });
+  return { state, sync, propose, compact };
+}
+
+// Guards against control hosts that are ended for memory while a document of thousands of routes changes.
+test('documents of megabytes that follow each other do not pile up in the log', (t) => {
+  const { state, sync, propose, compact } = createLeader();
   t.is(state.role, 'leader');
   const data = new Uint8Array(mebibyte);
   for (let proposalId = 1; proposalId <= 100; proposalId += 1) {
-    step(state, at, { kind: 'propose', proposals: [{ proposalId, data }] });
+    propose(proposalId, data);
     sync();
-    step(state, at, { kind: 'compact', index: state.commitIndex, data });
+    compact(data);
     sync();
   }
   const retainedBytes = logBytes(state.log) + state.log.snapshot.data.byteLength;
   t.true(retainedBytes < controlMemoryBytes, `${retainedBytes} bytes`);
 });
+
+// Guards against a leader without a quorum that is ended for memory by the documents that it cannot commit.
+test('documents of megabytes that cannot be committed are refused before they fill the memory', (t) => {
+  const { state, propose } = createLeader();
+  const data = new Uint8Array(mebibyte);
+  let refused = 0;
+  for (let proposalId = 1; proposalId <= 100; proposalId += 1) {
+    refused += propose(proposalId, data).filter(({ kind }) => kind === 'refused').length;
+  }
+  t.true(refused > 0 && refused < 100);
+  t.true(logBytes(state.log) < controlMemoryBytes, `${logBytes(state.log)} bytes`);
+});
