fix(consensus): messages that wait for a host go in batches of limited size

Cause: up to 256 waiting messages went in one request, whatever their entries' size: a host that did not answer for some seconds while documents of megabytes changed was sent them as one text.

--- a/packages/host/src/consensus/messageOutbox.ts
+++ b/packages/host/src/consensus/messageOutbox.ts
@@ -7,6 +7,8 @@
 /** Concurrent requests to one host; further messages wait and join the next batch. */
 const maxRequestsInFlight = 8;
 const maxBatchMessages = 256;
+/** Entries and snapshot data in one batch; a batch has at least one message. */
+const maxBatchBytes = 1024 * 1024;
 /** Messages that wait for a host that does not answer; the oldest are dropped first. */
 const maxWaitingMessages = 1024;
 
@@ -30,6 +32,27 @@
   readonly close: () => void;
 }
 
+/** Size of the entries or the snapshot data of a message. */
+function contentBytes(message: ConsensusMessage): number {
+  if (message.kind === 'snapshotChunk') return message.data.byteLength;
+  if (message.kind !== 'append') return 0;
+  let bytes = 0;
+  for (const { body } of message.entries) {
+    if (body.kind === 'command') bytes += body.data.byteLength;
+  }
+  return bytes;
+}
+
+/** Number of the first messages that fit one batch. */
+function countBatch(messages: readonly ConsensusMessage[]): number {
+  let bytes = 0;
+  for (const [index, message] of messages.slice(0, maxBatchMessages).entries()) {
+    bytes += contentBytes(message);
+    if (index > 0 && bytes > maxBatchBytes) return index;
+  }
+  return Math.min(messages.length, maxBatchMessages);
+}
+
 interface HostQueue {
   waiting: ConsensusMessage[];
   inFlight: number;
@@ -65,7 +88,7 @@
   const flush = (hostId: string, queue: HostQueue): void => {
     queue.isScheduled = false;
     while (!isClosed && queue.waiting.length > 0 && queue.inFlight < maxRequestsInFlight) {
-      const batch = queue.waiting.splice(0, maxBatchMessages);
+      const batch = queue.waiting.splice(0, countBatch(queue.waiting));
       if (queue.inFlight === 0 && sendHeartbeats(hostId, batch)) continue;
       queue.inFlight += 1;
       const done = () => {
