fix(platform): a body that is no UTF-8 is refused

Cause: bytes were decoded with replacement, and nothing told of it; what was checked, kept and obeyed was another text than the one sent.

--- a/packages/cli/src/commands/documentFile.ts
+++ b/packages/cli/src/commands/documentFile.ts
@@ -1,5 +1,6 @@
 import { readFile } from 'node:fs/promises';
 
+import { decodeStrictUtf8 } from '@buckthornlug/protocol/common/strictUtf8.js';
 import { checkDocument } from '@buckthornlug/protocol/document/document.js';
 import type { SteeringDocument } from '@buckthornlug/protocol/document/documentTypes.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
@@ -13,7 +14,7 @@
  */
 export async function readDocumentFile(path: string): Promise<Result<SteeringDocument, Failure>> {
   try {
-    const value: unknown = JSON.parse(await readFile(path, 'utf8'));
+    const value: unknown = JSON.parse(decodeStrictUtf8(await readFile(path)));
     return checkDocument(value);
   } catch (error) {
     return err(failure('BL2001', `${path}: ${error instanceof Error ? error.message : ''}`));
--- a/packages/host/src/announce/announceEndpoint.ts
+++ b/packages/host/src/announce/announceEndpoint.ts
@@ -6,6 +6,7 @@
 } from '@buckthornlug/protocol/announce/announceSchema.js';
 import { announceKeyHeader } from '@buckthornlug/protocol/calls/callHeaders.js';
 import { faultsOf } from '@buckthornlug/protocol/common/faults.js';
+import { decodeStrictUtf8 } from '@buckthornlug/protocol/common/strictUtf8.js';
 import { failure, type Failure } from '@buckthornlug/protocol/results/failure.js';
 import { err, ok, Result } from 'neverthrow';
 
@@ -21,7 +22,7 @@
 const receiveTimeoutMs = 2000;
 
 const parseJson = Result.fromThrowable(
-  (text: string): unknown => JSON.parse(text),
+  (bytes: Uint8Array): unknown => JSON.parse(decodeStrictUtf8(bytes)),
   () => failure('BL4001', 'the announcement is not JSON'),
 );
 
@@ -81,7 +82,7 @@
     return body
       .andThen((received) => {
         const bytes = received.form === 'whole' ? received.bytes : null;
-        return parseJson(bytes?.toString('utf8') ?? '');
+        return parseJson(bytes ?? Buffer.alloc(0));
       })
       .andThen(checkSchema)
       .andThen(checkServiceAndZone)
