fix(routing): changes that come late are applied to a later version than their base

Cause: an entry host asks the next control host while an answer is late. Changes since the version that it held when it asked were of no use once it held a later one, although they have all that differs from any version in between. Change: they are applied to any version from their base on; one before its base takes the next answer.

--- a/packages/core/src/routing/routingChanges.ts
+++ b/packages/core/src/routing/routingChanges.ts
@@ -111,7 +111,7 @@
   }
 }
 
-/** Applies changes to the document of their base version. */
+/** Applies changes to the document of their base version, or of one between that and theirs. */
 export function applyRoutingChanges(
   document: RoutingInForce,
   { version, routes, removedRouteIds, services, limits }: RoutingChanges,
--- a/packages/host/src/routing/routingFollower.ts
+++ b/packages/host/src/routing/routingFollower.ts
@@ -208,7 +208,7 @@
       this.skipSource(source, 'noLeader', failure('BL5001', detail));
       return 'failed';
     }
-    // Changes are not applied to another version than their base, which a later answer may have replaced.
+    // Changes are not applied to a version before their base.
     const isHeld = this.dependencies.position().routingVersion >= update.position.routingVersion;
     if (isHeld && this.times.isTrusted(sentAtMs)) {
       const heldMs = isUnchanged(position, update.position) ? waitMs : 0;
--- a/packages/host/src/routing/routingState.ts
+++ b/packages/host/src/routing/routingState.ts
@@ -111,11 +111,15 @@
     return Math.max(coldUntilMs, coldAfterEvacuationUntilMs) + this.clockOffsetMs;
   }
 
-  /** Document that an update brings; undefined if it brings none, or changes of another version than the one held. */
+  /**
+   * Document that an update brings; undefined if it brings none, or changes of a later version than the one held.
+   * Changes since an earlier version have all that differs from any version in between.
+   */
   private documentOf({ document, changes }: RoutingUpdate): RoutingInForce | undefined {
     const { document: held } = this;
-    if (changes === undefined || held?.version !== changes.baseVersion) return document;
-    return applyRoutingChanges(held, changes);
+    if (changes === undefined) return document;
+    if (held === undefined || held.version < changes.baseVersion) return undefined;
+    return held.version < changes.version ? applyRoutingChanges(held, changes) : undefined;
   }
 
   private applyBackend(record: RegisteredBackend): boolean {
--- a/packages/protocol/src/routing/routingSchema.ts
+++ b/packages/protocol/src/routing/routingSchema.ts
@@ -86,7 +86,10 @@
 
 /** Changes that lead from one version of a routing document to a later one. */
 export const routingChangesSchema = z.strictObject({
-  baseVersion: z.int().min(0).describe('Version that the changes apply to.'),
+  baseVersion: z
+    .int()
+    .min(0)
+    .describe('Version that the changes apply to, as well as any between it and theirs.'),
   version: z.int().min(0),
   routes: z.array(routeSchema).describe('Routes that were added or changed.'),
   removedRouteIds: z.array(nameSchema),
