test(routing): a caller that waits for its answer before it closes

Cause: the test ended its side of the connection as soon as the backend server had the body, whether or not the answer was back. The host takes the end of a connection for a caller that has left and cancels the call (GONE), so the test passed only where the answer was faster than a poll of 10 ms.

--- a/packages/testkit/src/routing/uploads.spec.ts
+++ b/packages/testkit/src/routing/uploads.spec.ts
@@ -23,6 +23,7 @@
 const bodyBytes = 300_000;
 const maxBodyBytes = 1_000_000;
 const settleMs = 500;
+const shortMs = 50;
 const longMs = 1500;
 
 let fleet: RoutedFleet;
@@ -37,7 +38,7 @@
     receivedBytes.set(id, (receivedBytes.get(id) ?? 0) + chunk.length);
   });
   if (incoming.url?.endsWith('/refused') === true) return { status: 503, notRun: true };
-  return { status: 200, delayMs: incoming.url?.endsWith('/long') === true ? longMs : 0 };
+  return { status: 200, delayMs: incoming.url?.endsWith('/long') === true ? longMs : shortMs };
 }
 
 test.beforeEach(async () => {
@@ -93,9 +94,14 @@
 /** Sends a chunked body and returns what the caller and the backend server have received. */
 async function uploadInChunks(method: string) {
   const { socket, received } = open(method, '/reads/1', 'Transfer-Encoding: chunked');
+  let answered = false;
+  socket.once('data', () => {
+    answered = true;
+  });
   for (let sent = 0; sent < bodyBytes; sent += 50_000) writeChunk(socket, 50_000);
   socket.write('0\r\n\r\n');
-  await timeUntil(() => receivedBytes.get('upload') === bodyBytes, 1000);
+  // A caller that ends its side before the answer has left.
+  await timeUntil(() => answered && receivedBytes.get('upload') === bodyBytes, 1000);
   socket.end();
   const [status] = (await received).split('\r\n');
   return { status, bodies: [...receivedBytes], requests: backend.requests.length };
