--- a/packages/testkit/src/routing/followedDocuments.spec.ts
+++ b/packages/testkit/src/routing/followedDocuments.spec.ts
@@ -7,12 +7,12 @@
 import { createMetrics } from '@buckthornlug/host/metrics/metrics.js';
 import { failure } from '@buckthornlug/protocol/results/failure.js';
 import type { Route, RoutingDocument } from '@buckthornlug/protocol/routing/routingSchema.js';
-import { checkSettings } from '@buckthornlug/protocol/settings/settings.js';
 import test from 'ava';
 import { ResultAsync } from 'neverthrow';
 
 import { createSeededRandom } from '../fakes/seededRandom.js';
 import { VirtualTime } from '../time/virtualTime.js';
+import { createFollowerSettings } from './followerSettings.js';
 
 /**
  * Entry hosts that follow control hosts while documents change, in virtual time: answers are late or lost, control hosts
@@ -22,23 +22,7 @@
 const sourceIds = ['c1', 'c2', 'c3'];
 const ignore = () => undefined;
 
-const settings = checkSettings({
-  hostId: 'e1',
-  region: 'north',
-  availabilityZone: 'north-a',
-  roles: ['entry'],
-  listen: {
-    callers: { address: '127.0.0.1', port: 1 },
-    internal: { address: '127.0.0.1', port: 2 },
-    admin: { address: '127.0.0.1', port: 3 },
-  },
-  peers: sourceIds.map((hostId, index) => ({
-    hostId,
-    internal: { address: '127.0.0.1', port: 10 + index },
-  })),
-  clusterKeys: [{ id: 'k-1', secret: '0123456789abcdef' }],
-  announceKeys: [{ id: 'k-1', secret: '0123456789abcdef' }],
-})._unsafeUnwrap();
+const settings = createFollowerSettings(sourceIds);
 
 const routeOf = (number: number, targetMs: number): Route => ({
   routeId: `r-${number}`,
--- a/packages/testkit/src/routing/slowSources.spec.ts
+++ b/packages/testkit/src/routing/slowSources.spec.ts
@@ -3,11 +3,11 @@
 import type { HostParts } from '@buckthornlug/host/runtime/hostParts.js';
 import { createMetrics } from '@buckthornlug/host/metrics/metrics.js';
 import { failure } from '@buckthornlug/protocol/results/failure.js';
-import { checkSettings } from '@buckthornlug/protocol/settings/settings.js';
 import test from 'ava';
 import { ResultAsync } from 'neverthrow';
 
 import { VirtualTime } from '../time/virtualTime.js';
+import { createFollowerSettings } from './followerSettings.js';
 
 /** Shortest bound of the deployments on the time from the departure of a backend server to its last call. */
 const departureBoundMs = 2500;
@@ -20,23 +20,7 @@
 /** Time that a poll needs to its source and back; undefined for one that gets no answer. */
 type RoundTrip = (source: string, nowMs: number) => number | undefined;
 
-const settings = checkSettings({
-  hostId: 'e1',
-  region: 'north',
-  availabilityZone: 'north-a',
-  roles: ['entry'],
-  listen: {
-    callers: { address: '127.0.0.1', port: 1 },
-    internal: { address: '127.0.0.1', port: 2 },
-    admin: { address: '127.0.0.1', port: 3 },
-  },
-  peers: sourceIds.map((hostId, index) => ({
-    hostId,
-    internal: { address: '127.0.0.1', port: 10 + index },
-  })),
-  clusterKeys: [{ id: 'k-1', secret: '0123456789abcdef' }],
-  announceKeys: [{ id: 'k-1', secret: '0123456789abcdef' }],
-})._unsafeUnwrap();
+const settings = createFollowerSettings(sourceIds);
 
 const revisionAt = (atMs: number) =>
   Math.max(0, Math.floor((atMs - quietUntilMs) / changeIntervalMs));
